--- /dev/null
+++ b/packages/core/include/lavender/lavender.h
@@ -0,0 +1,25 @@
+/*
+ * Umbrella header of liblavender, the coordination parts of lavenderproxy.
+ */
+#ifndef LAVENDER_H
+#define LAVENDER_H
+
+#include "lavender/catalogue.h"
+#include "lavender/dispatcher.h"
+#include "lavender/document.h"
+#include "lavender/entry.h"
+#include "lavender/error.h"
+#include "lavender/hash.h"
+#include "lavender/host.h"
+#include "lavender/ledger.h"
+#include "lavender/membership.h"
+#include "lavender/message.h"
+#include "lavender/metrics.h"
+#include "lavender/node.h"
+#include "lavender/outcome.h"
+#include "lavender/placement.h"
+#include "lavender/ticket.h"
+#include "lavender/types.h"
+#include "lavender/world.h"
+
+#endif
--- /dev/null
+++ b/packages/core/include/lavender/ledger.h
@@ -0,0 +1,83 @@
+/*
+ * The ledger: what each account waited for, received and was owed, in
+ * windows of fixed length, so that the monitor can recompute the fairness
+ * gap from the catalogue and the ledgers of all routers alone.
+ *
+ * Windows are numbered by the host's wall clock for the report only; no
+ * decision depends on it. Ledgers of several routers are merged by adding
+ * equal windows and accounts.
+ */
+#ifndef LAVENDER_LEDGER_H
+#define LAVENDER_LEDGER_H
+
+#include "lavender/error.h"
+#include "lavender/types.h"
+
+/* What one account got in one window at one router (or merged). */
+typedef struct ledger_line {
+    lv_id pool;
+    lv_id account;
+    uint64_t window;     /* wall-clock seconds / window length */
+    int64_t service;     /* service units received */
+    uint64_t backlogged; /* microseconds with work waiting */
+    uint64_t waited;     /* sum of waits of requests started, microseconds */
+    uint32_t started;
+    uint32_t finished;
+    uint32_t refused;
+} ledger_line;
+
+typedef struct ledger_ledger {
+    ledger_line *lines; /* ring of lines in order of window */
+    uint32_t capacity;
+    uint32_t first;
+    uint32_t count;
+    uint64_t window;  /* current */
+    uint64_t dropped; /* lines lost to the bound, counted */
+    uint32_t *index;  /* hash index of the current window's lines */
+    uint32_t index_size;
+} ledger_ledger;
+
+bool ledger_init(ledger_ledger *ledger, uint32_t capacity, err_error *error);
+void ledger_finish(ledger_ledger *ledger);
+
+/* Move to a window; lines of older ones stay until the ring is full. */
+void ledger_set_window(ledger_ledger *ledger, uint64_t window);
+
+/* The current window's line, made when new; NULL only if memory ends. */
+ledger_line *ledger_line_of(ledger_ledger *ledger, lv_id pool, lv_id account);
+
+/* Visit all lines, oldest window first. */
+typedef void ledger_visit(void *context, const ledger_line *line);
+void ledger_each(const ledger_ledger *ledger, ledger_visit *visit,
+                 void *context);
+
+/* Add a line from another router to this ledger (same window numbering). */
+bool ledger_merge(ledger_ledger *ledger, const ledger_line *line);
+
+/* The fairness gap of a pool over windows [from, to]: the largest
+ * difference of service / weight among accounts that were backlogged in
+ * every one of them. */
+typedef struct ledger_share {
+    lv_id account;
+    uint32_t weight;
+    int64_t received;   /* service units */
+    int64_t owed;       /* its weighted part of what backlogged accounts got */
+    bool is_backlogged; /* in all windows */
+} ledger_share;
+
+typedef struct ledger_gap {
+    double gap;  /* largest difference of received / weight */
+    double mean; /* mean of received / weight */
+    uint32_t backlogged;
+} ledger_gap;
+
+/* weight_of gives an account's weight from the catalogue (0: unknown).
+ * shares has room for capacity values; the number written is returned. */
+typedef uint32_t ledger_weight_of(void *context, lv_id account);
+uint32_t ledger_judge(const ledger_ledger *ledger, lv_id pool, uint64_t from,
+                      uint64_t to, lv_time window_length,
+                      ledger_weight_of *weight_of, void *context,
+                      ledger_share *shares, uint32_t capacity,
+                      ledger_gap *gap);
+
+#endif
--- /dev/null
+++ b/packages/core/include/lavender/node.h
@@ -0,0 +1,89 @@
+/*
+ * One instance of the fleet: all roles of one process joined together. The
+ * daemon and the tests drive this object; it decides, the host acts.
+ */
+#ifndef LAVENDER_NODE_H
+#define LAVENDER_NODE_H
+
+#include "lavender/dispatcher.h"
+#include "lavender/document.h"
+#include "lavender/entry.h"
+#include "lavender/host.h"
+#include "lavender/ledger.h"
+#include "lavender/membership.h"
+#include "lavender/placement.h"
+#include "lavender/ticket.h"
+
+typedef struct node_settings {
+    lv_id self;           /* hash of the instance's name */
+    uint64_t incarnation; /* must grow with every restart */
+    uint64_t seed;
+    lv_time pause_limit; /* a longer gap between ticks counts as a pause */
+    uint32_t ledger_lines;
+    entry_settings entry;
+    disp_settings dispatcher;
+    swim_settings membership;
+    doc_settings documents;
+    place_settings placement;
+    tkt_settings tickets;
+} node_settings;
+
+typedef struct node_node node_node;
+
+/* Set up a node in memory that the caller owns. */
+bool node_init(node_node *node, lv_host *host, const node_settings *settings,
+               lv_time now, err_error *error);
+void node_finish(node_node *node);
+
+/* Defaults for every setting but self, incarnation, seed and the key. */
+void node_default_settings(node_settings *settings);
+
+/* Drive. Every call that may follow a long pause checks for one first. */
+void node_tick(node_node *node, lv_time now, uint64_t wall_seconds);
+lv_time node_next_tick(const node_node *node);
+void node_take_message(node_node *node, lv_time now,
+                       const msg_message *message);
+void node_take_load(node_node *node, lv_time now, lv_id endpoint,
+                    const disp_load *load, const lv_id *models,
+                    uint32_t model_count);
+
+/* Stop taking requests, give up the roles; ready to exit when idle. */
+void node_drain(node_node *node, lv_time now);
+bool node_is_idle(const node_node *node);
+
+/* Ready to take callers' requests: documents in force, not draining. */
+bool node_is_ready(const node_node *node);
+
+/* Should this instance watch the platform now? */
+bool node_is_watcher(const node_node *node);
+
+/* Endpoints whose load this instance polls (it dispatches them). */
+uint32_t node_dispatched_endpoints(const node_node *node, lv_id *ids,
+                                   uint32_t capacity);
+
+/* The parts, for requests, documents and status. */
+entry_entry *node_entry(node_node *node);
+doc_store *node_documents(node_node *node);
+swim_membership *node_membership(node_node *node);
+tkt_store *node_tickets(node_node *node);
+ledger_ledger *node_ledger(node_node *node);
+place_placement *node_placement(node_node *node);
+
+/* The dispatchers that this instance runs. */
+uint32_t node_dispatcher_count(const node_node *node);
+const disp_dispatcher *node_dispatcher_at(const node_node *node,
+                                          uint32_t index, lv_id *pool,
+                                          uint32_t *shard, uint64_t *tenure);
+
+typedef struct node_counts {
+    uint64_t messages_in[MSG_KIND_END];
+    uint64_t messages_out[MSG_KIND_END];
+    uint64_t dropped_foreign;
+    uint64_t dropped_old;
+    uint64_t pauses;
+    uint64_t role_changes;
+} node_counts;
+
+const node_counts *node_read_counts(const node_node *node);
+
+#endif
--- /dev/null
+++ b/packages/ctl/source/lavenderctl.c
@@ -0,0 +1,10 @@
+#include <stdio.h>
+
+#include "lavender/lavender.h"
+
+int
+main(void)
+{
+    fprintf(stderr, "lavenderctl: not built yet\n");
+    return 2;
+}
--- /dev/null
+++ b/packages/daemon/source/lavenderd.c
@@ -0,0 +1,10 @@
+#include <stdio.h>
+
+#include "lavender/lavender.h"
+
+int
+main(void)
+{
+    fprintf(stderr, "lavenderd: not built yet\n");
+    return 2;
+}
