--- /dev/null
+++ b/packages/net/include/lavender-net/link.h
@@ -0,0 +1,74 @@
+/*
+ * Peer links: messages between instances over ZeroMQ on the libuv loop.
+ *
+ * Each instance binds one ROUTER socket and connects one DEALER socket per
+ * peer it talks to. With keys, CURVE authenticates and encrypts; without,
+ * only loopback and trusted networks should carry the links. Queues are
+ * bounded: what does not fit is dropped and counted.
+ */
+#ifndef LAVENDER_NET_LINK_H
+#define LAVENDER_NET_LINK_H
+
+#include <uv.h>
+
+#include "lavender/message.h"
+#include "lavender/world.h"
+
+#define LINK_KEY_SIZE 41 /* Z85 text of a CURVE key and the zero */
+
+typedef struct link_settings {
+    char bind[LV_ADDRESS_SIZE]; /* IP:PORT */
+    uint32_t queue;             /* messages kept for one peer */
+    lv_time heartbeat;          /* finds connections that went silent */
+    bool use_curve;
+    char public_key[LINK_KEY_SIZE]; /* one key pair for the whole fleet */
+    char secret_key[LINK_KEY_SIZE];
+} link_settings;
+
+typedef struct link_counts {
+    uint64_t sent;
+    uint64_t sent_bytes;
+    uint64_t received;
+    uint64_t received_bytes;
+    uint64_t dropped_full;      /* the peer's queue was full */
+    uint64_t dropped_malformed; /* could not be decoded */
+    uint64_t dropped_unknown;   /* no address for the receiver */
+} link_counts;
+
+/* A decoded message; it lives for the call only. */
+typedef void link_on_message(void *context, const msg_message *message);
+
+typedef struct link_peer link_peer;
+
+typedef struct link_link {
+    uv_loop_t *loop;
+    link_settings settings;
+    void *zmq;    /* ZeroMQ context */
+    void *router; /* receives from all peers */
+    uv_poll_t poll;
+    uv_prepare_t prepare;
+    link_peer *peers;
+    uint32_t peer_count;
+    link_on_message *on_message;
+    void *context;
+    msg_buffer buffer;
+    link_counts counts;
+} link_link;
+
+bool link_init(link_link *link, uv_loop_t *loop, const link_settings *settings,
+               link_on_message *on_message, void *context, err_error *error);
+
+/* Close the sockets. The loop must run once more before memory is freed. */
+void link_finish(link_link *link);
+
+/* Learn the peers' addresses; connections to those no longer listed close. */
+void link_set_lists(link_link *link, const world_lists *lists);
+
+/* Send, best effort: never blocks. */
+void link_send(link_link *link, lv_id to, const msg_message *message);
+
+/* Make a CURVE key pair (Z85 text). */
+bool link_make_keys(char public_key[LINK_KEY_SIZE],
+                    char secret_key[LINK_KEY_SIZE], err_error *error);
+
+#endif
