Carry peer messages over ZeroMQ on the libuv loop

Cause: instances talk to each other over links that may be cut or silent. Change: one ROUTER to receive, one DEALER for each peer to send, bounded queues, heartbeats, CURVE with a check that the client holds the fleet's key; malformed messages are dropped and counted. Ruled out: CURVE alone; it lets in any client that knows the public key. Conclusion: the daemon can be joined to it.

--- a/packages/daemon/source/lavenderd.c
+++ b/packages/daemon/source/lavenderd.c
@@ -1,6 +1,5 @@
 #include <stdio.h>
 
-#include "lavender/lavender.h"
 
 int
 main(void)
--- a/packages/net/include/lavender-net/link.h
+++ b/packages/net/include/lavender-net/link.h
@@ -17,6 +17,7 @@
 #define LINK_KEY_SIZE 41 /* Z85 text of a CURVE key and the zero */
 
 typedef struct link_settings {
+    lv_id self;                 /* never sent to */
     char bind[LV_ADDRESS_SIZE]; /* IP:PORT */
     uint32_t queue;             /* messages kept for one peer */
     lv_time heartbeat;          /* finds connections that went silent */
@@ -30,9 +31,10 @@
     uint64_t sent_bytes;
     uint64_t received;
     uint64_t received_bytes;
-    uint64_t dropped_full;      /* the peer's queue was full */
+    uint64_t dropped_full; /* no connection, or the peer's queue is full */
     uint64_t dropped_malformed; /* could not be decoded */
     uint64_t dropped_unknown;   /* no address for the receiver */
+    uint64_t refused_keys;      /* connections with another fleet's key */
 } link_counts;
 
 /* A decoded message; it lives for the call only. */
@@ -43,10 +45,14 @@
 typedef struct link_link {
     uv_loop_t *loop;
     link_settings settings;
-    void *zmq;    /* ZeroMQ context */
-    void *router; /* receives from all peers */
+    void *zmq;           /* ZeroMQ context */
+    void *router;        /* receives from all peers */
+    void *authenticator; /* answers ZeroMQ's questions about client keys */
     uv_poll_t poll;
-    uv_prepare_t prepare;
+    uv_poll_t authenticator_poll;
+    uv_prepare_t prepare; /* reads what no edge of the descriptor told */
+    uv_idle_t idle;       /* keeps the loop turning while more is queued */
+    bool is_idle_on;
     link_peer *peers;
     uint32_t peer_count;
     link_on_message *on_message;
@@ -55,6 +61,10 @@
     link_counts counts;
 } link_link;
 
+/* Fleets up to this size connect to every peer when it is listed; larger
+ * ones when the first message goes there, which may then be lost. */
+#define LINK_EAGER_PEERS 64
+
 bool link_init(link_link *link, uv_loop_t *loop, const link_settings *settings,
                link_on_message *on_message, void *context, err_error *error);
 
--- /dev/null
+++ b/packages/net/source/link.c
@@ -0,0 +1,362 @@
+#include "lavender-net/link.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <zmq.h>
+
+#include "link-imp.h"
+
+/* Messages taken in one turn of the loop, so that a flood of peers' messages
+ * leaves room for callers. */
+#define MESSAGES_PER_TURN 256
+
+#define LINK_REMEDY_PEER "check [listen] peer: it must be IP:PORT and free"
+
+struct link_peer {
+    lv_id id;
+    char address[LV_ADDRESS_SIZE];
+    void *socket; /* DEALER, or NULL */
+};
+
+static int
+to_milliseconds(lv_time length)
+{
+    return (int)(length / LV_MILLISECOND);
+}
+
+static bool
+set_option(void *socket, int option, int value)
+{
+    return zmq_setsockopt(socket, option, &value, sizeof value) == 0;
+}
+
+static bool
+set_common_options(const link_link *link, void *socket)
+{
+    int heartbeat = to_milliseconds(link->settings.heartbeat);
+
+    return set_option(socket, ZMQ_LINGER, 0) &&
+           set_option(socket, ZMQ_SNDHWM, (int)link->settings.queue) &&
+           set_option(socket, ZMQ_RCVHWM, (int)link->settings.queue) &&
+           set_option(socket, ZMQ_HEARTBEAT_IVL, heartbeat) &&
+           set_option(socket, ZMQ_HEARTBEAT_TIMEOUT, 2 * heartbeat) &&
+           set_option(socket, ZMQ_HEARTBEAT_TTL, 3 * heartbeat);
+}
+
+static bool
+set_server_keys(const link_link *link, void *socket)
+{
+    if (!link->settings.use_curve) {
+        return true;
+    }
+    return set_option(socket, ZMQ_CURVE_SERVER, 1) &&
+           zmq_setsockopt(socket, ZMQ_CURVE_SECRETKEY,
+                          link->settings.secret_key, LINK_KEY_SIZE) == 0;
+}
+
+static bool
+set_client_keys(const link_link *link, void *socket)
+{
+    const link_settings *settings = &link->settings;
+
+    if (!settings->use_curve) {
+        return true;
+    }
+    return zmq_setsockopt(socket, ZMQ_CURVE_SERVERKEY, settings->public_key,
+                          LINK_KEY_SIZE) == 0 &&
+           zmq_setsockopt(socket, ZMQ_CURVE_PUBLICKEY, settings->public_key,
+                          LINK_KEY_SIZE) == 0 &&
+           zmq_setsockopt(socket, ZMQ_CURVE_SECRETKEY, settings->secret_key,
+                          LINK_KEY_SIZE) == 0;
+}
+
+static void
+take_payload(link_link *link, zmq_msg_t *payload)
+{
+    size_t size = zmq_msg_size(payload);
+    msg_message message;
+
+    link->counts.received++;
+    link->counts.received_bytes += size;
+    if (!msg_decode(zmq_msg_data(payload), size, &message, &link->buffer,
+                    NULL)) {
+        link->counts.dropped_malformed++;
+        return;
+    }
+    link->on_message(link->context, &message);
+}
+
+/* One message is two frames, the connection's identity and the payload;
+ * whatever else comes is dropped whole. False when nothing is queued. */
+static bool
+receive_one(link_link *link)
+{
+    zmq_msg_t frame;
+    int place = 0;
+    bool has_more = true;
+
+    while (has_more) {
+        zmq_msg_init(&frame);
+        if (zmq_msg_recv(&frame, link->router, ZMQ_DONTWAIT) < 0) {
+            zmq_msg_close(&frame);
+            return false;
+        }
+        has_more = zmq_msg_more(&frame);
+        if (place == 1 && !has_more) {
+            take_payload(link, &frame);
+        }
+        else if (place > 0) {
+            link->counts.dropped_malformed++;
+        }
+        place++;
+        zmq_msg_close(&frame);
+    }
+    return true;
+}
+
+static void on_idle(uv_idle_t *handle);
+
+static void
+set_idle(link_link *link, bool is_on)
+{
+    if (is_on == link->is_idle_on) {
+        return;
+    }
+    link->is_idle_on = is_on;
+    if (is_on) {
+        uv_idle_start(&link->idle, on_idle);
+    }
+    else {
+        uv_idle_stop(&link->idle);
+    }
+}
+
+static void
+receive_all(link_link *link)
+{
+    uint32_t taken = 0;
+
+    while (taken < MESSAGES_PER_TURN && receive_one(link)) {
+        taken++;
+    }
+    set_idle(link, taken == MESSAGES_PER_TURN);
+}
+
+static void
+on_idle(uv_idle_t *handle)
+{
+    receive_all(handle->data);
+}
+
+static void
+on_readable(uv_poll_t *handle, int status, int events)
+{
+    (void)status;
+    (void)events;
+    receive_all(handle->data);
+}
+
+static void
+on_prepare(uv_prepare_t *handle)
+{
+    receive_all(handle->data);
+}
+
+bool
+link_init(link_link *link, uv_loop_t *loop, const link_settings *settings,
+          link_on_message *on_message, void *context, err_error *error)
+{
+    char address[LV_ADDRESS_SIZE + 8];
+
+    memset(link, 0, sizeof *link);
+    link->loop = loop;
+    link->settings = *settings;
+    link->on_message = on_message;
+    link->context = context;
+    msg_buffer_init(&link->buffer);
+    link->zmq = zmq_ctx_new();
+    if (link->zmq == NULL) {
+        return link_fail(error, "raise the limit of open files", "peer links");
+    }
+    if (!link_open_authenticator(link, error)) {
+        goto no_authenticator;
+    }
+    link->router = zmq_socket(link->zmq, ZMQ_ROUTER);
+    if (link->router == NULL || !set_common_options(link, link->router) ||
+        !set_server_keys(link, link->router)) {
+        link_fail(error, "check [peers] keys",
+                  "cannot set up the peer socket");
+        goto no_socket;
+    }
+    snprintf(address, sizeof address, "tcp://%s", settings->bind);
+    if (zmq_bind(link->router, address) != 0) {
+        link_fail(error, LINK_REMEDY_PEER, settings->bind);
+        goto no_socket;
+    }
+    uv_poll_init(loop, &link->poll, link_descriptor_of(link->router));
+    uv_prepare_init(loop, &link->prepare);
+    uv_idle_init(loop, &link->idle);
+    link->poll.data = link;
+    link->prepare.data = link;
+    link->idle.data = link;
+    uv_poll_start(&link->poll, UV_READABLE, on_readable);
+    uv_prepare_start(&link->prepare, on_prepare);
+    return true;
+no_socket:
+    if (link->router != NULL) {
+        zmq_close(link->router);
+    }
+    link_close_authenticator(link);
+no_authenticator:
+    zmq_ctx_term(link->zmq);
+    return false;
+}
+
+static void
+close_peer(link_peer *peer)
+{
+    if (peer->socket != NULL) {
+        zmq_close(peer->socket);
+        peer->socket = NULL;
+    }
+}
+
+void
+link_finish(link_link *link)
+{
+    uv_poll_stop(&link->poll);
+    uv_close((uv_handle_t *)&link->poll, NULL);
+    uv_close((uv_handle_t *)&link->prepare, NULL);
+    uv_close((uv_handle_t *)&link->idle, NULL);
+    for (uint32_t i = 0; i < link->peer_count; i++) {
+        close_peer(&link->peers[i]);
+    }
+    free(link->peers);
+    zmq_close(link->router);
+    link_close_authenticator(link);
+    zmq_ctx_term(link->zmq);
+    msg_buffer_finish(&link->buffer);
+}
+
+static int
+compare_peers(const void *left, const void *right)
+{
+    const link_peer *a = left;
+    const link_peer *b = right;
+
+    if (a->id == b->id) {
+        return 0;
+    }
+    return a->id < b->id ? -1 : 1;
+}
+
+static link_peer *
+find_peer(const link_link *link, lv_id id)
+{
+    link_peer key = {.id = id};
+
+    if (link->peer_count == 0) {
+        return NULL;
+    }
+    return bsearch(&key, link->peers, link->peer_count, sizeof key,
+                   compare_peers);
+}
+
+static void
+connect_peer(link_link *link, link_peer *peer)
+{
+    char address[LV_ADDRESS_SIZE + 8];
+
+    peer->socket = zmq_socket(link->zmq, ZMQ_DEALER);
+    if (peer->socket == NULL) {
+        return;
+    }
+    snprintf(address, sizeof address, "tcp://%s", peer->address);
+    if (!set_common_options(link, peer->socket) ||
+        !set_option(peer->socket, ZMQ_IMMEDIATE, 1) ||
+        !set_client_keys(link, peer->socket) ||
+        zmq_connect(peer->socket, address) != 0) {
+        close_peer(peer);
+    }
+}
+
+/* A peer that keeps its address keeps its connection. */
+static void
+inherit_socket(link_link *link, link_peer *peer)
+{
+    link_peer *old = find_peer(link, peer->id);
+
+    if (old != NULL && strcmp(old->address, peer->address) == 0) {
+        peer->socket = old->socket;
+        old->socket = NULL;
+    }
+}
+
+void
+link_set_lists(link_link *link, const world_lists *lists)
+{
+    uint32_t count = lists->instance_count;
+    link_peer *peers = calloc(count + 1, sizeof *peers);
+
+    if (peers == NULL) {
+        return;
+    }
+    for (uint32_t i = 0; i < count; i++) {
+        peers[i].id = lists->instances[i].id;
+        memcpy(peers[i].address, lists->instances[i].peer,
+               sizeof peers[i].address);
+        inherit_socket(link, &peers[i]);
+    }
+    for (uint32_t i = 0; i < link->peer_count; i++) {
+        close_peer(&link->peers[i]);
+    }
+    free(link->peers);
+    link->peers = peers;
+    link->peer_count = count;
+    qsort(peers, count, sizeof *peers, compare_peers);
+    for (uint32_t i = 0; count <= LINK_EAGER_PEERS && i < count; i++) {
+        if (peers[i].socket == NULL && peers[i].id != link->settings.self) {
+            connect_peer(link, &peers[i]);
+        }
+    }
+}
+
+void
+link_send(link_link *link, lv_id to, const msg_message *message)
+{
+    link_peer *peer = find_peer(link, to);
+    char *bytes;
+    size_t size;
+
+    if (peer == NULL) {
+        link->counts.dropped_unknown++;
+        return;
+    }
+    if (peer->socket == NULL) {
+        connect_peer(link, peer);
+    }
+    if (peer->socket == NULL || !msg_encode(message, &bytes, &size, NULL)) {
+        link->counts.dropped_full++;
+        return;
+    }
+    if (zmq_send(peer->socket, bytes, size, ZMQ_DONTWAIT) < 0) {
+        link->counts.dropped_full++;
+    }
+    else {
+        link->counts.sent++;
+        link->counts.sent_bytes += size;
+    }
+    free(bytes);
+}
+
+bool
+link_make_keys(char public_key[LINK_KEY_SIZE], char secret_key[LINK_KEY_SIZE],
+               err_error *error)
+{
+    if (zmq_curve_keypair(public_key, secret_key) != 0) {
+        return link_fail(error, "install a libzmq that has CURVE",
+                         "cannot make CURVE keys");
+    }
+    return true;
+}
--- /dev/null
+++ b/tests/net/test-link.c
@@ -0,0 +1,211 @@
+/*
+ * Peer links over real sockets on loopback: delivery, CURVE keys, garbage on
+ * the peer port.
+ */
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "lavender-net/link.h"
+
+/* The longest wait for a condition, in milliseconds. */
+#define WAIT_LIMIT 10000
+#define WAIT_STEP 5
+
+typedef struct end_point {
+    link_link link;
+    lv_id id;
+    uint32_t taken;
+    uint64_t last_sequence;
+} end_point;
+
+typedef struct fixture {
+    uv_loop_t loop;
+    uv_timer_t timer;
+    end_point ends[2];
+    inst_instance instances[2];
+    world_lists lists;
+} fixture;
+
+static void
+on_message(void *context, const msg_message *message)
+{
+    end_point *end = context;
+
+    end->taken++;
+    end->last_sequence = message->sequence;
+}
+
+static void
+on_timer(uv_timer_t *timer)
+{
+    (void)timer;
+}
+
+static link_settings
+make_settings(lv_id self, int port)
+{
+    link_settings settings = {
+        .self = self,
+        .queue = 100,
+        .heartbeat = 200 * LV_MILLISECOND,
+    };
+
+    snprintf(settings.bind, sizeof settings.bind, "127.0.0.1:%d", port);
+    return settings;
+}
+
+static int
+pick_port(int place)
+{
+    return 20000 + (getpid() * 7 + place * 3001) % 30000;
+}
+
+static void
+open_end(fixture *f, int place, const link_settings *keys)
+{
+    end_point *end = &f->ends[place];
+    link_settings settings =
+        make_settings(f->instances[place].id, pick_port(place));
+    err_error error;
+
+    settings.use_curve = keys->use_curve;
+    memcpy(settings.public_key, keys->public_key, LINK_KEY_SIZE);
+    memcpy(settings.secret_key, keys->secret_key, LINK_KEY_SIZE);
+    cr_assert(
+        link_init(&end->link, &f->loop, &settings, on_message, end, &error),
+        "%s", error.message);
+    memcpy(f->instances[place].peer, settings.bind, sizeof settings.bind);
+}
+
+static void
+open_all(fixture *f, const link_settings *first, const link_settings *second)
+{
+    memset(f, 0, sizeof *f);
+    uv_loop_init(&f->loop);
+    uv_timer_init(&f->loop, &f->timer);
+    uv_timer_start(&f->timer, on_timer, WAIT_STEP, WAIT_STEP);
+    f->instances[0].id = 1;
+    f->instances[1].id = 2;
+    open_end(f, 0, first);
+    open_end(f, 1, second);
+    f->lists.instances = f->instances;
+    f->lists.instance_count = 2;
+    link_set_lists(&f->ends[0].link, &f->lists);
+    link_set_lists(&f->ends[1].link, &f->lists);
+}
+
+static void
+close_all(fixture *f)
+{
+    link_finish(&f->ends[0].link);
+    link_finish(&f->ends[1].link);
+    uv_close((uv_handle_t *)&f->timer, NULL);
+    uv_run(&f->loop, UV_RUN_DEFAULT);
+    cr_assert_eq(uv_loop_close(&f->loop), 0);
+}
+
+static void
+send_number(fixture *f, int from, lv_id to, uint64_t sequence)
+{
+    msg_message message = {
+        .kind = MSG_PING,
+        .version = MSG_VERSION,
+        .sender = f->instances[from].id,
+        .sequence = sequence,
+    };
+
+    link_send(&f->ends[from].link, to, &message);
+}
+
+/* Send until the other end has taken one, at most for the wait limit. */
+static bool
+exchange(fixture *f, int from, int to)
+{
+    for (int waited = 0; waited < WAIT_LIMIT; waited += WAIT_STEP) {
+        send_number(f, from, f->instances[to].id, 5);
+        uv_run(&f->loop, UV_RUN_ONCE);
+        if (f->ends[to].taken > 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+Test(link, delivers_both_ways)
+{
+    link_settings none = {0};
+    fixture f;
+
+    open_all(&f, &none, &none);
+    cr_assert(exchange(&f, 0, 1));
+    cr_assert(exchange(&f, 1, 0));
+    cr_assert_eq(f.ends[1].last_sequence, 5);
+    close_all(&f);
+}
+
+Test(link, unknown_receiver_is_counted)
+{
+    link_settings none = {0};
+    fixture f;
+
+    open_all(&f, &none, &none);
+    send_number(&f, 0, 99, 1);
+    cr_assert_eq(f.ends[0].link.counts.dropped_unknown, 1);
+    close_all(&f);
+}
+
+Test(link, curve_keys_of_one_fleet_are_let_in)
+{
+    link_settings keys = {.use_curve = true};
+    fixture f;
+
+    cr_assert(link_make_keys(keys.public_key, keys.secret_key, NULL));
+    open_all(&f, &keys, &keys);
+    cr_assert(exchange(&f, 0, 1));
+    close_all(&f);
+}
+
+/* The stranger knows the fleet's public key but not its secret one. */
+Test(link, curve_key_of_a_stranger_is_refused)
+{
+    link_settings keys = {.use_curve = true};
+    link_settings strange = {.use_curve = true};
+    fixture f;
+
+    cr_assert(link_make_keys(keys.public_key, keys.secret_key, NULL));
+    cr_assert(link_make_keys(strange.public_key, strange.secret_key, NULL));
+    open_all(&f, &strange, &keys);
+    memcpy(f.ends[0].link.settings.public_key, keys.public_key, LINK_KEY_SIZE);
+    link_set_lists(&f.ends[0].link, &f.lists);
+    for (int i = 0; i < 200; i++) {
+        send_number(&f, 0, 2, 1);
+        uv_run(&f.loop, UV_RUN_ONCE);
+    }
+    cr_assert_eq(f.ends[1].taken, 0);
+    close_all(&f);
+}
+
+Test(link, garbage_on_the_peer_port_is_counted)
+{
+    link_settings none = {0};
+    fixture f;
+    int waited = 0;
+
+    open_all(&f, &none, &none);
+    cr_assert(exchange(&f, 0, 1));
+    send_number(&f, 0, 2, 1);
+    while (f.ends[1].link.counts.dropped_malformed == 0 &&
+           waited < WAIT_LIMIT) {
+        msg_message nameless = {.kind = MSG_PING, .version = MSG_VERSION};
+
+        link_send(&f.ends[0].link, 2, &nameless);
+        uv_run(&f.loop, UV_RUN_ONCE);
+        waited += WAIT_STEP;
+    }
+    cr_assert_gt(f.ends[1].link.counts.dropped_malformed, 0);
+    f.ends[1].taken = 0;
+    cr_assert(exchange(&f, 0, 1));
+    close_all(&f);
+}
