Add token buckets and make allowances cumulative

Cause: an allowance 'until the next grant' is lost or counted twice when a GRANT or REPORT is lost, so the fleet-wide rate could be exceeded. Change: lim_bucket (shared by entry and dispatcher) in integer arithmetic; msg_demand.arrivals and msg_level.allowance count from the start of the entry's process. The wire format is the same. Conclusion: both ends can repeat or lose messages without changing the sum.

--- a/packages/core/include/lavender/lavender.h
+++ b/packages/core/include/lavender/lavender.h
@@ -12,6 +12,7 @@
 #include "lavender/hash.h"
 #include "lavender/host.h"
 #include "lavender/ledger.h"
+#include "lavender/limits.h"
 #include "lavender/membership.h"
 #include "lavender/message.h"
 #include "lavender/metrics.h"
--- a/packages/core/include/lavender/message.h
+++ b/packages/core/include/lavender/message.h
@@ -72,7 +72,8 @@
     lv_id account;
     uint32_t waiting[CAT_PRIORITY_COUNT];   /* requests queued */
     lv_time oldest_age[CAT_PRIORITY_COUNT]; /* of the head of each queue */
-    uint32_t arrivals; /* requests that came since the last report */
+    uint32_t arrivals; /* requests admitted for this pool since the entry's
+                          process started, modulo 2^32 */
 } msg_demand;
 
 /* A lease that an entry holds. */
@@ -102,12 +103,15 @@
     lv_id account; /* LV_ID_NONE: any account */
 } msg_grant;
 
-/* An account's virtual counter, and the requests that this entry may admit
- * under the fleet-wide rate until the next grant. */
+/* An account's virtual counter, and what this entry may admit under the
+ * fleet-wide rate: a request may come in while allowance - arrivals, as a
+ * signed 32-bit difference, is above zero. Counting from the start of the
+ * entry's process, it neither grows nor is lost with a repeated or lost
+ * message. It says nothing where the catalogue sets no rate. */
 typedef struct msg_level {
     lv_id account;
     int64_t level;      /* service units / weight */
-    uint32_t allowance; /* requests */
+    uint32_t allowance; /* highest value of arrivals, modulo 2^32 */
 } msg_level;
 
 typedef struct msg_message {
--- /dev/null
+++ b/packages/core/source/lim-bucket.c
@@ -0,0 +1,110 @@
+#include "lavender/limits.h"
+
+static uint64_t
+bound_rate(uint64_t rate)
+{
+    return rate < LIM_RATE_MAX ? rate : LIM_RATE_MAX;
+}
+
+static int64_t
+bound_burst(uint32_t burst)
+{
+    if (burst == 0) {
+        burst = 1;
+    }
+    return (burst < LIM_BURST_MAX ? burst : LIM_BURST_MAX) * LIM_REQUEST;
+}
+
+static void
+add(lim_bucket *bucket, int64_t amount)
+{
+    int64_t room = bucket->burst - bucket->level;
+
+    bucket->level += amount < room ? amount : room;
+}
+
+void
+lim_init(lim_bucket *bucket, uint64_t rate, uint32_t burst, lv_time now)
+{
+    bucket->rate = bound_rate(rate);
+    bucket->burst = bound_burst(burst);
+    bucket->level = bucket->burst;
+    bucket->at = now;
+}
+
+void
+lim_set(lim_bucket *bucket, uint64_t rate, uint32_t burst, lv_time now)
+{
+    lim_refill(bucket, now);
+    bucket->rate = bound_rate(rate);
+    bucket->burst = bound_burst(burst);
+    add(bucket, 0);
+}
+
+void
+lim_refill(lim_bucket *bucket, lv_time now)
+{
+    lv_time elapsed = lv_elapsed(now, bucket->at);
+    uint64_t room = (uint64_t)(bucket->burst - bucket->level);
+
+    if (elapsed == 0) {
+        return;
+    }
+    bucket->at = now;
+    if (bucket->rate > 0 && elapsed >= room / bucket->rate + 1) {
+        bucket->level = bucket->burst;
+        return;
+    }
+    add(bucket, (int64_t)(elapsed * bucket->rate));
+}
+
+uint32_t
+lim_available(const lim_bucket *bucket)
+{
+    if (bucket->level < LIM_REQUEST) {
+        return 0;
+    }
+    return (uint32_t)(bucket->level / LIM_REQUEST);
+}
+
+bool
+lim_take(lim_bucket *bucket, uint32_t count)
+{
+    if (lim_available(bucket) < count) {
+        return false;
+    }
+    bucket->level -= count * LIM_REQUEST;
+    return true;
+}
+
+void
+lim_charge(lim_bucket *bucket, uint32_t count)
+{
+    int64_t lowest = -bucket->burst;
+
+    bucket->level -=
+        (int64_t)(count < LIM_BURST_MAX ? count : LIM_BURST_MAX) * LIM_REQUEST;
+    if (bucket->level < lowest) {
+        bucket->level = lowest;
+    }
+}
+
+void
+lim_give_back(lim_bucket *bucket, uint32_t count)
+{
+    add(bucket, (int64_t)(count < LIM_BURST_MAX ? count : LIM_BURST_MAX) *
+                    LIM_REQUEST);
+}
+
+lv_time
+lim_wait(const lim_bucket *bucket)
+{
+    if (bucket->level >= LIM_REQUEST) {
+        return 0;
+    }
+    if (bucket->rate == 0) {
+        return LV_TIME_NEVER;
+    }
+    return ((uint64_t)(LIM_REQUEST - bucket->level) + bucket->rate - 1) /
+           bucket->rate;
+}
