--- a/packages/net/source/link.c
+++ b/packages/net/source/link.c
@@ -11,6 +11,8 @@
  * leaves room for callers. */
 #define MESSAGES_PER_TURN 256
 
+#define PEER_ADDRESS_SIZE (2 * LV_ADDRESS_SIZE + 16)
+
 #define LINK_REMEDY_PEER "check [listen] peer: it must be IP:PORT and free"
 
 struct link_peer {
@@ -263,16 +265,35 @@
                    compare_peers);
 }
 
+/* Connections leave from the IP number of this instance's settings, so that
+ * firewalls and peers can tell the instances of one machine apart. */
+static void
+format_peer_address(const link_link *link, const link_peer *peer,
+                    char address[PEER_ADDRESS_SIZE])
+{
+    const char *bind = link->settings.bind;
+    const char *colon = strrchr(bind, ':');
+    int length = colon != NULL ? (int)(colon - bind) : 0;
+
+    if (length == 0 || strncmp(bind, "0.0.0.0:", 8) == 0 ||
+        strncmp(bind, "[::]:", 5) == 0 || strncmp(bind, "*:", 2) == 0) {
+        snprintf(address, PEER_ADDRESS_SIZE, "tcp://%s", peer->address);
+        return;
+    }
+    snprintf(address, PEER_ADDRESS_SIZE, "tcp://%.*s:0;%s", length, bind,
+             peer->address);
+}
+
 static void
 connect_peer(link_link *link, link_peer *peer)
 {
-    char address[LV_ADDRESS_SIZE + 8];
+    char address[PEER_ADDRESS_SIZE];
 
     peer->socket = zmq_socket(link->zmq, ZMQ_DEALER);
     if (peer->socket == NULL) {
         return;
     }
-    snprintf(address, sizeof address, "tcp://%s", peer->address);
+    format_peer_address(link, peer, address);
     if (!set_common_options(link, peer->socket) ||
         !set_option(peer->socket, ZMQ_IMMEDIATE, 1) ||
         !set_client_keys(link, peer->socket) ||
