--- a/tests/fleet/fleet-engine.c
+++ b/tests/fleet/fleet-engine.c
@@ -209,6 +209,7 @@
     uv_loop_init(&engine->loop);
     usage_init(&engine->usage, engine->options.slots);
     engine->jobs_end = &engine->jobs;
+    engine->runs = json_object();
     engine->cache.capacity =
         engine->options.cache_entries > 0 ? engine->options.cache_entries : 1;
     engine->cache.entries =
@@ -252,7 +253,8 @@
         "\vIt prints \"ready IP:PORT admin IP:PORT\". The answer follows from "
         "the request: \"user\" is its identity (ACCOUNT/NUMBER), "
         "\"reply_tokens\" the true length. For tests: GET /admin/counts, "
-        "GET /admin/usage, POST /admin/fault {\"cut_after\": BYTES, "
+        "GET /admin/runs, GET /admin/usage, POST /admin/fault {\"cut_after\": "
+        "BYTES, "
         "\"cut_count\": N, \"refuse\": N, \"stall\": BOOL, "
         "\"lose_streams\": BOOL, \"crash\": true}.",
         NULL,
--- a/tests/fleet/fleet-service.c
+++ b/tests/fleet/fleet-service.c
@@ -200,6 +200,9 @@
         service->refuse_count--;
         http_send_json(req, 503, json_pack("{s:s}", "error", "refused"));
     }
+    else if (http_has_method(req, "GET")) {
+        http_send_text(req, 404, "text/plain", "no such path\n", 13);
+    }
     else if (identity == NULL) {
         http_send_json(req, 400,
                        json_pack("{s:s}", "error", "no \"user\" in the body"));
--- a/tests/fleet/part-fleet-engine-admin.c
+++ b/tests/fleet/part-fleet-engine-admin.c
@@ -65,6 +65,9 @@
     else if (http_has_path(req, "/admin/usage")) {
         http_send_json(req, 200, usage_to_json(&engine->usage));
     }
+    else if (http_has_path(req, "/admin/runs")) {
+        http_send_json(req, 200, json_pack("{s:O}", "runs", engine->runs));
+    }
     else if (http_has_path(req, "/admin/fault")) {
         set_faults(engine, req);
     }
--- a/tests/fleet/part-fleet-engine-job.c
+++ b/tests/fleet/part-fleet-engine-job.c
@@ -11,6 +11,16 @@
 #define TOKENS_MAX 4096
 #define TOKENS_DEFAULT 16
 
+static void
+record_run(engine_job *job)
+{
+    json_t *runs = job->engine->runs;
+    json_int_t count =
+        json_integer_value(json_object_get(runs, job->identity));
+
+    json_object_set_new(runs, job->identity, json_integer(count + 1));
+}
+
 static void
 start_job(engine_job *job, uint64_t now_us)
 {
@@ -21,6 +31,7 @@
         engine->counts.cache_hits++;
         prefill /= CACHED_SHARE;
     }
+    record_run(job);
     job->state = ENGINE_RUNNING;
     job->next_us = now_us + prefill + engine->options.token_us;
     engine->queued--;
--- a/tests/fleet/part-fleet-engine.h
+++ b/tests/fleet/part-fleet-engine.h
@@ -130,6 +130,7 @@
     engine_job *jobs; /* in order of arrival */
     engine_job **jobs_end;
     uint64_t job_number;
+    json_t *runs; /* identity: times it began to run */
     uint32_t running;
     uint32_t queued;
     uint32_t reported_running; /* the lagging load report */
--- /dev/null
+++ b/tests/fleet/part-fleet-load-report.c
@@ -0,0 +1,500 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common-process.h"
+#include "common-usage.h"
+#include "part-fleet-load.h"
+
+#define US_PER_SECOND 1e6
+#define US_PER_MS 1e3
+#define INTERVAL_MS 100.0
+
+/* Sum the values of all lines of a /metrics text that start so. */
+static double
+sum_metric(const char *text, const char *name)
+{
+    size_t length = strlen(name);
+    double sum = 0;
+
+    for (const char *at = text; at != NULL && *at != '\0';) {
+        const char *end = strchr(at, '\n');
+
+        if (strncmp(at, name, length) == 0 &&
+            (at[length] == ' ' || at[length] == '{')) {
+            const char *value = strchr(at, ' ');
+
+            sum += value != NULL ? strtod(value, NULL) : 0;
+        }
+        at = end != NULL ? end + 1 : NULL;
+    }
+    return sum;
+}
+
+static double
+read_control_bytes(const char *address)
+{
+    double sum = 0;
+    http_call call;
+
+    if (http_call_wait(&call, address, "GET", "/metrics", "", "", 5000) &&
+        call.body != NULL) {
+        sum = sum_metric(call.body, "lavender_peer_bytes_out_total") +
+              sum_metric(call.body, "lavender_load_bytes_total");
+    }
+    http_call_finish(&call);
+    return sum;
+}
+
+void
+load_take_sample(load_load *load, load_sample *sample)
+{
+    const load_plan *plan = &load->plan;
+    json_t *counts;
+
+    memset(sample, 0, sizeof *sample);
+    sample->at_us = usage_now_us();
+    for (uint32_t i = 0; i < plan->operators.count; i++) {
+        sample->control_bytes += read_control_bytes(plan->operators.text[i]);
+    }
+    for (uint32_t i = 0; i < plan->pids.count && i < LOAD_ROUTERS; i++) {
+        pid_t pid = (pid_t)strtol(plan->pids.text[i], NULL, 10);
+
+        sample->cpu_ms[i] = proc_cpu_ms(pid);
+        sample->memory_kb[i] = proc_memory_kb(pid);
+    }
+    if (plan->platform[0] != '\0') {
+        counts = http_json_wait(plan->platform, "GET", "/admin/counts", "");
+        sample->platform_calls =
+            (double)(json_integer_value(json_object_get(counts, "reads")) +
+                     json_integer_value(json_object_get(counts, "watches")));
+        json_decref(counts);
+    }
+}
+
+static json_t *
+read_runs(const load_addresses *addresses)
+{
+    json_t *all = json_object();
+
+    for (uint32_t i = 0; i < addresses->count; i++) {
+        json_t *answer =
+            http_json_wait(addresses->text[i], "GET", "/admin/runs", "");
+        const char *name;
+        json_t *runs;
+
+        json_object_foreach(json_object_get(answer, "runs"), name, runs)
+        {
+            json_int_t sum = json_integer_value(json_object_get(all, name)) +
+                             json_integer_value(runs);
+
+            json_object_set_new(all, name, json_integer(sum));
+        }
+        json_decref(answer);
+    }
+    return all;
+}
+
+/* Each plain call must have run as often as its caller was told. */
+void
+load_check_runs(load_load *load)
+{
+    json_t *runs[LOAD_KIND_COUNT] = {
+        [LOAD_ENGINE] = read_runs(&load->plan.engines),
+        [LOAD_SERVICE] = read_runs(&load->plan.services)};
+
+    for (uint32_t i = 0; i < load->record_count; i++) {
+        load_record *record = &load->records[i];
+        const load_flow *flow = &load->plan.flows[record->flow];
+        char identity[ANSWER_IDENTITY_SIZE];
+        json_int_t count;
+
+        snprintf(identity, sizeof identity, "%.40s/%.40s-%llu", flow->account,
+                 flow->name, (unsigned long long)record->number);
+        count =
+            json_integer_value(json_object_get(runs[flow->kind], identity));
+        if (record->verdict == LOAD_NOT_RUN && count > 0) {
+            load->not_run_but_ran++;
+        }
+        if (record->verdict == LOAD_WHOLE && count == 0 &&
+            flow->kind == LOAD_SERVICE && load->plan.services.count > 0) {
+            load->done_but_not_run++;
+        }
+        if (flow->kind == LOAD_SERVICE && count > 1 &&
+            strncmp(flow->path, "/lookup", strlen("/lookup")) != 0) {
+            load->doubles++;
+        }
+    }
+    json_decref(runs[LOAD_ENGINE]);
+    json_decref(runs[LOAD_SERVICE]);
+}
+
+void
+load_write_csv(const load_load *load, const char *path)
+{
+    FILE *file = fopen(path, "w");
+
+    if (file == NULL) {
+        perror(path);
+        return;
+    }
+    fprintf(file, "account,flow,class,router,number,start_ms,first_byte_ms,"
+                  "end_ms,status,verdict,reason,tries,prompt_tokens,"
+                  "output_tokens\n");
+    for (uint32_t i = 0; i < load->record_count; i++) {
+        const load_record *record = &load->records[i];
+        const load_flow *flow = &load->plan.flows[record->flow];
+        uint64_t start = load->start_us;
+
+        fprintf(file, "%s,%s,%s,%u,%llu,%.3f,%.3f,%.3f,%d,%s,%s,%u,%u,%u\n",
+                flow->account, flow->name, flow->class_name, record->router,
+                (unsigned long long)record->number,
+                (double)(record->start_us - start) / US_PER_MS,
+                record->first_us > 0
+                    ? (double)(record->first_us - start) / US_PER_MS
+                    : 0,
+                record->end_us > 0
+                    ? (double)(record->end_us - start) / US_PER_MS
+                    : 0,
+                record->status, load_verdict_name(record->verdict),
+                record->reason, record->tries, record->prompt, record->tokens);
+    }
+    fclose(file);
+}
+
+/* Per account and interval, summed over the endpoints of a kind. */
+typedef struct report_use {
+    double slots;
+    double *busy[LOAD_ACCOUNTS];
+    double *units[LOAD_ACCOUNTS];
+} report_use;
+
+static void
+add_numbers(double *to, json_t *numbers, int64_t shift)
+{
+    size_t index;
+    json_t *number;
+
+    json_array_foreach(numbers, index, number)
+    {
+        int64_t at = (int64_t)index + shift;
+
+        if (at >= 0 && at < LOAD_INTERVALS) {
+            to[at] += json_number_value(number);
+        }
+    }
+}
+
+static void
+read_use(const load_load *load, const load_addresses *addresses,
+         report_use *use)
+{
+    use->slots = 0;
+    for (uint32_t k = 0; k < load->account_count; k++) {
+        use->busy[k] = calloc(LOAD_INTERVALS, sizeof(double));
+        use->units[k] = calloc(LOAD_INTERVALS, sizeof(double));
+        if (use->busy[k] == NULL || use->units[k] == NULL) {
+            abort();
+        }
+    }
+    for (uint32_t i = 0; i < addresses->count; i++) {
+        json_t *usage =
+            http_json_wait(addresses->text[i], "GET", "/admin/usage", "");
+        int64_t shift = json_integer_value(json_object_get(usage, "first")) -
+                        (int64_t)load->first_interval;
+        json_t *accounts = json_object_get(usage, "accounts");
+
+        use->slots +=
+            (double)json_integer_value(json_object_get(usage, "slots"));
+        for (uint32_t k = 0; k < load->account_count; k++) {
+            json_t *one = json_object_get(accounts, load->accounts[k].name);
+
+            add_numbers(use->busy[k], json_object_get(one, "busy"), shift);
+            add_numbers(use->units[k], json_object_get(one, "units"), shift);
+        }
+        json_decref(usage);
+    }
+}
+
+static void
+free_use(const load_load *load, report_use *use)
+{
+    for (uint32_t k = 0; k < load->account_count; k++) {
+        free(use->busy[k]);
+        free(use->units[k]);
+    }
+}
+
+/* Requests that waited all through an interval: the least number sent and
+ * not answered, less what ran on average. */
+static double
+waiting(const load_load *load, const report_use *use, load_kind kind,
+        uint32_t account, uint32_t interval)
+{
+    uint16_t least = load->accounts[account].least[kind][interval];
+
+    if (least == UINT16_MAX) {
+        return 0;
+    }
+    return least - use->busy[account][interval] / INTERVAL_MS;
+}
+
+static bool
+is_backlogged(const load_load *load, const report_use *use, load_kind kind,
+              uint32_t account, uint32_t from, uint32_t to)
+{
+    for (uint32_t i = from; i < to; i++) {
+        if (waiting(load, use, kind, account, i) < 1) {
+            return false;
+        }
+    }
+    return to > from;
+}
+
+typedef struct report_gap {
+    double percent; /* of the mean service of the backlogged accounts */
+    double units;
+    double mean;
+    uint32_t backlogged;
+} report_gap;
+
+static report_gap
+measure_gap(const load_load *load, const report_use *use, load_kind kind,
+            uint32_t from, uint32_t to)
+{
+    report_gap gap = {0};
+    double least = 0;
+    double most = 0;
+    double sum = 0;
+
+    for (uint32_t k = 0; k < load->account_count; k++) {
+        double service = 0;
+
+        if (!is_backlogged(load, use, kind, k, from, to)) {
+            continue;
+        }
+        for (uint32_t i = from; i < to; i++) {
+            service += use->units[k][i] / load->accounts[k].weight;
+        }
+        least = gap.backlogged == 0 || service < least ? service : least;
+        most = gap.backlogged == 0 || service > most ? service : most;
+        sum += service;
+        gap.backlogged++;
+    }
+    if (gap.backlogged > 0) {
+        gap.mean = sum / gap.backlogged;
+        gap.units = most - least;
+        gap.percent = gap.mean > 0 ? 100 * gap.units / gap.mean : 0;
+    }
+    return gap;
+}
+
+/* The largest gap over all windows, one starting at each second. */
+static report_gap
+worst_gap(const load_load *load, const report_use *use, load_kind kind,
+          uint32_t from, uint32_t to)
+{
+    uint32_t length = (uint32_t)(load->plan.window * 1000 / INTERVAL_MS);
+    report_gap worst = {0};
+
+    if (length == 0 || to - from <= length) {
+        return measure_gap(load, use, kind, from, to);
+    }
+    for (uint32_t at = from; at + length <= to; at += 10) {
+        report_gap gap = measure_gap(load, use, kind, at, at + length);
+
+        if (gap.backlogged >= 2 && gap.percent >= worst.percent) {
+            worst = gap;
+        }
+    }
+    return worst;
+}
+
+/* Busy share of the slots in the intervals in which somebody waited. */
+static json_t *
+measure_use(const load_load *load, const report_use *use, load_kind kind,
+            uint32_t from, uint32_t to)
+{
+    double busy = 0;
+    uint32_t intervals = 0;
+
+    for (uint32_t i = from; i < to; i++) {
+        double waits = 0;
+
+        for (uint32_t k = 0; k < load->account_count; k++) {
+            double one = waiting(load, use, kind, k, i);
+
+            waits += one >= 1 ? one : 0;
+        }
+        if (waits < 1) {
+            continue;
+        }
+        intervals++;
+        for (uint32_t k = 0; k < load->account_count; k++) {
+            busy += use->busy[k][i];
+        }
+    }
+    if (intervals == 0 || use->slots <= 0) {
+        return json_null();
+    }
+    return json_real(100 * busy / (intervals * INTERVAL_MS * use->slots));
+}
+
+static int
+compare_numbers(const void *left, const void *right)
+{
+    double a = *(const double *)left;
+    double b = *(const double *)right;
+
+    return a < b ? -1 : a > b;
+}
+
+/* First-byte times of whole answers that began in the window, of one account
+ * (NULL: any) and class (NULL: any). */
+static json_t *
+measure_wait(const load_load *load, const char *account,
+             const char *class_name, load_kind kind, double part)
+{
+    double *times = malloc((load->record_count + 1) * sizeof *times);
+    uint32_t count = 0;
+    uint64_t from =
+        load->start_us + (uint64_t)(load->plan.warm_up * US_PER_SECOND);
+    json_t *value;
+
+    if (times == NULL) {
+        abort();
+    }
+    for (uint32_t i = 0; i < load->record_count; i++) {
+        const load_record *record = &load->records[i];
+        const load_flow *flow = &load->plan.flows[record->flow];
+
+        if (record->verdict == LOAD_WHOLE && record->start_us >= from &&
+            flow->kind == kind &&
+            (account == NULL || strcmp(account, flow->account) == 0) &&
+            (class_name == NULL ||
+             strcmp(class_name, flow->class_name) == 0)) {
+            times[count++] =
+                (double)(record->first_us - record->start_us) / US_PER_MS;
+        }
+    }
+    qsort(times, count, sizeof *times, compare_numbers);
+    value = count > 0 ? json_real(times[(uint32_t)(part * (count - 1) + 0.5)])
+                      : json_null();
+    free(times);
+    return value;
+}
+
+static json_t *
+report_accounts(const load_load *load, const report_use *use, load_kind kind,
+                uint32_t from, uint32_t to)
+{
+    json_t *accounts = json_object();
+
+    for (uint32_t k = 0; k < load->account_count; k++) {
+        const load_account *account = &load->accounts[k];
+        double units = 0;
+        double busy = 0;
+
+        for (uint32_t i = from; i < to; i++) {
+            units += use->units[k][i];
+            busy += use->busy[k][i];
+        }
+        json_object_set_new(
+            accounts, account->name,
+            json_pack("{s:f, s:f, s:f, s:I, s:b, s:o, s:o}", "units", units,
+                      "weighted", units / account->weight, "busy_seconds",
+                      busy / 1000, "weight", (json_int_t)account->weight,
+                      "backlogged",
+                      (int)is_backlogged(load, use, kind, k, from, to),
+                      "first_byte_p50_ms",
+                      measure_wait(load, account->name, NULL, kind, 0.5),
+                      "first_byte_p95_ms",
+                      measure_wait(load, account->name, NULL, kind, 0.95)));
+    }
+    return accounts;
+}
+
+static json_t *
+report_kind(const load_load *load, load_kind kind)
+{
+    uint32_t from = (uint32_t)(load->plan.warm_up * 1000 / INTERVAL_MS) + 1;
+    uint32_t to = (uint32_t)(load->plan.seconds * 1000 / INTERVAL_MS);
+    const load_addresses *addresses =
+        kind == LOAD_ENGINE ? &load->plan.engines : &load->plan.services;
+    report_use use;
+    report_gap worst;
+    report_gap whole;
+    json_t *report;
+
+    read_use(load, addresses, &use);
+    worst = worst_gap(load, &use, kind, from, to);
+    whole = measure_gap(load, &use, kind, from, to);
+    report = json_pack(
+        "{s:f, s:f, s:f, s:I, s:f, s:f, s:I, s:o, s:f, s:o}", "gap_percent",
+        worst.percent, "gap_units", worst.units, "gap_mean_units", worst.mean,
+        "gap_accounts", (json_int_t)worst.backlogged, "run_gap_percent",
+        whole.percent, "run_gap_units", whole.units, "run_gap_accounts",
+        (json_int_t)whole.backlogged, "utilisation_percent",
+        measure_use(load, &use, kind, from, to), "slots", use.slots,
+        "accounts", report_accounts(load, &use, kind, from, to));
+    free_use(load, &use);
+    return report;
+}
+
+static json_t *
+report_control(const load_load *load)
+{
+    double seconds =
+        (double)(load->after.at_us - load->before.at_us) / US_PER_SECOND;
+    uint32_t routers = load->plan.operators.count;
+    double cpu_most = 0;
+    double cpu_sum = 0;
+    double memory_most = 0;
+
+    for (uint32_t i = 0; i < load->plan.pids.count; i++) {
+        double cpu =
+            load->after.cpu_ms[i] >= load->before.cpu_ms[i]
+                ? (double)(load->after.cpu_ms[i] - load->before.cpu_ms[i]) /
+                      (seconds * 10)
+                : 0;
+        double memory = (double)load->after.memory_kb[i];
+
+        cpu_sum += cpu;
+        cpu_most = cpu > cpu_most ? cpu : cpu_most;
+        memory_most = memory > memory_most ? memory : memory_most;
+    }
+    return json_pack(
+        "{s:f, s:f, s:f, s:f, s:f, s:f}", "seconds", seconds,
+        "bytes_per_second_per_router",
+        routers > 0
+            ? (load->after.control_bytes - load->before.control_bytes) /
+                  seconds / routers
+            : 0,
+        "core_percent_per_router",
+        load->plan.pids.count > 0 ? cpu_sum / load->plan.pids.count : 0,
+        "core_percent_most", cpu_most, "memory_kb_most", memory_most,
+        "platform_calls_per_second",
+        (load->after.platform_calls - load->before.platform_calls) / seconds);
+}
+
+json_t *
+load_make_report(load_load *load)
+{
+    json_t *verdicts = json_object();
+
+    for (int i = 0; i < LOAD_VERDICT_COUNT; i++) {
+        json_object_set_new(verdicts, load_verdict_name(i),
+                            json_integer(load->verdicts[i]));
+    }
+    return json_pack(
+        "{s:I, s:o, s:I, s:I, s:I, s:o, s:o, s:o, s:o, s:o}", "requests",
+        (json_int_t)load->record_count, "verdicts", verdicts,
+        "not_run_but_ran", (json_int_t)load->not_run_but_ran,
+        "done_but_not_run", (json_int_t)load->done_but_not_run, "doubles",
+        (json_int_t)load->doubles, "engines", report_kind(load, LOAD_ENGINE),
+        "services", report_kind(load, LOAD_SERVICE), "control",
+        report_control(load), "urgent_p95_ms",
+        measure_wait(load, NULL, "urgent", LOAD_ENGINE, 0.95),
+        "deferrable_p95_ms",
+        measure_wait(load, NULL, "deferrable", LOAD_ENGINE, 0.95));
+}
