--- a/tests/fleet/common-fleet.c
+++ b/tests/fleet/common-fleet.c
@@ -147,20 +147,22 @@
 choose_addresses(fleet_fleet *fleet)
 {
     unsigned block = (unsigned)getpid() % 250;
+    char ip[24];
 
     for (uint32_t i = 0; i < fleet->shape.routers; i++) {
         fleet_router *router = &fleet->routers[i];
 
         snprintf(router->name, FLEET_NAME_SIZE, "router%u", i);
         router->zone = i % fleet->shape.zones;
-        snprintf(router->ip, HTTP_ADDRESS_SIZE, "127.%u.%u.%u",
+        snprintf(ip, sizeof ip, "127.%u.%u.%u",
                  1 + (unsigned)getpid() / 250 % 250, block, i + 1);
-        snprintf(router->callers, HTTP_ADDRESS_SIZE, "%.40s:%u", router->ip,
-                 proc_free_port(router->ip));
-        snprintf(router->operator_address, HTTP_ADDRESS_SIZE, "%.40s:%u",
-                 router->ip, proc_free_port(router->ip));
-        snprintf(router->peer, HTTP_ADDRESS_SIZE, "%.40s:%u", router->ip,
-                 proc_free_port(router->ip));
+        snprintf(router->ip, HTTP_ADDRESS_SIZE, "%s", ip);
+        snprintf(router->callers, HTTP_ADDRESS_SIZE, "%s:%u", ip,
+                 proc_free_port(ip));
+        snprintf(router->operator_address, HTTP_ADDRESS_SIZE, "%s:%u", ip,
+                 proc_free_port(ip));
+        snprintf(router->peer, HTTP_ADDRESS_SIZE, "%s:%u", ip,
+                 proc_free_port(ip));
     }
 }
 
