Bound what the sanitizer maps in the codec's test

Cause: hostile lengths made the sanitizer map and poison gigabytes; malloc without it answers at once. Change: the test limits one allocation to 256 MiB; the cases are the same. Conclusion: no check was changed.

--- a/tests/core/test-message.c
+++ b/tests/core/test-message.c
@@ -17,7 +17,7 @@
 const char *
 __asan_default_options(void)
 {
-    return "allocator_may_return_null=1";
+    return "allocator_may_return_null=1:max_allocation_size_mb=256";
 }
 
 #define FUZZ_ROUNDS 20000
