Parse and check the catalogue and the lists, and hash the roles

The other parts need the catalogue, the lists and rendezvous hashing first.

hrw_shard_count plans shards half full, since hashing fills them unevenly: at the mean of 64 about half of the shards would get more than 64 endpoints.

--- a/packages/core/include/lavender/hash.h
+++ b/packages/core/include/lavender/hash.h
@@ -26,7 +26,10 @@
 /* The shard of an endpoint, when its pool has `shards` of them. */
 uint32_t hrw_shard_of(lv_id endpoint, uint32_t shards);
 
-/* How many shards a pool of `endpoints` needs at `shard_endpoints` each. */
+/* How many shards a pool of `endpoints` needs, when one is to have at most
+ * `shard_endpoints`. One is enough while all fit; beyond that the shards are
+ * half full in the mean, because hashing fills them unevenly: with 64, one
+ * in ten million shards gets more. */
 uint32_t hrw_shard_count(uint32_t endpoints, uint32_t shard_endpoints);
 
 #endif
--- /dev/null
+++ b/packages/core/source/rows-imp.h
@@ -0,0 +1,57 @@
+/*
+ * Tables of named rows while a text is read: rows are added in any order and
+ * then sorted by identity, and names that stand twice or whose hashes
+ * collide are reported.
+ */
+#ifndef LAVENDER_ROWS_IMP_H
+#define LAVENDER_ROWS_IMP_H
+
+#include "lavender/error.h"
+#include "lavender/types.h"
+
+typedef struct row_place {
+    lv_id id;
+    uint32_t index; /* of the row, in order of the texts */
+    int line;
+    const char *file;
+} row_place;
+
+/* Each row begins with its name, a zero-terminated text. */
+typedef struct row_table {
+    char *rows;
+    row_place *places;
+    uint32_t count;
+    uint32_t capacity;
+    size_t row_size;
+    bool has_failed; /* memory ended */
+} row_table;
+
+void row_init(row_table *table, size_t row_size);
+void row_finish(row_table *table);
+
+/* Add a zeroed row; NULL when memory ended. The pointer lives until the
+ * next one is added. */
+void *row_add(row_table *table, const char *file, int line);
+
+/* The row at a place of the table's present order. */
+void *row_at(const row_table *table, uint32_t place);
+
+/* Sort the places by identity (hash of the name) and report names that
+ * stand twice or collide; `what` names the kind of row. */
+void row_sort(row_table *table, const char *what, err_list *errors);
+
+/* After row_sort: the place of an identity, LV_HANDLE_NONE if there is
+ * none. */
+lv_handle row_find(const row_table *table, lv_id id);
+
+/* The index of an identity in a table that is sorted by it, LV_HANDLE_NONE
+ * if there is none. The identity stands at `offset` in each row. */
+lv_handle row_find_id(const void *rows, uint32_t count, size_t row_size,
+                      size_t offset, lv_id id);
+
+/* Grow an array of rows to hold `wanted` of them, by doubling; false when
+ * memory ended. `rows` points to the array's pointer. */
+bool row_reserve(void *rows, uint32_t *capacity, uint32_t wanted,
+                 size_t row_size);
+
+#endif
--- /dev/null
+++ b/packages/core/source/rows.c
@@ -0,0 +1,162 @@
+#include "rows-imp.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define FIRST_CAPACITY 16
+
+void
+row_init(row_table *table, size_t row_size)
+{
+    memset(table, 0, sizeof *table);
+    table->row_size = row_size;
+}
+
+void
+row_finish(row_table *table)
+{
+    free(table->rows);
+    free(table->places);
+    table->rows = NULL;
+    table->places = NULL;
+    table->count = 0;
+    table->capacity = 0;
+}
+
+bool
+row_reserve(void *rows, uint32_t *capacity, uint32_t wanted, size_t row_size)
+{
+    void *old;
+    void *grown;
+    uint32_t size = *capacity;
+
+    if (wanted <= size) {
+        return true;
+    }
+    size = size < FIRST_CAPACITY ? FIRST_CAPACITY : size;
+    while (size < wanted) {
+        size *= 2;
+    }
+    memcpy(&old, rows, sizeof old);
+    grown = realloc(old, size * row_size);
+    if (grown == NULL) {
+        return false;
+    }
+    memcpy(rows, &grown, sizeof grown);
+    *capacity = size;
+    return true;
+}
+
+void *
+row_add(row_table *table, const char *file, int line)
+{
+    uint32_t places_capacity = table->capacity;
+    row_place *place;
+    char *row;
+
+    if (!row_reserve(&table->places, &places_capacity, table->count + 1,
+                     sizeof *table->places) ||
+        !row_reserve(&table->rows, &table->capacity, table->count + 1,
+                     table->row_size)) {
+        table->has_failed = true;
+        return NULL;
+    }
+    place = &table->places[table->count];
+    place->index = table->count;
+    place->line = line;
+    place->file = file;
+    row = table->rows + table->row_size * table->count;
+    memset(row, 0, table->row_size);
+    table->count++;
+    return row;
+}
+
+void *
+row_at(const row_table *table, uint32_t place)
+{
+    return table->rows + table->row_size * table->places[place].index;
+}
+
+static int
+compare_places(const void *a, const void *b)
+{
+    const row_place *left = a;
+    const row_place *right = b;
+
+    if (left->id != right->id) {
+        return left->id < right->id ? -1 : 1;
+    }
+    return left->index < right->index ? -1 : left->index > right->index;
+}
+
+static void
+report_twin(const row_table *table, uint32_t place, const char *what,
+            err_list *errors)
+{
+    const char *name = row_at(table, place);
+    const char *first = row_at(table, place - 1);
+    const row_place *at = &table->places[place];
+    const row_place *before = &table->places[place - 1];
+
+    if (strcmp(name, first) == 0) {
+        err_list_add(errors, at->file, at->line, ERR_CONFLICT,
+                     "keep one of them, or rename one",
+                     "%s \"%s\" stands twice, first at %s:%d", what, name,
+                     before->file, before->line);
+        return;
+    }
+    err_list_add(errors, at->file, at->line, ERR_CONFLICT,
+                 "rename one of them",
+                 "%s \"%s\" has the same hash as \"%s\" at %s:%d", what, name,
+                 first, before->file, before->line);
+}
+
+void
+row_sort(row_table *table, const char *what, err_list *errors)
+{
+    if (table->count == 0) {
+        return;
+    }
+    for (uint32_t i = 0; i < table->count; i++) {
+        table->places[i].id = lv_hash_name(row_at(table, i));
+    }
+    qsort(table->places, table->count, sizeof *table->places, compare_places);
+    for (uint32_t i = 1; i < table->count; i++) {
+        if (table->places[i].id == table->places[i - 1].id) {
+            report_twin(table, i, what, errors);
+        }
+    }
+}
+
+lv_handle
+row_find_id(const void *rows, uint32_t count, size_t row_size, size_t offset,
+            lv_id id)
+{
+    const char *base = rows;
+    uint32_t low = 0;
+    uint32_t high = count;
+
+    while (low < high) {
+        uint32_t middle = low + (high - low) / 2;
+        lv_id found;
+
+        memcpy(&found, base + row_size * middle + offset, sizeof found);
+        if (found == id) {
+            return middle;
+        }
+        if (found < id) {
+            low = middle + 1;
+        }
+        else {
+            high = middle;
+        }
+    }
+    return LV_HANDLE_NONE;
+}
+
+lv_handle
+row_find(const row_table *table, lv_id id)
+{
+    return row_find_id(table->places, table->count, sizeof *table->places,
+                       offsetof(row_place, id), id);
+}
--- /dev/null
+++ b/packages/core/source/value.c
@@ -0,0 +1,275 @@
+#include "lavender/value.h"
+
+#include <arpa/inet.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#define DECIMAL 10
+#define HEX_BASE 16
+#define PORT_MAX 65535
+
+typedef struct unit {
+    const char *name;
+    uint64_t factor;
+} unit;
+
+static const unit time_units[] = {
+    {"us", 1},
+    {"ms", LV_MILLISECOND},
+    {"s", LV_SECOND},
+    {"m", 60 * LV_SECOND},
+    {"h", 3600 * LV_SECOND},
+    {NULL, 0},
+};
+
+static const unit size_units[] = {
+    {"B", 1},
+    {"KiB", UINT64_C(1) << 10},
+    {"MiB", UINT64_C(1) << 20},
+    {"GiB", UINT64_C(1) << 30},
+    {"TiB", UINT64_C(1) << 40},
+    {NULL, 0},
+};
+
+static bool
+is_digit(char c)
+{
+    return c >= '0' && c <= '9';
+}
+
+/* Reads digits; returns the first character after them, NULL if there are
+ * none or the number does not fit. */
+static const char *
+read_digits(const char *text, uint64_t *value)
+{
+    uint64_t number = 0;
+
+    if (!is_digit(*text)) {
+        return NULL;
+    }
+    for (; is_digit(*text); text++) {
+        uint64_t digit = (uint64_t)(*text - '0');
+
+        if (number > (UINT64_MAX - digit) / DECIMAL) {
+            return NULL;
+        }
+        number = number * DECIMAL + digit;
+    }
+    *value = number;
+    return text;
+}
+
+bool
+val_read_count(const char *text, uint64_t min, uint64_t max, uint64_t *value,
+               err_error *error)
+{
+    uint64_t number = 0;
+    const char *rest = read_digits(text, &number);
+    char remedy[ERR_REMEDY_SIZE];
+
+    if (rest != NULL && *rest == '\0' && number >= min && number <= max) {
+        *value = number;
+        return true;
+    }
+    snprintf(remedy, sizeof remedy,
+             "write a whole number from %" PRIu64 " to %" PRIu64, min, max);
+    return err_set(error, ERR_BAD_VALUE, remedy, "found \"%.64s\"", text);
+}
+
+static const unit *
+find_unit(const unit *units, const char *name)
+{
+    for (; units->name != NULL; units++) {
+        if (strcmp(units->name, name) == 0) {
+            return units;
+        }
+    }
+    return NULL;
+}
+
+/* The largest unit that writes a value without a remainder. */
+static void
+write_with_unit(const unit *units, uint64_t value, char *text, size_t size)
+{
+    const unit *best = units;
+
+    for (; units->name != NULL; units++) {
+        if (value != 0 && value % units->factor == 0) {
+            best = units;
+        }
+    }
+    snprintf(text, size, "%" PRIu64 "%s", value / best->factor, best->name);
+}
+
+static bool
+read_with_unit(const char *text, const unit *units, uint64_t min, uint64_t max,
+               uint64_t *value, const char *what, err_error *error)
+{
+    uint64_t number = 0;
+    const char *rest = read_digits(text, &number);
+    const unit *found = NULL;
+    char remedy[ERR_REMEDY_SIZE];
+    char low[32];
+    char high[32];
+
+    if (rest != NULL) {
+        found = find_unit(units, rest);
+    }
+    if (found != NULL && number <= UINT64_MAX / found->factor &&
+        number * found->factor >= min && number * found->factor <= max) {
+        *value = number * found->factor;
+        return true;
+    }
+    write_with_unit(units, min, low, sizeof low);
+    write_with_unit(units, max, high, sizeof high);
+    snprintf(remedy, sizeof remedy, "write %s from %s to %s", what, low, high);
+    if (rest != NULL && *rest == '\0') {
+        return err_set(error, ERR_BAD_VALUE, remedy,
+                       "found \"%.64s\" without a unit", text);
+    }
+    return err_set(error, ERR_BAD_VALUE, remedy, "found \"%.64s\"", text);
+}
+
+bool
+val_read_time(const char *text, lv_time min, lv_time max, lv_time *value,
+              err_error *error)
+{
+    return read_with_unit(text, time_units, min, max, value,
+                          "a whole number with a unit (us, ms, s, m, h)",
+                          error);
+}
+
+bool
+val_read_size(const char *text, uint64_t min, uint64_t max, uint64_t *value,
+              err_error *error)
+{
+    return read_with_unit(text, size_units, min, max, value,
+                          "a whole number with a unit (B, KiB, MiB, GiB, TiB)",
+                          error);
+}
+
+bool
+val_read_bool(const char *text, bool *value, err_error *error)
+{
+    static const char *const words[] = {"no", "yes", NULL};
+    uint32_t index = 0;
+
+    if (!val_read_choice(text, words, &index, error)) {
+        return false;
+    }
+    *value = index == 1;
+    return true;
+}
+
+bool
+val_read_choice(const char *text, const char *const *choices, uint32_t *value,
+                err_error *error)
+{
+    char remedy[ERR_REMEDY_SIZE] = "write ";
+
+    for (uint32_t i = 0; choices[i] != NULL; i++) {
+        if (strcmp(choices[i], text) == 0) {
+            *value = i;
+            return true;
+        }
+    }
+    for (uint32_t i = 0; choices[i] != NULL; i++) {
+        size_t used = strlen(remedy);
+
+        snprintf(remedy + used, sizeof remedy - used, "%s%s",
+                 i > 0 ? " or " : "", choices[i]);
+    }
+    return err_set(error, ERR_BAD_VALUE, remedy, "found \"%.64s\"", text);
+}
+
+static int
+hex_digit(char c)
+{
+    if (is_digit(c)) {
+        return c - '0';
+    }
+    if (c >= 'a' && c <= 'f') {
+        return c - 'a' + DECIMAL;
+    }
+    if (c >= 'A' && c <= 'F') {
+        return c - 'A' + DECIMAL;
+    }
+    return -1;
+}
+
+bool
+val_read_hex(const char *text, uint8_t *bytes, size_t size, err_error *error)
+{
+    char remedy[ERR_REMEDY_SIZE];
+    bool is_good = strlen(text) == 2 * size;
+
+    for (size_t i = 0; is_good && i < size; i++) {
+        int high = hex_digit(text[2 * i]);
+        int low = hex_digit(text[2 * i + 1]);
+
+        is_good = high >= 0 && low >= 0;
+        if (is_good) {
+            bytes[i] = (uint8_t)(high * HEX_BASE + low);
+        }
+    }
+    if (is_good) {
+        return true;
+    }
+    snprintf(remedy, sizeof remedy, "write exactly %zu hex digits", 2 * size);
+    return err_set(error, ERR_BAD_VALUE, remedy, "found \"%.80s\"", text);
+}
+
+bool
+val_read_name(const char *text, err_error *error)
+{
+    size_t length = strlen(text);
+    char remedy[ERR_REMEDY_SIZE];
+    bool is_good = length > 0 && length < LV_NAME_SIZE;
+
+    for (size_t i = 0; is_good && i < length; i++) {
+        char c = text[i];
+
+        is_good = is_digit(c) || (c >= 'a' && c <= 'z') ||
+                  (c >= 'A' && c <= 'Z') || c == '.' || c == '_' || c == '-';
+    }
+    if (is_good) {
+        return true;
+    }
+    snprintf(remedy, sizeof remedy,
+             "write a name of 1 to %d letters, digits, '.', '_' or '-'",
+             LV_NAME_SIZE - 1);
+    return err_set(error, ERR_BAD_VALUE, remedy, "found \"%.80s\"", text);
+}
+
+bool
+val_read_address(const char *text, err_error *error)
+{
+    char host[LV_ADDRESS_SIZE];
+    const char *colon = strrchr(text, ':');
+    struct in6_addr binary;
+    uint64_t port = 0;
+    size_t length = colon == NULL ? 0 : (size_t)(colon - text);
+
+    if (colon == NULL || length >= sizeof host ||
+        strlen(text) >= LV_ADDRESS_SIZE ||
+        !val_read_count(colon + 1, 1, PORT_MAX, &port, NULL)) {
+        goto bad;
+    }
+    memcpy(host, text, length);
+    host[length] = '\0';
+    if (inet_pton(AF_INET, host, &binary) == 1) {
+        return true;
+    }
+    if (length > 2 && host[0] == '[' && host[length - 1] == ']') {
+        host[length - 1] = '\0';
+        if (inet_pton(AF_INET6, host + 1, &binary) == 1) {
+            return true;
+        }
+    }
+bad:
+    return err_set(error, ERR_BAD_VALUE,
+                   "write IP:PORT, such as 192.0.2.1:7000 or "
+                   "[2001:db8::1]:7000",
+                   "found \"%.80s\"", text);
+}
