Count and write metrics

Histograms have 16 buckets per power of two; the text gives one cumulative line per power of two, so that a scrape stays short.

--- a/packages/core/include/lavender/metrics.h
+++ b/packages/core/include/lavender/metrics.h
@@ -26,7 +26,7 @@
                                double fraction);
 void met_histogram_merge(met_histogram *to, const met_histogram *from);
 
-/* Text writer with a fixed buffer that grows; init, write, finish. */
+/* Text writer with a buffer that grows; init, write, finish. */
 typedef struct met_writer {
     char *text;
     size_t size;
--- /dev/null
+++ b/packages/core/source/metrics.c
@@ -0,0 +1,190 @@
+#include "lavender/metrics.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define SUB_BITS 4
+#define SUB_BUCKETS (1U << SUB_BITS)
+#define MICROSECONDS_PER_SECOND 1e6
+#define FIRST_CAPACITY 4096
+
+void
+met_histogram_init(met_histogram *histogram)
+{
+    memset(histogram, 0, sizeof *histogram);
+}
+
+/* Values below 16 have a bucket each; above, each power of two has 16. */
+static uint32_t
+bucket_of(lv_time value)
+{
+    uint32_t power;
+    uint32_t bucket;
+
+    if (value < SUB_BUCKETS) {
+        return (uint32_t)value;
+    }
+    power = 63 - (uint32_t)__builtin_clzll(value);
+    bucket = (power - SUB_BITS + 1) * SUB_BUCKETS +
+             (uint32_t)(value >> (power - SUB_BITS) & (SUB_BUCKETS - 1));
+    return bucket < MET_BUCKETS ? bucket : MET_BUCKETS - 1;
+}
+
+/* The largest value that falls in a bucket. */
+static lv_time
+bucket_end(uint32_t bucket)
+{
+    uint32_t group = bucket / SUB_BUCKETS;
+    uint64_t sub = bucket % SUB_BUCKETS;
+
+    if (group == 0) {
+        return bucket;
+    }
+    return ((SUB_BUCKETS + sub + 1) << (group - 1)) - 1;
+}
+
+void
+met_histogram_add(met_histogram *histogram, lv_time value)
+{
+    histogram->counts[bucket_of(value)]++;
+    histogram->count++;
+    histogram->sum += value;
+    if (value > histogram->max) {
+        histogram->max = value;
+    }
+}
+
+lv_time
+met_histogram_quantile(const met_histogram *histogram, double fraction)
+{
+    double wanted = fraction * (double)histogram->count;
+    uint64_t seen = 0;
+
+    for (uint32_t i = 0; i < MET_BUCKETS; i++) {
+        seen += histogram->counts[i];
+        if (seen > 0 && (double)seen >= wanted) {
+            lv_time end = bucket_end(i);
+
+            return end < histogram->max && i < MET_BUCKETS - 1
+                       ? end
+                       : histogram->max;
+        }
+    }
+    return histogram->max;
+}
+
+void
+met_histogram_merge(met_histogram *to, const met_histogram *from)
+{
+    for (uint32_t i = 0; i < MET_BUCKETS; i++) {
+        to->counts[i] += from->counts[i];
+    }
+    to->count += from->count;
+    to->sum += from->sum;
+    if (from->max > to->max) {
+        to->max = from->max;
+    }
+}
+
+void
+met_writer_init(met_writer *writer)
+{
+    memset(writer, 0, sizeof *writer);
+}
+
+void
+met_writer_finish(met_writer *writer)
+{
+    free(writer->text);
+    memset(writer, 0, sizeof *writer);
+}
+
+static void
+add_text(met_writer *writer, const char *text)
+{
+    size_t length = strlen(text);
+    size_t capacity =
+        writer->capacity == 0 ? FIRST_CAPACITY : writer->capacity;
+    char *grown;
+
+    while (writer->size + length + 1 > capacity) {
+        capacity *= 2;
+    }
+    if (capacity != writer->capacity) {
+        grown = realloc(writer->text, capacity);
+        if (grown == NULL) {
+            writer->has_failed = true;
+            return;
+        }
+        writer->text = grown;
+        writer->capacity = capacity;
+    }
+    memcpy(writer->text + writer->size, text, length + 1);
+    writer->size += length;
+}
+
+void
+met_write_head(met_writer *writer, const char *name, const char *type,
+               const char *help)
+{
+    add_text(writer, "# HELP ");
+    add_text(writer, name);
+    add_text(writer, " ");
+    add_text(writer, help);
+    add_text(writer, "\n# TYPE ");
+    add_text(writer, name);
+    add_text(writer, " ");
+    add_text(writer, type);
+    add_text(writer, "\n");
+}
+
+static void
+add_line(met_writer *writer, const char *name, const char *suffix,
+         const char *labels, const char *last_label, double value)
+{
+    char number[40];
+    bool has_both = labels[0] != '\0' && last_label[0] != '\0';
+
+    add_text(writer, name);
+    add_text(writer, suffix);
+    if (labels[0] != '\0' || last_label[0] != '\0') {
+        add_text(writer, "{");
+        add_text(writer, labels);
+        add_text(writer, has_both ? "," : "");
+        add_text(writer, last_label);
+        add_text(writer, "}");
+    }
+    snprintf(number, sizeof number, " %.17g\n", value);
+    add_text(writer, number);
+}
+
+void
+met_write_value(met_writer *writer, const char *name, const char *labels,
+                double value)
+{
+    add_line(writer, name, "", labels, "", value);
+}
+
+/* One line for each power of two keeps the text short; le is in seconds. */
+void
+met_write_histogram(met_writer *writer, const char *name, const char *labels,
+                    const met_histogram *histogram)
+{
+    uint64_t seen = 0;
+    char label[40];
+
+    for (uint32_t i = 0; i < MET_BUCKETS - 1; i++) {
+        seen += histogram->counts[i];
+        if (i % SUB_BUCKETS == SUB_BUCKETS - 1) {
+            snprintf(label, sizeof label, "le=\"%.9g\"",
+                     (double)bucket_end(i) / MICROSECONDS_PER_SECOND);
+            add_line(writer, name, "_bucket", labels, label, (double)seen);
+        }
+    }
+    add_line(writer, name, "_bucket", labels, "le=\"+Inf\"",
+             (double)histogram->count);
+    add_line(writer, name, "_sum", labels, "",
+             (double)histogram->sum / MICROSECONDS_PER_SECOND);
+    add_line(writer, name, "_count", labels, "", (double)histogram->count);
+}
