Add callers' and operator's listeners, endpoint exchanges and the log

Cause: the core decides and needs a program around it that speaks HTTP on both sides. Change: an h2o listener for callers with admission, streaming, tickets and relaying; exchanges with endpoints on h2o's client with deadlines and back-pressure; load polls and orders; metrics, status and ledger for the operator; a structured log on log4c.

--- /dev/null
+++ b/packages/net/source/callers-listen.c
@@ -0,0 +1,113 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "callers-imp.h"
+
+static bool
+set_up_listener(call_server *server, err_error *error)
+{
+    const call_settings *settings = &server->settings;
+    listen_settings listen = {.address = settings->address,
+                              .what = "callers",
+                              .connections = settings->connections,
+                              .body = settings->body,
+                              .head_timeout = settings->head_timeout,
+                              .idle_timeout = settings->idle_timeout};
+    call_handler *handler;
+
+    if (settings->tls_certificate[0] != '\0') {
+        listen.tls = tls_new(settings, error);
+        if (listen.tls == NULL) {
+            return false;
+        }
+    }
+    listen_init(&server->listener, server->loop, &listen);
+    filter_add(server->listener.host);
+    handler = (call_handler *)h2o_create_handler(
+        &server->listener.host->fallback_path, sizeof *handler);
+    handler->super.on_req = request_take;
+    handler->server = server;
+    return true;
+}
+
+call_server *
+call_new(uv_loop_t *loop, const call_settings *settings, node_node *node,
+         client_client *client, call_clock *clock, const char *instance,
+         err_error *error)
+{
+    call_server *server = calloc(1, sizeof *server);
+
+    if (server == NULL) {
+        err_set(error, ERR_MEMORY, "give the process more memory",
+                "the callers' listener has no memory");
+        return NULL;
+    }
+    server->loop = loop;
+    server->settings = *settings;
+    server->node = node;
+    server->client = client;
+    server->clock = clock;
+    lv_copy_name(server->instance, sizeof server->instance, instance);
+    server->last_wanted = &server->first_wanted;
+    met_histogram_init(&server->counts.latency);
+    met_histogram_init(&server->counts.first_byte);
+    if (!set_up_listener(server, error)) {
+        free(server);
+        return NULL;
+    }
+    return server;
+}
+
+bool
+call_listen(call_server *server, err_error *error)
+{
+    if (!gone_start(server)) {
+        return err_set(error, ERR_MEMORY, "allow fewer connections",
+                       "the callers' listener has no memory");
+    }
+    return listen_open(&server->listener, error);
+}
+
+uint32_t
+call_in_hand(const call_server *server)
+{
+    return server->counts.in_hand;
+}
+
+void
+call_drain(call_server *server)
+{
+    if (!server->is_draining) {
+        server->is_draining = true;
+        h2o_context_request_shutdown(&server->listener.context);
+    }
+}
+
+void
+call_close(call_server *server)
+{
+    server->is_draining = true;
+    listen_close(&server->listener);
+    gone_stop(server);
+}
+
+void
+call_free(call_server *server)
+{
+    call_start_queued(server);
+    listen_finish(&server->listener);
+    free(server->by_handle);
+    free(server->polled);
+    free(server->polled_requests);
+    free(server);
+}
+
+void
+call_read_counts(const call_server *server, call_counts *counts)
+{
+    *counts = server->counts;
+    counts->connections = server->listener.connections;
+    counts->connections_accepted = server->listener.accepted;
+    counts->connections_refused =
+        server->listener.refused + server->listener.failed;
+}
--- /dev/null
+++ b/packages/net/source/endpoints-exchange.c
@@ -0,0 +1,307 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "endpoints-imp.h"
+
+struct exch_exchange {
+    client_client *client;
+    client_pool *pool;
+    const exch_ops *ops;
+    void *owner;
+    h2o_http1client_t *http; /* NULL once h2o is done with it */
+    h2o_timeout_entry_t timeout;
+    h2o_socket_cb paused_reader;
+    h2o_iovec_t buffers[2];
+    size_t buffer_count;
+    bool is_head_method;
+    bool is_fresh;
+    bool is_connected;
+    bool is_calling; /* an h2o callback is on the stack */
+    bool is_cancelled;
+    bool is_paused;
+    bool is_reading_body;
+    char head[];
+};
+
+static void
+release(exch_exchange *exchange)
+{
+    h2o_timeout_unlink(&exchange->timeout);
+    exchange->pool->users--;
+    exchange->client->exchanges--;
+    free(exchange);
+}
+
+static void
+set_deadline(exch_exchange *exchange, h2o_timeout_t *timeout)
+{
+    h2o_timeout_unlink(&exchange->timeout);
+    if (timeout != NULL) {
+        h2o_timeout_link(exchange->client->loop, timeout, &exchange->timeout);
+    }
+}
+
+static void
+finish(exch_exchange *exchange, exch_end end)
+{
+    exchange->http = NULL;
+    h2o_timeout_unlink(&exchange->timeout);
+    if (!exchange->is_cancelled) {
+        exchange->is_cancelled = true;
+        exchange->ops->end(exchange->owner, end);
+    }
+    release(exchange);
+}
+
+static exch_end
+end_of(const exch_exchange *exchange, const char *error)
+{
+    if (error == h2o_http1client_error_is_eos) {
+        return EXCH_DONE;
+    }
+    if (!exchange->is_connected) {
+        return EXCH_CONNECT;
+    }
+    return strstr(error, "parse") != NULL ? EXCH_PROTOCOL : EXCH_LOST;
+}
+
+static void
+on_deadline(h2o_timeout_entry_t *entry)
+{
+    exch_exchange *exchange =
+        H2O_STRUCT_FROM_MEMBER(exch_exchange, timeout, entry);
+
+    h2o_http1client_cancel(exchange->http);
+    finish(exchange, exchange->is_connected ? EXCH_LOST : EXCH_CONNECT);
+}
+
+/* Pass what was read on; false when the exchange was dropped. */
+static bool
+pass_body(exch_exchange *exchange)
+{
+    h2o_buffer_t **input = &exchange->http->sock->input;
+    bool goes_on = true;
+
+    if ((*input)->size > 0) {
+        goes_on = exchange->ops->body == NULL ||
+                  exchange->ops->body(exchange->owner, (*input)->bytes,
+                                      (*input)->size);
+        h2o_buffer_consume(input, (*input)->size);
+    }
+    return goes_on && !exchange->is_cancelled;
+}
+
+static void
+apply_pause(exch_exchange *exchange)
+{
+    h2o_socket_t *socket;
+
+    if (exchange->http == NULL || !exchange->is_reading_body) {
+        return;
+    }
+    socket = exchange->http->sock;
+    if (exchange->is_paused && exchange->paused_reader == NULL) {
+        exchange->paused_reader = socket->_cb.read;
+        h2o_socket_read_stop(socket);
+        set_deadline(exchange, NULL);
+    }
+    else if (!exchange->is_paused && exchange->paused_reader != NULL) {
+        h2o_socket_read_start(socket, exchange->paused_reader);
+        exchange->paused_reader = NULL;
+        set_deadline(exchange, &exchange->client->idle_timeout);
+    }
+}
+
+static int
+on_body(h2o_http1client_t *http, const char *error)
+{
+    exch_exchange *exchange = http->data;
+
+    exchange->is_calling = true;
+    exchange->is_reading_body = true;
+    if (!pass_body(exchange)) {
+        exchange->is_cancelled = true;
+    }
+    exchange->is_calling = false;
+    if (error != NULL) {
+        finish(exchange, end_of(exchange, error));
+        return 0;
+    }
+    if (exchange->is_cancelled) {
+        finish(exchange, EXCH_LOST);
+        return -1;
+    }
+    set_deadline(exchange, &exchange->client->idle_timeout);
+    apply_pause(exchange);
+    return 0;
+}
+
+static void
+read_head(exch_head *head, int status, h2o_header_t *headers, size_t count)
+{
+    size_t i;
+
+    *head = (exch_head){.status = status,
+                        .headers = headers,
+                        .header_count = count,
+                        .content_length = UINT64_MAX};
+    for (i = 0; i < count; i++) {
+        if (headers[i].name == &H2O_TOKEN_CONTENT_LENGTH->buf) {
+            head->content_length =
+                h2o_strtosize(headers[i].value.base, headers[i].value.len);
+            head->is_framed = true;
+        }
+        else if (headers[i].name == &H2O_TOKEN_TRANSFER_ENCODING->buf) {
+            head->is_framed = true;
+        }
+    }
+}
+
+static h2o_http1client_body_cb
+on_head(h2o_http1client_t *http, const char *error, int minor_version,
+        int status, h2o_iovec_t message, h2o_header_t *headers, size_t count,
+        int head_size)
+{
+    exch_exchange *exchange = http->data;
+    bool is_end = error == h2o_http1client_error_is_eos;
+    exch_head head;
+
+    (void)minor_version;
+    (void)message;
+    (void)head_size;
+    if (error != NULL && !is_end) {
+        finish(exchange, end_of(exchange, error));
+        return NULL;
+    }
+    set_deadline(exchange, &exchange->client->idle_timeout);
+    read_head(&head, status, headers, count);
+    head.is_framed |= is_end;
+    exchange->is_calling = true;
+    if (exchange->ops->head != NULL &&
+        !exchange->ops->head(exchange->owner, &head)) {
+        exchange->is_cancelled = true;
+    }
+    exchange->is_calling = false;
+    if (exchange->is_cancelled || is_end) {
+        finish(exchange, EXCH_DONE);
+        return NULL;
+    }
+    return on_body;
+}
+
+static h2o_http1client_head_cb
+on_connect(h2o_http1client_t *http, const char *error, h2o_iovec_t **buffers,
+           size_t *count, int *is_head_method)
+{
+    exch_exchange *exchange = http->data;
+    bool may_go = true;
+
+    exchange->http = http;
+    if (error != NULL) {
+        finish(exchange, EXCH_CONNECT);
+        return NULL;
+    }
+    exchange->is_calling = true;
+    if (exchange->ops->ready != NULL) {
+        may_go = exchange->ops->ready(exchange->owner);
+    }
+    exchange->is_calling = false;
+    if (!may_go || exchange->is_cancelled) {
+        finish(exchange, EXCH_REFUSED);
+        return NULL;
+    }
+    exchange->is_connected = true;
+    *buffers = exchange->buffers;
+    *count = exchange->buffer_count;
+    *is_head_method = exchange->is_head_method;
+    set_deadline(exchange, &exchange->client->first_byte_timeout);
+    return on_head;
+}
+
+/* h2o may connect within the call that asks for it; the owner is only told
+ * once it has the exchange. */
+static void
+on_start(h2o_timeout_entry_t *entry)
+{
+    exch_exchange *exchange =
+        H2O_STRUCT_FROM_MEMBER(exch_exchange, timeout, entry);
+    client_client *client = exchange->client;
+    client_pool *pool = exchange->pool;
+
+    exchange->timeout.cb = on_deadline;
+    set_deadline(exchange, &client->connect_timeout);
+    if (exchange->is_fresh) {
+        h2o_http1client_connect(&exchange->http, exchange, &client->http,
+                                h2o_iovec_init(pool->host, strlen(pool->host)),
+                                pool->port, 0, on_connect);
+        return;
+    }
+    h2o_http1client_connect_with_pool(&exchange->http, exchange, &client->http,
+                                      &pool->sockets, on_connect);
+}
+
+static exch_exchange *
+new_exchange(client_client *client, const exch_request *request,
+             const exch_ops *ops, void *owner)
+{
+    exch_exchange *exchange = calloc(1, sizeof *exchange + request->head_size);
+
+    if (exchange == NULL) {
+        return NULL;
+    }
+    exchange->client = client;
+    exchange->ops = ops;
+    exchange->owner = owner;
+    exchange->is_head_method = request->is_head_method;
+    exchange->is_fresh = request->fresh_connection;
+    memcpy(exchange->head, request->head, request->head_size);
+    exchange->buffers[0] = h2o_iovec_init(exchange->head, request->head_size);
+    exchange->buffers[1] = h2o_iovec_init(request->body, request->body_size);
+    exchange->buffer_count = request->body_size > 0 ? 2 : 1;
+    return exchange;
+}
+
+exch_exchange *
+exch_start(client_client *client, const exch_request *request,
+           const exch_ops *ops, void *owner)
+{
+    client_pool *pool = pool_of(client, request->address);
+    exch_exchange *exchange;
+
+    if (pool == NULL) {
+        return NULL;
+    }
+    exchange = new_exchange(client, request, ops, owner);
+    if (exchange == NULL) {
+        return NULL;
+    }
+    exchange->pool = pool;
+    pool->users++;
+    pool->last_use = ++client->started;
+    client->exchanges++;
+    exchange->timeout.cb = on_start;
+    set_deadline(exchange, &client->zero_timeout);
+    return exchange;
+}
+
+void
+exch_cancel(exch_exchange *exchange)
+{
+    exchange->is_cancelled = true;
+    if (exchange->is_calling) {
+        return;
+    }
+    if (exchange->http != NULL) {
+        h2o_http1client_cancel(exchange->http);
+    }
+    release(exchange);
+}
+
+void
+exch_set_paused(exch_exchange *exchange, bool is_paused)
+{
+    exchange->is_paused = is_paused;
+    if (!exchange->is_calling) {
+        apply_pause(exchange);
+    }
+}
--- /dev/null
+++ b/packages/net/source/endpoints-imp.h
@@ -0,0 +1,21 @@
+#ifndef LAVENDER_NET_ENDPOINTS_IMP_H
+#define LAVENDER_NET_ENDPOINTS_IMP_H
+
+#include "lavender-net/endpoints.h"
+
+/* The connections to one address. It stays while exchanges use it. */
+struct client_pool {
+    client_pool *next;
+    char address[LV_ADDRESS_SIZE];
+    char host[LV_ADDRESS_SIZE];
+    uint16_t port;
+    h2o_socketpool_t sockets;
+    uint32_t users;
+    uint64_t last_use; /* client_client.started then */
+    uv_idle_t closer;  /* tells when the memory may be freed */
+};
+
+/* The pool of an address, made when new; NULL when it is malformed. */
+client_pool *pool_of(client_client *client, const char *address);
+
+#endif
--- /dev/null
+++ b/packages/net/source/endpoints-load.c
@@ -0,0 +1,315 @@
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "endpoints-imp.h"
+#include "lavender-net/log.h"
+
+#define ENDPOINTS_MAX 1024
+#define MODELS_MAX 256
+#define LOAD_ANSWER_MAX (256 * 1024)
+#define ORDER_ANSWER_MAX 4096
+#define STATUS_ACCEPTED 200
+
+/* What is known of one endpoint that this instance polls. */
+typedef struct load_target {
+    lv_id id;
+    exch_call *call; /* NULL: no poll runs */
+    uint64_t last_event;
+    bool is_wanted;
+} load_target;
+
+typedef struct order_call {
+    struct order_call *next;
+    load_poller *poller;
+    lv_id endpoint;
+    exch_call *call;
+} order_call;
+
+struct load_poller {
+    client_client *client;
+    node_node *node;
+    lv_time interval;
+    lv_time next;
+    lv_time now;
+    load_target *targets[ENDPOINTS_MAX];
+    uint32_t count;
+    order_call *orders;
+    load_counts counts;
+};
+
+typedef struct poll_context {
+    load_poller *poller;
+    load_target *target;
+} poll_context;
+
+static const char *
+address_of(const load_poller *poller, lv_id endpoint)
+{
+    const world_lists *lists = doc_lists(node_documents(poller->node));
+    lv_handle handle =
+        lists == NULL ? LV_HANDLE_NONE : ep_find(lists, endpoint);
+
+    return handle == LV_HANDLE_NONE ? NULL : lists->endpoints[handle].address;
+}
+
+static uint32_t
+read_count(const json_t *root, const char *name)
+{
+    json_int_t value = json_integer_value(json_object_get(root, name));
+
+    return value > 0 && value < UINT32_MAX ? (uint32_t)value : 0;
+}
+
+static void
+read_events(load_poller *poller, load_target *target, const json_t *events)
+{
+    size_t i;
+    json_t *event;
+    uint64_t number;
+
+    json_array_foreach(events, i, event)
+    {
+        number =
+            (uint64_t)json_integer_value(json_object_get(event, "number"));
+        if (number <= target->last_event) {
+            continue;
+        }
+        if (target->last_event > 0 && number > target->last_event + 1) {
+            poller->counts.cache_gaps++;
+        }
+        target->last_event = number;
+        poller->counts.cache_events++;
+    }
+}
+
+static void
+take_answer(load_poller *poller, load_target *target,
+            const exch_answer *answer)
+{
+    json_t *root = json_loadb(answer->body == NULL ? "" : answer->body,
+                              answer->body_size, 0, NULL);
+    disp_load load = {0};
+    lv_id models[MODELS_MAX];
+    uint32_t model_count = 0;
+    size_t i;
+    json_t *model;
+
+    if (!json_is_object(root)) {
+        poller->counts.failures++;
+        json_decref(root);
+        return;
+    }
+    load.running = read_count(root, "running");
+    load.queued = read_count(root, "queued");
+    load.slots = read_count(root, "slots");
+    json_array_foreach(json_object_get(root, "models"), i, model)
+    {
+        if (json_is_string(model) && model_count < MODELS_MAX) {
+            models[model_count++] = lv_hash_name(json_string_value(model));
+        }
+    }
+    read_events(poller, target, json_object_get(root, "cache_events"));
+    node_take_load(poller->node, uv_hrtime() / 1000, target->id, &load, models,
+                   model_count);
+    json_decref(root);
+}
+
+static void
+on_load(void *context, const exch_answer *answer)
+{
+    poll_context *poll = context;
+    load_poller *poller = poll->poller;
+    load_target *target = poll->target;
+
+    free(poll);
+    target->call = NULL;
+    poller->counts.bytes += answer->body_size;
+    if (answer->status != STATUS_ACCEPTED) {
+        poller->counts.failures++;
+        return;
+    }
+    take_answer(poller, target, answer);
+}
+
+static void
+poll_target(load_poller *poller, load_target *target)
+{
+    exch_simple simple = {.address = address_of(poller, target->id),
+                          .method = "GET",
+                          .path = "/v1/load",
+                          .headers = "",
+                          .max_answer = LOAD_ANSWER_MAX};
+    poll_context *context;
+
+    if (target->call != NULL || simple.address == NULL ||
+        (context = calloc(1, sizeof *context)) == NULL) {
+        return;
+    }
+    context->poller = poller;
+    context->target = target;
+    poller->counts.polls++;
+    target->call = exch_ask(poller->client, &simple, on_load, context);
+    if (target->call == NULL) {
+        poller->counts.failures++;
+        free(context);
+    }
+}
+
+static load_target *
+target_of(load_poller *poller, lv_id endpoint)
+{
+    load_target *target;
+    uint32_t i;
+
+    for (i = 0; i < poller->count; i++) {
+        if (poller->targets[i]->id == endpoint) {
+            return poller->targets[i];
+        }
+    }
+    if (poller->count == ENDPOINTS_MAX ||
+        (target = calloc(1, sizeof *target)) == NULL) {
+        return NULL;
+    }
+    target->id = endpoint;
+    poller->targets[poller->count++] = target;
+    return target;
+}
+
+static void
+drop_unwanted(load_poller *poller)
+{
+    uint32_t i = 0;
+
+    while (i < poller->count) {
+        if (poller->targets[i]->is_wanted ||
+            poller->targets[i]->call != NULL) {
+            i++;
+            continue;
+        }
+        free(poller->targets[i]);
+        poller->targets[i] = poller->targets[--poller->count];
+    }
+}
+
+void
+load_tick(load_poller *poller, lv_time now)
+{
+    lv_id ids[ENDPOINTS_MAX];
+    load_target *target;
+    uint32_t count, i;
+
+    if (now < poller->next) {
+        return;
+    }
+    poller->next = now + poller->interval;
+    count = node_dispatched_endpoints(poller->node, ids, ENDPOINTS_MAX);
+    for (i = 0; i < poller->count; i++) {
+        poller->targets[i]->is_wanted = false;
+    }
+    for (i = 0; i < count; i++) {
+        target = target_of(poller, ids[i]);
+        if (target != NULL) {
+            target->is_wanted = true;
+            poll_target(poller, target);
+        }
+    }
+    drop_unwanted(poller);
+}
+
+lv_time
+load_next(const load_poller *poller)
+{
+    return poller->next;
+}
+
+static void
+on_order(void *context, const exch_answer *answer)
+{
+    order_call *order = context, **link;
+    load_poller *poller = order->poller;
+    lv_id endpoint = order->endpoint;
+    bool is_accepted = answer->status == STATUS_ACCEPTED;
+
+    for (link = &poller->orders; *link != order; link = &(*link)->next) {
+    }
+    *link = order->next;
+    free(order);
+    poller->counts.orders_refused += !is_accepted;
+    place_order_done(node_placement(poller->node), uv_hrtime() / 1000,
+                     endpoint, is_accepted);
+}
+
+void
+load_send_order(load_poller *poller, const lv_order *order)
+{
+    char body[512];
+    exch_simple simple = {.address = address_of(poller, order->endpoint),
+                          .method = "POST",
+                          .path = "/v1/orders",
+                          .headers = "content-type: application/json\r\n",
+                          .body = body,
+                          .max_answer = ORDER_ANSWER_MAX};
+    order_call *call;
+
+    if (simple.address == NULL || (call = calloc(1, sizeof *call)) == NULL) {
+        return;
+    }
+    simple.body_size =
+        (size_t)snprintf(body, sizeof body,
+                         "{\"action\": \"%s\", \"model\": \"%s\", "
+                         "\"fence\": [%" PRIu64 ", %" PRIu64 "]}",
+                         order->load ? "load" : "unload", order->model,
+                         order->fence_catalogue, order->fence_lists);
+    call->poller = poller;
+    call->endpoint = order->endpoint;
+    call->next = poller->orders;
+    poller->counts.orders++;
+    call->call = exch_ask(poller->client, &simple, on_order, call);
+    if (call->call == NULL) {
+        free(call);
+        return;
+    }
+    poller->orders = call;
+}
+
+load_poller *
+load_new(client_client *client, node_node *node, lv_time interval)
+{
+    load_poller *poller = calloc(1, sizeof *poller);
+
+    if (poller != NULL) {
+        poller->client = client;
+        poller->node = node;
+        poller->interval = interval;
+    }
+    return poller;
+}
+
+void
+load_free(load_poller *poller)
+{
+    order_call *order;
+    uint32_t i;
+
+    for (i = 0; i < poller->count; i++) {
+        if (poller->targets[i]->call != NULL) {
+            exch_call_cancel(poller->targets[i]->call);
+        }
+        free(poller->targets[i]);
+    }
+    while ((order = poller->orders) != NULL) {
+        poller->orders = order->next;
+        exch_call_cancel(order->call);
+        free(order);
+    }
+    free(poller);
+}
+
+void
+load_read_counts(const load_poller *poller, load_counts *counts)
+{
+    *counts = poller->counts;
+}
--- /dev/null
+++ b/packages/net/source/listen.c
@@ -0,0 +1,157 @@
+#include "listen-imp.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "lavender-net/endpoints.h"
+
+#define BACKLOG 1024
+
+typedef struct listen_connection {
+    uv_tcp_t tcp; /* first: h2o gives it back */
+    listen_listener *listener;
+} listen_connection;
+
+static void
+on_closed(uv_handle_t *handle)
+{
+    listen_connection *connection = (listen_connection *)handle;
+
+    connection->listener->connections--;
+    free(connection);
+}
+
+static void
+on_refused_closed(uv_handle_t *handle)
+{
+    free(handle);
+}
+
+/* Say why, as far as the socket takes it at once, and close. */
+static void
+refuse(listen_listener *listener, listen_connection *connection)
+{
+    static const char body[] =
+        "{\"error\": {\"kind\": \"connections\", \"message\": \"this router "
+        "has as many connections as it may\", \"remedy\": \"wait for the "
+        "time in Retry-After\", \"outcome\": \"not-run\"}}\n";
+    char text[512];
+    uv_buf_t buffer;
+    int size;
+
+    listener->refused++;
+    if (listener->settings.tls == NULL) {
+        size = snprintf(text, sizeof text,
+                        "HTTP/1.1 503 Service Unavailable\r\n"
+                        "content-type: application/json\r\n"
+                        "content-length: %zu\r\nlavender-outcome: not-run\r\n"
+                        "retry-after: 1\r\nconnection: close\r\n\r\n%s",
+                        sizeof body - 1, body);
+        buffer = uv_buf_init(text, (unsigned)size);
+        uv_try_write((uv_stream_t *)&connection->tcp, &buffer, 1);
+    }
+    uv_close((uv_handle_t *)&connection->tcp, on_refused_closed);
+}
+
+static void
+on_connection(uv_stream_t *stream, int status)
+{
+    listen_listener *listener = stream->data;
+    listen_connection *connection;
+    h2o_socket_t *socket;
+
+    if (status != 0 || (connection = calloc(1, sizeof *connection)) == NULL) {
+        listener->failed++;
+        return;
+    }
+    connection->listener = listener;
+    uv_tcp_init(listener->loop, &connection->tcp);
+    if (uv_accept(stream, (uv_stream_t *)&connection->tcp) != 0) {
+        listener->failed++;
+        uv_close((uv_handle_t *)&connection->tcp, on_refused_closed);
+        return;
+    }
+    if (listener->connections >= listener->settings.connections) {
+        refuse(listener, connection);
+        return;
+    }
+    uv_tcp_nodelay(&connection->tcp, 1);
+    listener->connections++;
+    listener->accepted++;
+    socket = h2o_uv_socket_create((uv_stream_t *)&connection->tcp, on_closed);
+    h2o_accept(&listener->accept, socket);
+}
+
+void
+listen_init(listen_listener *listener, uv_loop_t *loop,
+            const listen_settings *settings)
+{
+    memset(listener, 0, sizeof *listener);
+    listener->settings = *settings;
+    listener->loop = loop;
+    h2o_config_init(&listener->config);
+    listener->config.server_name = h2o_iovec_init(H2O_STRLIT("lavenderd"));
+    listener->config.max_request_entity_size = settings->body;
+    listener->config.http1.req_timeout =
+        settings->head_timeout / LV_MILLISECOND;
+    listener->config.http1.upgrade_to_http2 = 0;
+    listener->config.http2.idle_timeout =
+        settings->idle_timeout / LV_MILLISECOND;
+    listener->host = h2o_config_register_host(
+        &listener->config, h2o_iovec_init(H2O_STRLIT("default")), 65535);
+}
+
+bool
+listen_open(listen_listener *listener, err_error *error)
+{
+    const listen_settings *settings = &listener->settings;
+    struct sockaddr_storage address;
+    socklen_t size;
+    int status;
+
+    if (!addr_parse(settings->address, &address, &size)) {
+        return err_set(error, ERR_BAD_VALUE, "write IP:PORT",
+                       "'%s' is no address", settings->address);
+    }
+    h2o_context_init(&listener->context, listener->loop, &listener->config);
+    listener->accept.ctx = &listener->context;
+    listener->accept.hosts = listener->config.hosts;
+    listener->accept.ssl_ctx = settings->tls;
+    uv_tcp_init(listener->loop, &listener->tcp);
+    listener->tcp.data = listener;
+    listener->is_open = true;
+    status = uv_tcp_bind(&listener->tcp, (struct sockaddr *)&address, 0);
+    if (status == 0) {
+        status =
+            uv_listen((uv_stream_t *)&listener->tcp, BACKLOG, on_connection);
+    }
+    if (status != 0) {
+        return err_set(error, ERR_SYSTEM,
+                       "name an address of this machine and a free port",
+                       "%s address %s: %s", settings->what, settings->address,
+                       uv_strerror(status));
+    }
+    return true;
+}
+
+void
+listen_close(listen_listener *listener)
+{
+    if (listener->is_open && !uv_is_closing((uv_handle_t *)&listener->tcp)) {
+        uv_close((uv_handle_t *)&listener->tcp, NULL);
+        h2o_context_request_shutdown(&listener->context);
+    }
+}
+
+void
+listen_finish(listen_listener *listener)
+{
+    if (listener->is_open) {
+        h2o_context_dispose(&listener->context);
+    }
+    h2o_config_dispose(&listener->config);
+    if (listener->settings.tls != NULL) {
+        SSL_CTX_free(listener->settings.tls);
+    }
+}
