--- a/packages/core/include/lavender/entry.h
+++ b/packages/core/include/lavender/entry.h
@@ -11,8 +11,11 @@
 #define LAVENDER_ENTRY_H
 
 #include "lavender/catalogue.h"
+#include "lavender/heap.h"
 #include "lavender/host.h"
 #include "lavender/ledger.h"
+#include "lavender/map.h"
+#include "lavender/queue.h"
 #include "lavender/ticket.h"
 #include "lavender/world.h"
 
@@ -25,12 +28,24 @@
 
 typedef struct entry_settings {
     entry_mode mode;
-    uint32_t max_requests;  /* accepted at one time, in all */
-    uint32_t max_attempts;  /* for one idempotent request */
-    uint32_t retry_percent; /* of recent successes: the retry budget */
-    uint32_t local_share;   /* live instances, for the baselines' slots */
+    uint32_t max_requests;   /* accepted at one time, in all */
+    uint32_t max_attempts;   /* for one idempotent request */
+    uint32_t retry_percent;  /* of recent successes: the retry budget */
+    uint32_t local_share;    /* live instances, until entry_set_live says */
+    lv_time report_interval; /* between full REPORTs */
+    lv_time idle_interval;   /* the same, when there is nothing to report */
+    lv_time short_interval;  /* at least, between short REPORTs */
+    lv_time silence;         /* a dispatcher that has not answered a REPORT
+                                for so long gets no demand */
+    lv_time rest;            /* after a failure an endpoint gets no attempt
+                                for so long; doubles with each failure */
+    lv_time rest_max;
+    uint32_t max_prefixes; /* prompt prefixes whose endpoint is remembered */
 } entry_settings;
 
+/* Settings that suit a fleet of the ordinary size. */
+void entry_default_settings(entry_settings *settings);
+
 typedef struct entry_request {
     lv_id account;
     const char *class_name; /* NULL: the account's first entry */
@@ -53,7 +68,105 @@
     ENTRY_END_PROTOCOL /* the answer broke the protocol */
 } entry_end;
 
-typedef struct entry_entry entry_entry;
+typedef struct entry_item entry_item;
+typedef struct entry_flow entry_flow;
+typedef struct entry_class entry_class;
+typedef struct entry_pool entry_pool;
+typedef struct entry_shard entry_shard;
+typedef struct entry_part entry_part;
+typedef struct entry_lease entry_lease;
+typedef struct entry_endpoint entry_endpoint;
+typedef struct entry_prefix entry_prefix;
+typedef struct entry_scratch entry_scratch;
+
+/* Counts for status and metrics. */
+typedef struct entry_counts {
+    uint64_t admitted;
+    uint64_t refused[OUT_REASON_COUNT];
+    uint64_t finished[OUT_UNKNOWN + 1];
+    uint64_t attempts;
+    uint64_t retries;
+    uint64_t resumes;
+    uint64_t stale_answers;  /* of older attempts, dropped */
+    uint64_t stale_messages; /* old grants, dropped */
+    uint64_t reports_full;
+    uint64_t reports_short;
+    uint64_t expired_leases;
+    uint32_t waiting;
+    uint32_t running;
+    uint32_t leases;
+    uint32_t idle_leases;
+    size_t memory; /* bytes held */
+} entry_counts;
+
+/* A chain of records of one table, by index. */
+typedef struct entry_list {
+    uint32_t first;
+    uint32_t last;
+    uint32_t count;
+} entry_list;
+
+/* All members are private; it must not move between init and finish. */
+typedef struct entry_entry {
+    lv_host *host;
+    entry_settings settings;
+    lv_id self;
+    uint64_t incarnation;
+    ledger_ledger *ledger;
+    const cat_catalogue *catalogue;
+    const world_lists *lists;
+    bool is_draining;
+    bool is_sending;
+    lv_time next_tick;
+    entry_counts counts;
+
+    entry_item *items; /* requests */
+    uint32_t item_count;
+    uint32_t item_capacity;
+    entry_list free_items;
+    heap_heap deadlines;
+    fq_table queues;
+    entry_flow *flows; /* (pool, account); same index as in queues */
+    uint32_t flow_capacity;
+    map_map flow_index;
+    entry_class *classes; /* catalogue entries, and those in one pool */
+    uint32_t class_count;
+    uint32_t class_capacity;
+    map_map class_index;
+    entry_pool *pools;
+    uint32_t pool_count;
+    uint32_t pool_capacity;
+    map_map pool_index;
+    entry_shard *shards;
+    uint32_t shard_count;
+    uint32_t shard_capacity;
+    map_map shard_index;
+    entry_list due_shards; /* with a short REPORT to send */
+    entry_part *parts;     /* (shard, account) */
+    uint32_t part_count;
+    uint32_t part_capacity;
+    map_map part_index;
+    entry_lease *leases;
+    uint32_t lease_count;
+    uint32_t lease_capacity;
+    entry_list free_leases;
+    map_map lease_index;
+    entry_endpoint *endpoints;
+    uint32_t endpoint_count;
+    uint32_t endpoint_capacity;
+    map_map endpoint_index;
+    uint32_t resting; /* endpoints */
+    lv_time next_rest;
+    entry_prefix *prefixes; /* direct-mapped by hash */
+    entry_scratch *scratch; /* arrays of the message being made */
+    lv_id *live;            /* instances */
+    uint32_t live_count;
+    uint32_t live_capacity;
+    uint64_t local_leases; /* number of the baselines' last lease */
+    uint64_t budget;       /* retries, in hundredths */
+    lv_time last_finish;
+    lv_time finish_gap; /* average between two ends of requests */
+} entry_entry;
 
 /* Admit a request or refuse it. On success *handle is set and the outcome
  * comes later through finish_request; on refusal returns false, *refusal
@@ -65,8 +178,10 @@
 
 /* May the attempt's first byte be written now? Checks lease, deadline and
  * view against a fresh clock reading. When false, the attempt is already
- * taken back and the request waits again or is finished. When true, the
- * request counts as sent from here on. */
+ * taken back (cancel_attempt is not called for it) and the request waits
+ * again or is finished. When true, the request counts as sent from here on.
+ * Ask once per connection: for a request that is not idempotent a second
+ * question about the same attempt is answered with false and `unknown`. */
 bool entry_may_send(entry_entry *entry, lv_time now, lv_handle request,
                     uint32_t number);
 
@@ -101,6 +216,21 @@
 void entry_set_dispatcher(entry_entry *entry, lv_time now, lv_id pool,
                           uint32_t shard, lv_id dispatcher);
 
+/* The live instances, from the membership: shares of limits that are local
+ * guesses, and the baselines' slots, follow them. */
+void entry_set_live(entry_entry *entry, lv_time now, const lv_id *instances,
+                    uint32_t count);
+
+/* An engine's cache event: the prefix is kept or was dropped there. After a
+ * gap in the numbers everything known about the endpoint is dropped. */
+void entry_take_cache_event(entry_entry *entry, lv_id endpoint,
+                            uint64_t number, uint64_t prefix_hash,
+                            bool is_kept);
+
+/* Add the running backlogs to the ledger's current window. Call before the
+ * ledger moves to the next one. */
+void entry_flush_ledger(entry_entry *entry, lv_time now);
+
 /* Take a GRANT. Old or foreign ones are dropped and counted (false). */
 bool entry_take_grant(entry_entry *entry, lv_time now,
                       const msg_message *message);
@@ -118,28 +248,13 @@
 void entry_drain(entry_entry *entry, lv_time now);
 bool entry_is_idle(const entry_entry *entry);
 
-/* Counts for status and metrics. */
-typedef struct entry_counts {
-    uint64_t admitted;
-    uint64_t refused[OUT_REASON_COUNT];
-    uint64_t finished[OUT_UNKNOWN + 1];
-    uint64_t attempts;
-    uint64_t retries;
-    uint64_t resumes;
-    uint64_t stale_answers;  /* of older attempts, dropped */
-    uint64_t stale_messages; /* old grants, dropped */
-    uint32_t waiting;
-    uint32_t running;
-    uint32_t leases;
-    uint32_t idle_leases;
-    size_t memory; /* bytes held */
-} entry_counts;
-
 void entry_read_counts(const entry_entry *entry, entry_counts *counts);
 
+/* ledger may be NULL. */
 bool entry_init(entry_entry *entry, lv_host *host,
-                const entry_settings *settings, lv_id self,
-                uint64_t incarnation, lv_time now, err_error *error);
+                const entry_settings *settings, ledger_ledger *ledger,
+                lv_id self, uint64_t incarnation, lv_time now,
+                err_error *error);
 void entry_finish(entry_entry *entry);
 
 #endif
--- /dev/null
+++ b/packages/core/source/entry-admit.c
@@ -0,0 +1,325 @@
+#include "entry-imp.h"
+
+#define MILLIONTHS 1000000u
+#define RETRY_AFTER_VIEW LV_SECOND
+
+/* What admission found about a request. */
+typedef struct admission {
+    const cat_entry *class_of_work;
+    const cat_route *route;
+    uint32_t pool;
+    uint32_t flow;
+    uint32_t limits;
+    uint32_t costs;
+    uint32_t part; /* whose allowance is drawn; NONE: the local guess */
+} admission;
+
+static out_reason
+find_entry(const cat_catalogue *catalogue, const entry_request *request,
+           admission *found)
+{
+    lv_handle account = cat_find_account(catalogue, request->account);
+    lv_handle class_handle;
+
+    if (account == LV_HANDLE_NONE) {
+        return OUT_REASON_UNKNOWN_KEY;
+    }
+    if (catalogue->accounts[account].entry_count == 0) {
+        return OUT_REASON_NOT_ENTITLED;
+    }
+    class_handle = cat_find_entry(catalogue, account, request->class_name);
+    if (class_handle == LV_HANDLE_NONE) {
+        return OUT_REASON_UNKNOWN_CLASS;
+    }
+    found->class_of_work = &catalogue->entries[class_handle];
+    return OUT_REASON_NONE;
+}
+
+static out_reason
+find_pool(entry_entry *entry, const entry_request *request, admission *found)
+{
+    const cat_catalogue *catalogue = entry->catalogue;
+    lv_handle pool;
+
+    if (request->route >= catalogue->route_count) {
+        return OUT_REASON_UNKNOWN_ROUTE;
+    }
+    found->route = &catalogue->routes[request->route];
+    pool = found->route->pool;
+    if (pool == LV_HANDLE_NONE) {
+        if (request->model >= catalogue->model_count) {
+            return OUT_REASON_UNKNOWN_MODEL;
+        }
+        pool = catalogue->models[request->model].pool;
+    }
+    found->pool = entry_get_pool(entry, catalogue->pools[pool].id);
+    if (found->pool == NONE) {
+        return OUT_REASON_MEMORY;
+    }
+    return entry->pools[found->pool].endpoints > 0 ? OUT_REASON_NONE
+                                                   : OUT_REASON_NO_ENDPOINT;
+}
+
+static out_reason
+find_records(entry_entry *entry, const entry_request *request,
+             admission *found)
+{
+    lv_id id = found->class_of_work->id;
+
+    found->flow = entry_get_flow(entry, found->pool, request->account);
+    found->limits = entry_get_class(entry, id);
+    found->costs =
+        entry_get_class(entry, map_pair(entry->pools[found->pool].id, id));
+    if (found->flow == NONE || found->limits == NONE || found->costs == NONE) {
+        return OUT_REASON_MEMORY;
+    }
+    return OUT_REASON_NONE;
+}
+
+/* One account may wait for as many requests as there is room left, so that
+ * a flood always leaves room for others. */
+static out_reason
+check_room(const entry_entry *entry, const admission *found)
+{
+    const cat_limits *limits = &found->class_of_work->limits;
+    uint32_t used = entry->counts.waiting + entry->counts.running;
+
+    if (limits->waiting > 0 &&
+        entry->classes[found->limits].waiting >= limits->waiting) {
+        return OUT_REASON_WAITING_FULL;
+    }
+    if (used >= entry->settings.max_requests ||
+        entry->flows[found->flow].waiting >=
+            entry->settings.max_requests - used) {
+        return OUT_REASON_MEMORY;
+    }
+    return OUT_REASON_NONE;
+}
+
+static uint32_t
+live_count(const entry_entry *entry)
+{
+    if (entry->live_count > 0) {
+        return entry->live_count;
+    }
+    return entry->settings.local_share > 0 ? entry->settings.local_share : 1;
+}
+
+/* The part with the most allowance from a dispatcher that spoke lately. */
+static uint32_t
+find_allowance(const entry_entry *entry, lv_time now, const admission *found)
+{
+    const entry_pool *pool = &entry->pools[found->pool];
+    uint32_t best = NONE;
+
+    for (uint32_t i = pool->first_shard; i != NONE;
+         i = entry->shards[i].next_in_pool) {
+        uint32_t index =
+            map_get(&entry->part_index, (uint64_t)i << 32 | found->flow);
+        const entry_part *part;
+
+        if (index == NONE) {
+            continue;
+        }
+        part = &entry->parts[index];
+        if (part->has_allowance &&
+            lv_elapsed(now, part->allowance_time) < entry->settings.silence &&
+            (best == NONE || part->allowance > entry->parts[best].allowance)) {
+            best = index;
+        }
+    }
+    return best;
+}
+
+/* Requests per second and burst that this instance may admit by itself:
+ * all of it under a dispatcher's allowance, else its fair part. */
+static void
+refill(const entry_entry *entry, lv_time now, const admission *found,
+       entry_class *class_record, uint64_t *rate)
+{
+    const cat_limits *limits = &found->class_of_work->limits;
+    uint64_t burst =
+        limits->burst > 0 ? limits->burst : limits->requests_per_second;
+    uint64_t share = found->part == NONE ? live_count(entry) : 1;
+    uint64_t most = burst * MILLIONTHS / share;
+
+    *rate = (uint64_t)limits->requests_per_second * MILLIONTHS / share;
+    if (most < MILLIONTHS) {
+        most = MILLIONTHS;
+    }
+    if (class_record->tokens == UINT64_MAX) {
+        class_record->tokens = most;
+    }
+    else {
+        class_record->tokens +=
+            lv_elapsed(now, class_record->refilled) * *rate / MILLIONTHS;
+    }
+    if (class_record->tokens > most) {
+        class_record->tokens = most;
+    }
+    class_record->refilled = now;
+}
+
+static out_reason
+draw_rate(entry_entry *entry, lv_time now, admission *found,
+          lv_time *retry_after)
+{
+    entry_class *class_record = &entry->classes[found->limits];
+    uint64_t rate;
+
+    if (found->class_of_work->limits.requests_per_second == 0) {
+        return OUT_REASON_NONE;
+    }
+    found->part = find_allowance(entry, now, found);
+    refill(entry, now, found, class_record, &rate);
+    if (class_record->tokens < MILLIONTHS) {
+        *retry_after =
+            (MILLIONTHS - class_record->tokens) * MILLIONTHS / rate + 1;
+        return OUT_REASON_RATE;
+    }
+    if (found->part != NONE) {
+        entry_part *part = &entry->parts[found->part];
+
+        if (part->allowance == 0) {
+            *retry_after =
+                (lv_time)MILLIONTHS * MILLIONTHS / rate * live_count(entry);
+            return OUT_REASON_RATE;
+        }
+        part->allowance--;
+    }
+    class_record->tokens -= MILLIONTHS;
+    return OUT_REASON_NONE;
+}
+
+static out_reason
+judge(entry_entry *entry, lv_time now, const entry_request *request,
+      admission *found, lv_time *retry_after)
+{
+    out_reason reason;
+
+    if (entry->is_draining) {
+        return OUT_REASON_DRAINING;
+    }
+    if (entry->catalogue == NULL || entry->lists == NULL) {
+        return OUT_REASON_NOT_READY;
+    }
+    reason = find_entry(entry->catalogue, request, found);
+    if (reason == OUT_REASON_NONE) {
+        reason = find_pool(entry, request, found);
+    }
+    if (reason != OUT_REASON_NONE) {
+        return reason;
+    }
+    if (found->class_of_work->limits.body > 0 &&
+        request->body_size > found->class_of_work->limits.body) {
+        return OUT_REASON_BODY_TOO_LARGE;
+    }
+    reason = find_records(entry, request, found);
+    if (reason == OUT_REASON_NONE) {
+        reason = check_room(entry, found);
+    }
+    if (reason == OUT_REASON_NONE) {
+        reason = draw_rate(entry, now, found, retry_after);
+    }
+    return reason;
+}
+
+/* The time after which there is probably room: each caller that was told to
+ * come back gets the next place. */
+static lv_time
+later(entry_entry *entry, const admission *found, out_reason reason)
+{
+    switch (reason) {
+    case OUT_REASON_WAITING_FULL:
+        return entry_drain_time(entry, found->flow,
+                                ++entry->flows[found->flow].told_later);
+    case OUT_REASON_MEMORY:
+        return entry->finish_gap > 0 &&
+                       entry->finish_gap < ENTRY_RETRY_AFTER_MAX
+                   ? entry->finish_gap
+                   : RETRY_AFTER_VIEW;
+    case OUT_REASON_DRAINING:
+    case OUT_REASON_NOT_READY:
+    case OUT_REASON_NO_ENDPOINT:
+        return RETRY_AFTER_VIEW;
+    default:
+        return 0;
+    }
+}
+
+static void
+refuse(entry_entry *entry, const entry_request *request,
+       const admission *found, out_reason reason, lv_time retry_after,
+       out_outcome *refusal)
+{
+    ledger_line *line =
+        found->flow == NONE ? NULL : entry_line(entry, found->flow);
+
+    if (line != NULL) {
+        line->refused++;
+    }
+    *refusal = (out_outcome){OUT_NOT_RUN, reason, retry_after};
+    entry->counts.refused[reason]++;
+    entry_log_refusal(entry, request, reason);
+}
+
+static void
+fill_item(entry_entry *entry, lv_time now, uint32_t index,
+          const entry_request *request, const admission *found)
+{
+    entry_item *item = &entry->items[index];
+    const cat_entry *class_of_work = found->class_of_work;
+
+    item->number = request->number;
+    item->entry_id = class_of_work->id;
+    item->limits = found->limits;
+    item->costs = found->costs;
+    item->flow = found->flow;
+    item->queue = found->flow;
+    item->priority = class_of_work->priority;
+    item->idempotent = found->route->idempotent;
+    item->can_resume = request->can_resume;
+    item->arrived = now;
+    item->deadline = class_of_work->limits.deadline > 0
+                         ? now + class_of_work->limits.deadline
+                         : LV_TIME_NEVER;
+    item->prefix_hash = request->prefix_hash;
+    item->input_units = request->input_units;
+    item->hint_units = request->hint_units;
+    if (entry->settings.mode == ENTRY_MODE_LOCAL_FIFO) {
+        item->queue = entry->pools[found->pool].fifo;
+        item->priority = CAT_DEFERRABLE;
+    }
+}
+
+bool
+entry_submit(entry_entry *entry, lv_time now, const entry_request *request,
+             lv_handle *handle, out_outcome *refusal)
+{
+    admission found = {.flow = NONE, .part = NONE};
+    lv_time retry_after = 0;
+    out_reason reason = judge(entry, now, request, &found, &retry_after);
+    uint32_t index = NONE;
+
+    if (reason == OUT_REASON_NONE) {
+        index = entry_new_item(entry);
+        reason = index == NONE ? OUT_REASON_MEMORY : OUT_REASON_NONE;
+    }
+    if (reason != OUT_REASON_NONE) {
+        if (retry_after == 0) {
+            retry_after = later(entry, &found, reason);
+        }
+        refuse(entry, request, &found, reason, retry_after, refusal);
+        return false;
+    }
+    fill_item(entry, now, index, request, &found);
+    *handle = entry_item_handle(entry, index);
+    entry->counts.admitted++;
+    entry_log(entry, LV_DECIDE_ADMIT,
+              found.route->idempotent ? "idempotent" : "once", index, NONE,
+              entry->flows[found.flow].waiting, 0);
+    entry_wait(entry, now, index, true);
+    entry_serve_flow(entry, now, entry->items[index].queue);
+    entry_flush(entry, now);
+    return true;
+}
--- /dev/null
+++ b/packages/core/source/entry-local.c
@@ -0,0 +1,118 @@
+#include "entry-imp.h"
+
+#include "lavender/hash.h"
+
+/* The baselines: every router takes its own part of each endpoint's slots.
+ * The integer part goes to all, the remainder to the routers with the
+ * highest weight for the endpoint, so that the parts add up to the slots. */
+
+static uint32_t
+own_rank(const entry_entry *entry, lv_id endpoint)
+{
+    uint64_t own = hrw_weight(entry->self, endpoint);
+    uint32_t rank = 0;
+
+    for (uint32_t i = 0; i < entry->live_count; i++) {
+        rank += entry->live[i] != entry->self &&
+                hrw_weight(entry->live[i], endpoint) > own;
+    }
+    return rank;
+}
+
+static uint32_t
+own_slots(const entry_entry *entry, const ep_endpoint *endpoint,
+          uint32_t slots)
+{
+    uint32_t count = entry->live_count;
+
+    if (count == 0) {
+        count =
+            entry->settings.local_share > 0 ? entry->settings.local_share : 1;
+        return (slots + count - 1) / count;
+    }
+    return slots / count +
+           (own_rank(entry, endpoint->id) < slots % count ? 1 : 0);
+}
+
+static uint32_t
+count_leases(const entry_entry *entry, const entry_shard *shard,
+             uint32_t endpoint)
+{
+    uint32_t index = shard->leases.first;
+    uint32_t count = 0;
+
+    for (uint32_t i = 0; i < shard->leases.count; i++) {
+        const entry_lease *lease = &entry->leases[index];
+
+        count += lease->endpoint == endpoint && !lease->is_recalled;
+        index = lease->next[CHAIN_SHARD];
+    }
+    return count;
+}
+
+static void
+recall_leases(entry_entry *entry, uint32_t shard, uint32_t endpoint,
+              uint32_t surplus)
+{
+    uint32_t index = entry->shards[shard].leases.first;
+    uint32_t count = entry->shards[shard].leases.count;
+
+    for (uint32_t i = 0; i < count && surplus > 0; i++) {
+        entry_lease *lease = &entry->leases[index];
+
+        if (lease->endpoint == endpoint && !lease->is_recalled) {
+            lease->is_recalled = true;
+            surplus--;
+        }
+        index = lease->next[CHAIN_SHARD];
+    }
+}
+
+static void
+set_leases(entry_entry *entry, lv_time now, const ep_endpoint *from)
+{
+    uint32_t index = map_get(&entry->endpoint_index, from->id);
+    const entry_endpoint *endpoint;
+    uint32_t pool;
+    uint32_t wanted = 0;
+    uint32_t count;
+
+    if (index == NONE || entry->endpoints[index].shard == NONE) {
+        return;
+    }
+    endpoint = &entry->endpoints[index];
+    pool = entry->shards[endpoint->shard].pool;
+    if (!endpoint->is_leaving && !endpoint->is_list_leaving) {
+        uint32_t handle = entry->pools[pool].handle;
+
+        wanted =
+            own_slots(entry, from,
+                      from->slots > 0 ? from->slots
+                                      : entry->catalogue->pools[handle].slots);
+    }
+    entry->shards[endpoint->shard].lease_end = LV_TIME_NEVER;
+    count = count_leases(entry, &entry->shards[endpoint->shard], index);
+    if (count > wanted) {
+        recall_leases(entry, endpoint->shard, index, count - wanted);
+    }
+    for (; count < wanted; count++) {
+        uint32_t lease = entry_add_lease(entry, endpoint->shard,
+                                         ++entry->local_leases, index, NONE);
+
+        if (lease != NONE) {
+            entry_settle_lease(entry, now, lease);
+        }
+    }
+}
+
+void
+entry_make_local_leases(entry_entry *entry, lv_time now)
+{
+    if (entry->settings.mode == ENTRY_MODE_LEASES ||
+        entry->catalogue == NULL || entry->lists == NULL) {
+        return;
+    }
+    for (uint32_t i = 0; i < entry->lists->endpoint_count; i++) {
+        set_leases(entry, now, &entry->lists->endpoints[i]);
+    }
+}
--- /dev/null
+++ b/packages/core/source/entry-report.c
@@ -0,0 +1,398 @@
+#include "entry-imp.h"
+
+#include <string.h>
+
+void
+entry_wake(entry_entry *entry, lv_time time)
+{
+    if (time < entry->next_tick) {
+        entry->next_tick = time;
+    }
+}
+
+void
+entry_mark_due(entry_entry *entry, uint32_t index)
+{
+    entry_shard *shard = &entry->shards[index];
+
+    if (shard->is_due || entry->settings.mode != ENTRY_MODE_LEASES) {
+        return;
+    }
+    shard->is_due = true;
+    shard->next_due = NONE;
+    if (entry->due_shards.count++ > 0) {
+        entry->shards[entry->due_shards.last].next_due = index;
+    }
+    else {
+        entry->due_shards.first = index;
+    }
+    entry->due_shards.last = index;
+}
+
+/* The part's demand changed; an urgent change goes out at once. */
+void
+entry_mark_part(entry_entry *entry, uint32_t index, bool is_urgent)
+{
+    entry_part *part = &entry->parts[index];
+    entry_list *changed = &entry->shards[part->shard].changed;
+
+    if (!part->is_changed) {
+        part->is_changed = true;
+        part->next_changed = changed->count > 0 ? changed->first : NONE;
+        changed->first = index;
+        changed->count++;
+    }
+    if (is_urgent) {
+        entry_mark_due(entry, part->shard);
+    }
+}
+
+static bool
+has_demand(const entry_part *part)
+{
+    return part->waiting[CAT_URGENT] > 0 ||
+           part->waiting[CAT_DEFERRABLE] > 0 || part->arrivals > 0;
+}
+
+/* Enter a part into the list of those that full reports tell about. */
+void
+entry_update_active(entry_entry *entry, uint32_t index)
+{
+    entry_part *part = &entry->parts[index];
+    entry_shard *shard = &entry->shards[part->shard];
+    entry_list *active = &shard->active;
+
+    if (part->is_active ||
+        (!has_demand(part) && part->total == part->told_total)) {
+        return;
+    }
+    part->is_active = true;
+    part->previous_active = NONE;
+    part->next_active = active->count > 0 ? active->first : NONE;
+    if (active->count++ > 0) {
+        entry->parts[active->first].previous_active = index;
+    }
+    active->first = index;
+    if (shard->next_full >
+        shard->full_sent + entry->settings.report_interval) {
+        shard->next_full = shard->full_sent + entry->settings.report_interval;
+        entry_wake(entry, shard->next_full);
+    }
+}
+
+static void
+leave_active(entry_entry *entry, uint32_t index)
+{
+    entry_part *part = &entry->parts[index];
+    entry_list *active = &entry->shards[part->shard].active;
+
+    if (part->previous_active != NONE) {
+        entry->parts[part->previous_active].next_active = part->next_active;
+    }
+    else {
+        active->first = part->next_active;
+    }
+    if (part->next_active != NONE) {
+        entry->parts[part->next_active].previous_active =
+            part->previous_active;
+    }
+    active->count--;
+    part->is_active = false;
+}
+
+static lv_time
+oldest_age(const entry_entry *entry, lv_time now, uint32_t flow, int priority)
+{
+    lv_handle item = entry->queues.flows[flow].first[priority];
+
+    return item == LV_HANDLE_NONE
+               ? 0
+               : lv_elapsed(now, entry->items[item].arrived);
+}
+
+static void
+add_demand(entry_entry *entry, lv_time now, entry_part *part,
+           msg_message *message)
+{
+    msg_demand *demand = &entry->scratch->demands[message->demand_count];
+
+    if (message->demand_count == MSG_ITEMS_MAX) {
+        return;
+    }
+    message->demand_count++;
+    demand->account = entry->flows[part->flow].account;
+    demand->arrivals = part->arrivals;
+    part->arrivals = 0;
+    for (int i = 0; i < CAT_PRIORITY_COUNT; i++) {
+        demand->waiting[i] = part->waiting[i];
+        demand->oldest_age[i] = oldest_age(entry, now, part->flow, i);
+        part->told[i] = part->waiting[i];
+    }
+}
+
+static void
+add_service(entry_entry *entry, entry_part *part, msg_message *message)
+{
+    msg_service *service = &entry->scratch->services[message->service_count];
+
+    if (message->service_count == MSG_ITEMS_MAX) {
+        return;
+    }
+    message->service_count++;
+    service->account = entry->flows[part->flow].account;
+    service->total = part->total;
+    service->level = part->level;
+    service->since = part->total - part->level_total;
+    part->previous_total = part->told_total;
+    part->told_total = part->total;
+}
+
+static void
+add_released(entry_entry *entry, entry_shard *shard, msg_message *message)
+{
+    uint32_t count = shard->released_count < MSG_ITEMS_MAX
+                         ? shard->released_count
+                         : MSG_ITEMS_MAX;
+
+    memcpy(entry->scratch->released, shard->released,
+           count * sizeof *shard->released);
+    message->released_count = count;
+    shard->released_count -= count;
+    memmove(shard->released, shard->released + count,
+            shard->released_count * sizeof *shard->released);
+}
+
+static void
+add_held(entry_entry *entry, const entry_shard *shard, msg_message *message)
+{
+    uint32_t index = shard->leases.first;
+    uint32_t count = shard->leases.count < MSG_ITEMS_MAX ? shard->leases.count
+                                                         : MSG_ITEMS_MAX;
+
+    for (uint32_t i = 0; i < count; i++) {
+        const entry_lease *lease = &entry->leases[index];
+        msg_held *held = &entry->scratch->held[i];
+
+        *held = (msg_held){.lease = lease->id,
+                           .endpoint = entry->endpoints[lease->endpoint].id};
+        if (lease->flow != NONE) {
+            held->account = entry->flows[lease->flow].account;
+        }
+        if (lease->item != NONE) {
+            held->is_busy = true;
+            held->priority = entry->items[lease->item].priority;
+        }
+        index = lease->next[CHAIN_SHARD];
+    }
+    message->held_count = count;
+}
+
+static void
+start_message(entry_entry *entry, lv_time now, entry_shard *shard,
+              msg_message *message)
+{
+    *message = (msg_message){
+        .kind = MSG_REPORT,
+        .version = MSG_VERSION,
+        .sender = entry->self,
+        .incarnation = entry->incarnation,
+        .target_incarnation = shard->heard_incarnation,
+        .sequence = ++shard->sequence,
+        .tenure = shard->tenure,
+        .pool = entry->pools[shard->pool].id,
+        .shard = shard->number,
+        .sent = now,
+        .seen = shard->seen,
+        .demands = entry->scratch->demands,
+        .held = entry->scratch->held,
+        .released = entry->scratch->released,
+        .services = entry->scratch->services,
+    };
+}
+
+/* Tell the changes since the last report; true when there were any. */
+static bool
+add_changes(entry_entry *entry, lv_time now, entry_shard *shard,
+            msg_message *message)
+{
+    uint32_t index = shard->changed.first;
+    uint32_t count = shard->changed.count;
+
+    for (uint32_t i = 0; i < count; i++) {
+        entry_part *part = &entry->parts[index];
+
+        if (message->demand_count == MSG_ITEMS_MAX) {
+            break;
+        }
+        shard->changed.first = part->next_changed;
+        shard->changed.count--;
+        part->is_changed = false;
+        if (memcmp(part->waiting, part->told, sizeof part->told) != 0) {
+            add_demand(entry, now, part, message);
+        }
+        index = part->next_changed;
+    }
+    add_released(entry, shard, message);
+    return message->demand_count > 0 || message->released_count > 0;
+}
+
+static void
+send_short(entry_entry *entry, lv_time now, entry_shard *shard)
+{
+    msg_message message;
+
+    start_message(entry, now, shard, &message);
+    if (!add_changes(entry, now, shard, &message)) {
+        shard->sequence--;
+        return;
+    }
+    shard->short_sent = now;
+    entry->counts.reports_short++;
+    entry->host->ops->send(entry->host, shard->dispatcher, &message);
+}
+
+static void
+add_claim(entry_entry *entry, lv_time now, entry_shard *shard,
+          msg_message *message)
+{
+    uint32_t index = shard->parts.count > 0 ? shard->parts.first : NONE;
+
+    while (index != NONE) {
+        entry_part *part = &entry->parts[index];
+
+        if (has_demand(part)) {
+            add_demand(entry, now, part, message);
+        }
+        if (part->total != 0 || part->level != 0) {
+            add_service(entry, part, message);
+        }
+        index = part->next;
+    }
+}
+
+static void
+add_active(entry_entry *entry, lv_time now, entry_shard *shard,
+           msg_message *message)
+{
+    uint32_t index = shard->active.first;
+    uint32_t count = shard->active.count;
+
+    for (uint32_t i = 0; i < count; i++) {
+        entry_part *part = &entry->parts[index];
+        uint32_t next = part->next_active;
+
+        add_service(entry, part, message);
+        if (has_demand(part)) {
+            add_demand(entry, now, part, message);
+        }
+        else {
+            part->told[CAT_URGENT] = 0;
+            part->told[CAT_DEFERRABLE] = 0;
+        }
+        if (!has_demand(part) && part->total == part->told_total) {
+            leave_active(entry, index);
+        }
+        index = next;
+    }
+}
+
+static void
+forget_changes(entry_entry *entry, entry_shard *shard)
+{
+    uint32_t index = shard->changed.first;
+
+    for (uint32_t i = 0; i < shard->changed.count; i++) {
+        entry->parts[index].is_changed = false;
+        index = entry->parts[index].next_changed;
+    }
+    shard->changed.count = 0;
+}
+
+static void
+note_full_sent(entry_entry *entry, lv_time now, entry_shard *shard)
+{
+    bool is_busy = shard->active.count > 0 || shard->leases.count > 0 ||
+                   shard->is_claiming || shard->is_stale;
+
+    shard->full_sent = now;
+    shard->short_sent = now;
+    shard->next_full = now + (is_busy ? entry->settings.report_interval
+                                      : entry->settings.idle_interval);
+    if (shard->unanswered_since == 0) {
+        shard->unanswered_since = now;
+    }
+    if (shard->is_claiming && shard->claim_sent == 0) {
+        shard->claim_sent = now;
+    }
+    entry_wake(entry, shard->next_full);
+    entry_wake(entry, shard->unanswered_since + entry->settings.silence);
+    entry->counts.reports_full++;
+}
+
+void
+entry_send_full(entry_entry *entry, lv_time now, uint32_t index)
+{
+    entry_shard *shard = &entry->shards[index];
+    msg_message message;
+
+    start_message(entry, now, shard, &message);
+    message.is_full = true;
+    message.is_claim = shard->is_claiming;
+    if (shard->is_claiming) {
+        add_claim(entry, now, shard, &message);
+    }
+    else {
+        add_active(entry, now, shard, &message);
+    }
+    forget_changes(entry, shard);
+    add_held(entry, shard, &message);
+    add_released(entry, shard, &message);
+    note_full_sent(entry, now, shard);
+    entry->host->ops->send(entry->host, shard->dispatcher, &message);
+}
+
+static bool
+take_due(entry_entry *entry, uint32_t *index)
+{
+    if (entry->due_shards.count == 0) {
+        return false;
+    }
+    *index = entry->due_shards.first;
+    entry->due_shards.first = entry->shards[*index].next_due;
+    entry->due_shards.count--;
+    entry->shards[*index].is_due = false;
+    return true;
+}
+
+/* Send what is due; what came too soon after the last report stays due. */
+void
+entry_flush(entry_entry *entry, lv_time now)
+{
+    uint32_t waiting = 0;
+    uint32_t index;
+
+    if (entry->is_sending) {
+        return;
+    }
+    entry->is_sending = true;
+    while (waiting < entry->due_shards.count && take_due(entry, &index)) {
+        entry_shard *shard = &entry->shards[index];
+        lv_time earliest = shard->short_sent + entry->settings.short_interval;
+
+        if (shard->dispatcher == LV_ID_NONE) {
+            continue;
+        }
+        if (shard->next_full <= now) {
+            entry_send_full(entry, now, index);
+        }
+        else if (now >= earliest) {
+            send_short(entry, now, shard);
+        }
+        else {
+            entry_mark_due(entry, index);
+            entry_wake(entry, earliest);
+            waiting++;
+        }
+    }
+    entry->is_sending = false;
+}
--- /dev/null
+++ b/packages/core/source/entry-table.c
@@ -0,0 +1,280 @@
+#include "entry-imp.h"
+
+#include <string.h>
+
+#include "grow-imp.h"
+
+#define FIRST_ITEMS 1024u
+
+#define ROOM(entry, table, count)                                             \
+    grow_table((void **)&(entry)->table, &(entry)->count##_capacity,          \
+               (entry)->count##_count + 1, sizeof *(entry)->table)
+
+entry_item *
+entry_find_item(entry_entry *entry, lv_handle handle)
+{
+    uint32_t index = handle & ITEM_INDEX_MASK;
+    entry_item *item;
+
+    if (handle == LV_HANDLE_NONE || index >= entry->item_count) {
+        return NULL;
+    }
+    item = &entry->items[index];
+    if (item->state == ITEM_FREE ||
+        item->generation != handle >> ITEM_INDEX_BITS) {
+        return NULL;
+    }
+    return item;
+}
+
+lv_handle
+entry_item_handle(const entry_entry *entry, uint32_t item)
+{
+    return entry->items[item].generation << ITEM_INDEX_BITS | item;
+}
+
+/* Free records are reused oldest first, so that a handle's generation comes
+ * back as late as can be. */
+static void
+append_free_item(entry_entry *entry, uint32_t item)
+{
+    entry->items[item].next_free = NONE;
+    if (entry->free_items.count++ == 0) {
+        entry->free_items.first = item;
+    }
+    else {
+        entry->items[entry->free_items.last].next_free = item;
+    }
+    entry->free_items.last = item;
+}
+
+static bool
+add_items(entry_entry *entry)
+{
+    uint32_t count = entry->item_count ? entry->item_count * 2 : FIRST_ITEMS;
+
+    if (count > ITEM_INDEX_MASK ||
+        !grow_table((void **)&entry->items, &entry->item_capacity, count,
+                    sizeof *entry->items) ||
+        !fq_reserve(&entry->queues, count) ||
+        !heap_reserve(&entry->deadlines, count)) {
+        return false;
+    }
+    memset(&entry->items[entry->item_count], 0,
+           (count - entry->item_count) * sizeof *entry->items);
+    while (entry->item_count < count) {
+        append_free_item(entry, entry->item_count++);
+    }
+    return true;
+}
+
+uint32_t
+entry_new_item(entry_entry *entry)
+{
+    uint32_t index;
+    uint32_t generation;
+
+    if (entry->free_items.count == 0 && !add_items(entry)) {
+        return NONE;
+    }
+    index = entry->free_items.first;
+    entry->free_items.first = entry->items[index].next_free;
+    entry->free_items.count--;
+    generation = entry->items[index].generation;
+    entry->items[index] = (entry_item){.generation = generation,
+                                       .deadline_place = HEAP_NO_PLACE,
+                                       .lease = NONE,
+                                       .part = NONE};
+    return index;
+}
+
+void
+entry_free_item(entry_entry *entry, uint32_t index)
+{
+    entry_item *item = &entry->items[index];
+
+    item->state = ITEM_FREE;
+    item->generation = (item->generation + 1) % ITEM_GENERATION_MAX;
+    append_free_item(entry, index);
+}
+
+uint32_t
+entry_get_pool(entry_entry *entry, lv_id id)
+{
+    uint32_t index = map_get(&entry->pool_index, id);
+    uint32_t group;
+
+    if (index != NONE) {
+        return index;
+    }
+    index = entry->pool_count;
+    if (!ROOM(entry, pools, pool)) {
+        return NONE;
+    }
+    group = fq_add_group(&entry->queues, 0);
+    if (group == NONE || !map_put(&entry->pool_index, id, index)) {
+        return NONE;
+    }
+    entry->pools[index] = (entry_pool){.id = id,
+                                       .handle = NONE,
+                                       .group = group,
+                                       .fifo = NONE,
+                                       .first_shard = NONE};
+    entry->pool_count++;
+    return index;
+}
+
+uint32_t
+entry_get_shard(entry_entry *entry, uint32_t pool, uint32_t number)
+{
+    uint64_t key = map_pair(entry->pools[pool].id, number);
+    uint32_t index = map_get(&entry->shard_index, key);
+
+    if (index != NONE) {
+        return index;
+    }
+    index = entry->shard_count;
+    if (!ROOM(entry, shards, shard) ||
+        !map_put(&entry->shard_index, key, index)) {
+        return NONE;
+    }
+    entry->shards[index] = (entry_shard){
+        .pool = pool,
+        .number = number,
+        .next_in_pool = entry->pools[pool].first_shard,
+        .next_full = LV_TIME_NEVER,
+    };
+    entry->pools[pool].first_shard = index;
+    entry->shard_count++;
+    return index;
+}
+
+uint32_t
+entry_get_flow(entry_entry *entry, uint32_t pool, lv_id account)
+{
+    uint64_t key = map_pair(entry->pools[pool].id, account);
+    uint32_t index = map_get(&entry->flow_index, key);
+    uint32_t handle = LV_HANDLE_NONE;
+
+    if (index != NONE) {
+        return index;
+    }
+    index = entry->queues.flow_count;
+    if (!grow_table((void **)&entry->flows, &entry->flow_capacity, index + 1,
+                    sizeof *entry->flows) ||
+        !map_reserve(&entry->flow_index) ||
+        fq_add_flow(&entry->queues, entry->pools[pool].group) == NONE) {
+        return NONE;
+    }
+    map_put(&entry->flow_index, key, index);
+    if (entry->catalogue != NULL) {
+        handle = cat_find_account(entry->catalogue, account);
+    }
+    entry->flows[index] = (entry_flow){
+        .account = account,
+        .account_handle = handle,
+        .pool = pool,
+        .weight = handle == LV_HANDLE_NONE
+                      ? 1
+                      : entry->catalogue->accounts[handle].weight,
+    };
+    return index;
+}
+
+uint32_t
+entry_get_part(entry_entry *entry, uint32_t shard_index, uint32_t flow)
+{
+    uint64_t key = (uint64_t)shard_index << 32 | flow;
+    uint32_t index = map_get(&entry->part_index, key);
+    entry_shard *shard = &entry->shards[shard_index];
+
+    if (index != NONE) {
+        return index;
+    }
+    index = entry->part_count;
+    if (!ROOM(entry, parts, part) ||
+        !map_put(&entry->part_index, key, index)) {
+        return NONE;
+    }
+    entry->parts[index] = (entry_part){
+        .shard = shard_index,
+        .flow = flow,
+        .next = shard->parts.count > 0 ? shard->parts.first : NONE,
+        .next_active = NONE,
+        .previous_active = NONE,
+        .next_changed = NONE,
+    };
+    shard->parts.first = index;
+    shard->parts.count++;
+    entry->part_count++;
+    return index;
+}
+
+uint32_t
+entry_get_class(entry_entry *entry, uint64_t key)
+{
+    uint32_t index = map_get(&entry->class_index, key);
+
+    if (index != NONE) {
+        return index;
+    }
+    index = entry->class_count;
+    if (!ROOM(entry, classes, class) ||
+        !map_put(&entry->class_index, key, index)) {
+        return NONE;
+    }
+    entry->classes[index] = (entry_class){.tokens = UINT64_MAX, .cost = -1};
+    entry->class_count++;
+    return index;
+}
+
+uint32_t
+entry_get_endpoint(entry_entry *entry, lv_id id)
+{
+    uint32_t index = map_get(&entry->endpoint_index, id);
+
+    if (index != NONE) {
+        return index;
+    }
+    index = entry->endpoint_count;
+    if (!ROOM(entry, endpoints, endpoint) ||
+        !map_put(&entry->endpoint_index, id, index)) {
+        return NONE;
+    }
+    entry->endpoints[index] = (entry_endpoint){.id = id, .shard = NONE};
+    entry->endpoint_count++;
+    return index;
+}
+
+static size_t
+map_memory(const map_map *map)
+{
+    return map->capacity * sizeof *map->cells;
+}
+
+size_t
+entry_memory(const entry_entry *entry)
+{
+    size_t bytes = sizeof *entry + sizeof *entry->scratch +
+                   entry->item_capacity * sizeof *entry->items +
+                   entry->deadlines.capacity * sizeof(heap_node) +
+                   fq_memory(&entry->queues) +
+                   entry->flow_capacity * sizeof *entry->flows +
+                   entry->class_capacity * sizeof *entry->classes +
+                   entry->pool_capacity * sizeof *entry->pools +
+                   entry->shard_capacity * sizeof *entry->shards +
+                   entry->part_capacity * sizeof *entry->parts +
+                   entry->lease_capacity * sizeof *entry->leases +
+                   entry->endpoint_capacity * sizeof *entry->endpoints +
+                   entry->settings.max_prefixes * sizeof *entry->prefixes +
+                   entry->live_capacity * sizeof *entry->live;
+
+    for (uint32_t i = 0; i < entry->shard_count; i++) {
+        bytes += entry->shards[i].released_capacity * sizeof(uint64_t);
+    }
+    return bytes + map_memory(&entry->flow_index) +
+           map_memory(&entry->class_index) + map_memory(&entry->pool_index) +
+           map_memory(&entry->shard_index) + map_memory(&entry->part_index) +
+           map_memory(&entry->lease_index) +
+           map_memory(&entry->endpoint_index);
+}
--- /dev/null
+++ b/packages/core/source/entry-view.c
@@ -0,0 +1,215 @@
+#include "entry-imp.h"
+
+#include <string.h>
+
+#include "grow-imp.h"
+#include "lavender/hash.h"
+
+static void
+set_pool(entry_entry *entry, uint32_t handle)
+{
+    const cat_pool *from = &entry->catalogue->pools[handle];
+    uint32_t index = entry_get_pool(entry, from->id);
+    entry_pool *pool;
+
+    if (index == NONE) {
+        return;
+    }
+    pool = &entry->pools[index];
+    pool->handle = handle;
+    pool->kind = from->kind;
+    pool->input_weight = from->input_weight;
+    pool->output_weight = from->output_weight;
+    pool->default_cost = (int64_t)from->default_cost;
+    pool->hold = from->hold;
+    fq_set_credit(&entry->queues, pool->group, (int64_t)from->urgent_credit);
+    if (entry->settings.mode == ENTRY_MODE_LOCAL_FIFO && pool->fifo == NONE) {
+        pool->fifo = entry_get_flow(entry, index, LV_ID_NONE);
+    }
+}
+
+static uint32_t
+count_endpoints(const world_lists *lists, lv_id pool, bool also_leaving)
+{
+    uint32_t count = 0;
+
+    for (uint32_t i = 0; i < lists->endpoint_count; i++) {
+        count += lists->endpoints[i].pool == pool &&
+                 (also_leaving || !lists->endpoints[i].leaving);
+    }
+    return count;
+}
+
+static void
+set_shards(entry_entry *entry, uint32_t index)
+{
+    entry_pool *pool = &entry->pools[index];
+    const cat_pool *from;
+    uint32_t listed;
+
+    if (pool->handle == NONE) {
+        pool->endpoints = 0;
+        return;
+    }
+    from = &entry->catalogue->pools[pool->handle];
+    listed = count_endpoints(entry->lists, pool->id, true);
+    pool->endpoints = count_endpoints(entry->lists, pool->id, false);
+    pool->shards = hrw_shard_count(listed, from->shard_endpoints);
+    for (uint32_t i = 0; i < pool->shards; i++) {
+        (void)entry_get_shard(entry, index, i);
+    }
+}
+
+static void
+set_endpoint(entry_entry *entry, const ep_endpoint *from)
+{
+    uint32_t index = entry_get_endpoint(entry, from->id);
+    uint32_t pool = map_get(&entry->pool_index, from->pool);
+
+    if (index == NONE || pool == NONE || entry->pools[pool].handle == NONE ||
+        entry->pools[pool].shards == 0) {
+        return;
+    }
+    entry->endpoints[index].shard = entry_get_shard(
+        entry, pool, hrw_shard_of(from->id, entry->pools[pool].shards));
+    entry->endpoints[index].is_list_leaving = from->leaving;
+}
+
+static void
+set_flow(entry_entry *entry, uint32_t index)
+{
+    entry_flow *flow = &entry->flows[index];
+
+    flow->account_handle = cat_find_account(entry->catalogue, flow->account);
+    if (flow->account_handle != LV_HANDLE_NONE) {
+        flow->weight = entry->catalogue->accounts[flow->account_handle].weight;
+    }
+    entry_set_level(entry, index);
+}
+
+static const cat_entry *
+find_entry(const entry_entry *entry, const entry_item *item)
+{
+    const cat_catalogue *catalogue = entry->catalogue;
+    lv_handle handle = entry->flows[item->flow].account_handle;
+    const cat_account *account;
+
+    if (handle == LV_HANDLE_NONE) {
+        return NULL;
+    }
+    account = &catalogue->accounts[handle];
+    for (uint32_t i = 0; i < account->entry_count; i++) {
+        const cat_entry *found = &catalogue->entries[account->first_entry + i];
+
+        if (found->id == item->entry_id) {
+            return found;
+        }
+    }
+    return NULL;
+}
+
+/* A waiting request whose entry or pool is gone is refused. */
+static void
+review_item(entry_entry *entry, lv_time now, uint32_t index)
+{
+    entry_item *item = &entry->items[index];
+    out_reason reason = OUT_REASON_NONE;
+
+    if (item->state != ITEM_WAITING) {
+        return;
+    }
+    if (find_entry(entry, item) == NULL) {
+        reason = OUT_REASON_NOT_ENTITLED;
+    }
+    else if (entry->pools[entry->flows[item->flow].pool].handle == NONE) {
+        reason = OUT_REASON_UNKNOWN_ROUTE;
+    }
+    if (reason != OUT_REASON_NONE) {
+        entry_unwait(entry, now, index);
+        entry_end_item(entry, now, index,
+                       item->was_sent ? OUT_UNKNOWN : OUT_NOT_RUN, reason, 0);
+    }
+}
+
+/* Demand goes where shards are; it leaves shards that are no more. */
+static void
+review_demand(entry_entry *entry, lv_time now)
+{
+    if (entry->settings.mode != ENTRY_MODE_LEASES) {
+        return;
+    }
+    for (uint32_t i = 0; i < entry->shard_count; i++) {
+        const entry_shard *shard = &entry->shards[i];
+
+        if (shard->number >= entry->pools[shard->pool].shards ||
+            shard->number == 0) {
+            entry_replace_demand(entry, now, i);
+        }
+    }
+}
+
+void
+entry_set_views(entry_entry *entry, lv_time now,
+                const cat_catalogue *catalogue, const world_lists *lists)
+{
+    entry->catalogue = catalogue;
+    entry->lists = lists;
+    if (catalogue == NULL || lists == NULL) {
+        return;
+    }
+    for (uint32_t i = 0; i < entry->pool_count; i++) {
+        entry->pools[i].handle = NONE;
+    }
+    for (uint32_t i = 0; i < catalogue->pool_count; i++) {
+        set_pool(entry, i);
+    }
+    for (uint32_t i = 0; i < entry->pool_count; i++) {
+        set_shards(entry, i);
+    }
+    for (uint32_t i = 0; i < entry->endpoint_count; i++) {
+        entry->endpoints[i].shard = NONE;
+    }
+    for (uint32_t i = 0; i < lists->endpoint_count; i++) {
+        set_endpoint(entry, &lists->endpoints[i]);
+    }
+    for (uint32_t i = 0; i < entry->queues.flow_count; i++) {
+        set_flow(entry, i);
+    }
+    for (uint32_t i = 0; i < entry->item_count; i++) {
+        review_item(entry, now, i);
+    }
+    review_demand(entry, now);
+    entry_make_local_leases(entry, now);
+    entry_serve_all(entry, now);
+    entry_flush(entry, now);
+}
+
+void
+entry_set_leaving(entry_entry *entry, lv_time now, lv_id id, bool leaving)
+{
+    uint32_t index = entry_get_endpoint(entry, id);
+
+    if (index == NONE || entry->endpoints[index].is_leaving == leaving) {
+        return;
+    }
+    entry->endpoints[index].is_leaving = leaving;
+    entry_make_local_leases(entry, now);
+    entry_serve_all(entry, now);
+    entry_flush(entry, now);
+}
+
+void
+entry_set_live(entry_entry *entry, lv_time now, const lv_id *instances,
+               uint32_t count)
+{
+    if (!grow_table((void **)&entry->live, &entry->live_capacity, count,
+                    sizeof *entry->live)) {
+        return;
+    }
+    if (count > 0) {
+        memcpy(entry->live, instances, count * sizeof *instances);
+    }
+    entry->live_count = count;
+    entry_make_local_leases(entry, now);
+    entry_serve_all(entry, now);
+}
--- /dev/null
+++ b/packages/core/source/entry-wait.c
@@ -0,0 +1,204 @@
+#include "entry-imp.h"
+
+/* Can a shard's dispatcher be asked for slots now? */
+static bool
+answers(const entry_entry *entry, lv_time now, const entry_shard *shard)
+{
+    return shard->dispatcher != LV_ID_NONE &&
+           (shard->unanswered_since == 0 ||
+            lv_elapsed(now, shard->unanswered_since) <
+                entry->settings.silence);
+}
+
+/* The better place for demand: one that answers, then one where nobody
+ * waits for a slot. */
+static int
+place_rank(const entry_entry *entry, lv_time now, const entry_shard *shard)
+{
+    if (!answers(entry, now, shard)) {
+        return 0;
+    }
+    return shard->is_contended ? 1 : 2;
+}
+
+/* Choose a shard in turn among the best ones of a pool. */
+static uint32_t
+choose_shard(entry_entry *entry, lv_time now, entry_pool *pool)
+{
+    uint32_t best = NONE;
+    int best_rank = -1;
+    uint32_t best_turn = 0;
+
+    for (uint32_t i = pool->first_shard; i != NONE;
+         i = entry->shards[i].next_in_pool) {
+        const entry_shard *shard = &entry->shards[i];
+        uint32_t turn;
+        int rank;
+
+        if (shard->number >= pool->shards) {
+            continue;
+        }
+        turn =
+            (shard->number + pool->shards - pool->next_shard % pool->shards) %
+            pool->shards;
+        rank = place_rank(entry, now, shard);
+        if (rank > best_rank || (rank == best_rank && turn < best_turn)) {
+            best = i;
+            best_rank = rank;
+            best_turn = turn;
+        }
+    }
+    if (best != NONE) {
+        pool->next_shard = entry->shards[best].number + 1;
+    }
+    return best;
+}
+
+uint32_t
+entry_place(entry_entry *entry, lv_time now, uint32_t pool, uint32_t flow)
+{
+    uint32_t shard = choose_shard(entry, now, &entry->pools[pool]);
+
+    return shard == NONE ? NONE : entry_get_part(entry, shard, flow);
+}
+
+static void
+add_demand(entry_entry *entry, uint32_t item_index, bool is_new)
+{
+    entry_item *item = &entry->items[item_index];
+    entry_part *part;
+    entry_shard *shard;
+    uint32_t waiting;
+    uint32_t told;
+
+    if (item->part == NONE) {
+        return;
+    }
+    part = &entry->parts[item->part];
+    shard = &entry->shards[part->shard];
+    part->arrivals += is_new;
+    waiting = ++part->waiting[item->priority];
+    told = part->told[item->priority];
+    entry_update_active(entry, item->part);
+    entry_mark_part(entry, item->part,
+                    !shard->is_contended || waiting >= told * 2);
+}
+
+static void
+remove_demand(entry_entry *entry, uint32_t item_index)
+{
+    entry_item *item = &entry->items[item_index];
+    entry_part *part;
+
+    if (item->part == NONE) {
+        return;
+    }
+    part = &entry->parts[item->part];
+    part->waiting[item->priority]--;
+    entry_update_active(entry, item->part);
+    entry_mark_part(entry, item->part,
+                    part->waiting[item->priority] == 0 &&
+                        part->told[item->priority] > 0);
+    item->part = NONE;
+}
+
+void
+entry_wait(entry_entry *entry, lv_time now, uint32_t index, bool is_new)
+{
+    entry_item *item = &entry->items[index];
+    entry_flow *flow = &entry->flows[item->flow];
+
+    item->state = ITEM_WAITING;
+    if (flow->waiting++ == 0) {
+        flow->backlog_since = now;
+    }
+    if (entry->settings.mode == ENTRY_MODE_LEASES) {
+        item->part = entry_place(entry, now, flow->pool, item->flow);
+    }
+    fq_push(&entry->queues, item->queue, item->priority, index, !is_new);
+    entry->classes[item->limits].waiting++;
+    entry->counts.waiting++;
+    if (item->deadline != LV_TIME_NEVER) {
+        heap_push(&entry->deadlines, index, (int64_t)item->deadline);
+        entry_wake(entry, item->deadline);
+    }
+    add_demand(entry, index, is_new);
+}
+
+void
+entry_unwait(entry_entry *entry, lv_time now, uint32_t index)
+{
+    entry_item *item = &entry->items[index];
+
+    fq_remove(&entry->queues, item->queue, item->priority, index);
+    entry_note_backlog(entry, now, item->flow);
+    entry->flows[item->flow].waiting--;
+    entry->classes[item->limits].waiting--;
+    entry->counts.waiting--;
+    if (item->deadline_place != HEAP_NO_PLACE) {
+        heap_remove(&entry->deadlines, item->deadline_place);
+    }
+    remove_demand(entry, index);
+}
+
+/* Move the demand of one shard to the others of its pool. */
+void
+entry_replace_demand(entry_entry *entry, lv_time now, uint32_t shard_index)
+{
+    uint32_t pool = entry->shards[shard_index].pool;
+
+    for (uint32_t i = 0; i < entry->item_count; i++) {
+        entry_item *item = &entry->items[i];
+        uint32_t place;
+
+        if (item->state != ITEM_WAITING ||
+            entry->flows[item->flow].pool != pool ||
+            (item->part != NONE &&
+             entry->parts[item->part].shard != shard_index)) {
+            continue;
+        }
+        place = entry_place(entry, now, pool, item->flow);
+        if (place == item->part) {
+            continue;
+        }
+        remove_demand(entry, i);
+        item->part = place;
+        add_demand(entry, i, false);
+    }
+}
+
+lv_time
+entry_drain_time(const entry_entry *entry, uint32_t index, uint32_t places)
+{
+    const entry_flow *flow = &entry->flows[index];
+    lv_time gap = flow->start_gap > 0 ? flow->start_gap : LV_SECOND;
+    lv_time time = gap * places;
+
+    if (time > ENTRY_RETRY_AFTER_MAX) {
+        return ENTRY_RETRY_AFTER_MAX;
+    }
+    return time > LV_MILLISECOND ? time : LV_MILLISECOND;
+}
+
+void
+entry_expire_waits(entry_entry *entry, lv_time now)
+{
+    lv_handle index = heap_least(&entry->deadlines);
+
+    while (index != LV_HANDLE_NONE) {
+        entry_item *item = &entry->items[index];
+        uint32_t flow = item->flow;
+
+        if (item->deadline > now) {
+            entry_wake(entry, item->deadline);
+            break;
+        }
+        entry_unwait(entry, now, index);
+        entry_end_item(
+            entry, now, index, item->was_sent ? OUT_UNKNOWN : OUT_NOT_RUN,
+            OUT_REASON_DEADLINE,
+            entry_drain_time(entry, flow,
+                             fq_count(&entry->queues, item->queue) + 1));
+        index = heap_least(&entry->deadlines);
+    }
+}
