--- a/packages/core/include/lavender/entry.h
+++ b/packages/core/include/lavender/entry.h
@@ -118,6 +118,7 @@
     bool is_draining;
     bool is_sending;
     lv_time next_tick;
+    lv_time next_ledger;
     entry_counts counts;
 
     entry_item *items; /* requests */
@@ -141,7 +142,7 @@
     uint32_t shard_count;
     uint32_t shard_capacity;
     map_map shard_index;
-    entry_list due_shards; /* with a short REPORT to send */
+    entry_list due_shards; /* with a REPORT to send */
     entry_part *parts;     /* (shard, account) */
     uint32_t part_count;
     uint32_t part_capacity;
--- a/packages/core/include/lavender/heap.h
+++ b/packages/core/include/lavender/heap.h
@@ -1,43 +1,42 @@
 /*
- * A binary min-heap of table indices by a signed key. The owner of the
- * table keeps each item's place in the heap, told through a callback, so
- * that any item can be changed or removed in O(log n).
+ * An indexed binary heap: the least key on top, and any item can be moved
+ * or removed in O(log n), because each item's place is kept by its owner.
  */
 #ifndef LAVENDER_HEAP_H
 #define LAVENDER_HEAP_H
 
 #include "lavender/types.h"
 
-#define HEAP_NO_PLACE UINT32_MAX
-
-/* An item's place changed; HEAP_NO_PLACE when it left the heap. */
-typedef void heap_moved(void *context, lv_handle item, uint32_t place);
+/* Where the owner keeps an item's place in one heap. The owner sets it to
+ * LV_HANDLE_NONE before the item's first use. */
+typedef uint32_t *heap_place(void *owner, uint32_t item);
 
 typedef struct heap_node {
     int64_t key;
-    lv_handle item;
+    uint32_t item;
 } heap_node;
 
 typedef struct heap_heap {
+    heap_place *place;
+    void *owner;
     heap_node *nodes;
     uint32_t count;
     uint32_t capacity;
-    heap_moved *moved;
-    void *context;
 } heap_heap;
 
-void heap_init(heap_heap *heap, heap_moved *moved, void *context);
+void heap_init(heap_heap *heap, heap_place *place, void *owner);
 void heap_finish(heap_heap *heap);
 
-/* Make room for this many items in all; false when memory ends. */
-bool heap_reserve(heap_heap *heap, uint32_t count);
+/* Insert an item or give it a new key; false only if memory ends. */
+bool heap_set(heap_heap *heap, uint32_t item, int64_t key);
+
+/* Remove an item; nothing happens when it is not in the heap. */
+void heap_remove(heap_heap *heap, uint32_t item);
 
-/* Add an item; room must have been reserved. */
-void heap_push(heap_heap *heap, lv_handle item, int64_t key);
-void heap_remove(heap_heap *heap, uint32_t place);
-void heap_change(heap_heap *heap, uint32_t place, int64_t key);
+/* The item with the least key, or LV_HANDLE_NONE. */
+uint32_t heap_top(const heap_heap *heap);
 
-/* The item of the least key; LV_HANDLE_NONE when empty. */
-lv_handle heap_least(const heap_heap *heap);
+/* The least key; the heap has at least one item. */
+int64_t heap_top_key(const heap_heap *heap);
 
 #endif
--- a/packages/core/include/lavender/ledger.h
+++ b/packages/core/include/lavender/ledger.h
@@ -5,7 +5,7 @@
  *
  * Windows are numbered by the host's wall clock for the report only; no
  * decision depends on it. Ledgers of several routers are merged by adding
- * equal windows and accounts.
+ * equal windows and accounts. Each line is found, changed or merged in O(1).
  */
 #ifndef LAVENDER_LEDGER_H
 #define LAVENDER_LEDGER_H
@@ -19,7 +19,8 @@
     lv_id account;
     uint64_t window;     /* wall-clock seconds / window length */
     int64_t service;     /* service units received */
-    uint64_t backlogged; /* microseconds with work waiting */
+    uint64_t backlogged; /* microseconds with work waiting; merged: the
+                            longest at one router, so never too much */
     uint64_t waited;     /* sum of waits of requests started, microseconds */
     uint32_t started;
     uint32_t finished;
@@ -27,14 +28,14 @@
 } ledger_line;
 
 typedef struct ledger_ledger {
-    ledger_line *lines; /* ring of lines in order of window */
+    ledger_line *lines; /* ring of lines, oldest first */
     uint32_t capacity;
     uint32_t first;
     uint32_t count;
-    uint64_t window;  /* current */
-    uint64_t dropped; /* lines lost to the bound, counted */
-    uint32_t *index;  /* hash index of the current window's lines */
-    uint32_t index_size;
+    uint64_t window;     /* current */
+    uint64_t dropped;    /* lines lost to the bound, counted */
+    uint32_t *index;     /* hash index of lines: place + 1, or 0 */
+    uint32_t index_size; /* a power of two */
 } ledger_ledger;
 
 bool ledger_init(ledger_ledger *ledger, uint32_t capacity, err_error *error);
@@ -43,16 +44,22 @@
 /* Move to a window; lines of older ones stay until the ring is full. */
 void ledger_set_window(ledger_ledger *ledger, uint64_t window);
 
-/* The current window's line, made when new; NULL only if memory ends. */
+/* The current window's line, made when new. Valid until the next call; when
+ * the ring is full, the oldest line makes room and is counted as dropped. */
 ledger_line *ledger_line_of(ledger_ledger *ledger, lv_id pool, lv_id account);
 
-/* Visit all lines, oldest window first. */
+/* Visit all lines, in the order they were made: oldest window first, but
+ * for merged ones. */
 typedef void ledger_visit(void *context, const ledger_line *line);
 void ledger_each(const ledger_ledger *ledger, ledger_visit *visit,
                  void *context);
 
 /* Add a line from another router to this ledger (same window numbering). */
-bool ledger_merge(ledger_ledger *ledger, const ledger_line *line);
+void ledger_merge(ledger_ledger *ledger, const ledger_line *line);
+
+/* An account counts as backlogged in a window when it had work waiting for
+ * at least this part of it. */
+#define LEDGER_BACKLOG_PERCENT 95
 
 /* The fairness gap of a pool over windows [from, to]: the largest
  * difference of service / weight among accounts that were backlogged in
@@ -62,6 +69,7 @@
     uint32_t weight;
     int64_t received;   /* service units */
     int64_t owed;       /* its weighted part of what backlogged accounts got */
+    uint32_t windows;   /* in which it was backlogged */
     bool is_backlogged; /* in all windows */
 } ledger_share;
 
@@ -72,7 +80,8 @@
 } ledger_gap;
 
 /* weight_of gives an account's weight from the catalogue (0: unknown).
- * shares has room for capacity values; the number written is returned. */
+ * shares has room for capacity values; the number written is returned.
+ * Accounts that do not fit are left out: give room for all accounts. */
 typedef uint32_t ledger_weight_of(void *context, lv_id account);
 uint32_t ledger_judge(const ledger_ledger *ledger, lv_id pool, uint64_t from,
                       uint64_t to, lv_time window_length,
--- a/packages/core/include/lavender/queue.h
+++ b/packages/core/include/lavender/queue.h
@@ -56,6 +56,10 @@
 lv_handle fq_add_group(fq_table *table, int64_t urgent_credit);
 lv_handle fq_add_flow(fq_table *table, lv_handle group);
 
+/* Move a flow with all that waits in it to another group; it stays where it
+ * is when memory ends. */
+void fq_set_group(fq_table *table, lv_handle flow, lv_handle group);
+
 /* The level that an urgent flow may lead the least one by. */
 void fq_set_credit(fq_table *table, lv_handle group, int64_t urgent_credit);
 void fq_set_level(fq_table *table, lv_handle flow, int64_t level);
--- a/packages/core/source/entry-admit.c
+++ b/packages/core/source/entry-admit.c
@@ -1,6 +1,5 @@
 #include "entry-imp.h"
 
-#define MILLIONTHS 1000000u
 #define RETRY_AFTER_VIEW LV_SECOND
 
 /* What admission found about a request. */
@@ -11,7 +10,6 @@
     uint32_t flow;
     uint32_t limits;
     uint32_t costs;
-    uint32_t part; /* whose allowance is drawn; NONE: the local guess */
 } admission;
 
 static out_reason
@@ -69,7 +67,7 @@
     found->flow = entry_get_flow(entry, found->pool, request->account);
     found->limits = entry_get_class(entry, id);
     found->costs =
-        entry_get_class(entry, map_pair(entry->pools[found->pool].id, id));
+        entry_get_class(entry, entry_pair(entry->pools[found->pool].id, id));
     if (found->flow == NONE || found->limits == NONE || found->costs == NONE) {
         return OUT_REASON_MEMORY;
     }
@@ -105,89 +103,54 @@
     return entry->settings.local_share > 0 ? entry->settings.local_share : 1;
 }
 
-/* The part with the most allowance from a dispatcher that spoke lately. */
-static uint32_t
-find_allowance(const entry_entry *entry, lv_time now, const admission *found)
+static bool
+has_allowance(const entry_entry *entry, lv_time now, const entry_flow *flow)
 {
-    const entry_pool *pool = &entry->pools[found->pool];
-    uint32_t best = NONE;
-
-    for (uint32_t i = pool->first_shard; i != NONE;
-         i = entry->shards[i].next_in_pool) {
-        uint32_t index =
-            map_get(&entry->part_index, (uint64_t)i << 32 | found->flow);
-        const entry_part *part;
-
-        if (index == NONE) {
-            continue;
-        }
-        part = &entry->parts[index];
-        if (part->has_allowance &&
-            lv_elapsed(now, part->allowance_time) < entry->settings.silence &&
-            (best == NONE || part->allowance > entry->parts[best].allowance)) {
-            best = index;
-        }
-    }
-    return best;
+    return flow->is_rated && flow->has_allowance &&
+           lv_elapsed(now, flow->allowance_time) < entry->settings.silence;
 }
 
 /* Requests per second and burst that this instance may admit by itself:
  * all of it under a dispatcher's allowance, else its fair part. */
 static void
-refill(const entry_entry *entry, lv_time now, const admission *found,
-       entry_class *class_record, uint64_t *rate)
+refill(lv_time now, const cat_limits *limits, uint32_t share,
+       entry_class *record)
 {
-    const cat_limits *limits = &found->class_of_work->limits;
-    uint64_t burst =
+    uint64_t rate = limits->requests_per_second * LIM_PER_SECOND / share;
+    uint32_t burst =
         limits->burst > 0 ? limits->burst : limits->requests_per_second;
-    uint64_t share = found->part == NONE ? live_count(entry) : 1;
-    uint64_t most = burst * MILLIONTHS / share;
 
-    *rate = (uint64_t)limits->requests_per_second * MILLIONTHS / share;
-    if (most < MILLIONTHS) {
-        most = MILLIONTHS;
-    }
-    if (class_record->tokens == UINT64_MAX) {
-        class_record->tokens = most;
+    if (!record->has_bucket) {
+        lim_init(&record->bucket, rate, burst / share, now);
+        record->has_bucket = true;
     }
     else {
-        class_record->tokens +=
-            lv_elapsed(now, class_record->refilled) * *rate / MILLIONTHS;
-    }
-    if (class_record->tokens > most) {
-        class_record->tokens = most;
+        lim_set(&record->bucket, rate, burst / share, now);
     }
-    class_record->refilled = now;
 }
 
 static out_reason
-draw_rate(entry_entry *entry, lv_time now, admission *found,
+draw_rate(entry_entry *entry, lv_time now, const admission *found,
           lv_time *retry_after)
 {
-    entry_class *class_record = &entry->classes[found->limits];
-    uint64_t rate;
+    const cat_limits *limits = &found->class_of_work->limits;
+    const entry_flow *flow = &entry->flows[found->flow];
+    entry_class *record = &entry->classes[found->limits];
+    bool is_allowed = has_allowance(entry, now, flow);
 
-    if (found->class_of_work->limits.requests_per_second == 0) {
+    if (limits->requests_per_second == 0) {
         return OUT_REASON_NONE;
     }
-    found->part = find_allowance(entry, now, found);
-    refill(entry, now, found, class_record, &rate);
-    if (class_record->tokens < MILLIONTHS) {
+    refill(now, limits, is_allowed ? 1 : live_count(entry), record);
+    if (is_allowed && (int32_t)(flow->allowance - flow->arrivals) <= 0) {
         *retry_after =
-            (MILLIONTHS - class_record->tokens) * MILLIONTHS / rate + 1;
+            LV_SECOND * live_count(entry) / limits->requests_per_second;
         return OUT_REASON_RATE;
     }
-    if (found->part != NONE) {
-        entry_part *part = &entry->parts[found->part];
-
-        if (part->allowance == 0) {
-            *retry_after =
-                (lv_time)MILLIONTHS * MILLIONTHS / rate * live_count(entry);
-            return OUT_REASON_RATE;
-        }
-        part->allowance--;
+    if (!lim_take(&record->bucket, 1)) {
+        *retry_after = lim_wait(&record->bucket);
+        return OUT_REASON_RATE;
     }
-    class_record->tokens -= MILLIONTHS;
     return OUT_REASON_NONE;
 }
 
@@ -296,7 +259,7 @@
 entry_submit(entry_entry *entry, lv_time now, const entry_request *request,
              lv_handle *handle, out_outcome *refusal)
 {
-    admission found = {.flow = NONE, .part = NONE};
+    admission found = {.flow = NONE};
     lv_time retry_after = 0;
     out_reason reason = judge(entry, now, request, &found, &retry_after);
     uint32_t index = NONE;
--- a/packages/core/source/entry-attempt.c
+++ b/packages/core/source/entry-attempt.c
@@ -1,7 +1,7 @@
 #include "entry-imp.h"
 
-#define HUNDREDTHS 100u
-#define RETRY_BURST (100u * HUNDREDTHS)
+#define HUNDREDTHS UINT64_C(100)
+#define RETRY_BURST (100 * HUNDREDTHS)
 #define GAP_PARTS 8
 
 static void
--- a/packages/core/source/entry-cost.c
+++ b/packages/core/source/entry-cost.c
@@ -148,6 +148,16 @@
     charge(entry, index, cost - item->charged);
 }
 
+static void
+flush_group(entry_entry *entry, lv_time now, uint32_t index)
+{
+    const fq_group *group = &entry->queues.groups[index];
+
+    for (uint32_t i = 0; i < group->waiting.count; i++) {
+        entry_note_backlog(entry, now, group->waiting.nodes[i].item);
+    }
+}
+
 void
 entry_flush_ledger(entry_entry *entry, lv_time now)
 {
@@ -160,10 +170,7 @@
         }
     }
     for (uint32_t i = 0; i < entry->pool_count && !is_fifo; i++) {
-        const fq_group *group = &entry->queues.groups[entry->pools[i].group];
-
-        for (uint32_t j = 0; j < group->waiting.count; j++) {
-            entry_note_backlog(entry, now, group->waiting.nodes[j].item);
-        }
+        flush_group(entry, now, entry->pools[i].group);
+        flush_group(entry, now, entry->pools[i].limited);
     }
 }
--- a/packages/core/source/entry-grant.c
+++ b/packages/core/source/entry-grant.c
@@ -124,9 +124,11 @@
         part->level_total = message->echo == shard->full_sent
                                 ? part->told_total
                                 : part->previous_total;
-        part->has_allowance = true;
-        part->allowance = level->allowance;
-        part->allowance_time = now;
+        if (shard->number == 0) {
+            entry->flows[flow].has_allowance = true;
+            entry->flows[flow].allowance = level->allowance;
+            entry->flows[flow].allowance_time = now;
+        }
         entry->flows[flow].level = level->level;
         entry->flows[flow].since = part->total - part->level_total;
         entry_set_level(entry, flow);
@@ -161,7 +163,8 @@
     uint32_t lease;
 
     if (endpoint == NONE ||
-        map_get(&entry->lease_index, grant->lease) != NONE) {
+        map_find(&entry->lease_index, entry_lease_key(shard, grant->lease)) !=
+            NONE) {
         return;
     }
     if (grant->account != LV_ID_NONE) {
@@ -179,9 +182,9 @@
 }
 
 static void
-take_recall(entry_entry *entry, uint64_t id)
+take_recall(entry_entry *entry, uint32_t shard, uint64_t id)
 {
-    uint32_t lease = map_get(&entry->lease_index, id);
+    uint32_t lease = map_find(&entry->lease_index, entry_lease_key(shard, id));
 
     if (lease == NONE) {
         return;
@@ -198,8 +201,8 @@
 {
     for (uint32_t i = 0; i < message->grant_count; i++) {
         uint32_t flow =
-            map_get(&entry->flow_index,
-                    map_pair(message->pool, message->grants[i].account));
+            map_find(&entry->flow_index,
+                     entry_pair(message->pool, message->grants[i].account));
         uint32_t found =
             flow == NONE ? NONE : entry_get_part(entry, shard, flow);
         const entry_part *part;
@@ -220,8 +223,8 @@
 bool
 entry_take_grant(entry_entry *entry, lv_time now, const msg_message *message)
 {
-    uint32_t index =
-        map_get(&entry->shard_index, map_pair(message->pool, message->shard));
+    uint32_t index = map_find(&entry->shard_index,
+                              entry_pair(message->pool, message->shard));
     entry_shard *shard;
     bool was_stale;
 
@@ -239,7 +242,7 @@
     shard->is_contended = message->is_contended;
     take_levels(entry, now, index, message);
     for (uint32_t i = 0; i < message->recalled_count; i++) {
-        take_recall(entry, message->recalled[i]);
+        take_recall(entry, index, message->recalled[i]);
     }
     for (uint32_t i = 0; i < message->grant_count; i++) {
         take_grant(entry, now, index, &message->grants[i]);
--- a/packages/core/source/entry-imp.h
+++ b/packages/core/source/entry-imp.h
@@ -2,6 +2,7 @@
 #define ENTRY_IMP_H
 
 #include "lavender/entry.h"
+#include "lavender/limits.h"
 
 #define NONE LV_HANDLE_NONE
 #define ITEM_INDEX_BITS 20
@@ -65,14 +66,20 @@
     lv_time last_start;
     lv_time start_gap;   /* average between two starts */
     uint32_t told_later; /* refused callers told to come back */
+    uint32_t arrivals;   /* admitted, ever; modulo 2^32 */
+    uint32_t allowance;  /* highest value of arrivals */
+    bool has_allowance;
+    lv_time allowance_time;
+    bool is_rated;   /* every class of the account has a rate */
+    bool is_limited; /* it may use only leases that are bound to it */
 };
 
 /* Limits of a catalogue entry, or its costs in one pool. */
 struct entry_class {
     uint32_t waiting;
-    uint64_t tokens; /* requests, in millionths */
-    lv_time refilled;
-    int64_t cost; /* average: output part for engines, all for services */
+    bool has_bucket;
+    lim_bucket bucket; /* requests that this instance may admit */
+    int64_t cost;      /* average: output part for engines, all for services */
 };
 
 struct entry_pool {
@@ -83,8 +90,9 @@
     int64_t output_weight;
     int64_t default_cost;
     lv_time hold;
-    uint32_t group; /* of queues */
-    uint32_t fifo;  /* the one flow of ENTRY_MODE_LOCAL_FIFO */
+    uint32_t group;   /* of queues */
+    uint32_t limited; /* group of the flows that any-account leases skip */
+    uint32_t fifo;    /* the one flow of ENTRY_MODE_LOCAL_FIFO */
     uint32_t first_shard;
     uint32_t shards; /* in use; their records are a chain by next_in_pool */
     uint32_t next_shard; /* for placing demand in turn */
@@ -137,10 +145,7 @@
     uint32_t next_changed;
     bool is_active;
     bool is_changed;
-    bool has_allowance;
-    uint32_t allowance;
-    lv_time allowance_time;
-    uint32_t arrivals;
+    uint32_t told_arrivals;
     uint32_t waiting[CAT_PRIORITY_COUNT];
     uint32_t told[CAT_PRIORITY_COUNT]; /* what the dispatcher believes */
     int64_t total;
@@ -200,6 +205,9 @@
 lv_handle entry_item_handle(const entry_entry *entry, uint32_t item);
 uint32_t entry_new_item(entry_entry *entry);
 void entry_free_item(entry_entry *entry, uint32_t item);
+uint64_t entry_pair(uint64_t first, uint64_t second);
+uint64_t entry_lease_key(uint32_t shard, uint64_t id);
+uint64_t entry_part_key(uint32_t shard, uint32_t flow);
 uint32_t entry_get_pool(entry_entry *entry, lv_id id);
 uint32_t entry_get_shard(entry_entry *entry, uint32_t pool, uint32_t number);
 uint32_t entry_get_flow(entry_entry *entry, uint32_t pool, lv_id account);
@@ -274,6 +282,9 @@
 /* entry-local.c: the baselines without dispatchers */
 void entry_make_local_leases(entry_entry *entry, lv_time now);
 
+/* entry-view.c: what the catalogue says about a flow */
+void entry_set_flow(entry_entry *entry, uint32_t flow);
+
 /* entry-log.c: the decision log */
 void entry_log(entry_entry *entry, lv_decision_kind kind, const char *reason,
                uint32_t item, uint32_t endpoint, uint64_t value,
--- a/packages/core/source/entry-lease.c
+++ b/packages/core/source/entry-lease.c
@@ -1,6 +1,6 @@
 #include "entry-imp.h"
 
-#include "grow-imp.h"
+#include "table-imp.h"
 
 void
 entry_chain_add(entry_entry *entry, entry_list *list, lease_chain chain,
@@ -93,26 +93,30 @@
 {
     uint32_t index = entry->free_leases.first;
 
-    if (!map_reserve(&entry->lease_index)) {
-        return NONE;
-    }
     if (entry->free_leases.count > 0) {
         entry->free_leases.first = entry->leases[index].next[CHAIN_SHARD];
         entry->free_leases.count--;
     }
     else {
-        if (!grow_table((void **)&entry->leases, &entry->lease_capacity,
-                        entry->lease_count + 1, sizeof *entry->leases)) {
+        if (!table_reserve((void **)&entry->leases, &entry->lease_capacity,
+                           entry->lease_count + 1, sizeof *entry->leases)) {
             return NONE;
         }
         index = entry->lease_count++;
+        entry->leases[index].next[CHAIN_SHARD] = NONE;
+        entry->free_leases.first = NONE;
+    }
+    if (!map_set(&entry->lease_index, entry_lease_key(shard, id), index)) {
+        entry->leases[index].next[CHAIN_SHARD] = entry->free_leases.first;
+        entry->free_leases.first = index;
+        entry->free_leases.count++;
+        return NONE;
     }
     entry->leases[index] = (entry_lease){.id = id,
                                          .shard = shard,
                                          .endpoint = endpoint,
                                          .flow = flow,
                                          .item = NONE};
-    map_put(&entry->lease_index, id, index);
     entry_chain_add(entry, &entry->shards[shard].leases, CHAIN_SHARD, index);
     entry->counts.leases++;
     return index;
@@ -126,7 +130,7 @@
     set_not_idle(entry, index);
     entry_chain_remove(entry, &entry->shards[lease->shard].leases, CHAIN_SHARD,
                        index);
-    map_remove(&entry->lease_index, lease->id);
+    map_remove(&entry->lease_index, entry_lease_key(lease->shard, lease->id));
     lease->next[CHAIN_SHARD] = entry->free_leases.first;
     entry->free_leases.first = index;
     entry->free_leases.count++;
@@ -139,8 +143,8 @@
     entry_lease *lease = &entry->leases[index];
     entry_shard *shard = &entry->shards[lease->shard];
 
-    if (grow_table((void **)&shard->released, &shard->released_capacity,
-                   shard->released_count + 1, sizeof *shard->released)) {
+    if (table_reserve((void **)&shard->released, &shard->released_capacity,
+                      shard->released_count + 1, sizeof *shard->released)) {
         shard->released[shard->released_count++] = lease->id;
         entry_mark_due(entry, lease->shard);
     }
@@ -276,7 +280,9 @@
     lease_search search = {NONE, -1, 0};
 
     search_list(entry, now, item, &flow->idle, &search);
-    search_list(entry, now, item, &entry->pools[flow->pool].idle, &search);
+    if (!flow->is_limited) {
+        search_list(entry, now, item, &entry->pools[flow->pool].idle, &search);
+    }
     *alternatives = search.usable > 0 ? search.usable - 1 : 0;
     *reason = (search.rank & 1) == 1 ? "prefix" : "idle-lease";
     return search.best;
--- a/packages/core/source/entry-local.c
+++ b/packages/core/source/entry-local.c
@@ -71,7 +71,7 @@
 static void
 set_leases(entry_entry *entry, lv_time now, const ep_endpoint *from)
 {
-    uint32_t index = map_get(&entry->endpoint_index, from->id);
+    uint32_t index = map_find(&entry->endpoint_index, from->id);
     const entry_endpoint *endpoint;
     uint32_t pool;
     uint32_t wanted = 0;
--- a/packages/core/source/entry-prefix.c
+++ b/packages/core/source/entry-prefix.c
@@ -39,7 +39,7 @@
 entry_take_cache_event(entry_entry *entry, lv_id id, uint64_t number,
                        uint64_t hash, bool is_kept)
 {
-    uint32_t index = map_get(&entry->endpoint_index, id);
+    uint32_t index = map_find(&entry->endpoint_index, id);
     entry_endpoint *endpoint;
 
     if (index == NONE) {
--- a/packages/core/source/entry-report.c
+++ b/packages/core/source/entry-report.c
@@ -48,10 +48,11 @@
 }
 
 static bool
-has_demand(const entry_part *part)
+has_demand(const entry_entry *entry, const entry_part *part)
 {
     return part->waiting[CAT_URGENT] > 0 ||
-           part->waiting[CAT_DEFERRABLE] > 0 || part->arrivals > 0;
+           part->waiting[CAT_DEFERRABLE] > 0 ||
+           part->told_arrivals != entry->flows[part->flow].arrivals;
 }
 
 /* Enter a part into the list of those that full reports tell about. */
@@ -63,7 +64,7 @@
     entry_list *active = &shard->active;
 
     if (part->is_active ||
-        (!has_demand(part) && part->total == part->told_total)) {
+        (!has_demand(entry, part) && part->total == part->told_total)) {
         return;
     }
     part->is_active = true;
@@ -121,8 +122,8 @@
     }
     message->demand_count++;
     demand->account = entry->flows[part->flow].account;
-    demand->arrivals = part->arrivals;
-    part->arrivals = 0;
+    demand->arrivals = entry->flows[part->flow].arrivals;
+    part->told_arrivals = demand->arrivals;
     for (int i = 0; i < CAT_PRIORITY_COUNT; i++) {
         demand->waiting[i] = part->waiting[i];
         demand->oldest_age[i] = oldest_age(entry, now, part->flow, i);
@@ -260,7 +261,7 @@
     while (index != NONE) {
         entry_part *part = &entry->parts[index];
 
-        if (has_demand(part)) {
+        if (has_demand(entry, part)) {
             add_demand(entry, now, part, message);
         }
         if (part->total != 0 || part->level != 0) {
@@ -282,14 +283,14 @@
         uint32_t next = part->next_active;
 
         add_service(entry, part, message);
-        if (has_demand(part)) {
+        if (has_demand(entry, part)) {
             add_demand(entry, now, part, message);
         }
         else {
             part->told[CAT_URGENT] = 0;
             part->told[CAT_DEFERRABLE] = 0;
         }
-        if (!has_demand(part) && part->total == part->told_total) {
+        if (!has_demand(entry, part) && part->total == part->told_total) {
             leave_active(entry, index);
         }
         index = next;
--- a/packages/core/source/entry-table.c
+++ b/packages/core/source/entry-table.c
@@ -1,14 +1,12 @@
 #include "entry-imp.h"
 
-#include <string.h>
-
-#include "grow-imp.h"
+#include "table-imp.h"
 
 #define FIRST_ITEMS 1024u
 
 #define ROOM(entry, table, count)                                             \
-    grow_table((void **)&(entry)->table, &(entry)->count##_capacity,          \
-               (entry)->count##_count + 1, sizeof *(entry)->table)
+    table_reserve((void **)&(entry)->table, &(entry)->count##_capacity,       \
+                  (entry)->count##_count + 1, sizeof *(entry)->table)
 
 entry_item *
 entry_find_item(entry_entry *entry, lv_handle handle)
@@ -54,14 +52,14 @@
     uint32_t count = entry->item_count ? entry->item_count * 2 : FIRST_ITEMS;
 
     if (count > ITEM_INDEX_MASK ||
-        !grow_table((void **)&entry->items, &entry->item_capacity, count,
-                    sizeof *entry->items) ||
+        !table_reserve((void **)&entry->items, &entry->item_capacity, count,
+                       sizeof *entry->items) ||
         !fq_reserve(&entry->queues, count) ||
-        !heap_reserve(&entry->deadlines, count)) {
+        !table_reserve((void **)&entry->deadlines.nodes,
+                       &entry->deadlines.capacity, count,
+                       sizeof *entry->deadlines.nodes)) {
         return false;
     }
-    memset(&entry->items[entry->item_count], 0,
-           (count - entry->item_count) * sizeof *entry->items);
     while (entry->item_count < count) {
         append_free_item(entry, entry->item_count++);
     }
@@ -82,7 +80,7 @@
     entry->free_items.count--;
     generation = entry->items[index].generation;
     entry->items[index] = (entry_item){.generation = generation,
-                                       .deadline_place = HEAP_NO_PLACE,
+                                       .deadline_place = LV_HANDLE_NONE,
                                        .lease = NONE,
                                        .part = NONE};
     return index;
@@ -98,11 +96,33 @@
     append_free_item(entry, index);
 }
 
+uint64_t
+entry_pair(uint64_t first, uint64_t second)
+{
+    uint64_t key = map_mix(first) ^ second;
+
+    return key == 0 ? 1 : key;
+}
+
+/* Two dispatchers may give their leases the same number. */
+uint64_t
+entry_lease_key(uint32_t shard, uint64_t id)
+{
+    return entry_pair((uint64_t)shard + 1, id);
+}
+
+uint64_t
+entry_part_key(uint32_t shard, uint32_t flow)
+{
+    return ((uint64_t)shard << 32 | flow) + 1;
+}
+
 uint32_t
 entry_get_pool(entry_entry *entry, lv_id id)
 {
-    uint32_t index = map_get(&entry->pool_index, id);
+    uint32_t index = map_find(&entry->pool_index, id);
     uint32_t group;
+    uint32_t limited;
 
     if (index != NONE) {
         return index;
@@ -112,12 +132,15 @@
         return NONE;
     }
     group = fq_add_group(&entry->queues, 0);
-    if (group == NONE || !map_put(&entry->pool_index, id, index)) {
+    limited = fq_add_group(&entry->queues, 0);
+    if (group == NONE || limited == NONE ||
+        !map_set(&entry->pool_index, id, index)) {
         return NONE;
     }
     entry->pools[index] = (entry_pool){.id = id,
                                        .handle = NONE,
                                        .group = group,
+                                       .limited = limited,
                                        .fifo = NONE,
                                        .first_shard = NONE};
     entry->pool_count++;
@@ -127,15 +150,15 @@
 uint32_t
 entry_get_shard(entry_entry *entry, uint32_t pool, uint32_t number)
 {
-    uint64_t key = map_pair(entry->pools[pool].id, number);
-    uint32_t index = map_get(&entry->shard_index, key);
+    uint64_t key = entry_pair(entry->pools[pool].id, number);
+    uint32_t index = map_find(&entry->shard_index, key);
 
     if (index != NONE) {
         return index;
     }
     index = entry->shard_count;
     if (!ROOM(entry, shards, shard) ||
-        !map_put(&entry->shard_index, key, index)) {
+        !map_set(&entry->shard_index, key, index)) {
         return NONE;
     }
     entry->shards[index] = (entry_shard){
@@ -152,40 +175,37 @@
 uint32_t
 entry_get_flow(entry_entry *entry, uint32_t pool, lv_id account)
 {
-    uint64_t key = map_pair(entry->pools[pool].id, account);
-    uint32_t index = map_get(&entry->flow_index, key);
-    uint32_t handle = LV_HANDLE_NONE;
+    uint64_t key = entry_pair(entry->pools[pool].id, account);
+    uint32_t index = map_find(&entry->flow_index, key);
 
     if (index != NONE) {
         return index;
     }
     index = entry->queues.flow_count;
-    if (!grow_table((void **)&entry->flows, &entry->flow_capacity, index + 1,
-                    sizeof *entry->flows) ||
-        !map_reserve(&entry->flow_index) ||
-        fq_add_flow(&entry->queues, entry->pools[pool].group) == NONE) {
+    if (!table_reserve((void **)&entry->flows, &entry->flow_capacity,
+                       index + 1, sizeof *entry->flows) ||
+        !map_set(&entry->flow_index, key, index)) {
         return NONE;
     }
-    map_put(&entry->flow_index, key, index);
-    if (entry->catalogue != NULL) {
-        handle = cat_find_account(entry->catalogue, account);
+    if (fq_add_flow(&entry->queues, entry->pools[pool].group) == NONE) {
+        map_remove(&entry->flow_index, key);
+        return NONE;
     }
     entry->flows[index] = (entry_flow){
         .account = account,
-        .account_handle = handle,
+        .account_handle = LV_HANDLE_NONE,
         .pool = pool,
-        .weight = handle == LV_HANDLE_NONE
-                      ? 1
-                      : entry->catalogue->accounts[handle].weight,
+        .weight = 1,
     };
+    entry_set_flow(entry, index);
     return index;
 }
 
 uint32_t
 entry_get_part(entry_entry *entry, uint32_t shard_index, uint32_t flow)
 {
-    uint64_t key = (uint64_t)shard_index << 32 | flow;
-    uint32_t index = map_get(&entry->part_index, key);
+    uint64_t key = entry_part_key(shard_index, flow);
+    uint32_t index = map_find(&entry->part_index, key);
     entry_shard *shard = &entry->shards[shard_index];
 
     if (index != NONE) {
@@ -193,7 +213,7 @@
     }
     index = entry->part_count;
     if (!ROOM(entry, parts, part) ||
-        !map_put(&entry->part_index, key, index)) {
+        !map_set(&entry->part_index, key, index)) {
         return NONE;
     }
     entry->parts[index] = (entry_part){
@@ -213,17 +233,17 @@
 uint32_t
 entry_get_class(entry_entry *entry, uint64_t key)
 {
-    uint32_t index = map_get(&entry->class_index, key);
+    uint32_t index = map_find(&entry->class_index, key);
 
     if (index != NONE) {
         return index;
     }
     index = entry->class_count;
     if (!ROOM(entry, classes, class) ||
-        !map_put(&entry->class_index, key, index)) {
+        !map_set(&entry->class_index, key, index)) {
         return NONE;
     }
-    entry->classes[index] = (entry_class){.tokens = UINT64_MAX, .cost = -1};
+    entry->classes[index] = (entry_class){.cost = -1};
     entry->class_count++;
     return index;
 }
@@ -231,14 +251,14 @@
 uint32_t
 entry_get_endpoint(entry_entry *entry, lv_id id)
 {
-    uint32_t index = map_get(&entry->endpoint_index, id);
+    uint32_t index = map_find(&entry->endpoint_index, id);
 
     if (index != NONE) {
         return index;
     }
     index = entry->endpoint_count;
     if (!ROOM(entry, endpoints, endpoint) ||
-        !map_put(&entry->endpoint_index, id, index)) {
+        !map_set(&entry->endpoint_index, id, index)) {
         return NONE;
     }
     entry->endpoints[index] = (entry_endpoint){.id = id, .shard = NONE};
@@ -249,7 +269,7 @@
 static size_t
 map_memory(const map_map *map)
 {
-    return map->capacity * sizeof *map->cells;
+    return map->capacity * sizeof *map->slots;
 }
 
 size_t
--- a/packages/core/source/entry-view.c
+++ b/packages/core/source/entry-view.c
@@ -2,8 +2,8 @@
 
 #include <string.h>
 
-#include "grow-imp.h"
 #include "lavender/hash.h"
+#include "table-imp.h"
 
 static void
 set_pool(entry_entry *entry, uint32_t handle)
@@ -64,7 +64,7 @@
 set_endpoint(entry_entry *entry, const ep_endpoint *from)
 {
     uint32_t index = entry_get_endpoint(entry, from->id);
-    uint32_t pool = map_get(&entry->pool_index, from->pool);
+    uint32_t pool = map_find(&entry->pool_index, from->pool);
 
     if (index == NONE || pool == NONE || entry->pools[pool].handle == NONE ||
         entry->pools[pool].shards == 0) {
@@ -75,15 +75,41 @@
     entry->endpoints[index].is_list_leaving = from->leaving;
 }
 
+/* The fleet-wide limits of an account are the sums of its classes'; a class
+ * without one lifts the account's. */
 static void
-set_flow(entry_entry *entry, uint32_t index)
+set_limits(entry_entry *entry, entry_flow *flow, const cat_account *account)
+{
+    flow->weight = account->weight > 0 ? account->weight : 1;
+    flow->is_rated = account->entry_count > 0;
+    flow->is_limited =
+        account->entry_count > 0 && entry->settings.mode == ENTRY_MODE_LEASES;
+    for (uint32_t i = 0; i < account->entry_count; i++) {
+        const cat_limits *limits =
+            &entry->catalogue->entries[account->first_entry + i].limits;
+
+        flow->is_rated = flow->is_rated && limits->requests_per_second > 0;
+        flow->is_limited = flow->is_limited && limits->in_flight > 0;
+    }
+}
+
+void
+entry_set_flow(entry_entry *entry, uint32_t index)
 {
     entry_flow *flow = &entry->flows[index];
+    const entry_pool *pool = &entry->pools[flow->pool];
 
-    flow->account_handle = cat_find_account(entry->catalogue, flow->account);
+    flow->account_handle = LV_HANDLE_NONE;
+    if (entry->catalogue != NULL) {
+        flow->account_handle =
+            cat_find_account(entry->catalogue, flow->account);
+    }
     if (flow->account_handle != LV_HANDLE_NONE) {
-        flow->weight = entry->catalogue->accounts[flow->account_handle].weight;
+        set_limits(entry, flow,
+                   &entry->catalogue->accounts[flow->account_handle]);
     }
+    fq_set_group(&entry->queues, index,
+                 flow->is_limited ? pool->limited : pool->group);
     entry_set_level(entry, index);
 }
 
@@ -173,7 +199,7 @@
         set_endpoint(entry, &lists->endpoints[i]);
     }
     for (uint32_t i = 0; i < entry->queues.flow_count; i++) {
-        set_flow(entry, i);
+        entry_set_flow(entry, i);
     }
     for (uint32_t i = 0; i < entry->item_count; i++) {
         review_item(entry, now, i);
@@ -202,8 +228,8 @@
 entry_set_live(entry_entry *entry, lv_time now, const lv_id *instances,
                uint32_t count)
 {
-    if (!grow_table((void **)&entry->live, &entry->live_capacity, count,
-                    sizeof *entry->live)) {
+    if (!table_reserve((void **)&entry->live, &entry->live_capacity, count,
+                       sizeof *entry->live)) {
         return;
     }
     if (count > 0) {
--- a/packages/core/source/entry-wait.c
+++ b/packages/core/source/entry-wait.c
@@ -63,7 +63,7 @@
 }
 
 static void
-add_demand(entry_entry *entry, uint32_t item_index, bool is_new)
+add_demand(entry_entry *entry, uint32_t item_index)
 {
     entry_item *item = &entry->items[item_index];
     entry_part *part;
@@ -76,7 +76,6 @@
     }
     part = &entry->parts[item->part];
     shard = &entry->shards[part->shard];
-    part->arrivals += is_new;
     waiting = ++part->waiting[item->priority];
     told = part->told[item->priority];
     entry_update_active(entry, item->part);
@@ -116,13 +115,14 @@
         item->part = entry_place(entry, now, flow->pool, item->flow);
     }
     fq_push(&entry->queues, item->queue, item->priority, index, !is_new);
+    flow->arrivals += is_new;
     entry->classes[item->limits].waiting++;
     entry->counts.waiting++;
     if (item->deadline != LV_TIME_NEVER) {
-        heap_push(&entry->deadlines, index, (int64_t)item->deadline);
+        (void)heap_set(&entry->deadlines, index, (int64_t)item->deadline);
         entry_wake(entry, item->deadline);
     }
-    add_demand(entry, index, is_new);
+    add_demand(entry, index);
 }
 
 void
@@ -135,9 +135,7 @@
     entry->flows[item->flow].waiting--;
     entry->classes[item->limits].waiting--;
     entry->counts.waiting--;
-    if (item->deadline_place != HEAP_NO_PLACE) {
-        heap_remove(&entry->deadlines, item->deadline_place);
-    }
+    heap_remove(&entry->deadlines, index);
     remove_demand(entry, index);
 }
 
@@ -163,7 +161,7 @@
         }
         remove_demand(entry, i);
         item->part = place;
-        add_demand(entry, i, false);
+        add_demand(entry, i);
     }
 }
 
@@ -183,7 +181,7 @@
 void
 entry_expire_waits(entry_entry *entry, lv_time now)
 {
-    lv_handle index = heap_least(&entry->deadlines);
+    lv_handle index = heap_top(&entry->deadlines);
 
     while (index != LV_HANDLE_NONE) {
         entry_item *item = &entry->items[index];
@@ -199,6 +197,6 @@
             OUT_REASON_DEADLINE,
             entry_drain_time(entry, flow,
                              fq_count(&entry->queues, item->queue) + 1));
-        index = heap_least(&entry->deadlines);
+        index = heap_top(&entry->deadlines);
     }
 }
--- a/packages/core/source/entry.c
+++ b/packages/core/source/entry.c
@@ -5,7 +5,7 @@
 #include "entry-imp.h"
 
 #define FIRST_RETRIES 10u /* before there were successes */
-#define HUNDREDTHS 100u
+#define HUNDREDTHS UINT64_C(100)
 
 void
 entry_default_settings(entry_settings *settings)
@@ -56,10 +56,10 @@
     return true;
 }
 
-static void
-deadline_moved(void *context, lv_handle item, uint32_t place)
+static uint32_t *
+deadline_place(void *owner, uint32_t item)
 {
-    ((entry_entry *)context)->items[item].deadline_place = place;
+    return &((entry_entry *)owner)->items[item].deadline_place;
 }
 
 bool
@@ -82,7 +82,7 @@
     entry->budget =
         settings->retry_percent > 0 ? FIRST_RETRIES * HUNDREDTHS : 0;
     fq_init(&entry->queues);
-    heap_init(&entry->deadlines, deadline_moved, entry);
+    heap_init(&entry->deadlines, deadline_place, entry);
     entry->prefixes = calloc(settings->max_prefixes, sizeof *entry->prefixes);
     entry->scratch = calloc(1, sizeof *entry->scratch);
     if (entry->prefixes == NULL || entry->scratch == NULL) {
@@ -122,6 +122,21 @@
     *entry = (entry_entry){0};
 }
 
+/* Long backlogs are booked while they last, so that each window of the
+ * ledger gets its part. */
+static void
+flush_ledger(entry_entry *entry, lv_time now)
+{
+    if (entry->ledger == NULL || entry->counts.waiting == 0) {
+        return;
+    }
+    if (now >= entry->next_ledger) {
+        entry_flush_ledger(entry, now);
+        entry->next_ledger = now + entry->settings.report_interval;
+    }
+    entry_wake(entry, entry->next_ledger);
+}
+
 void
 entry_tick(entry_entry *entry, lv_time now)
 {
@@ -130,6 +145,7 @@
     entry_tick_shards(entry, now);
     entry_end_rests(entry, now);
     entry_expire_holds(entry, now);
+    flush_ledger(entry, now);
     entry_flush(entry, now);
 }
 
--- a/packages/core/source/heap.c
+++ b/packages/core/source/heap.c
@@ -1,13 +1,16 @@
 #include "lavender/heap.h"
 
 #include <stdlib.h>
+#include <string.h>
 
-#define SMALLEST_CAPACITY 16u
+#include "table-imp.h"
 
 void
-heap_init(heap_heap *heap, heap_moved *moved, void *context)
+heap_init(heap_heap *heap, heap_place *place, void *owner)
 {
-    *heap = (heap_heap){.moved = moved, .context = context};
+    memset(heap, 0, sizeof *heap);
+    heap->place = place;
+    heap->owner = owner;
 }
 
 void
@@ -19,54 +22,33 @@
     heap->capacity = 0;
 }
 
-bool
-heap_reserve(heap_heap *heap, uint32_t count)
-{
-    uint32_t capacity = heap->capacity ? heap->capacity : SMALLEST_CAPACITY;
-    heap_node *nodes;
-
-    if (count <= heap->capacity) {
-        return true;
-    }
-    while (capacity < count) {
-        capacity *= 2;
-    }
-    nodes = realloc(heap->nodes, capacity * sizeof *nodes);
-    if (nodes == NULL) {
-        return false;
-    }
-    heap->nodes = nodes;
-    heap->capacity = capacity;
-    return true;
-}
-
 static void
-set_node(heap_heap *heap, uint32_t place, heap_node node)
+put(heap_heap *heap, uint32_t at, heap_node node)
 {
-    heap->nodes[place] = node;
-    heap->moved(heap->context, node.item, place);
+    heap->nodes[at] = node;
+    *heap->place(heap->owner, node.item) = at;
 }
 
 static void
-sift_up(heap_heap *heap, uint32_t place, heap_node node)
+sift_up(heap_heap *heap, uint32_t at, heap_node node)
 {
-    while (place > 0) {
-        uint32_t parent = (place - 1) / 2;
+    while (at > 0) {
+        uint32_t parent = (at - 1) / 2;
 
         if (heap->nodes[parent].key <= node.key) {
             break;
         }
-        set_node(heap, place, heap->nodes[parent]);
-        place = parent;
+        put(heap, at, heap->nodes[parent]);
+        at = parent;
     }
-    set_node(heap, place, node);
+    put(heap, at, node);
 }
 
 static void
-sift_down(heap_heap *heap, uint32_t place, heap_node node)
+sift_down(heap_heap *heap, uint32_t at, heap_node node)
 {
     for (;;) {
-        uint32_t child = place * 2 + 1;
+        uint32_t child = at * 2 + 1;
 
         if (child >= heap->count) {
             break;
@@ -75,52 +57,69 @@
             heap->nodes[child + 1].key < heap->nodes[child].key) {
             child++;
         }
-        if (node.key <= heap->nodes[child].key) {
+        if (heap->nodes[child].key >= node.key) {
             break;
         }
-        set_node(heap, place, heap->nodes[child]);
-        place = child;
+        put(heap, at, heap->nodes[child]);
+        at = child;
     }
-    set_node(heap, place, node);
+    put(heap, at, node);
 }
 
 static void
-place_node(heap_heap *heap, uint32_t place, heap_node node)
+settle(heap_heap *heap, uint32_t at, heap_node node)
 {
-    if (place > 0 && node.key < heap->nodes[(place - 1) / 2].key) {
-        sift_up(heap, place, node);
+    if (at > 0 && heap->nodes[(at - 1) / 2].key > node.key) {
+        sift_up(heap, at, node);
     }
     else {
-        sift_down(heap, place, node);
+        sift_down(heap, at, node);
     }
 }
 
-void
-heap_push(heap_heap *heap, lv_handle item, int64_t key)
+bool
+heap_set(heap_heap *heap, uint32_t item, int64_t key)
 {
-    sift_up(heap, heap->count++, (heap_node){key, item});
+    uint32_t at = *heap->place(heap->owner, item);
+    heap_node node = {.key = key, .item = item};
+
+    if (at != LV_HANDLE_NONE) {
+        if (heap->nodes[at].key != key) {
+            settle(heap, at, node);
+        }
+        return true;
+    }
+    if (!table_reserve((void **)&heap->nodes, &heap->capacity, heap->count + 1,
+                       sizeof *heap->nodes)) {
+        return false;
+    }
+    sift_up(heap, heap->count++, node);
+    return true;
 }
 
 void
-heap_remove(heap_heap *heap, uint32_t place)
+heap_remove(heap_heap *heap, uint32_t item)
 {
-    lv_handle item = heap->nodes[place].item;
-    heap_node last = heap->nodes[--heap->count];
+    uint32_t at = *heap->place(heap->owner, item);
 
-    if (place < heap->count) {
-        place_node(heap, place, last);
+    if (at == LV_HANDLE_NONE) {
+        return;
+    }
+    *heap->place(heap->owner, item) = LV_HANDLE_NONE;
+    heap->count--;
+    if (at < heap->count) {
+        settle(heap, at, heap->nodes[heap->count]);
     }
-    heap->moved(heap->context, item, HEAP_NO_PLACE);
 }
 
-void
-heap_change(heap_heap *heap, uint32_t place, int64_t key)
+uint32_t
+heap_top(const heap_heap *heap)
 {
-    place_node(heap, place, (heap_node){key, heap->nodes[place].item});
+    return heap->count > 0 ? heap->nodes[0].item : LV_HANDLE_NONE;
 }
 
-lv_handle
-heap_least(const heap_heap *heap)
+int64_t
+heap_top_key(const heap_heap *heap)
 {
-    return heap->count > 0 ? heap->nodes[0].item : LV_HANDLE_NONE;
+    return heap->nodes[0].key;
 }
--- a/packages/core/source/map.c
+++ b/packages/core/source/map.c
@@ -1,47 +1,44 @@
 #include "lavender/map.h"
 
 #include <stdlib.h>
+#include <string.h>
 
-#define SMALLEST_CAPACITY 16u
-
-static uint64_t
-mix(uint64_t key)
-{
-    key ^= key >> 33;
-    key *= 0xff51afd7ed558ccdu;
-    key ^= key >> 33;
-    key *= 0xc4ceb9fe1a85ec53u;
-    return key ^ (key >> 33);
-}
-
-uint64_t
-map_pair(uint64_t first, uint64_t second)
-{
-    return mix(first + 0x9e3779b97f4a7c15u) ^ second;
-}
+enum {
+    FIRST_CAPACITY = 16
+};
 
 void
 map_init(map_map *map)
 {
-    *map = (map_map){0};
+    memset(map, 0, sizeof *map);
 }
 
 void
 map_finish(map_map *map)
 {
-    free(map->cells);
+    free(map->slots);
     map_init(map);
 }
 
-/* The cell of a key, or the empty cell where it would go. */
+uint64_t
+map_mix(uint64_t value)
+{
+    value ^= value >> 30;
+    value *= UINT64_C(0xbf58476d1ce4e5b9);
+    value ^= value >> 27;
+    value *= UINT64_C(0x94d049bb133111eb);
+    value ^= value >> 31;
+    return value;
+}
+
+/* The key's slot, or the empty one where it belongs. */
 static uint32_t
-find_cell(const map_map *map, uint64_t key)
+probe(const map_map *map, uint64_t key)
 {
     uint32_t mask = map->capacity - 1;
-    uint32_t at = (uint32_t)mix(key) & mask;
+    uint32_t at = (uint32_t)map_mix(key) & mask;
 
-    while (map->cells[at].value != LV_HANDLE_NONE &&
-           map->cells[at].key != key) {
+    while (map->slots[at].key != 0 && map->slots[at].key != key) {
         at = (at + 1) & mask;
     }
     return at;
@@ -50,60 +47,50 @@
 static bool
 grow(map_map *map)
 {
-    map_map bigger = {0};
+    uint32_t capacity = map->capacity ? map->capacity * 2 : FIRST_CAPACITY;
+    map_map grown = {.count = map->count, .capacity = capacity};
 
-    bigger.capacity = map->capacity ? map->capacity * 2 : SMALLEST_CAPACITY;
-    bigger.cells = malloc(bigger.capacity * sizeof *bigger.cells);
-    if (bigger.cells == NULL) {
+    grown.slots = calloc(capacity, sizeof *grown.slots);
+    if (grown.slots == NULL) {
         return false;
     }
-    for (uint32_t i = 0; i < bigger.capacity; i++) {
-        bigger.cells[i] = (map_cell){0, LV_HANDLE_NONE};
-    }
     for (uint32_t i = 0; i < map->capacity; i++) {
-        if (map->cells[i].value != LV_HANDLE_NONE) {
-            bigger.cells[find_cell(&bigger, map->cells[i].key)] =
-                map->cells[i];
+        if (map->slots[i].key != 0) {
+            grown.slots[probe(&grown, map->slots[i].key)] = map->slots[i];
         }
     }
-    bigger.count = map->count;
-    free(map->cells);
-    *map = bigger;
+    free(map->slots);
+    *map = grown;
     return true;
 }
 
 bool
-map_reserve(map_map *map)
-{
-    if (map->capacity != 0 && map->count < map->capacity / 2) {
-        return true;
-    }
-    return grow(map);
-}
-
-bool
-map_put(map_map *map, uint64_t key, lv_handle value)
+map_set(map_map *map, uint64_t key, uint32_t value)
 {
     uint32_t at;
 
-    if (!map_reserve(map)) {
+    if (map->count + 1 > map->capacity / 4 * 3 && !grow(map)) {
         return false;
     }
-    at = find_cell(map, key);
-    if (map->cells[at].value == LV_HANDLE_NONE) {
+    at = probe(map, key);
+    if (map->slots[at].key == 0) {
+        map->slots[at].key = key;
         map->count++;
     }
-    map->cells[at] = (map_cell){key, value};
+    map->slots[at].value = value;
     return true;
 }
 
-lv_handle
-map_get(const map_map *map, uint64_t key)
+uint32_t
+map_find(const map_map *map, uint64_t key)
 {
-    if (map->capacity == 0) {
+    uint32_t at;
+
+    if (map->count == 0) {
         return LV_HANDLE_NONE;
     }
-    return map->cells[find_cell(map, key)].value;
+    at = probe(map, key);
+    return map->slots[at].key == key ? map->slots[at].value : LV_HANDLE_NONE;
 }
 
 void
@@ -111,26 +98,23 @@
 {
     uint32_t mask = map->capacity - 1;
     uint32_t hole;
-    uint32_t at;
 
-    if (map_get(map, key) == LV_HANDLE_NONE) {
+    if (map->count == 0) {
         return;
     }
-    hole = find_cell(map, key);
-    at = hole;
-    for (;;) {
-        uint32_t home;
+    hole = probe(map, key);
+    if (map->slots[hole].key == 0) {
+        return;
+    }
+    map->count--;
+    for (uint32_t at = (hole + 1) & mask; map->slots[at].key != 0;
+         at = (at + 1) & mask) {
+        uint32_t home = (uint32_t)map_mix(map->slots[at].key) & mask;
 
-        at = (at + 1) & mask;
-        if (map->cells[at].value == LV_HANDLE_NONE) {
-            break;
-        }
-        home = (uint32_t)mix(map->cells[at].key) & mask;
         if (((at - home) & mask) >= ((at - hole) & mask)) {
-            map->cells[hole] = map->cells[at];
+            map->slots[hole] = map->slots[at];
             hole = at;
         }
     }
-    map->cells[hole].value = LV_HANDLE_NONE;
-    map->count--;
+    map->slots[hole].key = 0;
 }
--- a/packages/core/source/queue.c
+++ b/packages/core/source/queue.c
@@ -2,18 +2,25 @@
 
 #include <stdlib.h>
 
-#include "grow-imp.h"
+#include "table-imp.h"
 
-static void
-waiting_moved(void *context, lv_handle item, uint32_t place)
+static uint32_t *
+waiting_place(void *owner, uint32_t item)
 {
-    ((fq_table *)context)->flows[item].waiting_place = place;
+    return &((fq_table *)owner)->flows[item].waiting_place;
 }
 
-static void
-urgent_moved(void *context, lv_handle item, uint32_t place)
+static uint32_t *
+urgent_place(void *owner, uint32_t item)
+{
+    return &((fq_table *)owner)->flows[item].urgent_place;
+}
+
+static bool
+reserve_heap(heap_heap *heap, uint32_t count)
 {
-    ((fq_table *)context)->flows[item].urgent_place = place;
+    return table_reserve((void **)&heap->nodes, &heap->capacity, count,
+                         sizeof *heap->nodes);
 }
 
 void
@@ -38,8 +45,8 @@
 bool
 fq_reserve(fq_table *table, uint32_t count)
 {
-    return grow_table((void **)&table->links, &table->link_capacity, count,
-                      sizeof *table->links);
+    return table_reserve((void **)&table->links, &table->link_capacity, count,
+                         sizeof *table->links);
 }
 
 lv_handle
@@ -47,13 +54,13 @@
 {
     fq_group *group;
 
-    if (!grow_table((void **)&table->groups, &table->group_capacity,
-                    table->group_count + 1, sizeof *table->groups)) {
+    if (!table_reserve((void **)&table->groups, &table->group_capacity,
+                       table->group_count + 1, sizeof *table->groups)) {
         return LV_HANDLE_NONE;
     }
     group = &table->groups[table->group_count];
-    heap_init(&group->waiting, waiting_moved, table);
-    heap_init(&group->urgent, urgent_moved, table);
+    heap_init(&group->waiting, waiting_place, table);
+    heap_init(&group->urgent, urgent_place, table);
     group->urgent_credit = urgent_credit;
     group->flow_count = 0;
     return table->group_count++;
@@ -65,17 +72,17 @@
     fq_group *group = &table->groups[group_handle];
     fq_flow *flow;
 
-    if (!grow_table((void **)&table->flows, &table->flow_capacity,
-                    table->flow_count + 1, sizeof *table->flows) ||
-        !heap_reserve(&group->waiting, group->flow_count + 1) ||
-        !heap_reserve(&group->urgent, group->flow_count + 1)) {
+    if (!table_reserve((void **)&table->flows, &table->flow_capacity,
+                       table->flow_count + 1, sizeof *table->flows) ||
+        !reserve_heap(&group->waiting, group->flow_count + 1) ||
+        !reserve_heap(&group->urgent, group->flow_count + 1)) {
         return LV_HANDLE_NONE;
     }
     group->flow_count++;
     flow = &table->flows[table->flow_count];
     *flow = (fq_flow){.group = group_handle,
-                      .waiting_place = HEAP_NO_PLACE,
-                      .urgent_place = HEAP_NO_PLACE};
+                      .waiting_place = LV_HANDLE_NONE,
+                      .urgent_place = LV_HANDLE_NONE};
     for (int priority = 0; priority < CAT_PRIORITY_COUNT; priority++) {
         flow->first[priority] = LV_HANDLE_NONE;
         flow->last[priority] = LV_HANDLE_NONE;
@@ -96,11 +103,11 @@
     fq_group *group = &table->groups[flow->group];
 
     flow->level = level;
-    if (flow->waiting_place != HEAP_NO_PLACE) {
-        heap_change(&group->waiting, flow->waiting_place, level);
+    if (flow->waiting_place != LV_HANDLE_NONE) {
+        (void)heap_set(&group->waiting, handle, level);
     }
-    if (flow->urgent_place != HEAP_NO_PLACE) {
-        heap_change(&group->urgent, flow->urgent_place, level);
+    if (flow->urgent_place != LV_HANDLE_NONE) {
+        (void)heap_set(&group->urgent, handle, level);
     }
 }
 
@@ -113,20 +120,39 @@
     bool has_urgent = flow->count[CAT_URGENT] > 0;
     bool has_any = has_urgent || flow->count[CAT_DEFERRABLE] > 0;
 
-    if (has_any && flow->waiting_place == HEAP_NO_PLACE) {
-        heap_push(&group->waiting, handle, flow->level);
+    if (has_any && flow->waiting_place == LV_HANDLE_NONE) {
+        (void)heap_set(&group->waiting, handle, flow->level);
     }
-    else if (!has_any && flow->waiting_place != HEAP_NO_PLACE) {
-        heap_remove(&group->waiting, flow->waiting_place);
+    else if (!has_any && flow->waiting_place != LV_HANDLE_NONE) {
+        heap_remove(&group->waiting, handle);
     }
-    if (has_urgent && flow->urgent_place == HEAP_NO_PLACE) {
-        heap_push(&group->urgent, handle, flow->level);
+    if (has_urgent && flow->urgent_place == LV_HANDLE_NONE) {
+        (void)heap_set(&group->urgent, handle, flow->level);
     }
-    else if (!has_urgent && flow->urgent_place != HEAP_NO_PLACE) {
-        heap_remove(&group->urgent, flow->urgent_place);
+    else if (!has_urgent && flow->urgent_place != LV_HANDLE_NONE) {
+        heap_remove(&group->urgent, handle);
     }
 }
 
+void
+fq_set_group(fq_table *table, lv_handle handle, lv_handle group_handle)
+{
+    fq_flow *flow = &table->flows[handle];
+    fq_group *from = &table->groups[flow->group];
+    fq_group *to = &table->groups[group_handle];
+
+    if (from == to || !reserve_heap(&to->waiting, to->flow_count + 1) ||
+        !reserve_heap(&to->urgent, to->flow_count + 1)) {
+        return;
+    }
+    heap_remove(&from->waiting, handle);
+    heap_remove(&from->urgent, handle);
+    from->flow_count--;
+    to->flow_count++;
+    flow->group = group_handle;
+    update_heaps(table, handle);
+}
+
 void
 fq_push(fq_table *table, lv_handle handle, cat_priority priority,
         lv_handle item, bool at_front)
@@ -196,8 +222,8 @@
 fq_choose(const fq_table *table, lv_handle handle)
 {
     const fq_group *group = &table->groups[handle];
-    lv_handle least = heap_least(&group->waiting);
-    lv_handle urgent = heap_least(&group->urgent);
+    lv_handle least = heap_top(&group->waiting);
+    lv_handle urgent = heap_top(&group->urgent);
 
     if (urgent == LV_HANDLE_NONE || urgent == least) {
         return least;
