Add the dispatcher of a pool shard and the counter root

Change: slots are leased to the account with the least virtual counter over indexed heaps; leases expire, are recalled at request boundaries, and are adopted from claims; slots follow load reports; rates are shared by recent arrivals; the root adds up the shards' service.

--- a/packages/core/include/lavender/dispatcher.h
+++ b/packages/core/include/lavender/dispatcher.h
@@ -9,7 +9,11 @@
 #define LAVENDER_DISPATCHER_H
 
 #include "lavender/catalogue.h"
+#include "lavender/heap.h"
 #include "lavender/host.h"
+#include "lavender/limits.h"
+#include "lavender/map.h"
+#include "lavender/root.h"
 #include "lavender/world.h"
 
 #define DISP_SHARD_ENDPOINTS_MAX 64
@@ -22,8 +26,6 @@
                                 until all claims are in, or this long */
 } disp_settings;
 
-typedef struct disp_dispatcher disp_dispatcher;
-
 /* The engine's lagging load report. */
 typedef struct disp_load {
     uint32_t running;
@@ -31,6 +33,265 @@
     uint32_t slots; /* 0: the engine does not say */
 } disp_load;
 
+/* The heaps that an account can be in. */
+typedef enum disp_heap {
+    DISP_READY,        /* has demand without a grant, least counter first */
+    DISP_READY_URGENT, /* the same for urgent demand */
+    DISP_WANT,         /* has demand that no recalled slot is meant for */
+    DISP_WANT_URGENT,  /* the same for urgent demand */
+    DISP_HOLD,         /* holds slots not recalled, largest counter first */
+    DISP_HEAP_COUNT
+} disp_heap;
+
+/* Ends of a doubly linked list of table handles. */
+typedef struct disp_list {
+    uint32_t first;
+    uint32_t last;
+} disp_list;
+
+typedef struct disp_link {
+    uint32_t previous;
+    uint32_t next;
+} disp_link;
+
+/* One slot leased to an entry. */
+typedef struct disp_lease {
+    uint64_t id;       /* 0: the place in the table is free */
+    uint64_t sequence; /* of the GRANT that carried it; 0: not sent yet */
+    uint32_t endpoint;
+    uint32_t entry;
+    uint32_t demand;    /* LV_HANDLE_NONE: serves any account */
+    uint32_t meant_for; /* demand that its recall shall serve */
+    uint32_t stamp;     /* of the full report that listed it last */
+    bool is_recalled;
+    bool is_pending; /* the entry has not said that it knows of it */
+    bool is_busy;
+    cat_priority priority;
+    disp_link of_entry;
+    disp_link of_endpoint;
+    disp_link of_demand; /* while not recalled */
+    disp_link of_sent;   /* while pending, in order of sequence */
+} disp_lease;
+
+/* What one account waits for, holds and used at one entry. */
+typedef struct disp_demand {
+    uint32_t entry; /* LV_HANDLE_NONE: the place is free */
+    uint32_t account;
+    uint32_t waiting[CAT_PRIORITY_COUNT];
+    lv_time oldest[CAT_PRIORITY_COUNT]; /* since when the head waits */
+    uint32_t pending;                   /* grants on their way */
+    uint32_t promised; /* recalled slots that are meant for it */
+    uint32_t held;     /* leases not recalled */
+    uint32_t arrivals; /* cumulative, as last reported */
+    uint32_t allowance;
+    uint32_t reclaimed; /* requests taken off the allowance, until seen */
+    uint64_t reclaim_sequence; /* GRANT that takes them off; 0: not sent */
+    uint32_t recent;           /* arrivals lately, decaying */
+    lv_time arrived;           /* when the last arrival was reported */
+    uint32_t reported;         /* requests waiting, as last reported */
+    uint32_t started; /* requests that left the queue since last charged */
+    uint32_t stamp;
+    uint32_t answered; /* the answer that carried its level last */
+    int64_t total;     /* service as last reported */
+    int64_t used;      /* service since a slot was last moved away */
+    bool has_arrivals;
+    bool has_total;
+    bool is_reclaiming;
+    bool needs_level; /* its allowance shall be sent at once */
+    /* What it adds to its account's sums. */
+    uint32_t unmet;
+    uint32_t wanted;
+    uint32_t urgent_unmet;
+    uint32_t urgent_wanted;
+    uint32_t place;   /* in the account's heap */
+    disp_list leases; /* not recalled */
+    disp_link of_account;
+    disp_link of_holders; /* demands of the account that hold leases */
+    disp_link of_entry;
+    disp_link of_reclaim; /* demands of the entry that give back allowance */
+    disp_link of_waiting; /* demands of the entry that wait */
+    bool is_waiting;
+} disp_demand;
+
+typedef struct disp_account {
+    lv_id id;            /* LV_ID_NONE: the place is free */
+    lv_handle catalogue; /* LV_HANDLE_NONE: not in the catalogue */
+    uint32_t weight;
+    uint32_t epoch;          /* of the last rebase of its level */
+    int64_t level;           /* virtual counter: service / weight */
+    int64_t residue;         /* service that is less than one unit of level */
+    int64_t cost;            /* of a request, service units, averaged */
+    int64_t given;           /* service / weight charged by this shard */
+    int64_t foreign;         /* service / weight that other shards gave */
+    int64_t claimed;         /* highest level claimed while settling */
+    int64_t since;           /* service / weight on top of claimed */
+    int64_t summed;          /* given, as the last SHARD_SUM had it */
+    uint64_t foreign_tenure; /* of the root that foreign came from */
+    bool is_rated;
+    uint8_t dirty;   /* SHARD_SUMs that shall still carry it */
+    uint32_t limit;  /* most leases; UINT32_MAX: no limit */
+    uint32_t leased; /* all leases bound to it */
+    uint32_t held;   /* those not recalled */
+    uint32_t pending;
+    uint32_t promised;
+    uint32_t waiting;
+    uint32_t unmet;
+    uint32_t wanted;
+    uint32_t urgent_unmet;
+    uint32_t urgent_wanted;
+    uint32_t recent; /* sum of its demands' recent arrivals */
+    lim_bucket rate;
+    uint32_t places[DISP_HEAP_COUNT];
+    heap_heap demands; /* with unmet work, oldest request first */
+    disp_list demand_list;
+    disp_list holders;
+    lv_time idle_since;
+    disp_link of_idle;
+    bool is_idle;
+} disp_account;
+
+typedef struct disp_entry {
+    lv_id id; /* LV_ID_NONE: the place is free */
+    uint64_t incarnation;
+    uint64_t sequence; /* of the last report taken */
+    uint64_t sent;     /* sequence of the last GRANT */
+    lv_time echo;      /* `sent` of the last full report */
+    lv_time heard;     /* when that report came */
+    lv_time deadline;  /* when its leases end here */
+    uint32_t leases;
+    uint32_t idle_any; /* leases for any account that no request uses */
+    uint32_t recent;   /* arrivals lately, decaying */
+    bool is_member;
+    bool is_gone;  /* a later incarnation came */
+    bool is_fresh; /* heard of lately: may get grants */
+
+    bool has_claimed;
+    bool needs_grant; /* something waits to be sent */
+    disp_list lease_list;
+    disp_list sent_list; /* pending leases, oldest grant first */
+    disp_list demand_list;
+    disp_list waiting_list;
+    disp_list reclaim_list;
+} disp_entry;
+
+typedef struct disp_endpoint {
+    lv_id id;       /* LV_ID_NONE: the place is free */
+    uint32_t bound; /* published slots */
+    uint32_t limit; /* slots used now, after the load reports */
+    uint32_t extra; /* slots over the visible share that load shows free */
+    uint32_t cap;   /* leases allowed now */
+    uint32_t leased;
+    uint32_t recalled;
+    uint32_t queued_reports; /* load reports in a row with a queue */
+    uint32_t free_reports;   /* load reports in a row, full without one */
+    uint32_t room_reports;   /* load reports in a row that show room */
+    uint32_t place;
+    bool is_listed;
+    bool is_leaving;      /* as the lists say */
+    bool is_told_leaving; /* as disp_set_leaving says */
+    disp_list lease_list;
+} disp_endpoint;
+
+/* Counts of events since the start. */
+typedef struct disp_events {
+    uint64_t grants;
+    uint64_t recalls;
+    uint64_t expired;
+    uint64_t stale_reports;
+    uint64_t decisions;
+} disp_events;
+
+/* Public only so that its owner can place it; all members are private. */
+typedef struct disp_dispatcher {
+    lv_host *host;
+    disp_settings settings;
+    lv_id self;
+    lv_id pool_id;
+    uint32_t shard;
+    uint32_t shard_count;
+    uint64_t tenure;
+    lv_time started;
+    bool is_settled;
+    bool is_contended;
+    bool has_pool; /* the catalogue has the pool */
+    uint32_t visible_share;
+    cat_pool pool;
+    const cat_catalogue *catalogue;
+
+    disp_account *accounts;
+    uint32_t account_count;
+    uint32_t account_capacity;
+    uint32_t free_account;
+    map_map account_map;
+    disp_list idle_list;
+    uint32_t active_accounts;
+    heap_heap heaps[DISP_HEAP_COUNT];
+
+    disp_demand *demands;
+    uint32_t demand_count;
+    uint32_t demand_capacity;
+    uint32_t free_demand;
+    map_map demand_map; /* by entry and account */
+
+    disp_entry *entries;
+    uint32_t entry_count;
+    uint32_t entry_capacity;
+    uint32_t free_entry;
+    map_map entry_map;
+    lv_id *members;
+    uint32_t member_count;
+    uint32_t member_capacity;
+
+    disp_lease *leases;
+    uint32_t lease_count;
+    uint32_t lease_capacity;
+    uint32_t free_lease;
+    map_map lease_map;
+    uint64_t next_lease;
+    uint32_t leased;
+
+    disp_endpoint *endpoints;
+    uint32_t endpoint_count;
+    uint32_t endpoint_capacity;
+    map_map endpoint_map;
+    heap_heap free_endpoints; /* with room, least used first */
+
+    uint32_t epoch;      /* grows when contention begins after a calm */
+    int64_t base;        /* level of all accounts at the epoch's start */
+    int64_t virtual_now; /* least level at the last choice */
+    int64_t highest;     /* highest level ever charged */
+    lv_time calm_since;  /* when contention ended; LV_TIME_NEVER: it lasts */
+
+    uint32_t stamp;
+    uint64_t first_sequence; /* of GRANTs and SHARD_SUMs */
+    uint64_t sum_sequence;
+    lv_time next_sum;
+    uint32_t *scratch; /* handles, for the length of one call */
+    uint32_t scratch_capacity;
+    uint32_t *dirty; /* accounts for the next SHARD_SUM */
+    uint32_t dirty_count;
+    uint32_t dirty_capacity;
+    lv_id root;
+    uint64_t root_tenure;
+    uint64_t root_sequence;
+
+    uint32_t *touched; /* entries with something to send */
+    uint32_t touched_count;
+    uint32_t touched_capacity;
+    msg_grant *out_grants;
+    uint32_t out_grant_capacity;
+    uint64_t *out_recalls;
+    uint32_t out_recall_capacity;
+    msg_level *out_levels;
+    uint32_t out_level_count;
+    uint32_t out_level_capacity;
+    msg_service *out_services;
+    uint32_t out_service_capacity;
+
+    disp_events events;
+    lv_time next_tick;
+} disp_dispatcher;
+
 bool disp_init(disp_dispatcher *dispatcher, lv_host *host,
                const disp_settings *settings, lv_id self, lv_id pool,
                uint32_t shard, uint64_t tenure, lv_time now, err_error *error);
@@ -86,14 +347,19 @@
 
 void disp_read_counts(const disp_dispatcher *dispatcher, disp_counts *counts);
 
-/* The counter root of a pool: sums the shards' service per account. */
-typedef struct root_root root_root;
+/* What the fairness bound depends on, for one pool shard. */
+typedef struct disp_bound_input {
+    uint64_t largest_request; /* service units of the costliest request */
+    uint64_t slot_rate;       /* most service units per second of a slot */
+    uint32_t slots;           /* of the shard, or of all shards together */
+    uint32_t weight;          /* least weight of a backlogged account */
+    uint64_t quantum;
+    uint64_t urgent_credit;
+    lv_time report_interval; /* with the longest delay of a message */
+} disp_bound_input;
 
-bool root_init(root_root *root, lv_host *host, lv_id self, lv_id pool,
-               uint64_t tenure, lv_time now, err_error *error);
-void root_finish(root_root *root);
-bool root_take_shard_sum(root_root *root, lv_time now,
-                         const msg_message *message);
-void root_tick(root_root *root, lv_time now);
+/* The largest difference of service / weight that two accounts, both
+ * backlogged all the time, can have; docs/FAIRNESS.md derives it. */
+uint64_t disp_fairness_bound(const disp_bound_input *input);
 
 #endif
--- /dev/null
+++ b/packages/core/source/dispatcher-choose.c
@@ -0,0 +1,253 @@
+#include "dispatcher-imp.h"
+
+/* An entry keeps this many idle leases for any account in a calm pool. */
+enum {
+    FLOAT_LEASES = 1
+};
+
+static uint32_t
+alternatives(const heap_heap *heap)
+{
+    return heap->count > 0 ? heap->count - 1 : 0;
+}
+
+/* The account that gets the next free slot. */
+static uint32_t
+choose_account(disp_dispatcher *disp, const char **reason)
+{
+    const heap_heap *ready = &disp->heaps[DISP_READY];
+    const heap_heap *urgent = &disp->heaps[DISP_READY_URGENT];
+    uint32_t account = heap_top(ready);
+
+    disp->events.decisions++;
+    *reason = "least-counter";
+    if (urgent->count > 0 && heap_top_key(urgent) - heap_top_key(ready) <=
+                                 (int64_t)disp->pool.urgent_credit) {
+        account = heap_top(urgent);
+        *reason = "urgent";
+    }
+    return account;
+}
+
+static bool
+grant_one(disp_dispatcher *disp, lv_time now)
+{
+    const char *reason;
+    uint32_t endpoint = heap_top(&disp->free_endpoints);
+    uint32_t least = heap_top(&disp->heaps[DISP_READY]);
+    uint32_t account;
+    uint32_t demand;
+
+    if (endpoint == LV_HANDLE_NONE || least == LV_HANDLE_NONE) {
+        return false;
+    }
+    if (disp->accounts[least].level > disp->virtual_now) {
+        disp->virtual_now = disp->accounts[least].level;
+    }
+    account = choose_account(disp, &reason);
+    demand = heap_top(&disp->accounts[account].demands);
+    return slot_lease_grant(disp, now, endpoint, disp->demands[demand].entry,
+                            demand, reason,
+                            alternatives(&disp->heaps[DISP_READY])) !=
+           LV_HANDLE_NONE;
+}
+
+/* One lease of an account's; its entries take turns. A lease whose request
+ * is deferrable goes first. */
+static uint32_t
+pick_lease(disp_dispatcher *disp, uint32_t account)
+{
+    disp_list *holders = &disp->accounts[account].holders;
+    disp_rows rows = DISP_ROWS(disp->demands, of_holders);
+    uint32_t demand = holders->first;
+    uint32_t lease = disp->demands[demand].leases.first;
+
+    disp_list_remove(holders, rows, demand);
+    disp_list_add(holders, rows, demand);
+    for (uint32_t row = lease; row != LV_HANDLE_NONE;
+         row = disp->leases[row].of_demand.next) {
+        if (!disp->leases[row].is_busy ||
+            disp->leases[row].priority == CAT_DEFERRABLE) {
+            return row;
+        }
+    }
+    return lease;
+}
+
+static bool
+recall_for_lead(disp_dispatcher *disp, lv_time now)
+{
+    const heap_heap *want = &disp->heaps[DISP_WANT];
+    const heap_heap *hold = &disp->heaps[DISP_HOLD];
+    uint32_t least = heap_top(want);
+    uint32_t most = heap_top(hold);
+    int64_t lead;
+
+    if (least == LV_HANDLE_NONE || most == LV_HANDLE_NONE || least == most) {
+        return false;
+    }
+    lead = -heap_top_key(hold) - heap_top_key(want);
+    if (lead <= (int64_t)disp->pool.quantum) {
+        return false;
+    }
+    slot_lease_recall(disp, now, pick_lease(disp, most),
+                      heap_top(&disp->accounts[least].demands), "lead",
+                      alternatives(hold));
+    return true;
+}
+
+/* The demand of an account's that has urgent work no recall is meant for. */
+static uint32_t
+urgent_demand(const disp_dispatcher *disp, uint32_t account)
+{
+    const heap_heap *demands = &disp->accounts[account].demands;
+
+    for (uint32_t i = 0; i < demands->count; i++) {
+        uint32_t row = demands->nodes[i].item;
+
+        if (disp->demands[row].urgent_wanted > 0) {
+            return row;
+        }
+    }
+    return LV_HANDLE_NONE;
+}
+
+static bool
+recall_for_urgent(disp_dispatcher *disp, lv_time now)
+{
+    const heap_heap *urgent = &disp->heaps[DISP_WANT_URGENT];
+    const heap_heap *hold = &disp->heaps[DISP_HOLD];
+    uint32_t account = heap_top(urgent);
+    uint32_t most = heap_top(hold);
+    uint32_t lease;
+    uint32_t demand;
+
+    if (account == LV_HANDLE_NONE || most == LV_HANDLE_NONE ||
+        heap_top_key(urgent) - heap_top_key(&disp->heaps[DISP_READY]) >
+            (int64_t)disp->pool.urgent_credit) {
+        return false;
+    }
+    demand = urgent_demand(disp, account);
+    lease = pick_lease(disp, most);
+    if (demand == LV_HANDLE_NONE ||
+        (disp->leases[lease].is_busy &&
+         disp->leases[lease].priority == CAT_URGENT)) {
+        return false;
+    }
+    slot_lease_recall(disp, now, lease, demand, "urgent", alternatives(hold));
+    return true;
+}
+
+/* Say at once that the pool is contended, so that idle leases come back. */
+static void
+begin_contention(disp_dispatcher *disp, lv_time now)
+{
+    lv_time calm = disp->settings.report_interval * DISP_CALM_REPORTS;
+
+    if (lv_elapsed(now, disp->calm_since) >= calm) {
+        disp_account_new_epoch(disp, now);
+    }
+    for (uint32_t row = 0; row < disp->entry_count; row++) {
+        if (disp->entries[row].leases > 0) {
+            disp_send_mark(disp, row);
+        }
+    }
+}
+
+static void
+set_contended(disp_dispatcher *disp, lv_time now)
+{
+    bool is_contended = disp->heaps[DISP_READY].count > 0;
+
+    if (is_contended == disp->is_contended) {
+        return;
+    }
+    disp->is_contended = is_contended;
+    if (is_contended) {
+        begin_contention(disp, now);
+    }
+    else {
+        disp->calm_since = now;
+    }
+}
+
+void
+disp_choose(disp_dispatcher *disp, lv_time now)
+{
+    if (!disp->is_settled) {
+        return;
+    }
+    while (grant_one(disp, now)) {
+    }
+    set_contended(disp, now);
+    if (!disp->is_contended) {
+        return;
+    }
+    while (recall_for_urgent(disp, now)) {
+    }
+    while (recall_for_lead(disp, now)) {
+    }
+}
+
+void
+disp_choose_float(disp_dispatcher *disp, lv_time now, uint32_t row)
+{
+    const disp_entry *entry = &disp->entries[row];
+    uint32_t endpoint = heap_top(&disp->free_endpoints);
+
+    if (!disp->is_settled || disp->is_contended || !entry->is_fresh ||
+        !entry->is_member || entry->recent == 0 ||
+        entry->idle_any >= FLOAT_LEASES || endpoint == LV_HANDLE_NONE) {
+        return;
+    }
+    slot_lease_grant(disp, now, endpoint, row, LV_HANDLE_NONE, "float", 0);
+}
+
+/* Within an account: when its leases at one entry have used a quantum, one
+ * goes to the entry whose request waits longest. */
+void
+disp_choose_move(disp_dispatcher *disp, lv_time now, uint32_t row)
+{
+    int64_t quantum = (int64_t)disp->pool.quantum;
+    disp_demand *from = &disp->demands[row];
+    disp_account *account = &disp->accounts[from->account];
+
+    while (from->held > 0 && from->used >= quantum) {
+        uint32_t oldest = heap_top(&account->demands);
+
+        if (oldest == LV_HANDLE_NONE || oldest == row ||
+            disp->demands[oldest].wanted == 0) {
+            break;
+        }
+        slot_lease_recall(disp, now, from->leases.first, oldest, "move",
+                          alternatives(&account->demands));
+        from->used -= quantum > 0 ? quantum : from->used + 1;
+    }
+    if (from->used > quantum) {
+        from->used = quantum;
+    }
+}
+
+void
+disp_check_settled(disp_dispatcher *disp, lv_time now)
+{
+    bool is_settled = lv_elapsed(now, disp->started) >= disp->settings.settle;
+
+    if (disp->is_settled) {
+        return;
+    }
+    if (!is_settled && disp->member_count > 0) {
+        is_settled = true;
+        for (uint32_t i = 0; i < disp->member_count && is_settled; i++) {
+            uint32_t row = disp_entry_find(disp, disp->members[i]);
+
+            is_settled =
+                row != LV_HANDLE_NONE && disp->entries[row].has_claimed;
+        }
+    }
+    if (is_settled) {
+        disp->is_settled = true;
+        disp->virtual_now = disp->highest;
+        disp->calm_since = now;
+    }
+}
--- /dev/null
+++ b/packages/core/source/dispatcher-counts.c
@@ -0,0 +1,75 @@
+#include <string.h>
+
+#include "dispatcher-imp.h"
+
+static size_t
+table_memory(const disp_dispatcher *disp)
+{
+    return disp->account_capacity * sizeof *disp->accounts +
+           disp->demand_capacity * sizeof *disp->demands +
+           disp->entry_capacity * sizeof *disp->entries +
+           disp->member_capacity * sizeof *disp->members +
+           disp->lease_capacity * sizeof *disp->leases +
+           disp->endpoint_capacity * sizeof *disp->endpoints +
+           disp->scratch_capacity * sizeof *disp->scratch +
+           disp->dirty_capacity * sizeof *disp->dirty +
+           disp->touched_capacity * sizeof *disp->touched +
+           disp->out_grant_capacity * sizeof *disp->out_grants +
+           disp->out_recall_capacity * sizeof *disp->out_recalls +
+           disp->out_level_capacity * sizeof *disp->out_levels +
+           disp->out_service_capacity * sizeof *disp->out_services;
+}
+
+static size_t
+index_memory(const disp_dispatcher *disp)
+{
+    size_t slots = (size_t)disp->account_map.capacity +
+                   disp->demand_map.capacity + disp->entry_map.capacity +
+                   disp->lease_map.capacity + disp->endpoint_map.capacity;
+    size_t nodes = disp->free_endpoints.capacity;
+
+    for (int i = 0; i < DISP_HEAP_COUNT; i++) {
+        nodes += disp->heaps[i].capacity;
+    }
+    for (uint32_t row = 0; row < disp->account_count; row++) {
+        if (disp->accounts[row].id != LV_ID_NONE) {
+            nodes += disp->accounts[row].demands.capacity;
+        }
+    }
+    return slots * sizeof(map_slot) + nodes * sizeof(heap_node);
+}
+
+static int64_t
+backlog_lead(const disp_dispatcher *disp)
+{
+    const heap_heap *ready = &disp->heaps[DISP_READY];
+    int64_t least = INT64_MAX;
+    int64_t most = INT64_MIN;
+
+    for (uint32_t i = 0; i < ready->count; i++) {
+        int64_t level = disp->accounts[ready->nodes[i].item].level;
+
+        least = level < least ? level : least;
+        most = level > most ? level : most;
+    }
+    return ready->count > 0 ? most - least : 0;
+}
+
+void
+disp_read_counts(const disp_dispatcher *disp, disp_counts *counts)
+{
+    memset(counts, 0, sizeof *counts);
+    counts->grants = disp->events.grants;
+    counts->recalls = disp->events.recalls;
+    counts->expired = disp->events.expired;
+    counts->stale_reports = disp->events.stale_reports;
+    counts->decisions = disp->events.decisions;
+    for (uint32_t row = 0; row < disp->endpoint_count; row++) {
+        counts->slots += disp->endpoints[row].cap;
+    }
+    counts->leased = disp->leased;
+    counts->active_accounts = disp->active_accounts;
+    counts->lead = backlog_lead(disp);
+    counts->is_settled = disp->is_settled;
+    counts->memory = table_memory(disp) + index_memory(disp);
+}
--- /dev/null
+++ b/packages/core/source/dispatcher-role.c
@@ -0,0 +1,282 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "dispatcher-imp.h"
+#include "lavender/hash.h"
+
+/* The role looks after silent entries this often in a report interval. */
+enum {
+    TICKS_PER_REPORT = 2
+};
+
+static uint32_t *
+place_in(void *owner, uint32_t row, disp_heap heap)
+{
+    disp_dispatcher *disp = owner;
+
+    return &disp->accounts[row].places[heap];
+}
+
+static uint32_t *
+ready_place(void *owner, uint32_t row)
+{
+    return place_in(owner, row, DISP_READY);
+}
+
+static uint32_t *
+ready_urgent_place(void *owner, uint32_t row)
+{
+    return place_in(owner, row, DISP_READY_URGENT);
+}
+
+static uint32_t *
+want_place(void *owner, uint32_t row)
+{
+    return place_in(owner, row, DISP_WANT);
+}
+
+static uint32_t *
+want_urgent_place(void *owner, uint32_t row)
+{
+    return place_in(owner, row, DISP_WANT_URGENT);
+}
+
+static uint32_t *
+hold_place(void *owner, uint32_t row)
+{
+    return place_in(owner, row, DISP_HOLD);
+}
+
+static heap_place *const places[DISP_HEAP_COUNT] = {
+    [DISP_READY] = ready_place, [DISP_READY_URGENT] = ready_urgent_place,
+    [DISP_WANT] = want_place,   [DISP_WANT_URGENT] = want_urgent_place,
+    [DISP_HOLD] = hold_place,
+};
+
+static bool
+check_settings(const disp_settings *settings, err_error *error)
+{
+    if (settings->lease_ttl == 0 || settings->report_interval == 0) {
+        return err_set(error, ERR_BAD_VALUE,
+                       "give both a length above zero, such as 2s and 100ms",
+                       "lease_ttl or report_interval is zero");
+    }
+    if (settings->report_interval * 2 > settings->lease_ttl) {
+        return err_set(error, ERR_CONFLICT,
+                       "make lease_ttl at least twice report_interval",
+                       "leases end before a report can renew them");
+    }
+    return true;
+}
+
+static uint64_t
+first_lease(const disp_dispatcher *disp)
+{
+    uint64_t id = map_mix(disp->self ^ map_mix(disp->started + 1));
+
+    id = map_mix(id ^ map_mix(disp->pool_id ^ disp->shard));
+    id = map_mix(id + disp->tenure);
+    return id != 0 ? id : 1;
+}
+
+bool
+disp_init(disp_dispatcher *disp, lv_host *host, const disp_settings *settings,
+          lv_id self, lv_id pool, uint32_t shard, uint64_t tenure, lv_time now,
+          err_error *error)
+{
+    memset(disp, 0, sizeof *disp);
+    if (!check_settings(settings, error)) {
+        return false;
+    }
+    disp->host = host;
+    disp->settings = *settings;
+    disp->self = self;
+    disp->pool_id = pool;
+    disp->shard = shard;
+    disp->shard_count = shard + 1;
+    disp->tenure = tenure;
+    disp->started = now;
+    disp->calm_since = now;
+    disp->visible_share = 1000;
+    disp->first_sequence = now;
+    disp->sum_sequence = now;
+    disp->next_lease = first_lease(disp);
+    disp->free_account = LV_HANDLE_NONE;
+    disp->free_demand = LV_HANDLE_NONE;
+    disp->free_entry = LV_HANDLE_NONE;
+    disp->free_lease = LV_HANDLE_NONE;
+    disp_list_init(&disp->idle_list);
+    for (int i = 0; i < DISP_HEAP_COUNT; i++) {
+        heap_init(&disp->heaps[i], places[i], disp);
+    }
+    heap_init(&disp->free_endpoints, slot_endpoint_place, disp);
+    return true;
+}
+
+void
+disp_finish(disp_dispatcher *disp)
+{
+    for (uint32_t row = 0; row < disp->account_count; row++) {
+        heap_finish(&disp->accounts[row].demands);
+    }
+    for (int i = 0; i < DISP_HEAP_COUNT; i++) {
+        heap_finish(&disp->heaps[i]);
+    }
+    heap_finish(&disp->free_endpoints);
+    map_finish(&disp->account_map);
+    map_finish(&disp->demand_map);
+    map_finish(&disp->entry_map);
+    map_finish(&disp->lease_map);
+    map_finish(&disp->endpoint_map);
+    free(disp->accounts);
+    free(disp->demands);
+    free(disp->entries);
+    free(disp->members);
+    free(disp->leases);
+    free(disp->endpoints);
+    free(disp->scratch);
+    free(disp->dirty);
+    free(disp->touched);
+    free(disp->out_grants);
+    free(disp->out_recalls);
+    free(disp->out_levels);
+    free(disp->out_services);
+    memset(disp, 0, sizeof *disp);
+}
+
+static uint32_t
+count_endpoints(const disp_dispatcher *disp, const world_lists *lists)
+{
+    uint32_t count = 0;
+
+    for (uint32_t i = 0; i < lists->endpoint_count; i++) {
+        count += lists->endpoints[i].pool == disp->pool_id;
+    }
+    return count;
+}
+
+/* A new bound of slots comes into force at once; what the load reports took
+ * away stays away until they give it back. */
+static void
+set_bound(disp_endpoint *endpoint, uint32_t bound)
+{
+    if (endpoint->limit == endpoint->bound || endpoint->limit > bound) {
+        endpoint->limit = bound;
+    }
+    if (endpoint->limit == 0 && bound > 0) {
+        endpoint->limit = 1;
+    }
+    endpoint->bound = bound;
+}
+
+static void
+take_endpoint(disp_dispatcher *disp, const ep_endpoint *from)
+{
+    uint32_t row;
+
+    if (from->pool != disp->pool_id ||
+        hrw_shard_of(from->id, disp->shard_count) != disp->shard) {
+        return;
+    }
+    row = slot_endpoint_make(disp, from->id);
+    if (row != LV_HANDLE_NONE) {
+        disp->endpoints[row].is_listed = true;
+        disp->endpoints[row].is_leaving = from->leaving;
+        set_bound(&disp->endpoints[row],
+                  from->slots > 0 ? from->slots : disp->pool.slots);
+    }
+}
+
+static void
+take_endpoints(disp_dispatcher *disp, lv_time now, const world_lists *lists)
+{
+    for (uint32_t row = 0; row < disp->endpoint_count; row++) {
+        disp->endpoints[row].is_listed = false;
+    }
+    if (lists != NULL && disp->has_pool) {
+        disp->shard_count = hrw_shard_count(count_endpoints(disp, lists),
+                                            disp->pool.shard_endpoints);
+        for (uint32_t i = 0; i < lists->endpoint_count; i++) {
+            take_endpoint(disp, &lists->endpoints[i]);
+        }
+    }
+    for (uint32_t row = 0; row < disp->endpoint_count; row++) {
+        slot_endpoint_refresh(disp, now, row);
+    }
+}
+
+void
+disp_set_views(disp_dispatcher *disp, lv_time now,
+               const cat_catalogue *catalogue, const world_lists *lists)
+{
+    lv_handle pool = LV_HANDLE_NONE;
+
+    disp->catalogue = catalogue;
+    if (catalogue != NULL) {
+        pool = cat_find_pool(catalogue, disp->pool_id);
+    }
+    disp->has_pool = pool != LV_HANDLE_NONE;
+    if (disp->has_pool) {
+        disp->pool = catalogue->pools[pool];
+    }
+    take_endpoints(disp, now, lists);
+    disp_account_limits_changed(disp, now);
+    disp_choose(disp, now);
+    disp_send_marked(disp);
+}
+
+void
+disp_set_root(disp_dispatcher *disp, lv_id root)
+{
+    disp->root = root;
+}
+
+bool
+disp_take_pool_sum(disp_dispatcher *disp, lv_time now,
+                   const msg_message *message)
+{
+    if (message->kind != MSG_POOL_SUM || message->pool != disp->pool_id ||
+        message->tenure < disp->root_tenure ||
+        (message->tenure == disp->root_tenure &&
+         message->sequence <= disp->root_sequence)) {
+        disp->events.stale_reports++;
+        return false;
+    }
+    disp->root_tenure = message->tenure;
+    disp->root_sequence = message->sequence;
+    for (uint32_t i = 0; i < message->level_count; i++) {
+        uint32_t row =
+            map_find(&disp->account_map, message->levels[i].account);
+
+        if (row != LV_HANDLE_NONE) {
+            disp_account_add_foreign(disp, now, row, message->tenure,
+                                     message->levels[i].level);
+        }
+    }
+    disp_choose(disp, now);
+    disp_send_marked(disp);
+    return true;
+}
+
+void
+disp_tick(disp_dispatcher *disp, lv_time now)
+{
+    disp_check_settled(disp, now);
+    disp_entry_sweep(disp, now);
+    disp_account_sweep(disp, now);
+    disp_choose(disp, now);
+    disp_send_marked(disp);
+    disp_send_sum(disp, now);
+    disp->next_tick = now + disp->settings.report_interval / TICKS_PER_REPORT;
+}
+
+lv_time
+disp_next_tick(const disp_dispatcher *disp)
+{
+    lv_time settled = disp->started + disp->settings.settle;
+
+    if (!disp->is_settled && settled < disp->next_tick) {
+        return settled;
+    }
+    return disp->next_tick;
+}
--- /dev/null
+++ b/packages/core/source/slot-lease.c
@@ -0,0 +1,288 @@
+#include <string.h>
+
+#include "dispatcher-imp.h"
+#include "table-imp.h"
+
+static uint32_t
+new_row(disp_dispatcher *disp, uint64_t id)
+{
+    uint32_t row = disp->free_lease;
+
+    if (!table_reserve((void **)&disp->leases, &disp->lease_capacity,
+                       disp->lease_count + 1, sizeof *disp->leases)) {
+        return LV_HANDLE_NONE;
+    }
+    if (row == LV_HANDLE_NONE) {
+        row = disp->lease_count;
+    }
+    if (!map_set(&disp->lease_map, id, row)) {
+        return LV_HANDLE_NONE;
+    }
+    if (row == disp->lease_count) {
+        disp->lease_count++;
+    }
+    else {
+        disp->free_lease = disp->leases[row].of_entry.next;
+    }
+    memset(&disp->leases[row], 0, sizeof disp->leases[row]);
+    disp->leases[row].id = id;
+    disp->leases[row].demand = LV_HANDLE_NONE;
+    disp->leases[row].meant_for = LV_HANDLE_NONE;
+    return row;
+}
+
+/* Count a lease, that is not recalled, to its demand and account. */
+static void
+attach(disp_dispatcher *disp, uint32_t row, uint32_t demand_row)
+{
+    disp_demand *demand = &disp->demands[demand_row];
+    disp_account *account = &disp->accounts[demand->account];
+
+    disp->leases[row].demand = demand_row;
+    if (demand->held++ == 0) {
+        disp_list_add(&account->holders, DISP_ROWS(disp->demands, of_holders),
+                      demand_row);
+    }
+    disp_list_add(&demand->leases, DISP_ROWS(disp->leases, of_demand), row);
+    account->held++;
+    account->leased++;
+}
+
+/* A lease no longer counts as held, because it is recalled or gone. */
+static void
+drop_hold(disp_dispatcher *disp, uint32_t row)
+{
+    uint32_t demand_row = disp->leases[row].demand;
+    disp_demand *demand = &disp->demands[demand_row];
+    disp_account *account = &disp->accounts[demand->account];
+
+    disp_list_remove(&demand->leases, DISP_ROWS(disp->leases, of_demand), row);
+    if (--demand->held == 0) {
+        disp_list_remove(&account->holders,
+                         DISP_ROWS(disp->demands, of_holders), demand_row);
+    }
+    account->held--;
+}
+
+static void
+detach(disp_dispatcher *disp, lv_time now, uint32_t row)
+{
+    disp_lease *lease = &disp->leases[row];
+    uint32_t demand_row = lease->demand;
+    disp_account *account;
+
+    if (demand_row == LV_HANDLE_NONE) {
+        return;
+    }
+    if (!lease->is_recalled) {
+        drop_hold(disp, row);
+    }
+    account = &disp->accounts[disp->demands[demand_row].account];
+    account->leased--;
+    if (lease->is_pending) {
+        disp->demands[demand_row].pending--;
+        account->pending--;
+    }
+    lease->demand = LV_HANDLE_NONE;
+    disp_demand_refresh(disp, now, demand_row);
+}
+
+static void
+start_lease(disp_dispatcher *disp, uint32_t row, uint32_t endpoint,
+            uint32_t entry)
+{
+    disp_lease *lease = &disp->leases[row];
+
+    lease->endpoint = endpoint;
+    lease->entry = entry;
+    disp_list_add(&disp->entries[entry].lease_list,
+                  DISP_ROWS(disp->leases, of_entry), row);
+    disp_list_add(&disp->endpoints[endpoint].lease_list,
+                  DISP_ROWS(disp->leases, of_endpoint), row);
+    disp->entries[entry].leases++;
+    disp->endpoints[endpoint].leased++;
+    disp->leased++;
+}
+
+static void
+log_lease(disp_dispatcher *disp, lv_decision_kind kind, uint32_t row,
+          const char *reason, uint32_t alternatives)
+{
+    const disp_lease *lease = &disp->leases[row];
+    uint32_t account = lease->demand == LV_HANDLE_NONE
+                           ? LV_HANDLE_NONE
+                           : disp->demands[lease->demand].account;
+    lv_decision decision = {
+        .kind = kind,
+        .reason = reason,
+        .account = disp_account_name(disp, account),
+        .pool = disp->has_pool ? disp->pool.name : NULL,
+        .endpoint = disp->endpoints[lease->endpoint].id,
+        .instance = disp->entries[lease->entry].id,
+        .value = lease->id,
+        .alternatives = alternatives,
+    };
+
+    disp->host->ops->log_decision(disp->host, &decision);
+}
+
+uint32_t
+slot_lease_grant(disp_dispatcher *disp, lv_time now, uint32_t endpoint,
+                 uint32_t entry, uint32_t demand, const char *reason,
+                 uint32_t alternatives)
+{
+    uint32_t row = new_row(disp, disp->next_lease);
+
+    if (row == LV_HANDLE_NONE) {
+        return row;
+    }
+    if (++disp->next_lease == 0) {
+        disp->next_lease = 1;
+    }
+    start_lease(disp, row, endpoint, entry);
+    disp->leases[row].is_pending = true;
+    disp_list_add(&disp->entries[entry].sent_list,
+                  DISP_ROWS(disp->leases, of_sent), row);
+    if (demand != LV_HANDLE_NONE) {
+        attach(disp, row, demand);
+        disp->demands[demand].pending++;
+        disp->accounts[disp->demands[demand].account].pending++;
+        disp_demand_refresh(disp, now, demand);
+    }
+    slot_endpoint_refresh(disp, now, endpoint);
+    disp->events.grants++;
+    log_lease(disp, LV_DECIDE_GRANT, row, reason, alternatives);
+    disp_send_mark(disp, entry);
+    return row;
+}
+
+uint32_t
+slot_lease_adopt(disp_dispatcher *disp, lv_time now, uint32_t entry,
+                 const msg_held *held)
+{
+    uint32_t endpoint = slot_endpoint_make(disp, held->endpoint);
+    uint32_t row;
+
+    if (endpoint == LV_HANDLE_NONE || held->lease == 0) {
+        return LV_HANDLE_NONE;
+    }
+    row = new_row(disp, held->lease);
+    if (row != LV_HANDLE_NONE) {
+        start_lease(disp, row, endpoint, entry);
+        slot_endpoint_refresh(disp, now, endpoint);
+    }
+    return row;
+}
+
+void
+slot_lease_bind(disp_dispatcher *disp, lv_time now, uint32_t row,
+                uint32_t demand)
+{
+    disp_lease *lease = &disp->leases[row];
+
+    if (lease->demand == demand || lease->is_recalled || lease->is_pending) {
+        return;
+    }
+    detach(disp, now, row);
+    if (demand != LV_HANDLE_NONE) {
+        attach(disp, row, demand);
+        disp_demand_refresh(disp, now, demand);
+    }
+}
+
+static void
+set_meant_for(disp_dispatcher *disp, lv_time now, uint32_t row,
+              uint32_t demand)
+{
+    uint32_t old = disp->leases[row].meant_for;
+
+    disp->leases[row].meant_for = demand;
+    if (old != LV_HANDLE_NONE) {
+        disp->demands[old].promised--;
+        disp->accounts[disp->demands[old].account].promised--;
+        disp_demand_refresh(disp, now, old);
+    }
+    if (demand != LV_HANDLE_NONE) {
+        disp->demands[demand].promised++;
+        disp->accounts[disp->demands[demand].account].promised++;
+        disp_demand_refresh(disp, now, demand);
+    }
+}
+
+void
+slot_lease_recall(disp_dispatcher *disp, lv_time now, uint32_t row,
+                  uint32_t meant_for, const char *reason,
+                  uint32_t alternatives)
+{
+    disp_lease *lease = &disp->leases[row];
+
+    if (lease->is_recalled) {
+        return;
+    }
+    if (lease->demand != LV_HANDLE_NONE) {
+        drop_hold(disp, row);
+    }
+    lease->is_recalled = true;
+    disp->endpoints[lease->endpoint].recalled++;
+    set_meant_for(disp, now, row, meant_for);
+    if (lease->demand != LV_HANDLE_NONE) {
+        disp_demand_refresh(disp, now, lease->demand);
+    }
+    disp->events.recalls++;
+    log_lease(disp, LV_DECIDE_RECALL, row, reason, alternatives);
+    disp_send_mark(disp, lease->entry);
+}
+
+/* A grant that reached its entry has started one waiting request. */
+void
+slot_lease_seen(disp_dispatcher *disp, lv_time now, uint32_t row)
+{
+    disp_lease *lease = &disp->leases[row];
+    disp_demand *demand;
+    int priority;
+
+    lease->is_pending = false;
+    disp_list_remove(&disp->entries[lease->entry].sent_list,
+                     DISP_ROWS(disp->leases, of_sent), row);
+    if (lease->demand == LV_HANDLE_NONE) {
+        return;
+    }
+    demand = &disp->demands[lease->demand];
+    demand->pending--;
+    disp->accounts[demand->account].pending--;
+    priority = demand->waiting[CAT_URGENT] > 0 ? CAT_URGENT : CAT_DEFERRABLE;
+    if (demand->waiting[priority] > 0) {
+        demand->waiting[priority]--;
+        disp->accounts[demand->account].waiting--;
+    }
+    disp_demand_refresh(disp, now, lease->demand);
+}
+
+void
+slot_lease_free(disp_dispatcher *disp, lv_time now, uint32_t row)
+{
+    disp_lease *lease = &disp->leases[row];
+    uint32_t endpoint = lease->endpoint;
+
+    set_meant_for(disp, now, row, LV_HANDLE_NONE);
+    detach(disp, now, row);
+    if (lease->is_pending) {
+        disp_list_remove(&disp->entries[lease->entry].sent_list,
+                         DISP_ROWS(disp->leases, of_sent), row);
+    }
+    disp_list_remove(&disp->entries[lease->entry].lease_list,
+                     DISP_ROWS(disp->leases, of_entry), row);
+    disp_list_remove(&disp->endpoints[endpoint].lease_list,
+                     DISP_ROWS(disp->leases, of_endpoint), row);
+    disp->entries[lease->entry].leases--;
+    disp->endpoints[endpoint].leased--;
+    if (lease->is_recalled) {
+        disp->endpoints[endpoint].recalled--;
+    }
+    disp->leased--;
+    map_remove(&disp->lease_map, lease->id);
+    lease->id = 0;
+    lease->of_entry.next = disp->free_lease;
+    disp->free_lease = row;
+    slot_endpoint_refresh(disp, now, endpoint);
+}
--- a/packages/ctl/source/lavenderctl.c
+++ b/packages/ctl/source/lavenderctl.c
@@ -1,6 +1,5 @@
 #include <stdio.h>
 
-
 int
 main(void)
 {
