--- a/packages/net/source/callers-attempt.c
+++ b/packages/net/source/callers-attempt.c
@@ -228,7 +228,7 @@
         attempt->stream_id[0] = '\0';
     }
     if ((head->status == 429 || head->status == 503) &&
-        (request->is_engine || request->is_idempotent)) {
+        request->is_idempotent) {
         return break_off(request, ENTRY_END_BUSY);
     }
     attempt->is_framed = head->is_framed;
--- a/packages/net/source/callers-body.c
+++ b/packages/net/source/callers-body.c
@@ -4,63 +4,56 @@
 
 #include "callers-imp.h"
 
-/* As much of a prompt's beginning tells prompts with a common prefix. */
-#define PREFIX_BYTES 1024
+/* Engines name a cached prefix by the hash of so much of its beginning. */
+#define PREFIX_BYTES 64
 #define BYTES_PER_TOKEN 4
 
-typedef struct prompt_sum {
-    char prefix[PREFIX_BYTES];
-    size_t prefix_size;
-    size_t size;
-} prompt_sum;
-
-static void
-add_text(prompt_sum *sum, const json_t *text)
+static size_t
+text_size(const json_t *content)
 {
-    size_t length = json_string_length(text);
-    size_t room = sizeof sum->prefix - sum->prefix_size;
+    size_t size = json_string_length(content);
+    size_t i;
+    json_t *part;
 
-    if (!json_is_string(text)) {
-        return;
+    json_array_foreach(content, i, part)
+    {
+        size += json_string_length(json_object_get(part, "text"));
     }
-    sum->size += length;
-    length = length < room ? length : room;
-    memcpy(sum->prefix + sum->prefix_size, json_string_value(text), length);
-    sum->prefix_size += length;
+    return size;
 }
 
-/* A content is a text, or a list of parts of which some have a text. */
-static void
-add_content(prompt_sum *sum, const json_t *content)
+/* The prompt, or the first message. */
+static const json_t *
+find_beginning(const json_t *root)
 {
-    size_t i;
-    json_t *part;
+    const json_t *prompt = json_object_get(root, "prompt");
+    const json_t *content = json_object_get(
+        json_array_get(json_object_get(root, "messages"), 0), "content");
 
-    add_text(sum, content);
-    json_array_foreach(content, i, part)
-    {
-        add_text(sum, part);
-        add_text(sum, json_object_get(part, "text"));
+    if (prompt == NULL && json_is_array(content)) {
+        return json_object_get(json_array_get(content, 0), "text");
     }
+    return prompt == NULL ? content : prompt;
 }
 
 static void
 sum_prompt(const json_t *root, call_body *body)
 {
-    const json_t *messages = json_object_get(root, "messages");
-    prompt_sum sum = {.size = 0};
+    const json_t *beginning = find_beginning(root);
+    size_t size = text_size(json_object_get(root, "prompt"));
+    size_t prefix = json_string_length(beginning);
     size_t i;
     json_t *message;
 
-    add_content(&sum, json_object_get(root, "prompt"));
-    json_array_foreach(messages, i, message)
+    json_array_foreach(json_object_get(root, "messages"), i, message)
     {
-        add_text(&sum, json_object_get(message, "role"));
-        add_content(&sum, json_object_get(message, "content"));
+        size += text_size(json_object_get(message, "content"));
     }
-    body->input_units = sum.size / BYTES_PER_TOKEN + 1;
-    if (sum.prefix_size > 0) {
-        body->prefix_hash = XXH64(sum.prefix, sum.prefix_size, 0);
+    body->input_units = size / BYTES_PER_TOKEN + 1;
+    if (prefix > 0) {
+        body->prefix_hash =
+            XXH64(json_string_value(beginning),
+                  prefix < PREFIX_BYTES ? prefix : PREFIX_BYTES, 0);
     }
 }
 
--- a/packages/net/source/callers-imp.h
+++ b/packages/net/source/callers-imp.h
@@ -3,6 +3,7 @@
 
 #include "lavender-net/callers.h"
 #include "lavender-net/log.h"
+#include "lavender/map.h"
 #include "listen-imp.h"
 
 #define CALL_PATH_TICKETS "/v1/tickets"
@@ -88,6 +89,7 @@
     uint64_t number;
     lv_time arrived;
     lv_handle handle; /* of the entry; LV_HANDLE_NONE: not there */
+    uint32_t slot;
     lv_id account;
     char account_name[LV_NAME_SIZE];
     bool is_engine;
@@ -130,8 +132,10 @@
     call_request *freed;
     call_request *first_wanted;
     call_request **last_wanted;
-    call_request **by_handle;
-    uint32_t handle_count;
+    map_map handles;      /* of the entry, to slots */
+    call_request **slots; /* requests that the entry has */
+    uint32_t *free_slots;
+    uint32_t free_count;
     call_request *submitting;
     uint64_t next_number;
     struct pollfd *polled;
@@ -142,9 +146,8 @@
 
 /* callers-request.c */
 int request_take(h2o_handler_t *handler, h2o_req_t *req);
-void request_submit(call_request *request, const cat_catalogue *catalogue,
-                    lv_handle route, const call_body *body);
 call_request *request_of(call_server *server, lv_handle handle);
+bool request_make_table(call_server *server);
 bool request_add_memory(call_request *request, size_t size);
 h2o_iovec_t request_header(const h2o_req_t *req, const char *name);
 /* Is a header one of a list that ends with NULL? */
--- a/packages/net/source/callers-listen.c
+++ b/packages/net/source/callers-listen.c
@@ -30,6 +30,14 @@
     return true;
 }
 
+static void
+free_table(call_server *server)
+{
+    map_finish(&server->handles);
+    free(server->slots);
+    free(server->free_slots);
+}
+
 call_server *
 call_new(uv_loop_t *loop, const call_settings *settings, node_node *node,
          client_client *client, call_clock *clock, const char *instance,
@@ -51,11 +59,19 @@
     server->last_wanted = &server->first_wanted;
     met_histogram_init(&server->counts.latency);
     met_histogram_init(&server->counts.first_byte);
+    if (!request_make_table(server)) {
+        err_set(error, ERR_MEMORY, "allow fewer requests",
+                "the table of requests has no memory");
+        goto failed;
+    }
     if (!set_up_listener(server, error)) {
-        free(server);
-        return NULL;
+        goto failed;
     }
     return server;
+failed:
+    free_table(server);
+    free(server);
+    return NULL;
 }
 
 bool
@@ -96,7 +112,7 @@
 {
     call_start_queued(server);
     listen_finish(&server->listener);
-    free(server->by_handle);
+    free_table(server);
     free(server->polled);
     free(server->polled_requests);
     free(server);
--- a/packages/net/source/callers-request.c
+++ b/packages/net/source/callers-request.c
@@ -62,43 +62,74 @@
     return server->counts.memory <= server->settings.memory;
 }
 
+bool
+request_make_table(call_server *server)
+{
+    uint32_t count = server->settings.requests;
+    uint32_t i;
+
+    map_init(&server->handles);
+    server->slots = calloc(count, sizeof server->slots[0]);
+    server->free_slots = calloc(count, sizeof server->free_slots[0]);
+    if (server->slots == NULL || server->free_slots == NULL) {
+        return false;
+    }
+    for (i = 0; i < count; i++) {
+        server->free_slots[i] = i;
+    }
+    server->free_count = count;
+    return true;
+}
+
+/* Keys of the map are not zero. */
+static uint64_t
+handle_key(lv_handle handle)
+{
+    return (uint64_t)handle + 1;
+}
+
 call_request *
 request_of(call_server *server, lv_handle handle)
 {
-    call_request *request;
+    uint32_t slot = map_find(&server->handles, handle_key(handle));
 
-    if (handle < server->handle_count &&
-        (request = server->by_handle[handle]) != NULL) {
-        return request;
-    }
-    return server->submitting;
+    return slot == LV_HANDLE_NONE ? server->submitting : server->slots[slot];
 }
 
 static bool
 set_handle(call_request *request, lv_handle handle)
 {
     call_server *server = request->server;
-    uint32_t count = server->handle_count == 0 ? 64 : server->handle_count;
-    call_request **grown;
+    uint32_t slot;
 
-    while (count <= handle) {
-        count *= 2;
+    if (server->free_count == 0) {
+        return false;
     }
-    if (count > server->handle_count) {
-        grown = realloc(server->by_handle, count * sizeof grown[0]);
-        if (grown == NULL) {
-            return false;
-        }
-        memset(grown + server->handle_count, 0,
-               (count - server->handle_count) * sizeof grown[0]);
-        server->by_handle = grown;
-        server->handle_count = count;
+    slot = server->free_slots[server->free_count - 1];
+    if (!map_set(&server->handles, handle_key(handle), slot)) {
+        return false;
     }
-    server->by_handle[handle] = request;
+    server->free_count--;
+    server->slots[slot] = request;
+    request->slot = slot;
     request->handle = handle;
     return true;
 }
 
+static void
+clear_handle(call_request *request)
+{
+    call_server *server = request->server;
+
+    if (request->handle == LV_HANDLE_NONE) {
+        return;
+    }
+    map_remove(&server->handles, handle_key(request->handle));
+    server->slots[request->slot] = NULL;
+    server->free_slots[server->free_count++] = request->slot;
+    request->handle = LV_HANDLE_NONE;
+}
+
 static void
 refuse(call_request *request, out_reason reason)
 {
@@ -479,10 +510,7 @@
     }
     attempt_drop(request);
     request->is_wanted = false;
-    if (handle < server->handle_count) {
-        server->by_handle[handle] = NULL;
-    }
-    request->handle = LV_HANDLE_NONE;
+    clear_handle(request);
     if (!request->is_over) {
         request_end(request, outcome);
     }
--- a/packages/net/source/endpoints-load.c
+++ b/packages/net/source/endpoints-load.c
@@ -15,6 +15,7 @@
 
 /* What is known of one endpoint that this instance polls. */
 typedef struct load_target {
+    load_poller *poller;
     lv_id id;
     exch_call *call; /* NULL: no poll runs */
     uint64_t last_event;
@@ -40,11 +41,6 @@
     load_counts counts;
 };
 
-typedef struct poll_context {
-    load_poller *poller;
-    load_target *target;
-} poll_context;
-
 static const char *
 address_of(const load_poller *poller, lv_id endpoint)
 {
@@ -69,6 +65,7 @@
     size_t i;
     json_t *event;
     uint64_t number;
+    const char *prefix;
 
     json_array_foreach(events, i, event)
     {
@@ -82,6 +79,10 @@
         }
         target->last_event = number;
         poller->counts.cache_events++;
+        prefix = json_string_value(json_object_get(event, "prefix"));
+        entry_take_cache_event(node_entry(poller->node), target->id, number,
+                               prefix == NULL ? 0 : strtoull(prefix, NULL, 16),
+                               json_is_true(json_object_get(event, "kept")));
     }
 }
 
@@ -120,11 +121,9 @@
 static void
 on_load(void *context, const exch_answer *answer)
 {
-    poll_context *poll = context;
-    load_poller *poller = poll->poller;
-    load_target *target = poll->target;
+    load_target *target = context;
+    load_poller *poller = target->poller;
 
-    free(poll);
     target->call = NULL;
     poller->counts.bytes += answer->body_size;
     if (answer->status != STATUS_ACCEPTED) {
@@ -142,19 +141,14 @@
                           .path = "/v1/load",
                           .headers = "",
                           .max_answer = LOAD_ANSWER_MAX};
-    poll_context *context;
 
-    if (target->call != NULL || simple.address == NULL ||
-        (context = calloc(1, sizeof *context)) == NULL) {
+    if (target->call != NULL || simple.address == NULL) {
         return;
     }
-    context->poller = poller;
-    context->target = target;
     poller->counts.polls++;
-    target->call = exch_ask(poller->client, &simple, on_load, context);
+    target->call = exch_ask(poller->client, &simple, on_load, target);
     if (target->call == NULL) {
         poller->counts.failures++;
-        free(context);
     }
 }
 
@@ -174,6 +168,7 @@
         return NULL;
     }
     target->id = endpoint;
+    target->poller = poller;
     poller->targets[poller->count++] = target;
     return target;
 }
