--- a/packages/net/source/link-authenticate.c
+++ b/packages/net/source/link-authenticate.c
@@ -109,7 +109,7 @@
 static void
 answer_all(link_link *link)
 {
-    zap_request request;
+    zap_request request = {0};
 
     while (receive_request(link->authenticator, &request)) {
         answer(link, &request);
