Take a close between two chunks for a cut answer

Cause: h2o's client reports the end of a chunked body when the connection closes between two chunks, so a cut answer looked whole; after a malformed chunk it also left the undecoded bytes in its buffer. Change: an end that comes without bytes is a loss, and nothing is passed on after an error. Tests of the exchange, of bodies and of streams.

--- a/packages/net/source/endpoints-exchange.c
+++ b/packages/net/source/endpoints-exchange.c
@@ -20,6 +20,7 @@
     bool is_cancelled;
     bool is_paused;
     bool is_reading_body;
+    bool is_chunked;
     char head[];
 };
 
@@ -112,19 +113,30 @@
     }
 }
 
+/* h2o takes a connection that closes between two chunks for the end of the
+ * body. The last chunk comes with bytes, the close without. */
+static bool
+is_cut(const exch_exchange *exchange, const char *error)
+{
+    return error == h2o_http1client_error_is_eos && exchange->is_chunked &&
+           exchange->http->sock->bytes_read == 0;
+}
+
 static int
 on_body(h2o_http1client_t *http, const char *error)
 {
     exch_exchange *exchange = http->data;
+    bool has_bytes = error == NULL || error == h2o_http1client_error_is_eos;
 
     exchange->is_calling = true;
     exchange->is_reading_body = true;
-    if (!pass_body(exchange)) {
+    if (has_bytes && !pass_body(exchange)) {
         exchange->is_cancelled = true;
     }
     exchange->is_calling = false;
     if (error != NULL) {
-        finish(exchange, end_of(exchange, error));
+        finish(exchange,
+               is_cut(exchange, error) ? EXCH_LOST : end_of(exchange, error));
         return 0;
     }
     if (exchange->is_cancelled) {
@@ -137,7 +149,8 @@
 }
 
 static void
-read_head(exch_head *head, int status, h2o_header_t *headers, size_t count)
+read_head(exch_exchange *exchange, exch_head *head, int status,
+          h2o_header_t *headers, size_t count)
 {
     size_t i;
 
@@ -153,6 +166,7 @@
         }
         else if (headers[i].name == &H2O_TOKEN_TRANSFER_ENCODING->buf) {
             head->is_framed = true;
+            exchange->is_chunked = true;
         }
     }
 }
@@ -174,7 +188,7 @@
         return NULL;
     }
     set_deadline(exchange, &exchange->client->idle_timeout);
-    read_head(&head, status, headers, count);
+    read_head(exchange, &head, status, headers, count);
     head.is_framed |= is_end;
     exchange->is_calling = true;
     if (exchange->ops->head != NULL &&
--- /dev/null
+++ b/tests/net/script-server.h
@@ -0,0 +1,28 @@
+/*
+ * A server on loopback that answers each connection with given bytes, in a
+ * thread of its own.
+ */
+#ifndef SCRIPT_SERVER_H
+#define SCRIPT_SERVER_H
+
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stddef.h>
+
+typedef struct script_server {
+    const char *answer; /* NULL: stay silent */
+    size_t repeat;      /* then so many bytes of filling */
+    int keeps_open;     /* do not close after the answer */
+    char address[64];
+    int listener;
+    pthread_t thread;
+    atomic_int connections;
+    atomic_int requests;
+    atomic_size_t sent; /* bytes of filling */
+    atomic_int stop;
+} script_server;
+
+void script_start(script_server *server);
+void script_stop(script_server *server);
+
+#endif
--- /dev/null
+++ b/tests/net/test-exchange.c
@@ -0,0 +1,296 @@
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+#include <string.h>
+
+#include "lavender-net/endpoints.h"
+#include "script-server.h"
+
+#define REQUEST "GET / HTTP/1.1\r\nhost: test\r\n\r\n"
+#define FILLING_SIZE ((size_t)32 * 1024 * 1024)
+#define PAUSED_MS 300
+
+typedef struct watcher {
+    uv_loop_t *loop;
+    bool is_refused;
+    bool is_paused;
+    bool is_ended;
+    int ready;
+    exch_end end;
+    exch_head head;
+    size_t size;
+    exch_exchange *exchange;
+} watcher;
+
+static bool
+on_ready(void *owner)
+{
+    watcher *self = owner;
+
+    self->ready++;
+    return !self->is_refused;
+}
+
+static bool
+on_head(void *owner, const exch_head *head)
+{
+    watcher *self = owner;
+
+    self->head = *head;
+    self->head.headers = NULL;
+    return true;
+}
+
+static bool
+on_body(void *owner, const char *bytes, size_t size)
+{
+    watcher *self = owner;
+
+    (void)bytes;
+    self->size += size;
+    if (self->is_paused) {
+        exch_set_paused(self->exchange, true);
+    }
+    return true;
+}
+
+static void
+on_end(void *owner, exch_end end)
+{
+    watcher *self = owner;
+
+    cr_assert(!self->is_ended);
+    self->is_ended = true;
+    self->end = end;
+    uv_stop(self->loop);
+}
+
+static const exch_ops ops = {on_ready, on_head, on_body, on_end};
+
+static const client_settings settings = {
+    .connect_timeout = 500 * LV_MILLISECOND,
+    .first_byte_timeout = 300 * LV_MILLISECOND,
+    .idle_timeout = 300 * LV_MILLISECOND,
+    .keep_alive = 5 * LV_SECOND,
+    .connections = 4};
+
+static void
+ask(client_client *client, watcher *self, const char *address, bool is_fresh)
+{
+    exch_request request = {.address = address,
+                            .fresh_connection = is_fresh,
+                            .head = REQUEST,
+                            .head_size = strlen(REQUEST)};
+
+    self->exchange = exch_start(client, &request, &ops, self);
+    cr_assert_not_null(self->exchange);
+    uv_run(self->loop, UV_RUN_DEFAULT);
+}
+
+static void
+finish(client_client *client, uv_loop_t *loop)
+{
+    cr_expect_eq(client->exchanges, 0);
+    client_finish(client);
+    uv_run(loop, UV_RUN_DEFAULT);
+    cr_expect_eq(uv_loop_close(loop), 0);
+}
+
+typedef struct end_case {
+    char name[32];
+    char answer[160];
+    int keeps_open;
+    int is_refused;
+    int end;
+    int status;
+    int is_framed;
+    size_t size;
+} end_case;
+
+ParameterizedTestParameters(exchange, ends)
+{
+    static end_case cases[] = {
+        {"stated length", "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello",
+         1, 0, EXCH_DONE, 200, 1, 5},
+        {"chunked",
+         "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+         "2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n",
+         1, 0, EXCH_DONE, 200, 1, 5},
+        {"empty", "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n", 1, 0,
+         EXCH_DONE, 200, 1, 0},
+        {"no content", "HTTP/1.1 204 No Content\r\n\r\n", 1, 0, EXCH_DONE, 204,
+         1, 0},
+        {"ends by close", "HTTP/1.1 200 OK\r\n\r\nhello", 0, 0, EXCH_DONE, 200,
+         0, 5},
+        {"cut length", "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhello", 0,
+         0, EXCH_LOST, 200, 1, 5},
+        {"cut chunks",
+         "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n",
+         0, 0, EXCH_LOST, 200, 1, 5},
+        {"bad chunks",
+         "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nzz\r\nhello", 1,
+         0, EXCH_PROTOCOL, 200, 1, 0},
+        {"no answer", "", 0, 0, EXCH_LOST, 0, 0, 0},
+        {"no HTTP", "hello there\r\n\r\n", 1, 0, EXCH_PROTOCOL, 0, 0, 0},
+        {"silent", "", 1, 0, EXCH_LOST, 0, 0, 0},
+        {"silent in the middle",
+         "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhello", 1, 0, EXCH_LOST,
+         200, 1, 5},
+        {"not ready", "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n", 1, 1,
+         EXCH_REFUSED, 0, 0, 0},
+    };
+
+    return cr_make_param_array(end_case, cases,
+                               sizeof cases / sizeof cases[0]);
+}
+
+ParameterizedTest(end_case *parameter, exchange, ends)
+{
+    uv_loop_t loop;
+    client_client client;
+    watcher self = {.loop = &loop, .is_refused = parameter->is_refused};
+    script_server server = {.answer = parameter->answer,
+                            .keeps_open = parameter->keeps_open};
+
+    uv_loop_init(&loop);
+    cr_assert(client_init(&client, &loop, &settings, NULL));
+    script_start(&server);
+    ask(&client, &self, server.address, false);
+    cr_expect_eq((int)self.end, parameter->end, "%s: end %d", parameter->name,
+                 (int)self.end);
+    cr_expect_eq(self.head.status, parameter->status, "%s: status %d",
+                 parameter->name, self.head.status);
+    cr_expect_eq(self.head.is_framed, parameter->is_framed, "%s",
+                 parameter->name);
+    cr_expect_eq(self.size, parameter->size, "%s: size %zu", parameter->name,
+                 self.size);
+    cr_expect_eq(atomic_load(&server.requests), !parameter->is_refused, "%s",
+                 parameter->name);
+    script_stop(&server);
+    finish(&client, &loop);
+}
+
+Test(exchange, refused_connection_writes_nothing)
+{
+    uv_loop_t loop;
+    client_client client;
+    watcher self = {.loop = &loop};
+    script_server server = {.answer = ""};
+
+    uv_loop_init(&loop);
+    cr_assert(client_init(&client, &loop, &settings, NULL));
+    script_start(&server);
+    script_stop(&server); /* its port is free now */
+    ask(&client, &self, server.address, true);
+    cr_expect_eq((int)self.end, EXCH_CONNECT);
+    cr_expect_eq(self.ready, 0);
+    finish(&client, &loop);
+}
+
+/* An idempotent request uses a kept connection again; a fresh one never. */
+Test(exchange, fresh_connections_are_new)
+{
+    static const char answer[] =
+        "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+    uv_loop_t loop;
+    client_client client;
+    script_server server = {.answer = answer, .keeps_open = 1};
+    static const struct {
+        bool is_fresh;
+        int connections;
+    } steps[] = {{false, 1}, {false, 1}, {true, 2}, {true, 3}};
+    size_t i;
+
+    uv_loop_init(&loop);
+    cr_assert(client_init(&client, &loop, &settings, NULL));
+    script_start(&server);
+    for (i = 0; i < 2; i++) {
+        watcher self = {.loop = &loop};
+
+        ask(&client, &self, server.address, steps[i].is_fresh);
+        cr_expect_eq((int)self.end, EXCH_DONE);
+        cr_expect_eq(atomic_load(&server.connections), steps[i].connections);
+    }
+    script_stop(&server);
+    server = (script_server){.answer = answer, .keeps_open = 0};
+    script_start(&server);
+    for (i = 2; i < 4; i++) {
+        watcher self = {.loop = &loop};
+
+        ask(&client, &self, server.address, steps[i].is_fresh);
+        cr_expect_eq((int)self.end, EXCH_DONE);
+        cr_expect_eq(atomic_load(&server.connections),
+                     steps[i].connections - 1);
+    }
+    script_stop(&server);
+    finish(&client, &loop);
+}
+
+static void
+on_paused(uv_timer_t *timer)
+{
+    uv_stop(timer->loop);
+}
+
+/* A paused exchange takes no more than the sockets hold; going on brings the
+ * whole answer. */
+Test(exchange, pausing_stops_the_sender)
+{
+    uv_loop_t loop;
+    client_client client;
+    uv_timer_t timer;
+    watcher self = {.loop = &loop, .is_paused = true};
+    script_server server = {
+        .answer = "HTTP/1.1 200 OK\r\ncontent-length: 33554432\r\n\r\n",
+        .repeat = FILLING_SIZE,
+        .keeps_open = 1};
+    size_t paused_at;
+
+    uv_loop_init(&loop);
+    cr_assert(client_init(&client, &loop, &settings, NULL));
+    script_start(&server);
+    uv_timer_init(&loop, &timer);
+    uv_timer_start(&timer, on_paused, PAUSED_MS * 2, 0);
+    ask(&client, &self, server.address, false);
+    cr_assert(!self.is_ended, "a pause is no silence");
+    paused_at = self.size;
+    cr_expect_lt(paused_at, (size_t)1024 * 1024);
+    cr_expect_lt(atomic_load(&server.sent), FILLING_SIZE);
+    self.is_paused = false;
+    exch_set_paused(self.exchange, false);
+    uv_run(&loop, UV_RUN_DEFAULT);
+    cr_expect(self.is_ended);
+    cr_expect_eq((int)self.end, EXCH_DONE);
+    cr_expect_eq(self.size, FILLING_SIZE);
+    uv_close((uv_handle_t *)&timer, NULL);
+    script_stop(&server);
+    finish(&client, &loop);
+}
+
+typedef struct address_case {
+    char text[48];
+    int is_address;
+} address_case;
+
+ParameterizedTestParameters(exchange, addresses)
+{
+    static address_case cases[] = {
+        {"127.0.0.1:80", 1},    {"[::1]:80", 1},
+        {"127.0.0.1", 0},       {"127.0.0.1:0", 0},
+        {"127.0.0.1:65536", 0}, {"localhost:80", 0},
+        {"127.0.0.1:8x", 0},    {"", 0},
+        {"::1:80", 0},          {"127.0.0.1:", 0},
+        {"[::1]", 0},
+    };
+
+    return cr_make_param_array(address_case, cases,
+                               sizeof cases / sizeof cases[0]);
+}
+
+ParameterizedTest(address_case *parameter, exchange, addresses)
+{
+    struct sockaddr_storage address;
+    socklen_t size;
+
+    cr_expect_eq(addr_parse(parameter->text, &address, &size),
+                 parameter->is_address, "%s", parameter->text);
+}
