--- a/packages/core/include/lavender/dispatcher.h
+++ b/packages/core/include/lavender/dispatcher.h
@@ -135,6 +135,7 @@
     uint32_t pending;
     uint32_t promised;
     uint32_t waiting;
+    uint32_t reported; /* requests waiting, as its entries last said */
     uint32_t unmet;
     uint32_t wanted;
     uint32_t urgent_unmet;
--- a/packages/core/source/dispatcher-demand.c
+++ b/packages/core/source/dispatcher-demand.c
@@ -160,17 +160,31 @@
 {
     disp_demand *demand = &disp->demands[row];
     disp_account *account = &disp->accounts[demand->account];
-    bool was_waiting = account->waiting > 0;
 
     for (int i = 0; i < CAT_PRIORITY_COUNT; i++) {
         account->waiting += waiting[i] - demand->waiting[i];
         demand->waiting[i] = waiting[i];
         demand->oldest[i] = oldest[i];
     }
-    if (!was_waiting && account->waiting > 0) {
+
+    disp_demand_refresh(disp, now, row);
+}
+
+/* What the entry says, without the grants that were seen since. An account
+ * that said it waits nowhere, and waits now, comes back from idle. */
+void
+disp_demand_set_reported(disp_dispatcher *disp, uint32_t row,
+                         uint32_t reported)
+{
+    disp_demand *demand = &disp->demands[row];
+    disp_account *account = &disp->accounts[demand->account];
+    bool was_waiting = account->reported > 0;
+
+    account->reported += reported - demand->reported;
+    demand->reported = reported;
+    if (!was_waiting && reported > 0) {
         disp_account_lift(disp, demand->account);
     }
-    disp_demand_refresh(disp, now, row);
 }
 
 void
@@ -179,5 +193,6 @@
     static const uint32_t none[CAT_PRIORITY_COUNT];
     static const lv_time never[CAT_PRIORITY_COUNT];
 
+    disp_demand_set_reported(disp, row, 0);
     disp_demand_set_waiting(disp, now, row, none, never);
 }
--- a/packages/core/source/dispatcher-report.c
+++ b/packages/core/source/dispatcher-report.c
@@ -83,9 +83,9 @@
         oldest[i] = lv_elapsed(now, said->oldest_age[i]);
         reported += said->waiting[i];
     }
+    disp_demand_set_reported(disp, row, is_usable ? reported : 0);
     disp_demand_set_waiting(disp, now, row, waiting, oldest);
     disp_rate_note(disp, now, row, said->arrivals, message->is_claim);
-    demand->reported = reported;
     before += demand->started;
     demand->started = before > reported ? before - reported : 0;
 }
@@ -120,7 +120,6 @@
         uint32_t next = disp->demands[row].of_waiting.next;
 
         if (disp->demands[row].stamp != disp->stamp) {
-            disp->demands[row].reported = 0;
             disp_demand_clear(disp, now, row);
         }
         row = next;
--- a/packages/core/source/slot-endpoint.c
+++ b/packages/core/source/slot-endpoint.c
@@ -83,7 +83,7 @@
     disp_endpoint *endpoint = &disp->endpoints[row];
 
     endpoint->cap = cap_of(disp, endpoint);
-    if (endpoint->leased < endpoint->cap) {
+    if (endpoint->cap > 0 && endpoint->leased < endpoint->cap) {
         heap_set(&disp->free_endpoints, row,
                  (int64_t)endpoint->leased * USE_SCALE / endpoint->cap);
     }
