--- a/packages/core/include/lavender/ticket.h
+++ b/packages/core/include/lavender/ticket.h
@@ -11,6 +11,7 @@
 #define LAVENDER_TICKET_H
 
 #include "lavender/error.h"
+#include "lavender/map.h"
 #include "lavender/outcome.h"
 #include "lavender/types.h"
 
@@ -52,8 +53,21 @@
     bool is_truncated; /* the answer was longer than is remembered */
 } tkt_answer;
 
-typedef struct tkt_record tkt_record;
-
+/* One minted ticket. Private. */
+typedef struct tkt_record {
+    tkt_state state;
+    bool is_minted; /* false: the record is free */
+    bool has_body_hash;
+    uint64_t serial;
+    lv_id account;
+    uint64_t body_hash;
+    lv_time expires;
+    tkt_answer answer;
+    uint32_t next; /* in order of expiry, or of free records */
+    uint32_t previous;
+} tkt_record;
+
+/* All members are private. */
 typedef struct tkt_store {
     tkt_settings settings;
     lv_id self;
@@ -62,7 +76,8 @@
     tkt_record *records; /* table of settings.max_tickets */
     uint32_t count;
     size_t answer_bytes;
-    uint32_t *index; /* hash index of serials */
+    map_map index;    /* records by serial */
+    map_map accounts; /* records of each account, counted */
     uint32_t first_free;
     uint32_t oldest; /* records in order of expiry */
     uint32_t newest;
@@ -73,7 +88,9 @@
 void tkt_finish(tkt_store *store);
 
 /* Mint a ticket for an account; false when the bound is reached (none is
- * forgotten early). text has TKT_TEXT_SIZE bytes. */
+ * forgotten early). Of the last quarter of the bound an account gets no more
+ * tickets than are left, so that one account can not use up all. text has
+ * TKT_TEXT_SIZE bytes. */
 bool tkt_mint(tkt_store *store, lv_time now, lv_id account, char *text,
               err_error *error);
 
@@ -89,7 +106,10 @@
  * unused again, and the same request may run under it. */
 void tkt_release(tkt_store *store, lv_handle handle);
 
-/* The request ended. The answer's body is copied, up to the bounds. */
+/* The request ended. The answer's body is copied; when it is over the bounds
+ * the outcome alone is remembered and is_truncated set. An outcome of
+ * OUT_NOT_RUN is the same as tkt_release. A ticket that expired meanwhile is
+ * remembered until the next tkt_tick, for those that joined. */
 void tkt_end(tkt_store *store, lv_time now, lv_handle handle,
              const tkt_answer *answer);
 
--- a/packages/core/source/entry-report.c
+++ b/packages/core/source/entry-report.c
@@ -155,6 +155,9 @@
                          ? shard->released_count
                          : MSG_ITEMS_MAX;
 
+    if (count == 0) {
+        return;
+    }
     memcpy(entry->scratch->released, shard->released,
            count * sizeof *shard->released);
     message->released_count = count;
--- /dev/null
+++ b/packages/core/source/ticket-text.c
@@ -0,0 +1,97 @@
+#include <inttypes.h>
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "ticket-imp.h"
+
+#define PREFIX "lt1"
+#define PREFIX_SIZE 3
+#define FIELDS 5
+#define FIELD_DIGITS 16
+#define MAC_SIZE 32
+#define CLAIMS_SIZE (PREFIX_SIZE + FIELDS * (FIELD_DIGITS + 1))
+#define TEXT_LENGTH (CLAIMS_SIZE + 1 + MAC_SIZE * 2)
+
+_Static_assert(TEXT_LENGTH < TKT_TEXT_SIZE, "a ticket's text must fit");
+
+static bool
+sign(const uint8_t *key, const char *text, char *signature)
+{
+    static const char digits[] = "0123456789abcdef";
+    unsigned char mac[EVP_MAX_MD_SIZE];
+    unsigned int size = 0;
+
+    if (HMAC(EVP_sha256(), key, TKT_KEY_SIZE, (const unsigned char *)text,
+             CLAIMS_SIZE, mac, &size) == NULL ||
+        size != MAC_SIZE) {
+        return false;
+    }
+    for (unsigned i = 0; i < MAC_SIZE; i++) {
+        signature[(size_t)i * 2] = digits[mac[i] >> 4];
+        signature[(size_t)i * 2 + 1] = digits[mac[i] & 15];
+    }
+    return true;
+}
+
+bool
+tkt_write_text(const uint8_t *key, const tkt_claims *claims, char *text)
+{
+    snprintf(text, TKT_TEXT_SIZE,
+             PREFIX ".%016" PRIx64 ".%016" PRIx64 ".%016" PRIx64 ".%016" PRIx64
+                    ".%016" PRIx64 ".",
+             claims->minter, claims->incarnation, claims->account,
+             claims->serial, claims->lifetime);
+    text[TEXT_LENGTH] = '\0';
+    return sign(key, text, text + CLAIMS_SIZE + 1);
+}
+
+static bool
+read_field(const char *text, unsigned number, uint64_t *value)
+{
+    const char *at = text + PREFIX_SIZE + (size_t)number * (FIELD_DIGITS + 1);
+
+    if (*at != '.') {
+        return false;
+    }
+    *value = 0;
+    for (unsigned i = 1; i <= FIELD_DIGITS; i++) {
+        char digit = at[i];
+
+        if (digit >= '0' && digit <= '9') {
+            *value = *value << 4 | (uint64_t)(digit - '0');
+        }
+        else if (digit >= 'a' && digit <= 'f') {
+            *value = *value << 4 | (uint64_t)(digit - 'a' + 10);
+        }
+        else {
+            return false;
+        }
+    }
+    return true;
+}
+
+bool
+tkt_read_text(const uint8_t *key, const char *text, tkt_claims *claims)
+{
+    char signature[MAC_SIZE * 2];
+    uint64_t fields[FIELDS];
+
+    if (strnlen(text, TKT_TEXT_SIZE) != TEXT_LENGTH ||
+        memcmp(text, PREFIX, PREFIX_SIZE) != 0 || text[CLAIMS_SIZE] != '.' ||
+        !sign(key, text, signature) ||
+        CRYPTO_memcmp(signature, text + CLAIMS_SIZE + 1, sizeof signature) !=
+            0) {
+        return false;
+    }
+    for (unsigned i = 0; i < FIELDS; i++) {
+        if (!read_field(text, i, &fields[i])) {
+            return false;
+        }
+    }
+    *claims =
+        (tkt_claims){fields[0], fields[1], fields[2], fields[3], fields[4]};
+    return true;
+}
