Try another endpoint first, and say unknown for all cut single runs

Cause: after a lost connection the request went back to the lease it had, and a request that is not idempotent could end as incomplete. Change: idle leases elsewhere go first; once sent, only done or unknown.

--- a/packages/core/source/entry-attempt.c
+++ b/packages/core/source/entry-attempt.c
@@ -215,7 +215,8 @@
     if (!item->was_sent) {
         return OUT_NOT_RUN;
     }
-    return item->delivered > 0 ? OUT_INCOMPLETE : OUT_UNKNOWN;
+    return item->idempotent && item->delivered > 0 ? OUT_INCOMPLETE
+                                                   : OUT_UNKNOWN;
 }
 
 typedef enum next_step {
@@ -276,7 +277,8 @@
                         0);
 }
 
-/* Put the request back at the front of its queue. */
+/* Put the request back at the front of its queue; another endpoint's idle
+ * lease goes before the one it had. */
 static void
 wait_again(entry_entry *entry, lv_time now, uint32_t index)
 {
@@ -284,8 +286,8 @@
     uint32_t queue = entry->items[index].queue;
 
     entry_wait(entry, now, index, false);
-    entry_settle_lease(entry, now, lease);
     entry_serve_flow(entry, now, queue);
+    entry_settle_lease(entry, now, lease);
 }
 
 static void
