--- a/tests/core/entry-world.c
+++ b/tests/core/entry-world.c
@@ -181,6 +181,12 @@
     cat_finish(&old);
 }
 
+void
+ew_restore_catalogue(ew_world *world)
+{
+    ew_set_catalogue(world, catalogue_text);
+}
+
 void
 ew_set_lists(ew_world *world, const char *text)
 {
--- a/tests/core/entry-world.h
+++ b/tests/core/entry-world.h
@@ -54,6 +54,7 @@
 
 /* Parse a catalogue or lists and put them in force. */
 void ew_set_catalogue(ew_world *world, const char *text);
+void ew_restore_catalogue(ew_world *world);
 void ew_set_lists(ew_world *world, const char *text);
 
 lv_id ew_id(const char *name);
