--- a/packages/core/include/lavender/node.h
+++ b/packages/core/include/lavender/node.h
@@ -28,7 +28,74 @@
     tkt_settings tickets;
 } node_settings;
 
-typedef struct node_node node_node;
+/* The shards of all pools, with their dispatchers as this instance sees
+ * them. */
+typedef struct node_shard {
+    lv_id pool;
+    uint32_t shard;
+    uint32_t shard_count;        /* of the pool */
+    lv_id winner;                /* the dispatcher in this instance's view */
+    uint64_t tenure;             /* highest seen */
+    disp_dispatcher *dispatcher; /* this instance's, or NULL */
+} node_shard;
+
+/* The counter roots of pools with several shards. */
+typedef struct node_root {
+    lv_id pool;
+    uint64_t tenure; /* highest seen */
+    root_root *root; /* this instance's, or NULL */
+} node_root;
+
+typedef struct node_counts {
+    uint64_t messages_in[MSG_KIND_END];
+    uint64_t messages_out[MSG_KIND_END];
+    uint64_t messages_local; /* between roles of this instance */
+    uint64_t dropped_foreign;
+    uint64_t dropped_old;
+    uint64_t dropped_misplaced; /* for a role that is not here */
+    uint64_t pauses;
+    uint64_t role_changes;
+} node_counts;
+
+/* A message from one role of this instance to another, encoded. */
+typedef struct node_local {
+    char *bytes;
+    size_t size;
+} node_local;
+
+#define NODE_LOCAL_MAX 1024
+
+/* One window of the ledger. */
+#define NODE_LEDGER_WINDOW LV_SECOND
+
+/* Fields are private. */
+typedef struct node_node {
+    lv_host inner; /* what the parts see; first member */
+    lv_host *host;
+    node_settings settings;
+    entry_entry entry;
+    doc_store documents;
+    swim_membership membership;
+    tkt_store tickets;
+    ledger_ledger ledger;
+    place_placement placement;
+    node_shard *shards; /* sorted by pool and shard */
+    uint32_t shard_count;
+    node_root *roots; /* sorted by pool */
+    uint32_t root_count;
+    lv_id *members; /* scratch, one per listed instance */
+    uint32_t member_capacity;
+    uint64_t member_revision;         /* of the membership last applied */
+    node_local local[NODE_LOCAL_MAX]; /* ring */
+    uint32_t local_first;
+    uint32_t local_count;
+    msg_buffer buffer;
+    lv_time now;
+    lv_time last_drive;
+    lv_time stale_until; /* after a pause: no roles before this */
+    bool is_draining;
+    node_counts counts;
+} node_node;
 
 /* Set up a node in memory that the caller owns. */
 bool node_init(node_node *node, lv_host *host, const node_settings *settings,
@@ -38,7 +105,10 @@
 /* Defaults for every setting but self, incarnation, seed and the key. */
 void node_default_settings(node_settings *settings);
 
-/* Drive. Every call that may follow a long pause checks for one first. */
+/* Drive. Every call that may follow a long pause checks for one first.
+ * node_tick also delivers messages between the roles of this instance, which
+ * any call into the node or its parts may leave behind: read node_next_tick
+ * after every such call. */
 void node_tick(node_node *node, lv_time now, uint64_t wall_seconds);
 lv_time node_next_tick(const node_node *node);
 void node_take_message(node_node *node, lv_time now,
@@ -75,15 +145,6 @@
                                           uint32_t index, lv_id *pool,
                                           uint32_t *shard, uint64_t *tenure);
 
-typedef struct node_counts {
-    uint64_t messages_in[MSG_KIND_END];
-    uint64_t messages_out[MSG_KIND_END];
-    uint64_t dropped_foreign;
-    uint64_t dropped_old;
-    uint64_t pauses;
-    uint64_t role_changes;
-} node_counts;
-
 const node_counts *node_read_counts(const node_node *node);
 
 #endif
--- /dev/null
+++ b/packages/core/source/node-roles.c
@@ -0,0 +1,441 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "lavender/hash.h"
+#include "node-imp.h"
+
+static int
+compare_shards(const void *left, const void *right)
+{
+    const node_shard *a = left;
+    const node_shard *b = right;
+
+    if (a->pool != b->pool) {
+        return a->pool < b->pool ? -1 : 1;
+    }
+    if (a->shard != b->shard) {
+        return a->shard < b->shard ? -1 : 1;
+    }
+    return 0;
+}
+
+static int
+compare_roots(const void *left, const void *right)
+{
+    const node_root *a = left;
+    const node_root *b = right;
+
+    if (a->pool == b->pool) {
+        return 0;
+    }
+    return a->pool < b->pool ? -1 : 1;
+}
+
+node_shard *
+node_find_shard(node_node *node, lv_id pool, uint32_t shard)
+{
+    node_shard key = {.pool = pool, .shard = shard};
+
+    if (node->shard_count == 0) {
+        return NULL;
+    }
+    return bsearch(&key, node->shards, node->shard_count, sizeof key,
+                   compare_shards);
+}
+
+node_root *
+node_find_root(node_node *node, lv_id pool)
+{
+    node_root key = {.pool = pool};
+
+    if (node->root_count == 0) {
+        return NULL;
+    }
+    return bsearch(&key, node->roots, node->root_count, sizeof key,
+                   compare_roots);
+}
+
+static void
+close_dispatcher(node_node *node, node_shard *shard, const char *reason)
+{
+    if (shard->dispatcher == NULL) {
+        return;
+    }
+    node_log_role(node, reason, shard->pool, shard->shard, shard->tenure);
+    disp_finish(shard->dispatcher);
+    free(shard->dispatcher);
+    shard->dispatcher = NULL;
+    node->counts.role_changes++;
+}
+
+static void
+close_root(node_root *root)
+{
+    if (root->root == NULL) {
+        return;
+    }
+    root_finish(root->root);
+    free(root->root);
+    root->root = NULL;
+}
+
+static uint32_t
+count_shards(const cat_pool *pool, const world_lists *lists)
+{
+    uint32_t endpoints = 0;
+
+    for (uint32_t i = 0; i < lists->endpoint_count; i++) {
+        if (lists->endpoints[i].pool == pool->id) {
+            endpoints++;
+        }
+    }
+    return hrw_shard_count(endpoints, pool->shard_endpoints);
+}
+
+/* Take over what the old table knew about a shard. */
+static void
+inherit_shard(node_node *node, node_shard *shard)
+{
+    node_shard *old = node_find_shard(node, shard->pool, shard->shard);
+
+    if (old == NULL) {
+        return;
+    }
+    shard->winner = old->winner;
+    shard->tenure = old->tenure;
+    if (old->shard_count == shard->shard_count) {
+        shard->dispatcher = old->dispatcher;
+        old->dispatcher = NULL;
+    }
+}
+
+static void
+inherit_root(node_node *node, node_root *root)
+{
+    node_root *old = node_find_root(node, root->pool);
+
+    if (old != NULL) {
+        *root = *old;
+        old->root = NULL;
+    }
+}
+
+void
+node_free_shards(node_node *node)
+{
+    for (uint32_t i = 0; i < node->shard_count; i++) {
+        close_dispatcher(node, &node->shards[i], "pool-changed");
+    }
+    for (uint32_t i = 0; i < node->root_count; i++) {
+        close_root(&node->roots[i]);
+    }
+    free(node->shards);
+    free(node->roots);
+    node->shards = NULL;
+    node->roots = NULL;
+    node->shard_count = 0;
+    node->root_count = 0;
+}
+
+static bool
+make_tables(node_node *node, const cat_catalogue *catalogue,
+            const world_lists *lists)
+{
+    node_shard *shards;
+    node_root *roots;
+    uint32_t total = 0;
+    uint32_t filled = 0;
+
+    for (uint32_t i = 0; i < catalogue->pool_count; i++) {
+        total += count_shards(&catalogue->pools[i], lists);
+    }
+    shards = calloc(total + 1, sizeof *shards);
+    roots = calloc(catalogue->pool_count + 1, sizeof *roots);
+    if (shards == NULL || roots == NULL) {
+        free(shards);
+        free(roots);
+        return false;
+    }
+    for (uint32_t i = 0; i < catalogue->pool_count; i++) {
+        const cat_pool *pool = &catalogue->pools[i];
+        uint32_t count = count_shards(pool, lists);
+
+        roots[i].pool = pool->id;
+        inherit_root(node, &roots[i]);
+        for (uint32_t s = 0; s < count; s++) {
+            shards[filled].pool = pool->id;
+            shards[filled].shard = s;
+            shards[filled].shard_count = count;
+            inherit_shard(node, &shards[filled]);
+            filled++;
+        }
+    }
+    node_free_shards(node);
+    qsort(shards, total, sizeof *shards, compare_shards);
+    qsort(roots, catalogue->pool_count, sizeof *roots, compare_roots);
+    node->shards = shards;
+    node->shard_count = total;
+    node->roots = roots;
+    node->root_count = catalogue->pool_count;
+    return true;
+}
+
+static bool
+reserve_members(node_node *node, const world_lists *lists)
+{
+    uint32_t capacity = lists->instance_count + 1;
+    lv_id *members;
+
+    if (node->membership.member_count >= capacity) {
+        capacity = node->membership.member_count + 1;
+    }
+    if (capacity <= node->member_capacity) {
+        return true;
+    }
+    members = realloc(node->members, capacity * sizeof *members);
+    if (members == NULL) {
+        return false;
+    }
+    node->members = members;
+    node->member_capacity = capacity;
+    return true;
+}
+
+static void
+note_listed_leaving(node_node *node, const world_lists *lists)
+{
+    for (uint32_t i = 0; i < lists->endpoint_count; i++) {
+        if (lists->endpoints[i].leaving) {
+            swim_note_leaving(&node->membership, node->now,
+                              lists->endpoints[i].id, lists->revision);
+        }
+    }
+}
+
+bool
+node_rebuild_shards(node_node *node)
+{
+    const cat_catalogue *catalogue = doc_catalogue(&node->documents);
+    const world_lists *lists = doc_lists(&node->documents);
+
+    if (lists != NULL) {
+        swim_set_lists(&node->membership, node->now, lists);
+        note_listed_leaving(node, lists);
+    }
+    if (catalogue == NULL || lists == NULL) {
+        return true;
+    }
+    if (!reserve_members(node, lists) ||
+        !make_tables(node, catalogue, lists)) {
+        return false;
+    }
+    entry_set_views(&node->entry, node->now, catalogue, lists);
+    place_set_views(&node->placement, node->now, catalogue, lists);
+    for (uint32_t i = 0; i < node->shard_count; i++) {
+        if (node->shards[i].dispatcher != NULL) {
+            disp_set_views(node->shards[i].dispatcher, node->now, catalogue,
+                           lists);
+        }
+    }
+    node_assign_roles(node);
+    node_apply_leaving(node);
+    return true;
+}
+
+static void
+open_dispatcher(node_node *node, node_shard *shard)
+{
+    disp_dispatcher *dispatcher = calloc(1, sizeof *dispatcher);
+
+    if (dispatcher == NULL) {
+        return;
+    }
+    shard->tenure++;
+    if (!disp_init(dispatcher, &node->inner, &node->settings.dispatcher,
+                   node->settings.self, shard->pool, shard->shard,
+                   shard->tenure, node->now, NULL)) {
+        free(dispatcher);
+        return;
+    }
+    shard->dispatcher = dispatcher;
+    disp_set_views(dispatcher, node->now, doc_catalogue(&node->documents),
+                   doc_lists(&node->documents));
+    node->counts.role_changes++;
+    node_log_role(node, "dispatcher-taken", shard->pool, shard->shard,
+                  shard->tenure);
+}
+
+static void
+assign_root(node_node *node, node_root *root, lv_id winner)
+{
+    if (winner != node->settings.self) {
+        close_root(root);
+        return;
+    }
+    if (root->root != NULL) {
+        return;
+    }
+    root->root = calloc(1, sizeof *root->root);
+    if (root->root == NULL) {
+        return;
+    }
+    root->tenure++;
+    if (!root_init(root->root, &node->inner, node->settings.self, root->pool,
+                   root->tenure, node->now, NULL)) {
+        free(root->root);
+        root->root = NULL;
+    }
+}
+
+static void
+assign_shard(node_node *node, node_shard *shard, const lv_id *candidates,
+             uint32_t count)
+{
+    uint64_t key = hrw_dispatcher_key(shard->pool, shard->shard);
+    lv_id winner = hrw_winner(candidates, count, key);
+
+    if (winner != node->settings.self) {
+        close_dispatcher(node, shard, "dispatcher-given-up");
+    }
+    else if (shard->dispatcher == NULL) {
+        open_dispatcher(node, shard);
+    }
+    if (winner != shard->winner) {
+        shard->winner = winner;
+        entry_set_dispatcher(&node->entry, node->now, shard->pool,
+                             shard->shard, winner);
+    }
+}
+
+static void
+tell_roots(node_node *node, const lv_id *candidates, uint32_t count)
+{
+    for (uint32_t i = 0; i < node->shard_count; i++) {
+        node_shard *shard = &node->shards[i];
+        lv_id root = LV_ID_NONE;
+
+        if (shard->dispatcher == NULL) {
+            continue;
+        }
+        if (shard->shard_count > 1) {
+            root = hrw_winner(candidates, count, hrw_root_key(shard->pool));
+        }
+        disp_set_root(shard->dispatcher, root);
+    }
+    for (uint32_t i = 0; i < node->root_count; i++) {
+        node_root *root = &node->roots[i];
+        lv_id winner = LV_ID_NONE;
+
+        if (node_find_shard(node, root->pool, 1) != NULL) {
+            winner = hrw_winner(candidates, count, hrw_root_key(root->pool));
+        }
+        assign_root(node, root, winner);
+    }
+}
+
+static void
+tell_members(node_node *node)
+{
+    uint32_t visible = swim_visible_share(&node->membership);
+    uint32_t count =
+        swim_live(&node->membership, node->members, node->member_capacity);
+
+    entry_set_live(&node->entry, node->now, node->members, count);
+    for (uint32_t i = 0; i < node->shard_count; i++) {
+        if (node->shards[i].dispatcher != NULL) {
+            disp_set_members(node->shards[i].dispatcher, node->now,
+                             node->members, count, visible);
+        }
+    }
+}
+
+/* Pools whose first shard is dispatched here get their placement orders
+ * from here. */
+static void
+tell_placement(node_node *node)
+{
+    for (uint32_t i = 0; i < node->shard_count; i++) {
+        const node_shard *shard = &node->shards[i];
+
+        if (shard->shard == 0) {
+            place_set_pool(&node->placement, node->now, shard->pool,
+                           shard->dispatcher != NULL);
+        }
+    }
+}
+
+void
+node_assign_roles(node_node *node)
+{
+    uint32_t count;
+
+    if (node->shard_count == 0 || node->now < node->stale_until) {
+        return;
+    }
+    node->member_revision = node->membership.revision;
+    if (!reserve_members(node, doc_lists(&node->documents))) {
+        return;
+    }
+    count = swim_candidates(&node->membership, node->members,
+                            node->member_capacity);
+    if (count == 0) {
+        count =
+            swim_live(&node->membership, node->members, node->member_capacity);
+    }
+    for (uint32_t i = 0; i < node->shard_count; i++) {
+        assign_shard(node, &node->shards[i], node->members, count);
+    }
+    tell_roots(node, node->members, count);
+    tell_members(node);
+    tell_placement(node);
+}
+
+void
+node_drop_roles(node_node *node, const char *reason)
+{
+    for (uint32_t i = 0; i < node->shard_count; i++) {
+        close_dispatcher(node, &node->shards[i], reason);
+        node->shards[i].winner = LV_ID_NONE;
+    }
+    for (uint32_t i = 0; i < node->root_count; i++) {
+        close_root(&node->roots[i]);
+    }
+    tell_placement(node);
+}
+
+static bool
+is_told_leaving(const node_node *node, lv_id endpoint)
+{
+    uint32_t count = swim_leaving_count(&node->membership);
+
+    for (uint32_t i = 0; i < count; i++) {
+        if (swim_leaving_at(&node->membership, i, NULL) == endpoint) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Both directions are passed on: a rumour ends when the list shows the
+ * endpoint back. */
+void
+node_apply_leaving(node_node *node)
+{
+    const world_lists *lists = doc_lists(&node->documents);
+
+    if (lists == NULL) {
+        return;
+    }
+    for (uint32_t i = 0; i < lists->endpoint_count; i++) {
+        lv_id endpoint = lists->endpoints[i].id;
+        bool is_leaving = is_told_leaving(node, endpoint);
+
+        entry_set_leaving(&node->entry, node->now, endpoint, is_leaving);
+        for (uint32_t s = 0; s < node->shard_count; s++) {
+            if (node->shards[s].dispatcher != NULL) {
+                disp_set_leaving(node->shards[s].dispatcher, node->now,
+                                 endpoint, is_leaving);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/packages/ctl/source/ctl-load.h
@@ -0,0 +1,20 @@
+/*
+ * Reading a catalogue's files for the subcommands.
+ */
+#ifndef LAVENDER_CTL_LOAD_H
+#define LAVENDER_CTL_LOAD_H
+
+#include "lavender/catalogue.h"
+
+/* The most files of one catalogue: the head and its account parts. */
+#define CTL_FILES_MAX 1024
+
+/* Read and validate a catalogue; paths[0] is the head. The errors found are
+ * added to the list. */
+bool ctl_load_catalogue(cat_catalogue *catalogue, const char *const *paths,
+                        size_t count, err_list *errors);
+
+/* Print every error of a list to the standard error stream. */
+void ctl_print_errors(const err_list *errors);
+
+#endif
