Place demand by the slots of each shard, and test shards and baselines

Cause: rendezvous hashing gives shards unequal numbers of endpoints, some none, and demand placed in turn waited for slots that were not there. Change: demand goes to a shard with slots, that answers, where nobody waits, with the least demand for its slots.

--- a/packages/core/source/entry-imp.h
+++ b/packages/core/source/entry-imp.h
@@ -94,11 +94,10 @@
     uint32_t limited; /* group of the flows that any-account leases skip */
     uint32_t fifo;    /* the one flow of ENTRY_MODE_LOCAL_FIFO */
     uint32_t first_shard;
-    uint32_t shards; /* in use; their records are a chain by next_in_pool */
-    uint32_t next_shard; /* for placing demand in turn */
-    uint32_t endpoints;  /* not leaving */
-    entry_list idle;     /* leases for any account */
-    entry_list held;     /* all idle leases, longest idle first */
+    uint32_t shards;    /* in use; their records are a chain by next_in_pool */
+    uint32_t endpoints; /* not leaving */
+    entry_list idle;    /* leases for any account */
+    entry_list held;    /* all idle leases, longest idle first */
 };
 
 /* The conversation with the dispatcher of one pool shard. */
@@ -106,6 +105,8 @@
     uint32_t pool;
     uint32_t number;
     uint32_t next_in_pool;
+    uint32_t slots;   /* listed, at endpoints that do not leave */
+    uint32_t waiting; /* requests whose demand is placed here */
     lv_id dispatcher;
     uint64_t heard_incarnation; /* of the dispatcher */
     uint64_t sequence;          /* of our reports */
--- a/packages/core/source/entry-view.c
+++ b/packages/core/source/entry-view.c
@@ -65,14 +65,22 @@
 {
     uint32_t index = entry_get_endpoint(entry, from->id);
     uint32_t pool = map_find(&entry->pool_index, from->pool);
+    uint32_t shard;
 
     if (index == NONE || pool == NONE || entry->pools[pool].handle == NONE ||
         entry->pools[pool].shards == 0) {
         return;
     }
-    entry->endpoints[index].shard = entry_get_shard(
-        entry, pool, hrw_shard_of(from->id, entry->pools[pool].shards));
+    shard = entry_get_shard(entry, pool,
+                            hrw_shard_of(from->id, entry->pools[pool].shards));
+    entry->endpoints[index].shard = shard;
     entry->endpoints[index].is_list_leaving = from->leaving;
+    if (shard != NONE && !from->leaving) {
+        entry->shards[shard].slots +=
+            from->slots > 0
+                ? from->slots
+                : entry->catalogue->pools[entry->pools[pool].handle].slots;
+    }
 }
 
 /* The fleet-wide limits of an account are the sums of its classes'; a class
@@ -192,6 +200,9 @@
     for (uint32_t i = 0; i < entry->pool_count; i++) {
         set_shards(entry, i);
     }
+    for (uint32_t i = 0; i < entry->shard_count; i++) {
+        entry->shards[i].slots = 0;
+    }
     for (uint32_t i = 0; i < entry->endpoint_count; i++) {
         entry->endpoints[i].shard = NONE;
     }
--- a/packages/core/source/entry-wait.c
+++ b/packages/core/source/entry-wait.c
@@ -10,47 +10,49 @@
                 entry->settings.silence);
 }
 
-/* The better place for demand: one that answers, then one where nobody
- * waits for a slot. */
+/* The better place for demand: one that has slots, one that answers, one
+ * where nobody waits for a slot. */
 static int
 place_rank(const entry_entry *entry, lv_time now, const entry_shard *shard)
 {
-    if (!answers(entry, now, shard)) {
+    if (shard->slots == 0) {
         return 0;
     }
-    return shard->is_contended ? 1 : 2;
+    if (!answers(entry, now, shard)) {
+        return 1;
+    }
+    return shard->is_contended ? 2 : 3;
+}
+
+/* Among equals the one with the least demand for its slots. */
+static bool
+is_better(const entry_shard *shard, const entry_shard *than)
+{
+    return (uint64_t)(shard->waiting + 1) * than->slots <
+           (uint64_t)(than->waiting + 1) * shard->slots;
 }
 
-/* Choose a shard in turn among the best ones of a pool. */
 static uint32_t
-choose_shard(entry_entry *entry, lv_time now, entry_pool *pool)
+choose_shard(const entry_entry *entry, lv_time now, const entry_pool *pool)
 {
     uint32_t best = NONE;
     int best_rank = -1;
-    uint32_t best_turn = 0;
 
     for (uint32_t i = pool->first_shard; i != NONE;
          i = entry->shards[i].next_in_pool) {
         const entry_shard *shard = &entry->shards[i];
-        uint32_t turn;
         int rank;
 
         if (shard->number >= pool->shards) {
             continue;
         }
-        turn =
-            (shard->number + pool->shards - pool->next_shard % pool->shards) %
-            pool->shards;
         rank = place_rank(entry, now, shard);
-        if (rank > best_rank || (rank == best_rank && turn < best_turn)) {
+        if (rank > best_rank ||
+            (rank == best_rank && is_better(shard, &entry->shards[best]))) {
             best = i;
             best_rank = rank;
-            best_turn = turn;
         }
     }
-    if (best != NONE) {
-        pool->next_shard = entry->shards[best].number + 1;
-    }
     return best;
 }
 
@@ -76,6 +78,7 @@
     }
     part = &entry->parts[item->part];
     shard = &entry->shards[part->shard];
+    shard->waiting++;
     waiting = ++part->waiting[item->priority];
     told = part->told[item->priority];
     entry_update_active(entry, item->part);
@@ -94,6 +97,7 @@
     }
     part = &entry->parts[item->part];
     part->waiting[item->priority]--;
+    entry->shards[part->shard].waiting--;
     entry_update_active(entry, item->part);
     entry_mark_part(entry, item->part,
                     part->waiting[item->priority] == 0 &&
--- /dev/null
+++ b/tests/core/test-entry-shards.c
@@ -0,0 +1,323 @@
+/*
+ * Several shards of one pool, and the baselines without dispatchers.
+ */
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "entry-world.h"
+#include "lavender/hash.h"
+#include "texts.h"
+
+#define SHARDS 4
+
+static const char sharded_catalogue[] =
+    "[catalogue]\nrevision = 2\n"
+    "[pool eng]\nkind = engine\nslots = 2\ninput_weight = 1\n"
+    "output_weight = 2\nquantum = 1000\nhold = 5ms\ndefault_cost = 100\n"
+    "shard_endpoints = 1\n"
+    "[route /chat]\npool = eng\nidempotent = yes\n"
+    "[account a]\nweight = 1\nkey_digest = "
+    "0000000000000000000000000000000000000000000000000000000000000001\n"
+    "[entry a/drafts]\npriority = deferrable\ndeadline = 1m\n";
+
+static ew_world world;
+static uint32_t told[SHARDS];
+static lv_time full_sent[SHARDS];
+static lv_time last_sent;
+
+/* Keep what the last report to each shard said. */
+static void
+note_report(lv_host *host, lv_id to, const msg_message *message)
+{
+    (void)host;
+    (void)to;
+    if (message->pool != ew_id("eng")) {
+        return;
+    }
+    cr_assert_lt(message->shard, SHARDS);
+    last_sent = message->sent;
+    if (message->is_full) {
+        told[message->shard] = 0;
+        full_sent[message->shard] = message->sent;
+    }
+    for (uint32_t i = 0; i < message->demand_count; i++) {
+        told[message->shard] = message->demands[i].waiting[CAT_DEFERRABLE];
+    }
+}
+
+static lv_host_ops ops;
+
+static void
+start(void)
+{
+    char lists[1024] = "[list]\nrevision = 2\n[zone z1]\nregion = perth\n";
+
+    ew_init(&world, NULL);
+    ops = *world.host.ops;
+    ops.send = note_report;
+    world.host.ops = &ops;
+    for (int i = 1; i <= SHARDS; i++) {
+        size_t used = strlen(lists);
+
+        snprintf(lists + used, sizeof lists - used,
+                 "[endpoint e%d]\npool = eng\nzone = z1\n"
+                 "address = 127.0.0.1:73%02d\n",
+                 i, i);
+    }
+    ew_set_catalogue(&world, sharded_catalogue);
+    ew_set_lists(&world, lists);
+    memset(told, 0, sizeof told);
+    memset(full_sent, 0, sizeof full_sent);
+    for (uint32_t i = 0; i < SHARDS; i++) {
+        entry_set_dispatcher(&world.entry, world.now, ew_id("eng"), i,
+                             ew_id("r2"));
+    }
+}
+
+static void
+stop(void)
+{
+    ew_finish_world(&world);
+}
+
+TestSuite(shards, .init = start, .fini = stop);
+
+static void
+answer(uint32_t shard, bool is_contended, const msg_grant *grant)
+{
+    msg_message message = ew_message(&world, "eng");
+
+    message.shard = shard;
+    message.echo = full_sent[shard];
+    message.is_contended = is_contended;
+    message.grants = grant;
+    message.grant_count = grant != NULL;
+    entry_take_grant(&world.entry, world.now, &message);
+}
+
+static uint32_t
+total_told(void)
+{
+    uint32_t total = 0;
+
+    for (int i = 0; i < SHARDS; i++) {
+        total += told[i];
+    }
+    return total;
+}
+
+static uint32_t
+endpoints_of(uint32_t shard)
+{
+    uint32_t count = 0;
+
+    for (int i = 1; i <= SHARDS; i++) {
+        char name[8];
+
+        snprintf(name, sizeof name, "e%d", i);
+        count += hrw_shard_of(ew_id(name), SHARDS) == shard;
+    }
+    return count;
+}
+
+/* A shard that has slots. */
+static uint32_t
+used_shard(void)
+{
+    uint32_t shard = 0;
+
+    while (endpoints_of(shard) == 0) {
+        shard++;
+    }
+    return shard;
+}
+
+Test(shards, demand_is_spread_by_slots_and_told_once)
+{
+    cr_assert_eq(hrw_shard_count(SHARDS, 1), SHARDS);
+    for (int i = 0; i < 20; i++) {
+        ew_submit(&world, "a", NULL, "/chat", NULL);
+    }
+    ew_run(&world, 5 * LV_MILLISECOND);
+    for (int i = 0; i < SHARDS; i++) {
+        cr_assert_eq(told[i], 5 * endpoints_of((uint32_t)i),
+                     "shard %d was told %u", i, told[i]);
+    }
+}
+
+Test(shards, demand_goes_where_nobody_waits)
+{
+    uint32_t calm = used_shard();
+
+    for (uint32_t i = 0; i < SHARDS; i++) {
+        answer(i, i != calm, NULL);
+    }
+    for (int i = 0; i < 8; i++) {
+        ew_submit(&world, "a", NULL, "/chat", NULL);
+    }
+    ew_run(&world, 5 * LV_MILLISECOND);
+    cr_assert_eq(told[calm], 8);
+    cr_assert_eq(total_told(), 8);
+}
+
+Test(shards, demand_of_a_silent_dispatcher_moves_to_the_others)
+{
+    uint32_t silent = used_shard();
+
+    for (int i = 0; i < 8; i++) {
+        ew_submit(&world, "a", NULL, "/chat", NULL);
+    }
+    for (int i = 0; i < 8; i++) {
+        ew_run(&world, 100 * LV_MILLISECOND);
+        for (uint32_t shard = 0; shard < SHARDS; shard++) {
+            if (shard != silent) {
+                answer(shard, true, NULL);
+            }
+        }
+    }
+    ew_run(&world, 110 * LV_MILLISECOND);
+    cr_assert_eq(told[silent], 0);
+    cr_assert_eq(total_told(), 8, "and none is lost");
+    ew_submit(&world, "a", NULL, "/chat", NULL);
+    ew_run(&world, 110 * LV_MILLISECOND);
+    cr_assert_eq(told[silent], 0, "nor does new demand go there");
+    answer(silent, false, NULL);
+    ew_submit(&world, "a", NULL, "/chat", NULL);
+    ew_run(&world, 110 * LV_MILLISECOND);
+    cr_assert_eq(told[silent], 1, "it is back");
+}
+
+Test(shards, a_lease_of_any_shard_serves_the_oldest_request)
+{
+    lv_handle first = ew_submit(&world, "a", NULL, "/chat", NULL);
+
+    for (int i = 0; i < 7; i++) {
+        ew_submit(&world, "a", NULL, "/chat", NULL);
+    }
+    for (uint32_t shard = SHARDS; shard > 0; shard--) {
+        for (int i = 1; i <= SHARDS; i++) {
+            char name[8];
+            msg_grant grant = {1, 0, ew_id("a")};
+
+            snprintf(name, sizeof name, "e%d", i);
+            grant.endpoint = ew_id(name);
+            if (hrw_shard_of(grant.endpoint, SHARDS) == shard - 1) {
+                answer(shard - 1, true, &grant);
+                break;
+            }
+        }
+    }
+    cr_assert_gt(world.attempt_count, 0);
+    cr_assert_eq(world.attempts[0].request, first);
+    ew_run(&world, 110 * LV_MILLISECOND);
+    cr_assert_eq(total_told(), 8 - world.attempt_count);
+}
+
+Test(shards, demand_leaves_shards_that_are_no_more)
+{
+    for (int i = 0; i < 8; i++) {
+        ew_submit(&world, "a", NULL, "/chat", NULL);
+    }
+    ew_set_lists(&world, "[list]\nrevision = 3\n[zone z1]\nregion = perth\n"
+                         "[endpoint e1]\npool = eng\nzone = z1\n"
+                         "address = 127.0.0.1:7301\n");
+    ew_run(&world, 110 * LV_MILLISECOND);
+    cr_assert_eq(told[0], 8);
+    cr_assert_eq(total_told(), 8);
+}
+
+/* The baselines: instances r1 .. rN, endpoints of three slots each. */
+
+static void
+start_local(ew_world *local, entry_mode mode, const char *self,
+            const lv_id *live, uint32_t count)
+{
+    entry_settings settings;
+    err_error error;
+
+    entry_default_settings(&settings);
+    settings.mode = mode;
+    ew_init(local, &settings);
+    entry_finish(&local->entry);
+    cr_assert(entry_init(&local->entry, &local->host, &settings,
+                         &local->ledger, ew_id(self), 1, local->now, &error));
+    entry_set_live(&local->entry, local->now, live, count);
+    entry_set_views(&local->entry, local->now, &local->catalogue,
+                    &local->lists);
+}
+
+TestSuite(baseline);
+
+Test(baseline, the_routers_parts_add_up_to_the_slots)
+{
+    static const char *const names[] = {"r1", "r2", "r3", "r4",
+                                        "r5", "r6", "r7"};
+    lv_id live[7];
+
+    for (uint32_t count = 1; count <= 7; count++) {
+        uint32_t slots = 0;
+
+        for (uint32_t i = 0; i < count; i++) {
+            live[i] = ew_id(names[i]);
+        }
+        for (uint32_t i = 0; i < count; i++) {
+            start_local(&world, ENTRY_MODE_LOCAL_FAIR, names[i], live, count);
+            slots += ew_counts(&world).leases;
+            ew_finish_world(&world);
+        }
+        cr_assert_eq(slots, 8, "%u routers take %u slots", count, slots);
+    }
+}
+
+typedef struct order_case {
+    entry_mode mode;
+    const char *next; /* account served third */
+} order_case;
+
+Test(baseline, least_service_or_arrival_order)
+{
+    static const order_case cases[] = {{ENTRY_MODE_LOCAL_FAIR, "b"},
+                                       {ENTRY_MODE_LOCAL_FIFO, "a"}};
+    lv_id live[] = {ew_id("r1")};
+
+    for (size_t i = 0; i < 2; i++) {
+        lv_handle handles[6];
+
+        start_local(&world, cases[i].mode, "r1", live, 1);
+        for (int j = 0; j < 5; j++) {
+            handles[j] = ew_submit(&world, "a", "drafts", "/chat", NULL);
+        }
+        handles[5] = ew_submit(&world, "b", NULL, "/chat", NULL);
+        cr_assert_eq(world.attempt_count, 4, "all slots are its own");
+        ew_send_last(&world);
+        ew_end_last(&world, ENTRY_END_DONE);
+        cr_assert_eq(ew_last_attempt(&world)->request,
+                     handles[strcmp(cases[i].next, "b") == 0 ? 5 : 4]);
+        cr_assert_eq(world.report_count, 0, "nothing is told");
+        ew_finish_world(&world);
+    }
+}
+
+Test(baseline, slots_follow_the_live_instances_at_request_ends)
+{
+    lv_id live[] = {ew_id("r1"), ew_id("r2")};
+
+    start_local(&world, ENTRY_MODE_LOCAL_FAIR, "r1", live, 1);
+    for (int i = 0; i < 6; i++) {
+        ew_submit(&world, "a", "drafts", "/chat", NULL);
+    }
+    cr_assert_eq(world.attempt_count, 4);
+    entry_set_live(&world.entry, world.now, live, 2);
+    for (uint32_t i = 0; i < 4; i++) {
+        const lv_attempt *attempt = &world.attempts[i];
+
+        entry_may_send(&world.entry, world.now, attempt->request, 1);
+        entry_attempt_end(&world.entry, world.now, attempt->request, 1,
+                          ENTRY_END_DONE, 0, 0);
+    }
+    cr_assert_eq(ew_counts(&world).leases, 4,
+                 "one slot at each of four endpoints");
+    cr_assert_eq(world.attempt_count, 6);
+    ew_finish_world(&world);
+}
--- a/tests/core/test-entry.c
+++ b/tests/core/test-entry.c
@@ -579,3 +579,26 @@
     cr_assert_eq(ew_last_attempt(&world)->endpoint, ew_id("e1"),
                  "a gap in the numbers expires what was known");
 }
+
+Test(entry, a_handle_is_not_mistaken_for_a_later_request_in_its_place)
+{
+    lv_handle old = ew_submit(&world, "a", "drafts", "/chat", NULL);
+    lv_handle later;
+
+    entry_cancel(&world.entry, world.now, old);
+    do {
+        later = ew_submit(&world, "a", "drafts", "/chat", NULL);
+        cr_assert_neq(later, LV_HANDLE_NONE);
+        cr_assert_neq(later, old);
+        if ((later & 0xfffff) != (old & 0xfffff)) {
+            entry_cancel(&world.entry, world.now, later);
+        }
+    } while ((later & 0xfffff) != (old & 0xfffff));
+    ew_grant(&world, "eng", "e1", "a");
+    cr_assert_eq(ew_last_attempt(&world)->request, later);
+    cr_assert_not(entry_may_send(&world.entry, world.now, old, 1));
+    entry_attempt_end(&world.entry, world.now, old, 1, ENTRY_END_DONE, 0, 0);
+    entry_cancel(&world.entry, world.now, old);
+    cr_assert_eq(ew_counts(&world).running, 1, "the later one runs on");
+    cr_assert(ew_send_last(&world));
+}
