Keep queued attempts linked once and answer tickets while draining

Cause: an attempt that was cancelled and asked for again before the queue was read stood in it twice; a draining router refused the repeat of a request whose answer it still had.

--- a/packages/net/source/callers-answer.c
+++ b/packages/net/source/callers-answer.c
@@ -393,19 +393,22 @@
 }
 
 void
-answer_refuse(call_request *request, const out_outcome *outcome)
+answer_add_retry_after(call_request *request, lv_time retry_after)
 {
     char seconds[24];
 
-    if (request->req == NULL) {
+    if (request->req == NULL || retry_after == 0) {
         return;
     }
-    if (outcome->retry_after > 0) {
-        snprintf(seconds, sizeof seconds, "%llu",
-                 (unsigned long long)((outcome->retry_after + LV_SECOND - 1) /
-                                      LV_SECOND));
-        add_header(request->req, "retry-after", seconds);
-    }
+    snprintf(seconds, sizeof seconds, "%llu",
+             (unsigned long long)((retry_after + LV_SECOND - 1) / LV_SECOND));
+    add_header(request->req, "retry-after", seconds);
+}
+
+void
+answer_refuse(call_request *request, const out_outcome *outcome)
+{
+    answer_add_retry_after(request, outcome->retry_after);
     answer_json_error(
         request, out_reason_status(outcome->reason),
         out_reason_name(outcome->reason), out_reason_message(outcome->reason),
--- a/packages/net/source/callers-imp.h
+++ b/packages/net/source/callers-imp.h
@@ -91,7 +91,6 @@
     lv_handle handle; /* of the entry; LV_HANDLE_NONE: not there */
     uint32_t slot;
     lv_id account;
-    char account_name[LV_NAME_SIZE];
     bool is_engine;
     bool is_idempotent;
     bool is_head_method;
@@ -106,7 +105,8 @@
     char *body_copy; /* owned, when the caller may leave before the end */
     size_t memory;   /* counted against the server's bound */
     lv_attempt wanted;
-    bool is_wanted; /* in the server's queue of attempts to start */
+    bool is_wanted; /* `wanted` is to be started */
+    bool is_queued; /* in the server's queue of attempts to start */
     call_request *next_wanted;
     call_attempt attempt;
     call_answer answer;
@@ -167,6 +167,7 @@
 bool answer_take_head(call_request *request, const exch_head *head);
 bool answer_add(call_request *request, const char *bytes, size_t size);
 void answer_end(call_request *request, const out_outcome *outcome);
+void answer_add_retry_after(call_request *request, lv_time retry_after);
 void answer_refuse(call_request *request, const out_outcome *outcome);
 void answer_text(call_request *request, int status, const char *content_type,
                  const char *outcome, const char *body, size_t size);
--- a/packages/net/source/callers-request.c
+++ b/packages/net/source/callers-request.c
@@ -196,8 +196,6 @@
         return false;
     }
     request->account = catalogue->accounts[*account].id;
-    lv_copy_name(request->account_name, sizeof request->account_name,
-                 catalogue->accounts[*account].name);
     return true;
 }
 
@@ -353,7 +351,8 @@
     out_outcome full = {OUT_NOT_RUN, OUT_REASON_MEMORY, LV_SECOND};
     lv_handle account;
 
-    if (server->is_draining) {
+    if (server->is_draining &&
+        request_header(request->req, "idempotency-key").base == NULL) {
         refuse(request, OUT_REASON_DRAINING);
         return;
     }
@@ -362,7 +361,8 @@
         request_end(request, &full);
         return;
     }
-    if (catalogue == NULL || !node_is_ready(server->node)) {
+    if (catalogue == NULL ||
+        (!server->is_draining && !node_is_ready(server->node))) {
         refuse(request, OUT_REASON_NOT_READY);
         return;
     }
@@ -450,8 +450,9 @@
         return;
     }
     request->wanted = *attempt;
-    if (!request->is_wanted) {
-        request->is_wanted = true;
+    request->is_wanted = true;
+    if (!request->is_queued) {
+        request->is_queued = true;
         request->next_wanted = NULL;
         *server->last_wanted = request;
         server->last_wanted = &request->next_wanted;
@@ -468,6 +469,7 @@
         if (server->first_wanted == NULL) {
             server->last_wanted = &server->first_wanted;
         }
+        request->is_queued = false;
         if (request->is_wanted) {
             request->is_wanted = false;
             attempt_start(request);
--- a/packages/net/source/callers-ticket.c
+++ b/packages/net/source/callers-ticket.c
@@ -59,9 +59,9 @@
         snprintf(text, sizeof text,
                  "{\"ticket\": \"%s\", \"lifetime_seconds\": %llu}\n", ticket,
                  (unsigned long long)(store->settings.lifetime / LV_SECOND));
+    request->is_over = true;
     answer_text(request, 201, "application/json", out_kind_name(OUT_DONE),
                 text, (size_t)size);
-    request->is_over = true;
 }
 
 static void
@@ -87,8 +87,8 @@
     }
     request->ticket = LV_HANDLE_NONE;
     server->counts.replayed++;
-    answer_remembered(request, &answer);
     request->is_over = true;
+    answer_remembered(request, &answer);
 }
 
 static void
@@ -207,9 +207,10 @@
         refuse(request, OUT_UNKNOWN, OUT_REASON_TICKET_ELSEWHERE);
         return;
     }
+    request->is_over = true;
+    answer_add_retry_after(request, answer->retry_after);
     answer_text(request, answer->status, answer->content_type, answer->outcome,
                 answer->body, answer->body_size);
-    request->is_over = true;
 }
 
 static const inst_instance *
--- a/packages/net/source/listen.c
+++ b/packages/net/source/listen.c
@@ -95,7 +95,7 @@
     listener->config.max_request_entity_size = settings->body;
     listener->config.http1.req_timeout =
         settings->head_timeout / LV_MILLISECOND;
-    listener->config.http1.upgrade_to_http2 = 0;
+    listener->config.http1.upgrade_to_http2 = 1;
     listener->config.http2.idle_timeout =
         settings->idle_timeout / LV_MILLISECOND;
     listener->host = h2o_config_register_host(
