--- /dev/null
+++ b/tests/fleet/common-fleet-load.c
@@ -0,0 +1,77 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "common-fleet.h"
+
+static void
+write_endpoints(FILE *file, const fleet_fleet *fleet, bool is_service)
+{
+    fprintf(file, "%s = ", is_service ? "services" : "engines");
+    for (uint32_t i = 0; i < fleet->endpoint_count; i++) {
+        if (fleet->endpoints[i].is_service == is_service) {
+            fprintf(file, "%s,", fleet->endpoints[i].process.admin);
+        }
+    }
+    fputs("\n", file);
+}
+
+static bool
+write_plan(const fleet_fleet *fleet, const char *path, const char *load_keys,
+           const char *flows)
+{
+    FILE *file = fopen(path, "w");
+
+    if (file == NULL) {
+        perror(path);
+        return false;
+    }
+    fputs("[load]\nrouters = ", file);
+    for (uint32_t i = 0; i < fleet->shape.routers; i++) {
+        fprintf(file, "%s,", fleet->routers[i].callers);
+    }
+    fputs("\noperators = ", file);
+    for (uint32_t i = 0; i < fleet->shape.routers; i++) {
+        fprintf(file, "%s,", fleet->routers[i].operator_address);
+    }
+    fputs("\npids = ", file);
+    for (uint32_t i = 0; i < fleet->shape.routers; i++) {
+        fprintf(file, "%d,", (int)fleet->routers[i].process.pid);
+    }
+    fprintf(file, "\nplatform = %s\n", fleet->platform.admin);
+    write_endpoints(file, fleet, false);
+    write_endpoints(file, fleet, true);
+    fprintf(file, "%s%s", load_keys, flows);
+    return fclose(file) == 0;
+}
+
+bool
+fleet_start_load(const fleet_fleet *fleet, proc_process *load,
+                 const char *load_keys, const char *flows)
+{
+    static proc_command command;
+    char path[PROC_PATH_SIZE];
+
+    snprintf(path, sizeof path, "%.400s/plan.ini", fleet->folder);
+    if (!write_plan(fleet, path, load_keys, flows)) {
+        return false;
+    }
+    snprintf(path, sizeof path, "%.400s/fleet-load", fleet->shape.programs);
+    proc_command_init(&command, path);
+    proc_command_add(&command, "%.400s/plan.ini", fleet->folder);
+    proc_command_add(&command, "--json=%.400s/report.json", fleet->folder);
+    proc_command_add(&command, "--csv=%.400s/requests.csv", fleet->folder);
+    snprintf(path, sizeof path, "%.400s/load.log", fleet->folder);
+    return proc_start(load, &command, path);
+}
+
+json_t *
+fleet_finish_load(const fleet_fleet *fleet, proc_process *load,
+                  uint64_t timeout_ms)
+{
+    char path[PROC_PATH_SIZE];
+    bool is_ended = proc_wait_end(load, timeout_ms);
+
+    proc_kill(load);
+    snprintf(path, sizeof path, "%.400s/report.json", fleet->folder);
+    return is_ended ? json_load_file(path, 0, NULL) : NULL;
+}
--- a/tests/fleet/common-fleet-text.c
+++ b/tests/fleet/common-fleet-text.c
@@ -13,6 +13,13 @@
     size_t size;
 } text_text;
 
+static int
+format_rest(text_text *text, const char *format, va_list arguments)
+{
+    return vsnprintf(text->bytes + text->size, TEXT_SIZE - text->size, format,
+                     arguments);
+}
+
 static void __attribute__((format(printf, 2, 3)))
 add(text_text *text, const char *format, ...)
 {
@@ -20,8 +27,7 @@
     int length;
 
     va_start(arguments, format);
-    length = vsnprintf(text->bytes + text->size, TEXT_SIZE - text->size,
-                       format, arguments);
+    length = format_rest(text, format, arguments);
     va_end(arguments);
     if (length < 0 || text->size + (size_t)length >= TEXT_SIZE) {
         fputs("a text of the fleet is too long\n", stderr);
--- a/tests/fleet/common-fleet.c
+++ b/tests/fleet/common-fleet.c
@@ -279,7 +279,7 @@
         return fail(fleet, "settings not written");
     }
     proc_command_init(&command, fleet->shape.daemon);
-    proc_command_add(&command, "%s", path);
+    proc_command_add(&command, "--config=%s", path);
     format_log(fleet, router->name, log);
     return proc_start(&router->process, &command, log) ||
            fail(fleet, "router not started");
@@ -409,6 +409,59 @@
     return value;
 }
 
+uint32_t
+fleet_dispatcher(const fleet_fleet *fleet, const char *pool)
+{
+    uint32_t found = fleet->shape.routers;
+    char line[160];
+    double most = 0;
+
+    snprintf(line, sizeof line,
+             "lavender_dispatcher_slots{pool=\"%s\",shard=\"0\"}", pool);
+    for (uint32_t i = 0; i < fleet->shape.routers; i++) {
+        double slots = fleet->routers[i].process.pid > 0
+                           ? fleet_metric(fleet, i, line)
+                           : 0;
+
+        if (slots > most) {
+            most = slots;
+            found = i;
+        }
+    }
+    return found;
+}
+
+json_t *
+fleet_status(const fleet_fleet *fleet, uint32_t router)
+{
+    return http_json_wait(fleet->routers[router].operator_address, "GET",
+                          "/v1/status", "");
+}
+
+uint64_t
+fleet_revision(const fleet_fleet *fleet, uint32_t router)
+{
+    json_t *status = fleet_status(fleet, router);
+    json_t *documents = json_object_get(status, "documents");
+    json_t *catalogue = json_object_get(documents, "catalogue");
+    uint64_t revision =
+        (uint64_t)json_integer_value(json_object_get(catalogue, "revision"));
+
+    json_decref(status);
+    return revision;
+}
+
+uint32_t
+fleet_members(const fleet_fleet *fleet, uint32_t router)
+{
+    json_t *status = fleet_status(fleet, router);
+    uint32_t count =
+        (uint32_t)json_array_size(json_object_get(status, "members"));
+
+    json_decref(status);
+    return count;
+}
+
 bool
 fleet_partition(fleet_fleet *fleet, uint32_t left, uint32_t right)
 {
--- a/tests/fleet/common-fleet.h
+++ b/tests/fleet/common-fleet.h
@@ -109,6 +109,25 @@
 double fleet_metric(const fleet_fleet *fleet, uint32_t router,
                     const char *line);
 
+/* The router that dispatches a pool's first shard; routers when none does. */
+uint32_t fleet_dispatcher(const fleet_fleet *fleet, const char *pool);
+
+/* A router's /v1/status; NULL when it does not answer. */
+json_t *fleet_status(const fleet_fleet *fleet, uint32_t router);
+
+/* The catalogue revision in force at a router; 0 when it does not answer. */
+uint64_t fleet_revision(const fleet_fleet *fleet, uint32_t router);
+
+/* How many live members a router sees. */
+uint32_t fleet_members(const fleet_fleet *fleet, uint32_t router);
+
+/* Start the load tool with keys of [load] and sections [flow NAME]; wait for
+ * its end and read its report (NULL when it did not end). */
+bool fleet_start_load(const fleet_fleet *fleet, proc_process *load,
+                      const char *load_keys, const char *flows);
+json_t *fleet_finish_load(const fleet_fleet *fleet, proc_process *load,
+                          uint64_t timeout_ms);
+
 /* Let no byte pass between two routers' peer links, or heal all. */
 bool fleet_partition(fleet_fleet *fleet, uint32_t left, uint32_t right);
 bool fleet_heal(fleet_fleet *fleet);
--- a/tests/fleet/common-process.c
+++ b/tests/fleet/common-process.c
@@ -21,6 +21,13 @@
 #define EXIT_NO_EXEC 127
 #define US_PER_MS 1000
 
+static void
+format_argument(proc_command *command, const char *format, va_list arguments)
+{
+    vsnprintf(command->text[command->count++], PROC_PATH_SIZE, format,
+              arguments);
+}
+
 void
 proc_command_init(proc_command *command, const char *program)
 {
@@ -32,15 +39,13 @@
 proc_command_add(proc_command *command, const char *format, ...)
 {
     va_list arguments;
-    char *text;
 
     if (command->count == PROC_ARGUMENTS) {
         fputs("too many arguments of a program\n", stderr);
         abort();
     }
-    text = command->text[command->count++];
     va_start(arguments, format);
-    vsnprintf(text, PROC_PATH_SIZE, format, arguments);
+    format_argument(command, format, arguments);
     va_end(arguments);
 }
 
--- a/tests/fleet/fleet-bench.c
+++ b/tests/fleet/fleet-bench.c
@@ -61,47 +61,6 @@
     return 0;
 }
 
-static void
-write_endpoints(FILE *file, const fleet_fleet *fleet, bool is_service)
-{
-    fprintf(file, "%s = ", is_service ? "services" : "engines");
-    for (uint32_t i = 0; i < fleet->endpoint_count; i++) {
-        if (fleet->endpoints[i].is_service == is_service) {
-            fprintf(file, "%s,", fleet->endpoints[i].process.admin);
-        }
-    }
-    fputs("\n", file);
-}
-
-static bool
-write_plan(const bench_bench *bench, const char *path)
-{
-    const fleet_fleet *fleet = &bench->fleet;
-    FILE *file = fopen(path, "w");
-
-    if (file == NULL) {
-        perror(path);
-        return false;
-    }
-    fputs("[load]\nrouters = ", file);
-    for (uint32_t i = 0; i < fleet->shape.routers; i++) {
-        fprintf(file, "%s,", fleet->routers[i].callers);
-    }
-    fputs("\noperators = ", file);
-    for (uint32_t i = 0; i < fleet->shape.routers; i++) {
-        fprintf(file, "%s,", fleet->routers[i].operator_address);
-    }
-    fputs("\npids = ", file);
-    for (uint32_t i = 0; i < fleet->shape.routers; i++) {
-        fprintf(file, "%d,", (int)fleet->routers[i].process.pid);
-    }
-    fprintf(file, "\nplatform = %s\n", fleet->platform.admin);
-    write_endpoints(file, fleet, false);
-    write_endpoints(file, fleet, true);
-    fprintf(file, "%s%s", bench->load_text, bench->flow_text);
-    return fclose(file) == 0;
-}
-
 /* Pass on what the load tool prints; true at its end. */
 static bool
 copy_output(const proc_process *process)
@@ -122,38 +81,28 @@
 }
 
 static bool
-run_load(bench_bench *bench, bench_run *run, const char *folder)
+run_load(bench_bench *bench, bench_run *run)
 {
-    static proc_command command;
     proc_process load;
-    char log[PROC_PATH_SIZE];
     uint64_t start = usage_now_us();
     bool is_ended = false;
 
-    snprintf(log, sizeof log, "%.400s/load.log", folder);
-    proc_command_init(&command, "");
-    command.count = 0;
-    proc_command_add(&command, "%.400s/fleet-load", bench->programs);
-    proc_command_add(&command, "%.400s/plan.ini", folder);
-    proc_command_add(&command, "--json=%.400s/report.json", folder);
-    proc_command_add(&command, "--csv=%.400s/requests.csv", folder);
-    if (!proc_start(&load, &command, log)) {
+    if (!fleet_start_load(&bench->fleet, &load, bench->load_text,
+                          bench->flow_text)) {
         return false;
     }
     while (!is_ended && usage_now_us() - start < LOAD_END_MS * 1000ULL) {
         bench_do_faults(bench, run, (double)(usage_now_us() - start) / 1e6);
         is_ended = copy_output(&load);
     }
-    is_ended = is_ended && proc_wait_end(&load, LOAD_EXIT_MS);
-    proc_kill(&load);
-    return is_ended;
+    run->report = fleet_finish_load(&bench->fleet, &load, LOAD_EXIT_MS);
+    return run->report != NULL;
 }
 
 static bool
 do_run(bench_bench *bench, bench_run *run)
 {
     fleet_fleet *fleet = &bench->fleet;
-    char path[PROC_PATH_SIZE];
     bool is_done;
 
     snprintf(bench->shape.policy, sizeof bench->shape.policy, "%s",
@@ -162,12 +111,7 @@
     is_done = fleet_start(fleet, &bench->shape);
     if (is_done) {
         proc_sleep_ms(WARM_MS);
-        snprintf(path, sizeof path, "%.400s/plan.ini", fleet->folder);
-        is_done =
-            write_plan(bench, path) && run_load(bench, run, fleet->folder);
-        snprintf(path, sizeof path, "%.400s/report.json", fleet->folder);
-        run->report = json_load_file(path, 0, NULL);
-        is_done = is_done && run->report != NULL;
+        is_done = run_load(bench, run);
     }
     if (bench->keeps_folder || !is_done) {
         fprintf(stderr, "kept %s\n", fleet->folder);
--- a/tests/fleet/fleet-platform.c
+++ b/tests/fleet/fleet-platform.c
@@ -3,77 +3,16 @@
  * watched, and the weight store.
  */
 #include <argp.h>
-#include <dirent.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/stat.h>
 
-#include "common-http.h"
+#include "part-fleet-platform.h"
 
-#define KEYS_MAX 64
-#define KEY_SIZE 64
-#define PATH_SIZE 512
-#define VALUE_MAX 1000000
 #define READS_PER_SECOND 2000
 #define TICK_MS 5
 #define POLL_TICKS 40
 
-typedef struct value_value {
-    char *text;
-    size_t size;
-    uint64_t revision;
-} value_value;
-
-typedef struct key_key {
-    char name[KEY_SIZE];
-    value_value current;
-    value_value frozen;  /* what a stale service goes on serving */
-    value_value pending; /* lags behind */
-    uint64_t due_ms;     /* of pending */
-    struct timespec changed;
-} key_key;
-
-typedef struct watch_watch {
-    struct config_service *platform;
-    h2o_req_t *req;
-    key_key *key;
-    uint64_t after;
-    uint64_t due_ms;
-    struct watch_watch *next;
-} watch_watch;
-
-typedef struct weight_wait {
-    struct config_service *platform;
-    h2o_req_t *req;
-    uint64_t due_ms;
-    struct weight_wait *next;
-} weight_wait;
-
-typedef struct config_service {
-    uv_loop_t loop;
-    http_server server;
-    http_server admin;
-    uv_timer_t tick;
-    uint64_t ticks;
-    const char *listen;
-    const char *admin_listen;
-    const char *folder;
-    uint64_t weight_rate;
-    uint64_t weight_free_ms;
-    key_key keys[KEYS_MAX];
-    uint32_t key_count;
-    watch_watch *watches;
-    weight_wait *weights;
-    bool is_down;
-    bool is_stale;
-    uint64_t lists_lag_ms;
-    uint64_t second;
-    uint64_t second_reads;
-    uint64_t limit;
-    uint64_t reads, watch_calls, refused, limited, missing, weight_calls;
-} config_service;
-
 static void
 value_set(value_value *value, const char *text, size_t size, uint64_t revision)
 {
@@ -88,8 +27,8 @@
     value->revision = revision;
 }
 
-static key_key *
-find_key(config_service *platform, const char *name, bool is_made)
+key_key *
+platform_find_key(config_service *platform, const char *name, bool is_made)
 {
     key_key *key;
 
@@ -180,8 +119,9 @@
     }
 }
 
-static void
-set_key(config_service *platform, key_key *key, const char *text, size_t size)
+void
+platform_set_key(config_service *platform, key_key *key, const char *text,
+                 size_t size)
 {
     uint64_t revision = key->current.revision + 1;
 
@@ -211,69 +151,6 @@
     }
 }
 
-static void
-name_of_file(const char *file, char name[KEY_SIZE])
-{
-    unsigned number;
-
-    if (sscanf(file, "accounts-%u.ini", &number) == 1) {
-        snprintf(name, KEY_SIZE, "catalogue/accounts/%u", number);
-    }
-    else if (strcmp(file, "head.ini") == 0) {
-        snprintf(name, KEY_SIZE, "catalogue/head");
-    }
-    else if (strcmp(file, "lists.ini") == 0) {
-        snprintf(name, KEY_SIZE, "lists");
-    }
-    else {
-        name[0] = '\0';
-    }
-}
-
-static void
-load_file(config_service *platform, const char *file)
-{
-    char path[PATH_SIZE];
-    char name[KEY_SIZE];
-    char *text = malloc(VALUE_MAX);
-    struct stat status;
-    FILE *stream;
-    key_key *key;
-
-    name_of_file(file, name);
-    snprintf(path, sizeof path, "%s/%s", platform->folder, file);
-    key = name[0] != '\0' ? find_key(platform, name, true) : NULL;
-    stream = key != NULL ? fopen(path, "rb") : NULL;
-    if (stream == NULL || text == NULL ||
-        fstat(fileno(stream), &status) != 0) {
-        goto done;
-    }
-    if (memcmp(&status.st_mtim, &key->changed, sizeof key->changed) != 0) {
-        key->changed = status.st_mtim;
-        set_key(platform, key, text, fread(text, 1, VALUE_MAX, stream));
-    }
-done:
-    if (stream != NULL) {
-        fclose(stream);
-    }
-    free(text);
-}
-
-static void
-load_folder(config_service *platform)
-{
-    DIR *folder = opendir(platform->folder);
-    struct dirent *item;
-
-    if (folder == NULL) {
-        return;
-    }
-    while ((item = readdir(folder)) != NULL) {
-        load_file(platform, item->d_name);
-    }
-    closedir(folder);
-}
-
 static bool
 is_over_limit(config_service *platform)
 {
@@ -320,7 +197,7 @@
     snprintf(name, sizeof name, "%.*s",
              (int)(req->path_normalized.len - strlen(prefix)),
              req->path_normalized.base + strlen(prefix));
-    key = find_key(platform, name, false);
+    key = platform_find_key(platform, name, false);
     if (platform->is_down) {
         platform->refused++;
         http_send_text(req, 503, "text/plain", "down\n", 5);
@@ -341,59 +218,6 @@
     }
 }
 
-static void
-on_weight_gone(void *memory)
-{
-    weight_wait *wait = memory;
-    weight_wait **link = &wait->platform->weights;
-
-    while (*link != NULL && *link != wait) {
-        link = &(*link)->next;
-    }
-    if (*link == wait) {
-        *link = wait->next;
-    }
-}
-
-/* The store sends one set of weights after the other at its rate. */
-static void
-send_weights(config_service *platform, h2o_req_t *req)
-{
-    uint64_t bytes = http_query_number(req, "bytes", 0);
-    uint64_t now = uv_now(&platform->loop);
-    weight_wait *wait =
-        h2o_mem_alloc_shared(&req->pool, sizeof *wait, on_weight_gone);
-
-    platform->weight_calls++;
-    if (platform->weight_free_ms < now) {
-        platform->weight_free_ms = now;
-    }
-    platform->weight_free_ms += bytes * 1000 / platform->weight_rate;
-    wait->platform = platform;
-    wait->req = req;
-    wait->due_ms = platform->weight_free_ms;
-    wait->next = platform->weights;
-    platform->weights = wait;
-}
-
-static void
-try_weights(config_service *platform)
-{
-    weight_wait *wait = platform->weights;
-
-    while (wait != NULL) {
-        weight_wait *next = wait->next;
-
-        if (uv_now(&platform->loop) >= wait->due_ms) {
-            h2o_req_t *req = wait->req;
-
-            on_weight_gone(wait);
-            http_send_text(req, 200, "text/plain", "loaded\n", 7);
-        }
-        wait = next;
-    }
-}
-
 static void
 on_request(void *context, h2o_req_t *req)
 {
@@ -403,7 +227,7 @@
         read_config(platform, req);
     }
     else if (http_has_path(req, "/v1/weights")) {
-        send_weights(platform, req);
+        platform_send_weights(platform, req);
     }
     else {
         http_send_text(req, 404, "text/plain", "no such path\n", 13);
@@ -428,11 +252,26 @@
                      (json_int_t)platform->weight_calls);
 }
 
+/* Keep the values of now, for when the service is stale. */
+static void
+freeze(config_service *platform)
+{
+    platform->is_frozen = true;
+    for (uint32_t i = 0; i < platform->key_count; i++) {
+        key_key *key = &platform->keys[i];
+
+        if (key->current.text != NULL) {
+            value_set(&key->frozen, key->current.text, key->current.size,
+                      key->current.revision);
+        }
+    }
+}
+
 static void
 set_mode(config_service *platform, h2o_req_t *req)
 {
     json_t *mode = http_read_json(req);
-    bool was_stale = platform->is_stale;
+    bool freezes = json_is_true(json_object_get(mode, "freeze"));
     json_t *value;
 
     if ((value = json_object_get(mode, "down")) != NULL) {
@@ -444,15 +283,8 @@
     if ((value = json_object_get(mode, "lists_lag_ms")) != NULL) {
         platform->lists_lag_ms = (uint64_t)json_integer_value(value);
     }
-    if (platform->is_stale && !was_stale) {
-        for (uint32_t i = 0; i < platform->key_count; i++) {
-            key_key *key = &platform->keys[i];
-
-            if (key->current.text != NULL) {
-                value_set(&key->frozen, key->current.text, key->current.size,
-                          key->current.revision);
-            }
-        }
+    if (freezes || (platform->is_stale && !platform->is_frozen)) {
+        freeze(platform);
     }
     try_watches(platform);
     http_send_json(req, mode != NULL ? 200 : 400, json_pack("{}"));
@@ -476,8 +308,8 @@
         snprintf(name, sizeof name, "%.*s",
                  (int)(req->path_normalized.len - strlen(prefix)),
                  req->path_normalized.base + strlen(prefix));
-        set_key(platform, find_key(platform, name, true), req->entity.base,
-                req->entity.len);
+        platform_set_key(platform, platform_find_key(platform, name, true),
+                         req->entity.base, req->entity.len);
         try_watches(platform);
         http_send_json(req, 200, json_pack("{}"));
     }
@@ -492,11 +324,11 @@
     config_service *platform = timer->data;
 
     if (platform->folder != NULL && platform->ticks++ % POLL_TICKS == 0) {
-        load_folder(platform);
+        platform_load_folder(platform);
     }
     release_pending(platform);
     try_watches(platform);
-    try_weights(platform);
+    platform_try_weights(platform);
 }
 
 static const struct argp_option options[] = {
@@ -552,7 +384,8 @@
         "Stand-in for the platform's configuration service and weight store."
         "\vIt prints \"ready IP:PORT admin IP:PORT\". For tests: "
         "PUT /admin/config/KEY sets a value, POST /admin/mode {\"down\": "
-        "BOOL, \"stale\": BOOL, \"lists_lag_ms\": N}, GET /admin/counts.",
+        "BOOL, \"freeze\": true, \"stale\": BOOL (serve what was frozen), "
+        "\"lists_lag_ms\": N}, GET /admin/counts.",
         NULL,
         NULL,
         NULL};
@@ -564,7 +397,7 @@
     }
     uv_loop_init(&platform.loop);
     if (platform.folder != NULL) {
-        load_folder(&platform);
+        platform_load_folder(&platform);
     }
     http_server_init(&platform.server, &platform.loop, platform.listen,
                      on_request, &platform);
--- a/tests/fleet/part-fleet-bench-fault.c
+++ b/tests/fleet/part-fleet-bench-fault.c
@@ -5,35 +5,12 @@
 
 #include "part-fleet-bench.h"
 
-/* The router that dispatches the most slots. */
-static uint32_t
-find_dispatcher(const fleet_fleet *fleet)
-{
-    uint32_t found = 0;
-    double most = -1;
-
-    for (uint32_t i = 0; i < fleet->shape.routers; i++) {
-        double slots;
-
-        if (fleet->routers[i].process.pid == 0) {
-            continue;
-        }
-        slots = fleet_metric(fleet, i,
-                             "lavender_dispatcher_slots{pool=\"models\"}");
-        if (slots > most) {
-            most = slots;
-            found = i;
-        }
-    }
-    return found;
-}
-
 /* A number, or "dispatcher". */
 static uint32_t
 read_router(const fleet_fleet *fleet, const char *text)
 {
     uint32_t router = strcmp(text, "dispatcher") == 0
-                          ? find_dispatcher(fleet)
+                          ? fleet_dispatcher(fleet, "models")
                           : (uint32_t)strtoul(text, NULL, 10);
 
     return router < fleet->shape.routers ? router : 0;
--- a/tests/fleet/part-fleet-bench-read.c
+++ b/tests/fleet/part-fleet-bench-read.c
@@ -23,14 +23,21 @@
     KEY(service_time_us), KEY(quantum),      KEY(urgent_credit),
     KEY(output_weight),   KEY(hold_ms)};
 
+static void
+format_rest(char *text, const char *format, va_list arguments)
+{
+    size_t size = strlen(text);
+
+    vsnprintf(text + size, BENCH_TEXT_SIZE - size, format, arguments);
+}
+
 static void __attribute__((format(printf, 2, 3)))
 append(char *text, const char *format, ...)
 {
-    size_t size = strlen(text);
     va_list arguments;
 
     va_start(arguments, format);
-    vsnprintf(text + size, BENCH_TEXT_SIZE - size, format, arguments);
+    format_rest(text, format, arguments);
     va_end(arguments);
 }
 
