Share rates by interest and test the fleet-wide limits

Cause: an entry that could admit nothing had no recent arrivals, so its part of the allowance stayed zero and one entry took all (20% of the rate used over eight entries, none at 10 requests per second). Change: a report that lists an account counts as interest, over a window and the one before; allowances not used are taken back at most once in a report interval; bucket and allowances together stay within the burst.

--- a/packages/core/include/lavender/dispatcher.h
+++ b/packages/core/include/lavender/dispatcher.h
@@ -54,6 +54,13 @@
     uint32_t next;
 } disp_link;
 
+/* A count over this window of time and the one before. */
+typedef struct disp_recent {
+    uint32_t window;
+    uint32_t now;
+    uint32_t before;
+} disp_recent;
+
 /* One slot leased to an entry. */
 typedef struct disp_lease {
     uint64_t id;       /* 0: the place in the table is free */
@@ -85,9 +92,9 @@
     uint32_t arrivals; /* cumulative, as last reported */
     uint32_t allowance;
     uint32_t reclaimed; /* requests taken off the allowance, until seen */
+    uint32_t given;     /* allowance and what is taken off it */
     uint64_t reclaim_sequence; /* GRANT that takes them off; 0: not sent */
-    uint32_t recent;           /* arrivals lately, decaying */
-    lv_time arrived;           /* when the last arrival was reported */
+    disp_recent recent;        /* reports that listed it, and arrivals */
     uint32_t reported;         /* requests waiting, as last reported */
     uint32_t started; /* requests that left the queue since last charged */
     uint32_t stamp;
@@ -140,7 +147,10 @@
     uint32_t wanted;
     uint32_t urgent_unmet;
     uint32_t urgent_wanted;
-    uint32_t recent; /* sum of its demands' recent arrivals */
+    disp_recent recent; /* sum of its demands' */
+    lv_time window_start;
+    lv_time reclaimed;  /* when allowances were last taken back */
+    uint32_t given_out; /* allowances that its entries have left */
     lim_bucket rate;
     uint32_t places[DISP_HEAP_COUNT];
     heap_heap demands; /* with unmet work, oldest request first */
--- a/packages/core/include/lavender/limits.h
+++ b/packages/core/include/lavender/limits.h
@@ -35,6 +35,10 @@
 /* Add what the time since the last refill brings. */
 void lim_refill(lim_bucket *bucket, lv_time now);
 
+/* The same, but leave room for requests that were taken and may still be
+ * given back: they and the level stay within the burst together. */
+void lim_refill_beside(lim_bucket *bucket, lv_time now, uint32_t taken);
+
 /* Whole requests in the bucket. */
 uint32_t lim_available(const lim_bucket *bucket);
 
--- a/packages/core/source/dispatcher-demand.c
+++ b/packages/core/source/dispatcher-demand.c
@@ -70,7 +70,8 @@
     disp_demand *demand = &disp->demands[row];
 
     disp_demand_clear(disp, now, row);
-    disp->accounts[demand->account].recent -= demand->recent;
+
+    disp->accounts[demand->account].given_out -= demand->given;
     if (demand->is_reclaiming) {
         disp_list_remove(&disp->entries[demand->entry].reclaim_list,
                          DISP_ROWS(disp->demands, of_reclaim), row);
--- a/packages/core/source/dispatcher-rate.c
+++ b/packages/core/source/dispatcher-rate.c
@@ -1,5 +1,11 @@
 #include "dispatcher-imp.h"
 
+/* Interest is counted over a window of this many report intervals and the
+ * window before. */
+enum {
+    WINDOW_REPORTS = 4
+};
+
 /* The pool's rates are held by its first shard alone. */
 static bool
 is_rated(const disp_dispatcher *disp, const disp_demand *demand)
@@ -16,14 +22,63 @@
     return left > 0 ? (uint32_t)left : 0;
 }
 
+/* Keep the account's sum of what its entries were given. */
+static void
+count_given(disp_dispatcher *disp, disp_demand *demand)
+{
+    uint32_t given = outstanding(demand) + demand->reclaimed;
+
+    if (is_rated(disp, demand)) {
+        disp->accounts[demand->account].given_out += given - demand->given;
+        demand->given = given;
+    }
+}
+
 static void
-decay(disp_dispatcher *disp, disp_demand *demand, uint32_t arrivals)
+refill(disp_account *account, lv_time now)
+{
+    lim_refill_beside(&account->rate, now, account->given_out);
+}
+
+static void
+move_window(disp_recent *recent, uint32_t window)
+{
+    if (recent->window == window) {
+        return;
+    }
+    recent->before = recent->window + 1 == window ? recent->now : 0;
+    recent->now = 0;
+    recent->window = window;
+}
+
+/* A report that lists the account shows interest even when the entry could
+ * admit nothing. */
+static void
+note_interest(disp_dispatcher *disp, lv_time now, disp_demand *demand,
+              uint32_t arrivals)
 {
     disp_account *account = &disp->accounts[demand->account];
-    uint32_t recent = demand->recent / 2 + arrivals;
+    uint32_t window = account->recent.window;
+
+    if (lv_elapsed(now, account->window_start) >=
+        WINDOW_REPORTS * disp->settings.report_interval) {
+        account->window_start = now;
+        window++;
+    }
+    move_window(&account->recent, window);
+    move_window(&demand->recent, window);
+    account->recent.now += arrivals + 1;
+    demand->recent.now += arrivals + 1;
+}
+
+/* The demand's part of its account's interest, as a count. */
+static uint32_t
+interest(const disp_dispatcher *disp, const disp_demand *demand)
+{
+    disp_recent recent = demand->recent;
 
-    account->recent += recent - demand->recent;
-    demand->recent = recent;
+    move_window(&recent, disp->accounts[demand->account].recent.window);
+    return recent.now + recent.before;
 }
 
 static void
@@ -41,7 +96,7 @@
     demand->reclaimed -= free_again;
     demand->allowance = demand->arrivals;
     if (is_rated(disp, demand)) {
-        lim_refill(&account->rate, now);
+        refill(account, now);
         lim_charge(&account->rate, (uint32_t)over - free_again);
     }
 }
@@ -64,12 +119,12 @@
     }
     demand->arrivals = arrivals;
     if (came > 0) {
-        demand->arrived = now;
         demand->started += came;
         disp->entries[demand->entry].recent += came;
     }
-    decay(disp, demand, came);
+    note_interest(disp, now, demand, came);
     charge_overdraft(disp, now, demand);
+    count_given(disp, demand);
 }
 
 /* Once the entry knows of the lower allowance, what was taken off it and
@@ -90,6 +145,7 @@
             demand->reclaimed = 0;
             demand->reclaim_sequence = 0;
             demand->is_reclaiming = false;
+            count_given(disp, demand);
             disp_list_remove(&disp->entries[entry].reclaim_list,
                              DISP_ROWS(disp->demands, of_reclaim), row);
         }
@@ -97,22 +153,12 @@
     }
 }
 
-/* What an entry keeps when others need the account's allowance. */
-static uint32_t
-needed(const disp_dispatcher *disp, lv_time now, const disp_demand *demand)
-{
-    if (lv_elapsed(now, demand->arrived) >
-        2 * disp->settings.report_interval) {
-        return 0;
-    }
-    return 2 * demand->recent + 1;
-}
-
+/* Take back what an entry has over its interest of late. */
 static void
-reclaim(disp_dispatcher *disp, lv_time now, uint32_t row)
+reclaim(disp_dispatcher *disp, uint32_t row)
 {
     disp_demand *demand = &disp->demands[row];
-    uint32_t kept = needed(disp, now, demand);
+    uint32_t kept = interest(disp, demand);
 
     if (demand->is_reclaiming || outstanding(demand) <= kept) {
         return;
@@ -136,28 +182,33 @@
     disp_demand *demand = &disp->demands[row];
     disp_account *account = &disp->accounts[demand->account];
     uint64_t available;
+    uint64_t total;
     uint32_t part;
 
     if (!is_rated(disp, demand) || demand->is_reclaiming) {
         return;
     }
-    lim_refill(&account->rate, now);
+    refill(account, now);
     available = lim_available(&account->rate);
-    part = (uint32_t)(available * (demand->recent + 1) /
-                      ((uint64_t)account->recent + 1));
+    total = (uint64_t)account->recent.now + account->recent.before;
+    part = (uint32_t)(available * interest(disp, demand) /
+                      (total > 0 ? total : 1));
     if (part == 0 && available > 0 && outstanding(demand) == 0) {
         part = 1;
     }
     if (lim_take(&account->rate, part)) {
         demand->allowance += part;
+        count_given(disp, demand);
     }
-    if (outstanding(demand) > 0) {
+    if (outstanding(demand) > 0 ||
+        lv_elapsed(now, account->reclaimed) < disp->settings.report_interval) {
         return;
     }
+    account->reclaimed = now;
     for (uint32_t other = account->demand_list.first; other != LV_HANDLE_NONE;
          other = disp->demands[other].of_account.next) {
         if (other != row) {
-            reclaim(disp, now, other);
+            reclaim(disp, other);
         }
     }
 }
--- a/packages/core/source/lim-bucket.c
+++ b/packages/core/source/lim-bucket.c
@@ -6,13 +6,16 @@
     return rate < LIM_RATE_MAX ? rate : LIM_RATE_MAX;
 }
 
+static int64_t
+whole(uint32_t count)
+{
+    return (count < LIM_BURST_MAX ? count : LIM_BURST_MAX) * LIM_REQUEST;
+}
+
 static int64_t
 bound_burst(uint32_t burst)
 {
-    if (burst == 0) {
-        burst = 1;
-    }
-    return (burst < LIM_BURST_MAX ? burst : LIM_BURST_MAX) * LIM_REQUEST;
+    return whole(burst > 0 ? burst : 1);
 }
 
 static void
@@ -42,20 +45,29 @@
 }
 
 void
-lim_refill(lim_bucket *bucket, lv_time now)
+lim_refill_beside(lim_bucket *bucket, lv_time now, uint32_t taken)
 {
     lv_time elapsed = lv_elapsed(now, bucket->at);
-    uint64_t room = (uint64_t)(bucket->burst - bucket->level);
+    int64_t room = bucket->burst - whole(taken) - bucket->level;
 
     if (elapsed == 0) {
         return;
     }
     bucket->at = now;
-    if (bucket->rate > 0 && elapsed >= room / bucket->rate + 1) {
-        bucket->level = bucket->burst;
+    if (room <= 0 || bucket->rate == 0) {
         return;
     }
-    add(bucket, (int64_t)(elapsed * bucket->rate));
+    if (elapsed > (uint64_t)room / bucket->rate) {
+        bucket->level += room;
+        return;
+    }
+    bucket->level += (int64_t)(elapsed * bucket->rate);
+}
+
+void
+lim_refill(lim_bucket *bucket, lv_time now)
+{
+    lim_refill_beside(bucket, now, 0);
 }
 
 uint32_t
@@ -82,8 +94,7 @@
 {
     int64_t lowest = -bucket->burst;
 
-    bucket->level -=
-        (int64_t)(count < LIM_BURST_MAX ? count : LIM_BURST_MAX) * LIM_REQUEST;
+    bucket->level -= whole(count);
     if (bucket->level < lowest) {
         bucket->level = lowest;
     }
@@ -92,8 +103,7 @@
 void
 lim_give_back(lim_bucket *bucket, uint32_t count)
 {
-    add(bucket, (int64_t)(count < LIM_BURST_MAX ? count : LIM_BURST_MAX) *
-                    LIM_REQUEST);
+    add(bucket, whole(count));
 }
 
 lv_time
--- a/tests/core/lease-entry.c
+++ b/tests/core/lease-entry.c
@@ -85,6 +85,9 @@
     fleet_request request = {.arrived = fleet->now};
     uint32_t spread = work->most_ms - work->least_ms + 1;
 
+    for (uint32_t shard = 0; shard < FLEET_SHARDS; shard++) {
+        entry->talks[shard].has_arrived[account] = true;
+    }
     if (!may_admit(fleet, entry, account)) {
         fleet->refused[account]++;
         return;
@@ -388,7 +391,7 @@
              msg_message *message, report_room *room)
 {
     for (uint32_t a = 0; a < fleet->plan.accounts; a++) {
-        bool has_work = waiting(entry, a) > 0 || entry->arrivals[a] > 0;
+        bool has_work = waiting(entry, a) > 0 || talk->has_arrived[a];
 
         if (message->is_full ? has_work : talk->is_changed[a]) {
             room->demands[message->demand_count++] =
@@ -400,6 +403,7 @@
         }
         if (message->is_full) {
             talk->full_total[a] = talk->total[a] / 1000;
+            talk->has_arrived[a] = false;
         }
         talk->is_changed[a] = false;
     }
--- a/tests/core/lease-fleet.h
+++ b/tests/core/lease-fleet.h
@@ -111,6 +111,7 @@
     uint32_t allowance[FLEET_ACCOUNTS];
     bool has_allowance[FLEET_ACCOUNTS];
     bool is_changed[FLEET_ACCOUNTS];
+    bool has_arrived[FLEET_ACCOUNTS]; /* since the last full report */
     uint32_t said_waiting[FLEET_ACCOUNTS];
 } fleet_talk;
 
