--- a/tests/fleet/common-fleet-load.c
+++ b/tests/fleet/common-fleet-load.c
@@ -15,6 +15,17 @@
     fputs("\n", file);
 }
 
+/* The services themselves in place of routers. */
+static void
+write_direct(FILE *file, const fleet_fleet *fleet)
+{
+    for (uint32_t i = 0; i < fleet->endpoint_count; i++) {
+        if (fleet->endpoints[i].is_service) {
+            fprintf(file, "%s,", fleet->endpoints[i].process.address);
+        }
+    }
+}
+
 static bool
 write_plan(const fleet_fleet *fleet, const char *path, const char *load_keys,
            const char *flows)
@@ -26,7 +37,12 @@
         return false;
     }
     fputs("[load]\nrouters = ", file);
-    for (uint32_t i = 0; i < fleet->shape.routers; i++) {
+    if (strcmp(fleet->shape.policy, FLEET_DIRECT) == 0) {
+        write_direct(file, fleet);
+    }
+    for (uint32_t i = 0; i < fleet->shape.routers &&
+                         strcmp(fleet->shape.policy, FLEET_DIRECT) != 0;
+         i++) {
         fprintf(file, "%s,", fleet->routers[i].callers);
     }
     fputs("\noperators = ", file);
--- a/tests/fleet/common-fleet.h
+++ b/tests/fleet/common-fleet.h
@@ -14,6 +14,9 @@
 #define FLEET_NAME_SIZE 64
 #define FLEET_TEXT_SIZE 2048
 
+/* A policy of the load, not of routers: calls go to the services directly. */
+#define FLEET_DIRECT "direct"
+
 typedef struct fleet_account {
     char name[FLEET_NAME_SIZE];
     uint32_t weight;
--- a/tests/fleet/fleet-service.c
+++ b/tests/fleet/fleet-service.c
@@ -82,7 +82,10 @@
 start_job(service_service *service, service_job *job, uint64_t now_us)
 {
     record_run(service, job);
-    job->end_us = now_us + service->time_us;
+    job->end_us = now_us;
+    if (service->time_us >= TICK_MS * US_PER_MS) {
+        job->end_us += service->time_us;
+    }
     if (++service->running > service->running_max) {
         service->running_max = service->running;
     }
@@ -271,7 +274,8 @@
     {"listen", 'l', "IP:PORT", 0, "Where it listens (127.0.0.1:0)", 0},
     {"admin", 'a', "IP:PORT", 0, "Where tests drive it (127.0.0.1:0)", 0},
     {"slots", 's', "N", 0, "Calls that run at once (4)", 0},
-    {"time-us", 't', "US", 0, "Time of a call (20000)", 0},
+    {"time-us", 't', "US", 0,
+     "Time of a call (20000); under 1000 it ends at once", 0},
     {0}};
 
 static error_t
--- a/tests/fleet/part-fleet-bench-write.c
+++ b/tests/fleet/part-fleet-bench-write.c
@@ -31,6 +31,7 @@
     {"service_utilisation_percent", "services", "utilisation_percent"},
     {"urgent_p95_ms", NULL, "urgent_p95_ms"},
     {"deferrable_p95_ms", NULL, "deferrable_p95_ms"},
+    {"service_p50_ms", NULL, "service_p50_ms"},
     {"control_bytes_per_second", "control", "bytes_per_second_per_router"},
     {"core_percent", "control", "core_percent_per_router"},
     {"memory_kb", "control", "memory_kb_most"},
--- a/tests/fleet/part-fleet-load-report.c
+++ b/tests/fleet/part-fleet-load-report.c
@@ -487,7 +487,7 @@
                             json_integer(load->verdicts[i]));
     }
     return json_pack(
-        "{s:I, s:o, s:I, s:I, s:I, s:o, s:o, s:o, s:o, s:o}", "requests",
+        "{s:I, s:o, s:I, s:I, s:I, s:o, s:o, s:o, s:o, s:o, s:o}", "requests",
         (json_int_t)load->record_count, "verdicts", verdicts,
         "not_run_but_ran", (json_int_t)load->not_run_but_ran,
         "done_but_not_run", (json_int_t)load->done_but_not_run, "doubles",
@@ -496,5 +496,6 @@
         report_control(load), "urgent_p95_ms",
         measure_wait(load, NULL, "urgent", LOAD_ENGINE, 0.95),
         "deferrable_p95_ms",
-        measure_wait(load, NULL, "deferrable", LOAD_ENGINE, 0.95));
+        measure_wait(load, NULL, "deferrable", LOAD_ENGINE, 0.95),
+        "service_p50_ms", measure_wait(load, NULL, NULL, LOAD_SERVICE, 0.5));
 }
--- a/tests/fleet/trial.c
+++ b/tests/fleet/trial.c
@@ -32,8 +32,8 @@
     return shape;
 }
 
-static void
-require(trial_trial *trial, bool holds, const char *what)
+void
+trial_require(trial_trial *trial, bool holds, const char *what)
 {
     if (!holds) {
         fprintf(stderr, "%s; logs are in %s\n", what, trial->fleet.folder);
@@ -49,11 +49,11 @@
 {
     memset(trial, 0, sizeof *trial);
     trial->is_started = true;
-    require(trial, fleet_start(&trial->fleet, shape), "no fleet");
+    trial_require(trial, fleet_start(&trial->fleet, shape), "no fleet");
     for (uint32_t i = 0; i < trial->fleet.shape.routers; i++) {
-        require(trial,
-                trial_wait_members(trial, i, trial->fleet.shape.routers),
-                "the routers do not see each other");
+        trial_require(trial,
+                      trial_wait_members(trial, i, trial->fleet.shape.routers),
+                      "the routers do not see each other");
     }
 }
 
@@ -68,8 +68,9 @@
              "seed = 5\ntimeout_ms = 60000\n",
              seconds);
     is_started = fleet_start_load(&trial->fleet, &trial->load, keys, flows);
-    require(trial, is_started, "no load");
-    require(trial, trial_wait_progress(trial, 10), "the load gets no answer");
+    trial_require(trial, is_started, "no load");
+    trial_require(trial, trial_wait_progress(trial, 10),
+                  "the load gets no answer");
 }
 
 static long long
@@ -106,7 +107,7 @@
 
     trial->report =
         fleet_finish_load(&trial->fleet, &trial->load, LOAD_MARGIN_MS);
-    require(trial, trial->report != NULL, "the load did not end");
+    trial_require(trial, trial->report != NULL, "the load did not end");
     result = read_result(trial->report);
     json_decref(trial->report);
     fprintf(stderr,
@@ -114,12 +115,13 @@
             "unknown %lld, cut %lld, no-answer %lld\n",
             result.requests, result.whole, result.not_run, result.incomplete,
             result.unknown, result.cut, result.no_answer);
-    require(trial, result.wrong == 0, "an answer was wrong");
-    require(trial, result.pending == 0, "a request got no end");
-    require(trial, result.not_run_but_ran == 0, "said not-run, but ran");
-    require(trial, result.done_but_not_run == 0, "said done, but did not run");
-    require(trial, result.doubles == 0, "a booking ran twice");
-    require(trial, result.whole > 0, "nothing was answered");
+    trial_require(trial, result.wrong == 0, "an answer was wrong");
+    trial_require(trial, result.pending == 0, "a request got no end");
+    trial_require(trial, result.not_run_but_ran == 0, "said not-run, but ran");
+    trial_require(trial, result.done_but_not_run == 0,
+                  "said done, but did not run");
+    trial_require(trial, result.doubles == 0, "a booking ran twice");
+    trial_require(trial, result.whole > 0, "nothing was answered");
     return result;
 }
 
--- a/tests/fleet/trial.h
+++ b/tests/fleet/trial.h
@@ -25,6 +25,9 @@
 /* The shape that most tests use: three routers, two engines, a service. */
 fleet_shape trial_shape(void);
 
+/* Fail the test unless this holds, and keep the fleet's logs. */
+void trial_require(trial_trial *trial, bool holds, const char *what);
+
 /* Start a fleet; a test that can not have one fails. */
 void trial_start(trial_trial *trial, const fleet_shape *shape);
 
