--- a/tests/fleet/common-fleet-text.c
+++ b/tests/fleet/common-fleet-text.c
@@ -62,9 +62,13 @@
 {
     add(text, "[account %s]\nweight = %u\n", account->name, account->weight);
     add_digest(text, account->name);
-    add(text, "[entry %s/urgent]\npriority = urgent\n%s\n", account->name,
-        account->limits);
-    add(text, "[entry %s/deferrable]\npriority = deferrable\n%s\n",
+    add(text,
+        "[entry %s/urgent]\npriority = urgent\ndeadline = 60s\n"
+        "%s\n",
+        account->name, account->limits);
+    add(text,
+        "[entry %s/deferrable]\npriority = deferrable\n"
+        "deadline = 60s\n%s\n",
         account->name, account->limits);
 }
 
@@ -80,7 +84,7 @@
         shape->ignores_fencing ? "ignored" : "checked");
     add(text,
         "[pool plots]\nkind = service\nslots = %u\nquantum = %u\n"
-        "urgent_credit = %u\nhold = %ums\nfencing = ignored\n"
+        "urgent_credit = %u\nhold = %ums\n"
         "default_cost = 20\n",
         shape->service_slots, shape->quantum, shape->urgent_credit,
         shape->hold_ms);
--- a/tests/fleet/test-standins.c
+++ b/tests/fleet/test-standins.c
@@ -7,6 +7,8 @@
 
 #include "common-answer.h"
 #include "common-fleet.h"
+#include "lavender/catalogue.h"
+#include "lavender/world.h"
 
 #define READY_MS 10000
 #define CALL_MS 10000
@@ -273,3 +275,55 @@
     }
     proc_kill(&target);
 }
+
+static fleet_fleet fleet;
+
+static void
+stop_fleet(void)
+{
+    fleet_stop(&fleet, false);
+}
+
+static void
+expect_no_errors(const err_list *errors)
+{
+    char text[512];
+
+    for (size_t i = 0; i < errors->count && i < ERR_LIST_SIZE; i++) {
+        err_item_format(&errors->items[i], text, sizeof text);
+        cr_expect(false, "%s", text);
+    }
+}
+
+Test(fleet, what_it_publishes_is_valid, .fini = stop_fleet)
+{
+    fleet_shape shape = {.routers = 7, .zones = 3, .engines = 2};
+    http_call head;
+    http_call lists;
+    cat_catalogue catalogue;
+    world_lists world;
+    cat_part part;
+    err_list errors;
+
+    snprintf(shape.programs, sizeof shape.programs, "%s", FLEET_PROGRAMS);
+    cr_assert(fleet_start_rest(&fleet, &shape));
+    http_call_wait(&head, fleet.platform.address, "GET",
+                   "/v1/config/catalogue/head", "", "", CALL_MS);
+    http_call_wait(&lists, fleet.platform.address, "GET", "/v1/config/lists",
+                   "", "", CALL_MS);
+    part = (cat_part){"head.ini", head.body, head.size};
+    err_list_init(&errors);
+    cr_expect(cat_init(&catalogue, &part, 1, &errors));
+    expect_no_errors(&errors);
+    err_list_init(&errors);
+    cr_expect(
+        world_init(&world, "lists.ini", lists.body, lists.size, &errors));
+    expect_no_errors(&errors);
+    cr_expect_eq(catalogue.account_count, 4);
+    cr_expect_eq(world.instance_count, 7);
+    cr_expect_eq(world.endpoint_count, 3);
+    cat_finish(&catalogue);
+    world_finish(&world);
+    http_call_finish(&head);
+    http_call_finish(&lists);
+}
