--- a/tests/fleet/part-fleet-bench-write.c
+++ b/tests/fleet/part-fleet-bench-write.c
@@ -147,10 +147,37 @@
     return true;
 }
 
+static bool
+write_timeline(const bench_bench *bench)
+{
+    FILE *file = open_result(bench, "-timeline");
+
+    if (file == NULL) {
+        return false;
+    }
+    fputs("run,second,utilisation_percent,waiting\n", file);
+    for (uint32_t i = 0; i < bench->run_count; i++) {
+        json_t *engines = json_object_get(bench->runs[i].report, "engines");
+        size_t second;
+        json_t *values;
+
+        json_array_foreach(json_object_get(engines, "timeline"), second,
+                           values)
+        {
+            fprintf(file, "%s,%zu,%.2f,%.1f\n", bench->runs[i].name, second,
+                    json_number_value(json_array_get(values, 0)),
+                    json_number_value(json_array_get(values, 1)));
+        }
+        fputs("\n\n", file);
+    }
+    fclose(file);
+    return true;
+}
+
 bool
 bench_write_results(const bench_bench *bench)
 {
-    return write_runs(bench) && write_accounts(bench);
+    return write_runs(bench) && write_accounts(bench) && write_timeline(bench);
 }
 
 void
