--- a/packages/core/source/node.c
+++ b/packages/core/source/node.c
@@ -22,7 +22,7 @@
     entry_default_settings(&settings->entry);
     settings->dispatcher.lease_ttl = 3 * LV_SECOND;
     settings->dispatcher.lease_margin = 200 * LV_MILLISECOND;
-    settings->dispatcher.report_interval = 250 * LV_MILLISECOND;
+    settings->dispatcher.report_interval = settings->entry.report_interval;
     settings->dispatcher.settle = 3200 * LV_MILLISECOND;
     settings->membership.probe_interval = 200 * LV_MILLISECOND;
     settings->membership.probe_timeout = 100 * LV_MILLISECOND;
--- a/tests/core/test-share.c
+++ b/tests/core/test-share.c
@@ -115,7 +115,7 @@
 bound_of(const pump_pump *pump, const share_case *c)
 {
     bool has_shards = c->engines > c->shard_endpoints;
-    lv_time report = 250 * LV_MILLISECOND;
+    lv_time report = 100 * LV_MILLISECOND;
     disp_bound_input input = {
         .largest_request = pump->settings.cost_max + 10,
         .slot_rate = LV_SECOND / pump->settings.unit_time,
