--- a/packages/core/include/lavender/entry.h
+++ b/packages/core/include/lavender/entry.h
@@ -60,6 +60,8 @@
     bool can_resume;    /* the endpoint's protocol resumes streams */
 } entry_request;
 
+/* The host may call entry_submit from finish_request; it calls no other
+ * function here from within start_attempt, cancel_attempt or send. */
 typedef enum entry_end {
     ENTRY_END_DONE,    /* whole answer received */
     ENTRY_END_CONNECT, /* no connection: no byte was written */
@@ -193,7 +195,8 @@
                     uint64_t delivered_bytes);
 
 /* The attempt ended. input_units and output_units are the endpoint's own
- * count where it gives one (0 and 0: use what was seen). */
+ * count where it gives one (0 and 0: use what was seen): the whole input,
+ * and the output of this attempt alone. */
 void entry_attempt_end(entry_entry *entry, lv_time now, lv_handle request,
                        uint32_t number, entry_end end, uint64_t input_units,
                        uint64_t output_units);
--- a/packages/core/source/entry-cost.c
+++ b/packages/core/source/entry-cost.c
@@ -133,7 +133,6 @@
     if (input_units > 0 || output_units > 0) {
         item->input_units = input_units;
         item->output_units = output_units;
-        item->base_units = 0;
     }
     if (ran) {
         cost = seen_cost(pool, item, now);
--- a/packages/core/source/entry-report.c
+++ b/packages/core/source/entry-report.c
@@ -281,6 +281,8 @@
     while (index != NONE) {
         entry_part *part = &entry->parts[index];
 
+        part->told[CAT_URGENT] = 0;
+        part->told[CAT_DEFERRABLE] = 0;
         if (has_demand(entry, part)) {
             add_demand(entry, now, part, message);
         }
--- a/tests/core/entry-world.c
+++ b/tests/core/entry-world.c
@@ -1,5 +1,6 @@
 #include "entry-world.h"
 
+#include <criterion/criterion.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -80,6 +81,12 @@
     return lv_hash_name(name);
 }
 
+void
+ew_check(bool holds, const char *what)
+{
+    cr_assert(holds, "%s", what);
+}
+
 static void
 fail(const char *what, const char *detail)
 {
--- a/tests/core/entry-world.h
+++ b/tests/core/entry-world.h
@@ -46,6 +46,9 @@
     uint32_t decisions[LV_DECIDE_ORDER + 1];
 } ew_world;
 
+/* An assertion for helper functions: it is one call. */
+void ew_check(bool holds, const char *what);
+
 /* Pools "eng" (engines e1, e2, two slots each) and "svc" (services s1, s2);
  * routes /chat, /once (both eng), /look and /book (both svc; /once and /book
  * are not idempotent). Accounts: see the catalogue in the source. */
--- a/tests/core/test-entry-joint.c
+++ b/tests/core/test-entry-joint.c
@@ -8,8 +8,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "entry-world.h"
 #include "lavender/dispatcher.h"
-#include "lavender/entry.h"
 #include "texts.h"
 
 #define ENTRIES 7
@@ -82,13 +82,6 @@
 
 static const char *const account_names[ACCOUNTS] = {"a0", "a1", "a2", "a3"};
 
-/* Outside of tests an assertion is one call. */
-static void
-check(bool holds, const char *what)
-{
-    cr_assert(holds, "%s", what);
-}
-
 static void
 joint_send(lv_host *host, lv_id to, const msg_message *message)
 {
@@ -96,10 +89,11 @@
     letter *at = &world.letters[world.letter_count++];
     err_error error;
 
-    check(world.letter_count < MESSAGES_MAX, "too many messages");
+    ew_check(world.letter_count < MESSAGES_MAX, "too many messages");
     at->due = world.now + LATENCY;
     at->to = from->number == ENTRIES ? (uint32_t)(to - 1) : ENTRIES;
-    check(msg_encode(message, &at->bytes, &at->size, &error), error.message);
+    ew_check(msg_encode(message, &at->bytes, &at->size, &error),
+             error.message);
     world.sent[from->number]++;
     world.sent_bytes[from->number] += at->size;
 }
@@ -122,7 +116,7 @@
     uint64_t width = world.with->most_ms - world.with->least_ms + 1;
     run *at = &world.runs[world.run_count++];
 
-    check(world.run_count < RUNS_MAX, "too many attempts");
+    ew_check(world.run_count < RUNS_MAX, "too many attempts");
     *at = (run){
         .due = world.now +
                (world.with->least_ms + text_random(&world.random) % width) *
@@ -135,8 +129,8 @@
         .began = world.now,
     };
     world.running_at[at->endpoint]++;
-    check(world.running_at[at->endpoint] <= SLOTS,
-          "an endpoint has more than its slots");
+    ew_check(world.running_at[at->endpoint] <= SLOTS,
+             "an endpoint has more than its slots");
 }
 
 static void
@@ -152,7 +146,7 @@
 {
     (void)host;
     (void)request;
-    check(outcome->kind == OUT_DONE, out_reason_name(outcome->reason));
+    ew_check(outcome->kind == OUT_DONE, out_reason_name(outcome->reason));
     world.finished++;
 }
 
@@ -161,9 +155,9 @@
 joint_log(lv_host *host, const lv_decision *decision)
 {
     (void)host;
-    check(decision->reason != NULL, "a decision without a reason");
-    check(decision->kind != LV_DECIDE_ROUTE || decision->account != NULL,
-          "a route without an account");
+    ew_check(decision->reason != NULL, "a decision without a reason");
+    ew_check(decision->kind != LV_DECIDE_ROUTE || decision->account != NULL,
+             "a route without an account");
     if (decision->kind == LV_DECIDE_ROUTE && decision->account != NULL) {
         world.routed = (uint32_t)(decision->account[1] - '0');
     }
@@ -197,8 +191,8 @@
     }
     part.text = text.text;
     part.size = text.size;
-    check(cat_init(&world.catalogue, &part, 1, &errors),
-          errors.items[0].error.message);
+    ew_check(cat_init(&world.catalogue, &part, 1, &errors),
+             errors.items[0].error.message);
     text_finish(&text);
     TEXT_ADD(&text, "[list]\nrevision = 1\n[zone z1]\nregion = perth\n");
     for (uint32_t i = 0; i < with->endpoints; i++) {
@@ -207,8 +201,8 @@
                  "address = 127.0.0.1:%u\n",
                  i, 7300 + i);
     }
-    check(world_init(&world.lists, "lists", text.text, text.size, &errors),
-          errors.items[0].error.message);
+    ew_check(world_init(&world.lists, "lists", text.text, text.size, &errors),
+             errors.items[0].error.message);
     text_finish(&text);
 }
 
@@ -237,16 +231,17 @@
     for (uint32_t i = 0; i < ENTRIES; i++) {
         ids[i] = i + 1;
     }
-    check(disp_init(&world.dispatcher, &world.hosts[ENTRIES].base, &settings,
-                    1, lv_hash_name("svc"), 0, 1, world.now, &error),
-          "refused");
+    ew_check(disp_init(&world.dispatcher, &world.hosts[ENTRIES].base,
+                       &settings, 1, lv_hash_name("svc"), 0, 1, world.now,
+                       &error),
+             "refused");
     disp_set_views(&world.dispatcher, world.now, &world.catalogue,
                    &world.lists);
     disp_set_members(&world.dispatcher, world.now, ids, ENTRIES, 1000);
     for (uint32_t i = 0; i < ENTRIES; i++) {
-        check(entry_init(&world.entries[i], &world.hosts[i].base, &usual, NULL,
-                         i + 1, 1, world.now, &error),
-              "refused");
+        ew_check(entry_init(&world.entries[i], &world.hosts[i].base, &usual,
+                            NULL, i + 1, 1, world.now, &error),
+                 "refused");
         entry_set_views(&world.entries[i], world.now, &world.catalogue,
                         &world.lists);
         entry_set_live(&world.entries[i], world.now, ids, ENTRIES);
@@ -282,9 +277,9 @@
     out_outcome refusal;
     lv_handle handle;
 
-    check(entry_submit(&world.entries[entry], world.now, &request, &handle,
-                       &refusal),
-          out_reason_name(refusal.reason));
+    ew_check(entry_submit(&world.entries[entry], world.now, &request, &handle,
+                          &refusal),
+             out_reason_name(refusal.reason));
     world.open[account][entry]++;
 }
 
@@ -314,9 +309,9 @@
     world.service[account] += world.now - at.began;
     world.busy += world.now - at.began;
     world.open[account][at.entry]--;
-    check(entry_may_send(&world.entries[at.entry], at.began, at.request,
-                         at.number),
-          "refused");
+    ew_check(entry_may_send(&world.entries[at.entry], at.began, at.request,
+                            at.number),
+             "refused");
     entry_attempt_end(&world.entries[at.entry], world.now, at.request,
                       at.number, ENTRY_END_DONE, 0, 0);
 }
@@ -330,15 +325,15 @@
 
     memmove(&world.letters[index], &world.letters[index + 1],
             (--world.letter_count - index) * sizeof *world.letters);
-    check(msg_decode(at.bytes, at.size, &message, &world.buffer, &error),
-          error.message);
+    ew_check(msg_decode(at.bytes, at.size, &message, &world.buffer, &error),
+             error.message);
     if (at.to == ENTRIES) {
-        check(disp_take_report(&world.dispatcher, world.now, &message),
-              "refused");
+        ew_check(disp_take_report(&world.dispatcher, world.now, &message),
+                 "refused");
     }
     else {
-        check(entry_take_grant(&world.entries[at.to], world.now, &message),
-              "refused");
+        ew_check(entry_take_grant(&world.entries[at.to], world.now, &message),
+                 "refused");
     }
     free(at.bytes);
 }
--- a/tests/core/test-entry-retry.c
+++ b/tests/core/test-entry-retry.c
@@ -301,6 +301,23 @@
     return handle;
 }
 
+Test(retry, the_endpoints_own_count_of_a_resumed_stream_is_added)
+{
+    lv_handle request;
+
+    grant_all("eng");
+    request = submit_resumable();
+    ew_send_last(&world);
+    entry_progress(&world.entry, world.now, request, 1, 40, 1234);
+    ew_end_last(&world, ENTRY_END_LOST);
+    ew_send_last(&world);
+    entry_attempt_end(&world.entry, world.now, request, 2, ENTRY_END_DONE, 12,
+                      25);
+    cr_assert_eq(
+        ledger_line_of(&world.ledger, ew_id("eng"), ew_id("a"))->service,
+        12 + 2 * (40 + 25));
+}
+
 Test(retry, a_stream_is_resumed_at_its_offset_at_the_same_endpoint)
 {
     lv_handle request;
