Place wanted models with rate-limited, fenced orders

Cause: endpoints must load what the catalogue wants, from whichever instance dispatches their pool. Change: rendezvous hashing says which endpoints want a model; the pool's dispatcher orders one step at a time for each endpoint, loads no faster than the weight store allows, unloads only when every wanted copy is loaded, and only after the view has been quiet.

--- a/packages/core/include/lavender/placement.h
+++ b/packages/core/include/lavender/placement.h
@@ -18,7 +18,40 @@
     lv_time quiet; /* the view must be unchanged this long before an order */
 } place_settings;
 
-typedef struct place_placement place_placement;
+/* The most models that one endpoint may report. */
+#define PLACE_MODELS_MAX 32
+
+/* An endpoint of a pool that this instance gives orders to. */
+typedef struct place_endpoint {
+    lv_id id;
+    lv_id models[PLACE_MODELS_MAX]; /* loaded, as last reported */
+    uint32_t model_count;
+    bool is_heard;       /* it has reported what it has loaded */
+    bool is_ordered;     /* one order is on its way */
+    lv_time order_ends;  /* then the order counts as lost */
+    lv_time rests_until; /* after a refusal */
+} place_endpoint;
+
+/* A pool with orders from this instance. */
+typedef struct place_pool {
+    lv_id id;
+    bool is_mine;
+} place_pool;
+
+/* Fields are private. */
+typedef struct place_placement {
+    lv_host *host;
+    place_settings settings;
+    const cat_catalogue *catalogue;
+    const world_lists *lists;
+    place_endpoint *endpoints; /* same order as in the lists */
+    uint32_t endpoint_count;
+    place_pool *pools; /* same order as in the catalogue */
+    uint32_t pool_count;
+    lv_time changed;   /* when the view last changed */
+    lv_time next_load; /* no load order before this */
+    lv_time next_tick;
+} place_placement;
 
 bool place_init(place_placement *placement, lv_host *host,
                 const place_settings *settings, lv_time now, err_error *error);
