--- a/packages/ctl/source/ctl-load.c
+++ b/packages/ctl/source/ctl-load.c
@@ -48,11 +48,17 @@
 ctl_load_catalogue(cat_catalogue *catalogue, const char *const *paths,
                    size_t count, err_list *errors)
 {
-    cat_part parts[CTL_FILES_MAX];
+    cat_part parts[CTL_FILES_MAX] = {{0}};
     size_t opened = 0;
     bool is_ok = false;
 
     memset(catalogue, 0, sizeof *catalogue);
+    if (count == 0 || count > CTL_FILES_MAX) {
+        err_list_add(errors, "catalogue", 0, ERR_LIMIT,
+                     "name the head first, then its account parts",
+                     "it has %zu files", count);
+        return false;
+    }
     while (opened < count) {
         if (!read_part(paths[opened], &parts[opened], errors)) {
             goto done;
--- a/packages/ctl/source/main.c
+++ b/packages/ctl/source/main.c
@@ -14,10 +14,6 @@
 } command;
 
 static const command commands[] = {
-    {"check", ctl_check, "check a settings file of lavenderd"},
-    {"catalogue", ctl_catalogue,
-     "check a catalogue, or show what a change "
-     "of it does"},
     {"status", ctl_status, "show what routers say of themselves"},
     {"fairness", ctl_fairness,
      "show each account's service, wait and share, "
