--- a/packages/core/include/lavender/dispatcher.h
+++ b/packages/core/include/lavender/dispatcher.h
@@ -87,6 +87,7 @@
     uint32_t waiting[CAT_PRIORITY_COUNT];
     lv_time oldest[CAT_PRIORITY_COUNT]; /* since when the head waits */
     uint32_t pending;                   /* grants on their way */
+    uint32_t begun;    /* grants seen since service was last reported */
     uint32_t promised; /* recalled slots that are meant for it */
     uint32_t held;     /* leases not recalled */
     uint32_t arrivals; /* cumulative, as last reported */
@@ -115,6 +116,7 @@
     disp_link of_account;
     disp_link of_holders; /* demands of the account that hold leases */
     disp_link of_entry;
+    disp_link of_begun;   /* demands of the entry with grants begun */
     disp_link of_reclaim; /* demands of the entry that give back allowance */
     disp_link of_waiting; /* demands of the entry that wait */
     bool is_waiting;
@@ -142,6 +144,7 @@
     uint32_t leased; /* all leases bound to it */
     uint32_t held;   /* those not recalled */
     uint32_t pending;
+    uint32_t begun;
     uint32_t promised;
     uint32_t waiting;
     uint32_t reported; /* requests waiting, as its entries last said */
@@ -185,6 +188,7 @@
     disp_list demand_list;
     disp_list waiting_list;
     disp_list reclaim_list;
+    disp_list begun_list;
 } disp_entry;
 
 typedef struct disp_endpoint {
--- a/packages/core/source/dispatcher-account.c
+++ b/packages/core/source/dispatcher-account.c
@@ -316,7 +316,8 @@
     int64_t level = disp_account_level(disp, row);
     int64_t step =
         account->cost * (1 + others_like_this(disp)) / account->weight;
-    int64_t ready = level + step * account->pending;
+    int64_t ready =
+        level + step * ((int64_t)account->pending + account->begun);
     int64_t want = ready + step * account->promised;
     bool is_open = account->leased < account->limit;
     bool is_wanting =
--- a/packages/core/source/dispatcher-demand.c
+++ b/packages/core/source/dispatcher-demand.c
@@ -71,6 +71,7 @@
 
     disp_demand_clear(disp, now, row);
 
+    disp_demand_end_begun(disp, row);
     disp->accounts[demand->account].given_out -= demand->given;
     if (demand->is_reclaiming) {
         disp_list_remove(&disp->entries[demand->entry].reclaim_list,
@@ -86,6 +87,33 @@
     disp->free_demand = row;
 }
 
+/* A grant has begun a request, whose charge comes with the next full
+ * report. */
+void
+disp_demand_begin(disp_dispatcher *disp, uint32_t row)
+{
+    disp_demand *demand = &disp->demands[row];
+
+    if (demand->begun++ == 0) {
+        disp_list_add(&disp->entries[demand->entry].begun_list,
+                      DISP_ROWS(disp->demands, of_begun), row);
+    }
+    disp->accounts[demand->account].begun++;
+}
+
+void
+disp_demand_end_begun(disp_dispatcher *disp, uint32_t row)
+{
+    disp_demand *demand = &disp->demands[row];
+
+    if (demand->begun > 0) {
+        disp->accounts[demand->account].begun -= demand->begun;
+        demand->begun = 0;
+        disp_list_remove(&disp->entries[demand->entry].begun_list,
+                         DISP_ROWS(disp->demands, of_begun), row);
+    }
+}
+
 static uint32_t
 less(uint32_t from, uint64_t by)
 {
--- a/packages/core/source/dispatcher-entry.c
+++ b/packages/core/source/dispatcher-entry.c
@@ -51,6 +51,7 @@
     disp_list_init(&entry->demand_list);
     disp_list_init(&entry->waiting_list);
     disp_list_init(&entry->reclaim_list);
+    disp_list_init(&entry->begun_list);
 }
 
 uint32_t
--- a/packages/core/source/dispatcher-imp.h
+++ b/packages/core/source/dispatcher-imp.h
@@ -60,6 +60,8 @@
                              const lv_time oldest[CAT_PRIORITY_COUNT]);
 void disp_demand_set_reported(disp_dispatcher *disp, uint32_t row,
                               uint32_t reported);
+void disp_demand_begin(disp_dispatcher *disp, uint32_t row);
+void disp_demand_end_begun(disp_dispatcher *disp, uint32_t row);
 void disp_demand_clear(disp_dispatcher *disp, lv_time now, uint32_t row);
 int64_t disp_demand_age_key(const disp_demand *demand);
 
--- a/packages/core/source/dispatcher-report.c
+++ b/packages/core/source/dispatcher-report.c
@@ -242,6 +242,19 @@
     }
 }
 
+/* A full report has charged every request that began before it. */
+static void
+end_begun(disp_dispatcher *disp, lv_time now, uint32_t entry)
+{
+    uint32_t row = disp->entries[entry].begun_list.first;
+
+    while (row != LV_HANDLE_NONE) {
+        disp_demand_end_begun(disp, row);
+        disp_account_refresh(disp, now, disp->demands[row].account);
+        row = disp->entries[entry].begun_list.first;
+    }
+}
+
 static void
 take_full(disp_dispatcher *disp, lv_time now, uint32_t row,
           const msg_message *message)
@@ -313,6 +326,9 @@
         clear_unlisted_demand(disp, now, row);
     }
     take_services(disp, now, row, message);
+    if (message->is_full) {
+        end_begun(disp, now, row);
+    }
     disp_check_settled(disp, now);
     disp_choose(disp, now);
     if (message->is_full) {
--- a/packages/core/source/slot-lease.c
+++ b/packages/core/source/slot-lease.c
@@ -250,6 +250,7 @@
     demand = &disp->demands[lease->demand];
     demand->pending--;
     disp->accounts[demand->account].pending--;
+    disp_demand_begin(disp, lease->demand);
     priority = demand->waiting[CAT_URGENT] > 0 ? CAT_URGENT : CAT_DEFERRABLE;
     if (demand->waiting[priority] > 0) {
         demand->waiting[priority]--;
