--- a/tests/core/pump.c
+++ b/tests/core/pump.c
@@ -259,7 +259,7 @@
     msg_buffer buffer;
     msg_message message;
 
-    if (node->node == NULL ||
+    if (node->node == NULL || pump->is_cut[event->endpoint][event->node] ||
         node->group != pump->nodes[event->endpoint].group) {
         return;
     }
@@ -526,6 +526,7 @@
 pump_heal(pump_pump *pump)
 {
     memset(&pump->faults, 0, sizeof pump->faults);
+    memset(pump->is_cut, 0, sizeof pump->is_cut);
     pump->is_platform_up = true;
     pump->is_platform_stale = false;
     for (uint32_t i = 0; i < pump->settings.nodes; i++) {
@@ -637,3 +638,11 @@
     }
     return pump->settings.nodes;
 }
+
+void
+pump_flood(pump_pump *pump, uint32_t account, uint32_t node, uint32_t count)
+{
+    for (uint32_t i = 0; i < count; i++) {
+        pump_submit(pump, account, node);
+    }
+}
--- a/tests/core/pump.h
+++ b/tests/core/pump.h
@@ -124,6 +124,7 @@
     pump_endpoint endpoints[PUMP_ENDPOINTS_MAX];
     pump_request *requests;
     uint32_t request_count;
+    bool is_cut[PUMP_NODES_MAX][PUMP_NODES_MAX]; /* from, to: silent */
     pump_event *events; /* binary heap by time and order */
     uint32_t event_count;
     uint32_t event_capacity;
@@ -170,6 +171,9 @@
 void pump_silence_endpoint(pump_pump *pump, uint32_t endpoint);
 void pump_leave_endpoint(pump_pump *pump, uint32_t endpoint);
 void pump_publish(pump_pump *pump);
+/* One account at one node opens many requests at once. */
+void pump_flood(pump_pump *pump, uint32_t account, uint32_t node,
+                uint32_t count);
 void pump_set_load(pump_pump *pump, bool is_loaded);
 
 /* The node that dispatches the first shard of the engines' pool, or the
--- a/tests/core/test-walk.c
+++ b/tests/core/test-walk.c
@@ -17,6 +17,7 @@
 #define WALKS_PER_BLOCK 125
 #define WALK_BLOCKS 8
 #define FIRST_SEED 1000
+#define FLOOD_REQUESTS 150
 
 typedef enum fault {
     FAULT_NONE,
@@ -36,6 +37,8 @@
     FAULT_RESTART,
     FAULT_DRAIN,
     FAULT_PUBLISH,
+    FAULT_SILENT_LINK,
+    FAULT_FLOOD,
     FAULT_COUNT
 } fault;
 
@@ -57,6 +60,8 @@
     "restart",
     "drain",
     "publish",
+    "silent-link",
+    "flood",
 };
 
 static uint32_t
@@ -159,6 +164,12 @@
     case FAULT_PUBLISH:
         pump_publish(pump);
         break;
+    case FAULT_SILENT_LINK:
+        pump->is_cut[node][pump_random(pump, nodes)] = true;
+        break;
+    case FAULT_FLOOD:
+        pump_flood(pump, 0, node, FLOOD_REQUESTS);
+        break;
     case FAULT_NONE:
     case FAULT_COUNT:
         break;
@@ -210,6 +221,10 @@
 
     pump_default_settings(&settings, seed);
     settings.mutation = mutation;
+    if (seed % 2 == 1) {
+        settings.shard_endpoints = 1;
+    }
+    settings.nodes = 3 + seed / 2 % 3;
     pump = pump_open(&settings);
     pump_run(pump, WARM_UP);
     pump_set_load(pump, true);
