--- a/packages/core/include/lavender/dispatcher.h
+++ b/packages/core/include/lavender/dispatcher.h
@@ -71,13 +71,15 @@
     uint32_t meant_for; /* demand that its recall shall serve */
     uint32_t stamp;     /* of the full report that listed it last */
     bool is_recalled;
+    bool is_recall_sent;
     bool is_pending; /* the entry has not said that it knows of it */
     bool is_busy;
     cat_priority priority;
     disp_link of_entry;
     disp_link of_endpoint;
-    disp_link of_demand; /* while not recalled */
-    disp_link of_sent;   /* while pending, in order of sequence */
+    disp_link of_demand;   /* while not recalled */
+    disp_link of_recalled; /* while recalled */
+    disp_link of_sent;     /* while pending, in order of sequence */
 } disp_lease;
 
 /* What one account waits for, holds and used at one entry. */
@@ -184,6 +186,7 @@
     bool has_claimed;
     bool needs_grant; /* something waits to be sent */
     disp_list lease_list;
+    disp_list recall_list;
     disp_list sent_list; /* pending leases, oldest grant first */
     disp_list demand_list;
     disp_list waiting_list;
--- a/packages/core/source/dispatcher-entry.c
+++ b/packages/core/source/dispatcher-entry.c
@@ -47,6 +47,7 @@
         now + disp->settings.lease_ttl + disp->settings.lease_margin;
     entry->is_member = disp_is_member(disp, id);
     disp_list_init(&entry->lease_list);
+    disp_list_init(&entry->recall_list);
     disp_list_init(&entry->sent_list);
     disp_list_init(&entry->demand_list);
     disp_list_init(&entry->waiting_list);
@@ -118,11 +119,22 @@
     return false;
 }
 
+/* A row that follows this one goes on with its sequence of GRANTs. */
+void
+disp_entry_keep_sequence(disp_dispatcher *disp, uint32_t row)
+{
+    if (disp->entries[row].sent > disp->first_sequence) {
+        disp->first_sequence = disp->entries[row].sent;
+    }
+}
+
 static void
 forget(disp_dispatcher *disp, lv_time now, uint32_t row)
 {
     disp_entry *entry = &disp->entries[row];
 
+    disp_entry_keep_sequence(disp, row);
+
     while (entry->demand_list.first != LV_HANDLE_NONE) {
         disp_demand_free(disp, now, entry->demand_list.first);
     }
--- a/packages/core/source/dispatcher-imp.h
+++ b/packages/core/source/dispatcher-imp.h
@@ -88,6 +88,7 @@
 uint32_t disp_entry_find(disp_dispatcher *disp, lv_id id);
 uint32_t disp_entry_make(disp_dispatcher *disp, lv_time now, lv_id id,
                          uint64_t incarnation);
+void disp_entry_keep_sequence(disp_dispatcher *disp, uint32_t row);
 void disp_entry_silence(disp_dispatcher *disp, lv_time now, uint32_t row);
 void disp_entry_sweep(disp_dispatcher *disp, lv_time now);
 bool disp_is_member(const disp_dispatcher *disp, lv_id id);
--- a/packages/core/source/dispatcher-report.c
+++ b/packages/core/source/dispatcher-report.c
@@ -22,6 +22,7 @@
         return LV_HANDLE_NONE;
     }
     if (message->incarnation > disp->entries[row].incarnation) {
+        disp_entry_keep_sequence(disp, row);
         disp->entries[row].is_gone = true;
         disp_entry_silence(disp, now, row);
         row =
--- a/packages/core/source/dispatcher-send.c
+++ b/packages/core/source/dispatcher-send.c
@@ -95,29 +95,46 @@
     return count;
 }
 
+/* The first recall to send: a full answer repeats those that were sent, in
+ * case their GRANT was lost. */
 static uint32_t
-collect_recalls(disp_dispatcher *disp, const disp_entry *entry)
+first_recall(const disp_dispatcher *disp, const disp_entry *entry,
+             bool is_answer)
+{
+    uint32_t row = entry->recall_list.last;
+    uint32_t first = LV_HANDLE_NONE;
+
+    if (is_answer) {
+        return entry->recall_list.first;
+    }
+    while (row != LV_HANDLE_NONE && !disp->leases[row].is_recall_sent) {
+        first = row;
+        row = disp->leases[row].of_recalled.previous;
+    }
+    return first;
+}
+
+static uint32_t
+collect_recalls(disp_dispatcher *disp, const disp_entry *entry, bool is_answer)
 {
     uint32_t count = 0;
 
-    for (uint32_t row = entry->lease_list.first;
+    for (uint32_t row = first_recall(disp, entry, is_answer);
          row != LV_HANDLE_NONE && count < MSG_ITEMS_MAX;
-         row = disp->leases[row].of_entry.next) {
-        if (!disp->leases[row].is_recalled) {
-            continue;
-        }
+         row = disp->leases[row].of_recalled.next) {
         if (!table_reserve((void **)&disp->out_recalls,
                            &disp->out_recall_capacity, count + 1,
                            sizeof *disp->out_recalls)) {
             break;
         }
+        disp->leases[row].is_recall_sent = true;
         disp->out_recalls[count++] = disp->leases[row].id;
     }
     return count;
 }
 
 static void
-send_grant(disp_dispatcher *disp, uint32_t row)
+send_grant(disp_dispatcher *disp, uint32_t row, bool is_answer)
 {
     disp_entry *entry = &disp->entries[row];
     uint32_t first_level = 0;
@@ -138,7 +155,7 @@
         .ttl = disp->settings.lease_ttl,
         .is_contended = disp->is_contended,
         .grant_count = collect_grants(disp, entry),
-        .recalled_count = collect_recalls(disp, entry),
+        .recalled_count = collect_recalls(disp, entry, is_answer),
     };
     message.grants = disp->out_grants;
     message.recalled = disp->out_recalls;
@@ -162,7 +179,7 @@
 void
 disp_send_answer(disp_dispatcher *disp, uint32_t row)
 {
-    send_grant(disp, row);
+    send_grant(disp, row, true);
 }
 
 void
@@ -172,7 +189,7 @@
         disp_entry *entry = &disp->entries[disp->touched[i]];
 
         if (entry->needs_grant && !entry->is_gone) {
-            send_grant(disp, disp->touched[i]);
+            send_grant(disp, disp->touched[i], false);
         }
         entry->needs_grant = false;
     }
--- a/packages/core/source/slot-lease.c
+++ b/packages/core/source/slot-lease.c
@@ -223,6 +223,8 @@
         drop_hold(disp, row);
     }
     lease->is_recalled = true;
+    disp_list_add(&disp->entries[lease->entry].recall_list,
+                  DISP_ROWS(disp->leases, of_recalled), row);
     disp->endpoints[lease->endpoint].recalled++;
     set_meant_for(disp, now, row, meant_for);
     if (lease->demand != LV_HANDLE_NONE) {
@@ -278,6 +280,8 @@
     disp->entries[lease->entry].leases--;
     disp->endpoints[endpoint].leased--;
     if (lease->is_recalled) {
+        disp_list_remove(&disp->entries[lease->entry].recall_list,
+                         DISP_ROWS(disp->leases, of_recalled), row);
         disp->endpoints[endpoint].recalled--;
     }
     disp->leased--;
--- a/packages/core/source/table-imp.h
+++ b/packages/core/source/table-imp.h
@@ -6,9 +6,16 @@
 
 #include "lavender/types.h"
 
+/* Make a table larger, as table_reserve does. */
+bool table_grow(void **items, uint32_t *capacity, uint32_t needed,
+                size_t size);
+
 /* Make room for at least needed items of the given size; what is new is
  * zero. False if memory ends; the table is then as it was. */
-bool table_reserve(void **items, uint32_t *capacity, uint32_t needed,
-                   size_t size);
+static inline bool
+table_reserve(void **items, uint32_t *capacity, uint32_t needed, size_t size)
+{
+    return needed <= *capacity || table_grow(items, capacity, needed, size);
+}
 
 #endif
--- a/packages/core/source/table.c
+++ b/packages/core/source/table.c
@@ -8,14 +8,11 @@
 };
 
 bool
-table_reserve(void **items, uint32_t *capacity, uint32_t needed, size_t size)
+table_grow(void **items, uint32_t *capacity, uint32_t needed, size_t size)
 {
     uint32_t wanted = *capacity > 0 ? *capacity : FIRST_CAPACITY;
     char *grown;
 
-    if (needed <= *capacity) {
-        return true;
-    }
     while (wanted < needed) {
         if (wanted > UINT32_MAX / 2) {
             return false;
