Charge slot time while a service runs

Cause: a plain service streams nothing, so a long call was charged its prediction alone until it ended, and its account went first meanwhile. Change: a full report first charges what has passed of running calls.

--- a/packages/core/source/entry-report.c
+++ b/packages/core/source/entry-report.c
@@ -381,12 +381,32 @@
     entry->counts.reports_full++;
 }
 
+/* Slot time counts while it passes, also when no answer streams. */
+static void
+charge_running(entry_entry *entry, lv_time now, const entry_shard *shard)
+{
+    uint32_t index = shard->leases.first;
+
+    if (entry->pools[shard->pool].kind != CAT_POOL_SERVICE) {
+        return;
+    }
+    for (uint32_t i = 0; i < shard->leases.count; i++) {
+        const entry_lease *lease = &entry->leases[index];
+
+        if (lease->item != NONE) {
+            entry_charge_progress(entry, now, lease->item);
+        }
+        index = lease->next[CHAIN_SHARD];
+    }
+}
+
 void
 entry_send_full(entry_entry *entry, lv_time now, uint32_t index)
 {
     entry_shard *shard = &entry->shards[index];
     msg_message message;
 
+    charge_running(entry, now, shard);
     start_message(entry, now, shard, &message);
     message.is_full = true;
     message.is_claim = shard->is_claiming;
--- a/tests/core/test-entry.c
+++ b/tests/core/test-entry.c
@@ -518,15 +518,22 @@
         ledger_line_of(&world.ledger, ew_id("eng"), ew_id("b"))->service, 100);
 }
 
+static int64_t
+service_of(const char *pool, const char *account)
+{
+    return ledger_line_of(&world.ledger, ew_id(pool), ew_id(account))->service;
+}
+
 Test(entry, services_are_charged_in_slot_milliseconds)
 {
     ew_submit(&world, "a", "drafts", "/look", NULL);
     ew_grant(&world, "svc", "s1", "a");
     ew_send_last(&world);
+    cr_assert_eq(service_of("svc", "a"), 10, "the pool's default cost");
     ew_run(&world, 250 * LV_MILLISECOND);
+    cr_assert_geq(service_of("svc", "a"), 150, "charged while it runs");
     ew_end_last(&world, ENTRY_END_DONE);
-    cr_assert_eq(
-        ledger_line_of(&world.ledger, ew_id("svc"), ew_id("a"))->service, 250);
+    cr_assert_eq(service_of("svc", "a"), 250);
 }
 
 Test(entry, the_endpoint_that_has_the_prefix_is_preferred)
