--- a/tests/core/entry-world.c
+++ b/tests/core/entry-world.c
@@ -114,7 +114,8 @@
 
     world->report_count++;
     if (message->is_full) {
-        world->full_sent[message->pool != ew_id("eng")] = message->sent;
+        world->full_sent[message->pool != ew_id("eng")][message->shard % 2] =
+            message->sent;
         world->was_claim[message->pool != ew_id("eng")] = message->is_claim;
     }
     report->to = to;
@@ -284,16 +285,16 @@
 
 /* The echo is the time of the entry's last full report to the shard. */
 static lv_time
-last_full(const ew_world *world, lv_id pool)
+last_full(const ew_world *world, lv_id pool, uint32_t shard)
 {
-    return pool == ew_id("eng") ? world->full_sent[0] : world->full_sent[1];
+    return world->full_sent[pool != ew_id("eng")][shard % 2];
 }
 
 bool
 ew_take(ew_world *world, const msg_message *message)
 {
     msg_message copy = *message;
-    lv_time last = last_full(world, message->pool);
+    lv_time last = last_full(world, message->pool, message->shard);
 
     if (copy.echo > last) {
         copy.echo = last;
@@ -304,11 +305,19 @@
 uint64_t
 ew_grant(ew_world *world, const char *pool, const char *endpoint,
          const char *account)
+{
+    return ew_grant_shard(world, pool, 0, endpoint, account);
+}
+
+uint64_t
+ew_grant_shard(ew_world *world, const char *pool, uint32_t shard,
+               const char *endpoint, const char *account)
 {
     msg_message message = ew_message(world, pool);
     msg_grant grant = {++world->next_lease, ew_id(endpoint),
                        account == NULL ? LV_ID_NONE : ew_id(account)};
 
+    message.shard = shard;
     message.grants = &grant;
     message.grant_count = 1;
     ew_take(world, &message);
--- a/tests/core/entry-world.h
+++ b/tests/core/entry-world.h
@@ -34,8 +34,8 @@
     uint64_t next_lease;
     uint64_t next_request;
     uint64_t sequence;
-    lv_time full_sent[2]; /* last full reports for eng and svc */
-    bool was_claim[2];    /* were they claims? */
+    lv_time full_sent[2][2]; /* last full reports for eng and svc, by shard */
+    bool was_claim[2];       /* were they claims? */
     uint32_t report_count;
     ew_report report; /* the last one */
     uint32_t attempt_count;
@@ -70,6 +70,8 @@
 
 /* Play the dispatcher of shard 0 of a pool: grant one lease (account NULL:
  * any), with the echo of the entry's last full report. Returns its number. */
+uint64_t ew_grant_shard(ew_world *world, const char *pool, uint32_t shard,
+                        const char *endpoint, const char *account);
 uint64_t ew_grant(ew_world *world, const char *pool, const char *endpoint,
                   const char *account);
 
--- a/tests/core/test-entry-walk.c
+++ b/tests/core/test-entry-walk.c
@@ -7,6 +7,7 @@
 #include <criterion/criterion.h>
 #include <string.h>
 
+#include "entry-imp.h"
 #include "entry-world.h"
 #include "texts.h"
 
@@ -123,6 +124,30 @@
           "idle with open requests");
 }
 
+/* No lease is idle while a request that may use it waits. */
+static void
+check_idle_leases(void)
+{
+    const entry_entry *entry = &world.entry;
+
+    for (uint32_t i = 0; i < entry->lease_count; i++) {
+        const entry_lease *lease = &entry->leases[i];
+        const entry_pool *pool =
+            &entry->pools[entry->shards[lease->shard].pool];
+        bool is_resting =
+            entry->endpoints[lease->endpoint].rest_until > world.now;
+
+        if (!lease->is_idle || is_resting ||
+            !entry_may_use(entry, world.now, i)) {
+            continue;
+        }
+        check(lease->flow != NONE
+                  ? fq_count(&entry->queues, lease->flow) == 0
+                  : fq_choose(&entry->queues, pool->group) == NONE,
+              "a lease is idle while work waits for it");
+    }
+}
+
 static void
 submit(void)
 {
@@ -260,8 +285,9 @@
     static const char *const accounts[] = {"a", "b", "rated", "limited", NULL};
     uint32_t endpoint = pick(4);
 
-    ew_grant(&world, endpoint < 2 ? "eng" : "svc", endpoints[endpoint],
-             accounts[pick(5)]);
+    ew_grant_shard(&world, endpoint < 2 ? "eng" : "svc",
+                   endpoint < 2 ? pick(2) : 0, endpoints[endpoint],
+                   accounts[pick(5)]);
 }
 
 static void
@@ -294,12 +320,32 @@
     "0000000000000000000000000000000000000000000000000000000000000001\n"
     "[entry a/drafts]\npriority = deferrable\ndeadline = 1m\n";
 
+/* The engines in two shards. */
+static const char in_two_shards[] =
+    "[catalogue]\nrevision = 3\n"
+    "[pool eng]\nkind = engine\nslots = 2\ninput_weight = 1\n"
+    "output_weight = 2\nquantum = 1000\nhold = 1ms\ndefault_cost = 100\n"
+    "shard_endpoints = 1\n"
+    "[route /chat]\npool = eng\nidempotent = yes\n"
+    "[route /once]\npool = eng\nidempotent = no\n"
+    "[account a]\nweight = 1\nkey_digest = "
+    "0000000000000000000000000000000000000000000000000000000000000001\n"
+    "[entry a/drafts]\npriority = deferrable\ndeadline = 1m\n"
+    "[entry a/gate]\npriority = urgent\ndeadline = 1m\n"
+    "[account b]\nweight = 1\nkey_digest = "
+    "0000000000000000000000000000000000000000000000000000000000000002\n"
+    "[entry b/work]\npriority = deferrable\ndeadline = 1m\n";
+
 static void
 disturb(void)
 {
     uint32_t endpoint = pick(2);
 
-    switch (pick(12)) {
+    switch (pick(14)) {
+    case 12:
+    case 13:
+        ew_set_catalogue(&world, in_two_shards);
+        break;
     case 0:
         entry_mark_stale(&world.entry, world.now);
         break;
@@ -399,6 +445,12 @@
 static uint64_t
 walk(uint64_t number)
 {
+    entry_settings settings;
+
+    entry_default_settings(&settings);
+    settings.mode = number % 8 == 6   ? ENTRY_MODE_LOCAL_FAIR
+                    : number % 8 == 7 ? ENTRY_MODE_LOCAL_FIFO
+                                      : ENTRY_MODE_LEASES;
     seed = number;
     state = number * 2654435761u + 1;
     memset(models, 0, sizeof models);
@@ -410,11 +462,14 @@
     finishes_seen = 0;
     digest = 0;
     memset(is_leaving, 0, sizeof is_leaving);
-    ew_init(&world, NULL);
+    ew_init(&world, &settings);
+    entry_set_dispatcher(&world.entry, world.now, ew_id("eng"), 1,
+                         ew_id("r2"));
     for (int i = 0; i < STEPS; i++) {
         step();
         see_events();
         check_counts();
+        check_idle_leases();
     }
     finish_all();
     check_counts();
--- a/tests/core/test-entry.c
+++ b/tests/core/test-entry.c
@@ -171,7 +171,7 @@
 
     ew_grant(&world, "eng", "e1", NULL);
     ew_submit(&world, "a", "drafts", "/chat", NULL);
-    echo = world.full_sent[0];
+    echo = world.full_sent[0][0];
     world.now = echo + EW_TTL - 1;
     cr_assert(ew_send_last(&world));
     ew_end_last(&world, ENTRY_END_DONE);
@@ -268,7 +268,7 @@
 
     ew_grant(&world, "eng", "e1", NULL);
     ew_submit(&world, "a", "drafts", "/chat", NULL);
-    before = world.full_sent[0];
+    before = world.full_sent[0][0];
     world.now += 300 * LV_MILLISECOND;
     entry_mark_stale(&world.entry, world.now);
     cr_assert_not(ew_send_last(&world));
@@ -277,7 +277,7 @@
     message.echo = before;
     cr_assert(ew_take(&world, &message));
     cr_assert_eq(world.attempt_count, 1);
-    cr_assert(world.full_sent[0] >= world.now, "a full report went out");
+    cr_assert(world.full_sent[0][0] >= world.now, "a full report went out");
     cr_assert_eq(ew_counts(&world).leases, 0);
     ew_grant(&world, "eng", "e2", "a");
     cr_assert_eq(world.attempt_count, 2);
@@ -609,3 +609,72 @@
     cr_assert_eq(ew_counts(&world).running, 1, "the later one runs on");
     cr_assert(ew_send_last(&world));
 }
+
+/* Callers that send their next request as soon as one has ended. */
+
+static uint32_t chained;
+static uint32_t refusals;
+
+static void
+finish_and_submit(lv_host *host, lv_handle request, const out_outcome *outcome)
+{
+    static const char *const classes[] = {"drafts", "gate", "hasty"};
+
+    (void)host;
+    (void)request;
+    (void)outcome;
+    if (chained < 2000) {
+        chained++;
+        refusals += ew_submit(&world, "a", classes[chained % 3], "/chat",
+                              NULL) == LV_HANDLE_NONE;
+    }
+}
+
+static lv_host_ops chaining_ops;
+
+static void
+chain(void)
+{
+    chaining_ops = *world.host.ops;
+    chaining_ops.finish_request = finish_and_submit;
+    world.host.ops = &chaining_ops;
+}
+
+Test(entry, the_next_request_may_be_submitted_from_the_end_of_one)
+{
+    chain();
+    ew_submit(&world, "a", "drafts", "/chat", NULL);
+    ew_grant(&world, "eng", "e1", "a");
+    for (int i = 0; i < 1000; i++) {
+        ew_send_last(&world);
+        ew_end_last(&world, i % 7 == 0 ? ENTRY_END_PROTOCOL : ENTRY_END_DONE);
+        if (ew_counts(&world).running == 0) {
+            ew_run(&world, 300 * LV_MILLISECOND);
+            ew_grant(&world, "eng", i % 2 ? "e1" : "e2", "a");
+        }
+    }
+    cr_assert_eq(refusals, 0);
+    cr_assert_eq(ew_counts(&world).waiting + ew_counts(&world).running, 1);
+    cr_assert_gt(chained, 500);
+}
+
+Test(entry, deadlines_cancels_and_views_may_end_in_new_requests)
+{
+    lv_handle requests[100];
+
+    for (int i = 0; i < 100; i++) {
+        requests[i] =
+            ew_submit(&world, "a", i % 2 ? "hasty" : "gate", "/chat", NULL);
+    }
+    chain();
+    ew_run(&world, LV_SECOND);
+    cr_assert_eq(chained, 50);
+    for (int i = 0; i < 100; i += 2) {
+        entry_cancel(&world.entry, world.now, requests[i]);
+    }
+    cr_assert_eq(chained, 100);
+    cr_assert_eq(ew_counts(&world).waiting, 100);
+    ew_set_catalogue(&world, smaller_catalogue);
+    cr_assert_gt(refusals, 0, "classes that are gone are refused");
+    cr_assert_eq(ew_counts(&world).waiting + refusals, 100);
+}
