--- a/packages/core/include/lavender/dispatcher.h
+++ b/packages/core/include/lavender/dispatcher.h
@@ -54,6 +54,13 @@
     uint32_t next;
 } disp_link;
 
+/* A count over this window of time and the one before. */
+typedef struct disp_recent {
+    uint32_t window;
+    uint32_t now;
+    uint32_t before;
+} disp_recent;
+
 /* One slot leased to an entry. */
 typedef struct disp_lease {
     uint64_t id;       /* 0: the place in the table is free */
@@ -80,14 +87,15 @@
     uint32_t waiting[CAT_PRIORITY_COUNT];
     lv_time oldest[CAT_PRIORITY_COUNT]; /* since when the head waits */
     uint32_t pending;                   /* grants on their way */
+    uint32_t begun;    /* grants seen since service was last reported */
     uint32_t promised; /* recalled slots that are meant for it */
     uint32_t held;     /* leases not recalled */
     uint32_t arrivals; /* cumulative, as last reported */
     uint32_t allowance;
     uint32_t reclaimed; /* requests taken off the allowance, until seen */
+    uint32_t given;     /* allowance and what is taken off it */
     uint64_t reclaim_sequence; /* GRANT that takes them off; 0: not sent */
-    uint32_t recent;           /* arrivals lately, decaying */
-    lv_time arrived;           /* when the last arrival was reported */
+    disp_recent recent;        /* reports that listed it, and arrivals */
     uint32_t reported;         /* requests waiting, as last reported */
     uint32_t started; /* requests that left the queue since last charged */
     uint32_t stamp;
@@ -108,6 +116,7 @@
     disp_link of_account;
     disp_link of_holders; /* demands of the account that hold leases */
     disp_link of_entry;
+    disp_link of_begun;   /* demands of the entry with grants begun */
     disp_link of_reclaim; /* demands of the entry that give back allowance */
     disp_link of_waiting; /* demands of the entry that wait */
     bool is_waiting;
@@ -117,14 +126,16 @@
     lv_id id;            /* LV_ID_NONE: the place is free */
     lv_handle catalogue; /* LV_HANDLE_NONE: not in the catalogue */
     uint32_t weight;
-    uint32_t epoch;          /* of the last rebase of its level */
-    int64_t level;           /* virtual counter: service / weight */
-    int64_t residue;         /* service that is less than one unit of level */
-    int64_t cost;            /* of a request, service units, averaged */
-    int64_t given;           /* service / weight charged by this shard */
-    int64_t foreign;         /* service / weight that other shards gave */
-    int64_t claimed;         /* highest level claimed while settling */
-    int64_t since;           /* service / weight on top of claimed */
+    uint32_t epoch;  /* of the last rebase of its level */
+    int64_t level;   /* virtual counter: service / weight */
+    int64_t residue; /* service that is less than one unit of level */
+    int64_t cost;    /* of a request, service units, averaged */
+    int64_t given;   /* service / weight charged by this shard */
+    int64_t foreign; /* service / weight that other shards gave */
+    int64_t claimed; /* highest level claimed while settling */
+    int64_t since;   /* service / weight on top of claimed */
+    int64_t guess;   /* what other shards are taken to give at the same time */
+    int64_t old_guess;       /* the part of it before the last SHARD_SUM */
     int64_t summed;          /* given, as the last SHARD_SUM had it */
     uint64_t foreign_tenure; /* of the root that foreign came from */
     bool is_rated;
@@ -133,6 +144,7 @@
     uint32_t leased; /* all leases bound to it */
     uint32_t held;   /* those not recalled */
     uint32_t pending;
+    uint32_t begun;
     uint32_t promised;
     uint32_t waiting;
     uint32_t reported; /* requests waiting, as its entries last said */
@@ -140,7 +152,10 @@
     uint32_t wanted;
     uint32_t urgent_unmet;
     uint32_t urgent_wanted;
-    uint32_t recent; /* sum of its demands' recent arrivals */
+    disp_recent recent; /* sum of its demands' */
+    lv_time window_start;
+    lv_time reclaimed;  /* when allowances were last taken back */
+    uint32_t given_out; /* allowances that its entries have left */
     lim_bucket rate;
     uint32_t places[DISP_HEAP_COUNT];
     heap_heap demands; /* with unmet work, oldest request first */
@@ -173,6 +188,7 @@
     disp_list demand_list;
     disp_list waiting_list;
     disp_list reclaim_list;
+    disp_list begun_list;
 } disp_entry;
 
 typedef struct disp_endpoint {
--- a/packages/core/source/dispatcher-imp.h
+++ b/packages/core/source/dispatcher-imp.h
@@ -38,6 +38,7 @@
                         int64_t since);
 void disp_account_add_foreign(disp_dispatcher *disp, lv_time now, uint32_t row,
                               uint64_t tenure, int64_t foreign);
+void disp_account_drop_guess(disp_dispatcher *disp, lv_time now, uint32_t row);
 void disp_account_lift(disp_dispatcher *disp, uint32_t row);
 void disp_account_set_catalogue(disp_dispatcher *disp, lv_time now,
                                 uint32_t row);
@@ -59,6 +60,8 @@
                              const lv_time oldest[CAT_PRIORITY_COUNT]);
 void disp_demand_set_reported(disp_dispatcher *disp, uint32_t row,
                               uint32_t reported);
+void disp_demand_begin(disp_dispatcher *disp, uint32_t row);
+void disp_demand_end_begun(disp_dispatcher *disp, uint32_t row);
 void disp_demand_clear(disp_dispatcher *disp, lv_time now, uint32_t row);
 int64_t disp_demand_age_key(const disp_demand *demand);
 
--- a/tests/core/lease-fleet.h
+++ b/tests/core/lease-fleet.h
@@ -111,6 +111,7 @@
     uint32_t allowance[FLEET_ACCOUNTS];
     bool has_allowance[FLEET_ACCOUNTS];
     bool is_changed[FLEET_ACCOUNTS];
+    bool has_arrived[FLEET_ACCOUNTS]; /* since the last full report */
     uint32_t said_waiting[FLEET_ACCOUNTS];
 } fleet_talk;
 
@@ -220,6 +221,9 @@
                           const lv_time snapshot[FLEET_ACCOUNTS],
                           uint32_t mask);
 
+/* The stated bound of the gap for the fleet's plan, in microseconds. */
+lv_time fleet_bound(const fleet_fleet *fleet);
+
 /* Busy thousandths of slot time while work waited, since the last reset. */
 uint32_t fleet_use(const fleet_fleet *fleet);
 void fleet_reset_counts(fleet_fleet *fleet);
