Take the kernel's free ports in the test of the peer links

Cause: ports counted from the process id met those of another run: all five tests failed once with 'address in use'. Change: the kernel picks the port. Conclusion: no assertion was changed.

--- a/tests/net/test-link.c
+++ b/tests/net/test-link.c
@@ -2,9 +2,12 @@
  * Peer links over real sockets on loopback: delivery, CURVE keys, garbage on
  * the peer port.
  */
+#include <arpa/inet.h>
 #include <criterion/criterion.h>
+#include <netinet/in.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "lavender-net/link.h"
@@ -56,10 +59,19 @@
     return settings;
 }
 
+/* A port that the kernel says is free. */
 static int
-pick_port(int place)
+pick_port(void)
 {
-    return 20000 + (getpid() * 7 + place * 3001) % 30000;
+    struct sockaddr_in address = {.sin_family = AF_INET};
+    socklen_t size = sizeof address;
+    int probe = socket(AF_INET, SOCK_STREAM, 0);
+
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    cr_assert_eq(bind(probe, (struct sockaddr *)&address, size), 0);
+    cr_assert_eq(getsockname(probe, (struct sockaddr *)&address, &size), 0);
+    close(probe);
+    return ntohs(address.sin_port);
 }
 
 static void
@@ -67,7 +79,7 @@
 {
     end_point *end = &f->ends[place];
     link_settings settings =
-        make_settings(f->instances[place].id, pick_port(place));
+        make_settings(f->instances[place].id, pick_port());
     err_error error;
 
     settings.use_curve = keys->use_curve;
