Test the documents' spread and walk over membership and documents

test-document: changes in force within 3 s on 1 to 200 routers, with up to 10% loss; starts with an old or unreachable platform; refusals; bodies that were not asked for. test-walk-views: 1,000 seeds of 16 steps over loss, duplicates, reordering, partition, pause, kill, restart, platform down or old; three planted faults are found.

--- a/tests/core/mesh.c
+++ b/tests/core/mesh.c
@@ -290,6 +290,7 @@
     uint64_t known = 0;
 
     if (mesh->nodes[event->from].side != node->side ||
+        node->fault == MESH_FAULT_DEAF ||
         !msg_decode(event->bytes, event->size, &message, &mesh->buffer,
                     NULL)) {
         return;
@@ -310,7 +311,8 @@
         if (message.kind == MSG_DOC_FETCH) {
             doc_take_fetch(&node->documents, mesh->now, &message);
         }
-        else if (message.kind == MSG_DOC_BODY) {
+        else if (message.kind == MSG_DOC_BODY &&
+                 node->fault != MESH_FAULT_NO_BODIES) {
             doc_take_body(&node->documents, mesh->now, &message);
         }
     }
@@ -324,7 +326,8 @@
     uint32_t count = mesh->version_count[event->doc];
     const mesh_version *version;
 
-    if (event->incarnation != node->incarnation) {
+    if (event->incarnation != node->incarnation ||
+        node->fault == MESH_FAULT_NO_BODIES) {
         return;
     }
     begin(node);
@@ -441,6 +444,32 @@
     }
 }
 
+void
+mesh_forget(mesh_mesh *mesh, uint32_t index)
+{
+    mesh_node *node = &mesh->nodes[index];
+
+    doc_finish(&node->documents);
+    if (!doc_init(&node->documents, &node->host, &mesh->settings.documents,
+                  node->id, mesh->now - mesh->settings.documents.start_wait,
+                  NULL)) {
+        abort();
+    }
+    swim_finish(&node->swim);
+    if (!swim_init(&node->swim, &node->host, &mesh->settings.swim, node->id,
+                   node->incarnation, mesh->settings.seed, mesh->now, NULL)) {
+        abort();
+    }
+    read_platform(node, DOC_LISTS, 0);
+    read_platform(node, DOC_CATALOGUE, 0);
+}
+
+void
+mesh_read_platform(mesh_mesh *mesh, uint32_t node, doc_kind doc)
+{
+    read_platform(&mesh->nodes[node], doc, 0);
+}
+
 static mesh_version *
 add_version(mesh_mesh *mesh, doc_kind doc, uint64_t revision)
 {
@@ -595,6 +624,21 @@
     return behind;
 }
 
+uint64_t
+mesh_highest(const mesh_mesh *mesh, doc_kind doc)
+{
+    uint64_t highest = 0;
+
+    for (uint32_t i = 0; i < mesh->settings.nodes; i++) {
+        const mesh_node *node = &mesh->nodes[i];
+
+        if (node->is_up && node->in_force[doc].revision > highest) {
+            highest = node->in_force[doc].revision;
+        }
+    }
+    return highest;
+}
+
 uint32_t
 mesh_went_back(const mesh_mesh *mesh)
 {
--- a/tests/core/mesh.h
+++ b/tests/core/mesh.h
@@ -10,7 +10,7 @@
 #include "lavender/membership.h"
 #include "texts.h"
 
-#define MESH_VERSIONS_MAX 16
+#define MESH_VERSIONS_MAX 32
 #define MESH_PARTS_MAX 8
 
 typedef struct mesh_settings {
@@ -29,6 +29,14 @@
 
 typedef struct mesh_mesh mesh_mesh;
 
+/* Faults that tests plant to see that the checks find them. */
+typedef enum mesh_fault {
+    MESH_FAULT_NONE,
+    MESH_FAULT_FORGETS,   /* the store forgets what was in force */
+    MESH_FAULT_NO_BODIES, /* parts from peers and platform are lost */
+    MESH_FAULT_DEAF       /* nothing is heard */
+} mesh_fault;
+
 typedef struct mesh_node {
     lv_host host; /* first member: vtable */
     mesh_mesh *mesh;
@@ -40,6 +48,7 @@
     lv_time paused_until; /* 0: runs */
     lv_time last_drive;
     lv_time tick_at; /* of the tick event in the queue */
+    mesh_fault fault;
     swim_membership swim;
     doc_store documents;
     msg_doc_state in_force[DOC_COUNT];
@@ -88,6 +97,9 @@
 /* The node neither runs nor sends; what it is sent waits. */
 void mesh_pause(mesh_mesh *mesh, uint32_t node, lv_time length);
 
+/* Forget the documents of a node, as MESH_FAULT_FORGETS does. */
+void mesh_forget(mesh_mesh *mesh, uint32_t node);
+
 /* Nodes from `first` on are on another side than those before; 0 heals. */
 void mesh_partition(mesh_mesh *mesh, uint32_t first);
 
@@ -111,6 +123,12 @@
 uint32_t mesh_count_behind(const mesh_mesh *mesh, doc_kind doc,
                            uint64_t revision);
 
+/* The highest revision in force on any running node. */
+uint64_t mesh_highest(const mesh_mesh *mesh, doc_kind doc);
+
+/* A node reads the head of a document from the platform. */
+void mesh_read_platform(mesh_mesh *mesh, uint32_t node, doc_kind doc);
+
 /* Sum of went_back over all nodes. */
 uint32_t mesh_went_back(const mesh_mesh *mesh);
 
