Run the router daemon: settings, node, listeners, drain

Cause: the parts had no program that joins them. Change: lavenderd reads its settings (all errors at once, exit code 2), hosts the node, listens for callers and the operator, and drains on SIGTERM. A resumed stream that is gone, a malformed chunk and a body that ends by close are told apart; answers carry their length; shutdown closes connections and exchanges. Stand-ins: the engine starts its answer before it cuts it, and both ignore SIGPIPE, which killed an engine whose caller had left.

--- /dev/null
+++ b/packages/daemon/source/main.c
@@ -0,0 +1,129 @@
+#include <argp.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "lavender-net/daemon.h"
+
+#define DEFAULT_SETTINGS "/etc/lavenderd.ini"
+
+enum {
+    EXIT_DONE = 0,     /* drained, or --check found no error */
+    EXIT_CUT = 1,      /* ended while requests were in hand */
+    EXIT_SETTINGS = 2, /* wrong settings or command line */
+    EXIT_SYSTEM = 3    /* a listener or another part could not be opened */
+};
+
+typedef struct arguments {
+    const char *settings;
+    bool is_check;
+} arguments;
+
+const char *argp_program_version = "lavenderd 0.1.0";
+
+static const char doc[] =
+    "Route callers' requests to endpoints, as one instance of a fleet.\v"
+    "Exit codes: 0 drained, or no error found; 1 ended while requests were "
+    "in hand; 2 wrong settings or command line; 3 a listener or another part "
+    "could not be opened.\n\n"
+    "Signals: TERM and INT drain: /readyz answers 503, new requests are "
+    "refused, and the process ends when everything accepted has its answer. "
+    "A second one ends it at once.";
+
+static const struct argp_option options[] = {
+    {"config", 'c', "FILE", 0,
+     "Settings file; etc/lavenderd.ini documents it "
+     "(default: " DEFAULT_SETTINGS ")",
+     0},
+    {"check", 'n', NULL, 0, "Check the settings and exit", 0},
+    {0}};
+
+static error_t
+parse_option(int key, char *value, struct argp_state *state)
+{
+    arguments *self = state->input;
+
+    switch (key) {
+    case 'c':
+        self->settings = value;
+        return 0;
+    case 'n':
+        self->is_check = true;
+        return 0;
+    case ARGP_KEY_ARG:
+        argp_error(state, "unexpected argument '%s'", value);
+        return 0;
+    default:
+        return ARGP_ERR_UNKNOWN;
+    }
+}
+
+static void
+print_errors(const err_list *errors)
+{
+    char text[ERR_MESSAGE_SIZE + ERR_REMEDY_SIZE + 256];
+    size_t i;
+
+    for (i = 0; i < errors->count && i < ERR_LIST_SIZE; i++) {
+        err_item_format(&errors->items[i], text, sizeof text);
+        fprintf(stderr, "%s\n", text);
+    }
+    if (errors->count > ERR_LIST_SIZE) {
+        fprintf(stderr, "and %zu more\n", errors->count - ERR_LIST_SIZE);
+    }
+}
+
+static void
+print_error(const err_error *error)
+{
+    fprintf(stderr, "lavenderd: %s: %s; %s\n", err_kind_name(error->kind),
+            error->message, error->remedy);
+}
+
+static int
+run(const set_settings *settings)
+{
+    static daemon_daemon router;
+    uv_loop_t *loop = uv_default_loop();
+    err_error error;
+    int code = EXIT_SYSTEM;
+
+    err_clear(&error);
+    if (!log_open(&settings->log, &error)) {
+        print_error(&error);
+        return EXIT_SYSTEM;
+    }
+    signal(SIGPIPE, SIG_IGN);
+    if (daemon_init(&router, loop, settings, &error)) {
+        code = daemon_run(&router) ? EXIT_DONE : EXIT_CUT;
+    }
+    else {
+        print_error(&error);
+    }
+    daemon_finish(&router);
+    log_close();
+    return code;
+}
+
+int
+main(int argc, char **argv)
+{
+    static const struct argp argp = {options, parse_option, NULL, doc,
+                                     NULL,    NULL,         NULL};
+    static set_settings settings;
+    static err_list errors;
+    arguments self = {.settings = DEFAULT_SETTINGS};
+
+    argp_err_exit_status = EXIT_SETTINGS;
+    argp_parse(&argp, argc, argv, 0, NULL, &self);
+    err_list_init(&errors);
+    if (!set_read_file(&settings, self.settings, &errors)) {
+        print_errors(&errors);
+        return EXIT_SETTINGS;
+    }
+    if (self.is_check) {
+        printf("%s: no error found\n", self.settings);
+        return EXIT_DONE;
+    }
+    return run(&settings);
+}
--- a/packages/net/include/lavender-net/endpoints.h
+++ b/packages/net/include/lavender-net/endpoints.h
@@ -26,6 +26,8 @@
 
 typedef struct client_pool client_pool;
 
+typedef struct exch_exchange exch_exchange;
+
 typedef struct client_client {
     uv_loop_t *loop;
     client_settings settings;
@@ -38,6 +40,7 @@
     h2o_timeout_t idle_timeout;
     h2o_timeout_t no_timeout; /* h2o asks for one; ours end sooner */
     client_pool *pools;       /* list, one for each address in use */
+    exch_exchange *first;     /* list of the open exchanges */
     uint32_t exchanges;       /* open now */
     uint64_t started;
 } client_client;
@@ -45,6 +48,9 @@
 bool client_init(client_client *client, uv_loop_t *loop,
                  const client_settings *settings, err_error *error);
 
+/* End every exchange that is open as lost. */
+void client_abort(client_client *client);
+
 /* Close unused connections. No exchange may be open; the loop must run
  * once more afterwards. */
 void client_finish(client_client *client);
@@ -66,8 +72,6 @@
                        cut answer can not be told from a whole one */
 } exch_head;
 
-typedef struct exch_exchange exch_exchange;
-
 /* What the owner of an exchange does. Any may be NULL but `end`. */
 typedef struct exch_ops {
     /* Connected, nothing written yet: may the request go out? */
--- a/packages/net/source/callers-answer.c
+++ b/packages/net/source/callers-answer.c
@@ -71,6 +71,14 @@
                       lv_elapsed(server->clock(), request->arrived));
 }
 
+/* h2o sends chunks to HTTP/1.1 and with status 200 alone. */
+static bool
+ends_by_close(const h2o_req_t *req)
+{
+    return req->res.content_length == SIZE_MAX &&
+           (req->version < 0x101 || req->res.status != 200);
+}
+
 /* A body that ends with the connection looks whole when it was cut, unless
  * the connection is reset. */
 static void
@@ -103,7 +111,8 @@
     if (answer->is_ended) {
         answer->is_final = true;
         state = answer->is_cut ? H2O_SEND_STATE_ERROR : H2O_SEND_STATE_FINAL;
-        if (answer->is_cut && request->req->version < 0x101) {
+        if (answer->is_cut && request->req->version < 0x200 &&
+            ends_by_close(request->req)) {
             reset_on_close(request->req);
         }
     }
@@ -365,6 +374,7 @@
     request->answer.is_final = true;
     req->res.status = status;
     req->res.reason = phrase_of(status);
+    req->res.content_length = size;
     if (content_type[0] != '\0') {
         add_header(req, "content-type", content_type);
     }
--- a/packages/net/source/callers-attempt.c
+++ b/packages/net/source/callers-attempt.c
@@ -209,6 +209,13 @@
                       "0123456789-_.") == strlen(id);
 }
 
+/* The stream is no longer there: asking again does not help. */
+static bool
+is_gone(int status)
+{
+    return status == 404 || status == 410;
+}
+
 static bool
 on_head(void *owner, const exch_head *head)
 {
@@ -233,7 +240,9 @@
     }
     attempt->is_framed = head->is_framed;
     if (attempt->is_resume) {
-        return head->status == 200 || break_off(request, ENTRY_END_LOST);
+        return head->status == 200 ||
+               break_off(request, is_gone(head->status) ? ENTRY_END_PROTOCOL
+                                                        : ENTRY_END_LOST);
     }
     answer_take_head(request, head);
     if (request->answer.is_event_stream && request->stream == NULL) {
--- a/packages/net/source/callers-listen.c
+++ b/packages/net/source/callers-listen.c
@@ -111,6 +111,9 @@
 call_free(call_server *server)
 {
     call_start_queued(server);
+    if (server->listener.connections > 0) {
+        return;
+    }
     listen_finish(&server->listener);
     free_table(server);
     free(server->polled);
--- /dev/null
+++ b/packages/net/source/daemon-host.c
@@ -0,0 +1,95 @@
+#include "daemon-imp.h"
+
+static daemon_daemon *
+of(lv_host *host)
+{
+    return (daemon_daemon *)host;
+}
+
+static void
+send_message(lv_host *host, lv_id to, const msg_message *message)
+{
+    link_send(&of(host)->link, to, message);
+}
+
+static void
+start_attempt(lv_host *host, const lv_attempt *attempt)
+{
+    call_start_attempt(of(host)->callers, attempt);
+}
+
+static void
+cancel_attempt(lv_host *host, lv_handle request, uint32_t number)
+{
+    call_cancel_attempt(of(host)->callers, request, number);
+}
+
+static void
+finish_request(lv_host *host, lv_handle request, const out_outcome *outcome)
+{
+    call_finish_request(of(host)->callers, request, outcome);
+}
+
+static void
+write_decision(lv_host *host, const lv_decision *decision)
+{
+    daemon_daemon *daemon = of(host);
+    const world_lists *lists =
+        daemon->has_node ? doc_lists(node_documents(&daemon->node)) : NULL;
+    const char *endpoint = NULL, *instance = NULL;
+    lv_handle handle;
+
+    if (lists != NULL) {
+        handle = ep_find(lists, decision->endpoint);
+        if (handle != LV_HANDLE_NONE) {
+            endpoint = lists->endpoints[handle].name;
+        }
+        handle = inst_find(lists, decision->instance);
+        if (handle != LV_HANDLE_NONE) {
+            instance = lists->instances[handle].name;
+        }
+    }
+    log_decision(decision, endpoint, instance);
+}
+
+static void
+send_order(lv_host *host, const lv_order *order)
+{
+    load_send_order(of(host)->load, order);
+}
+
+static void
+document_changed(lv_host *host, doc_kind doc)
+{
+    daemon_daemon *daemon = of(host);
+    const world_lists *lists;
+
+    if (doc != DOC_LISTS || !daemon->has_link) {
+        return;
+    }
+    lists = doc_lists(node_documents(&daemon->node));
+    if (lists != NULL) {
+        link_set_lists(&daemon->link, lists);
+    }
+}
+
+static void
+read_platform(lv_host *host, doc_kind doc, uint32_t part)
+{
+    daemon_daemon *daemon = of(host);
+
+    if (daemon->platform != NULL) {
+        daemon->platform->ops->read(daemon->platform, doc, part);
+    }
+}
+
+const lv_host_ops daemon_host_ops = {
+    .send = send_message,
+    .start_attempt = start_attempt,
+    .cancel_attempt = cancel_attempt,
+    .finish_request = finish_request,
+    .log_decision = write_decision,
+    .send_order = send_order,
+    .document_changed = document_changed,
+    .read_platform = read_platform,
+};
--- a/packages/net/source/endpoints-exchange.c
+++ b/packages/net/source/endpoints-exchange.c
@@ -21,6 +21,8 @@
     bool is_paused;
     bool is_reading_body;
     bool is_chunked;
+    exch_exchange *next;
+    exch_exchange *previous;
     char head[];
 };
 
@@ -28,6 +30,15 @@
 release(exch_exchange *exchange)
 {
     h2o_timeout_unlink(&exchange->timeout);
+    if (exchange->previous != NULL) {
+        exchange->previous->next = exchange->next;
+    }
+    else {
+        exchange->client->first = exchange->next;
+    }
+    if (exchange->next != NULL) {
+        exchange->next->previous = exchange->previous;
+    }
     exchange->pool->users--;
     exchange->client->exchanges--;
     free(exchange);
@@ -54,6 +65,7 @@
     release(exchange);
 }
 
+/* Some servers cut an answer by a malformed chunk, so that is a loss. */
 static exch_end
 end_of(const exch_exchange *exchange, const char *error)
 {
@@ -63,7 +75,9 @@
     if (!exchange->is_connected) {
         return EXCH_CONNECT;
     }
-    return strstr(error, "parse") != NULL ? EXCH_PROTOCOL : EXCH_LOST;
+    return strstr(error, "parse") != NULL && !exchange->is_reading_body
+               ? EXCH_PROTOCOL
+               : EXCH_LOST;
 }
 
 static void
@@ -293,6 +307,11 @@
     pool->users++;
     pool->last_use = ++client->started;
     client->exchanges++;
+    exchange->next = client->first;
+    if (exchange->next != NULL) {
+        exchange->next->previous = exchange;
+    }
+    client->first = exchange;
     exchange->timeout.cb = on_start;
     set_deadline(exchange, &client->zero_timeout);
     return exchange;
@@ -311,6 +330,19 @@
     release(exchange);
 }
 
+void
+client_abort(client_client *client)
+{
+    exch_exchange *exchange;
+
+    while ((exchange = client->first) != NULL) {
+        if (exchange->http != NULL) {
+            h2o_http1client_cancel(exchange->http);
+        }
+        finish(exchange, EXCH_LOST);
+    }
+}
+
 void
 exch_set_paused(exch_exchange *exchange, bool is_paused)
 {
--- a/packages/net/source/listen-imp.h
+++ b/packages/net/source/listen-imp.h
@@ -19,6 +19,8 @@
     SSL_CTX *tls; /* owned from then on; NULL: none */
 } listen_settings;
 
+typedef struct listen_connection listen_connection;
+
 typedef struct listen_listener {
     listen_settings settings;
     uv_loop_t *loop;
@@ -28,6 +30,7 @@
     h2o_context_t context;
     h2o_accept_ctx_t accept;
     bool is_open;
+    listen_connection *first;
     uint32_t connections;
     uint64_t accepted;
     uint64_t refused;
@@ -41,10 +44,12 @@
 /* Take connections. */
 bool listen_open(listen_listener *listener, err_error *error);
 
-/* Take no more; idle connections are closed. */
+/* Take no more, and end the connections there are. They close as the loop
+ * goes on. */
 void listen_close(listen_listener *listener);
 
-/* After the loop closed the handles. */
+/* After the loop closed the handles. When connections are left, for which
+ * h2o waits, their memory stays to the end of the process. */
 void listen_finish(listen_listener *listener);
 
 #endif
--- a/packages/net/source/listen.c
+++ b/packages/net/source/listen.c
@@ -8,10 +8,12 @@
 
 #define BACKLOG 1024
 
-typedef struct listen_connection {
+struct listen_connection {
     uv_tcp_t tcp; /* first: h2o gives it back */
     listen_listener *listener;
-} listen_connection;
+    listen_connection *next;
+    listen_connection *previous;
+};
 
 static void
 on_closed(uv_handle_t *handle)
@@ -19,6 +21,15 @@
     listen_connection *connection = (listen_connection *)handle;
 
     connection->listener->connections--;
+    if (connection->previous != NULL) {
+        connection->previous->next = connection->next;
+    }
+    else {
+        connection->listener->first = connection->next;
+    }
+    if (connection->next != NULL) {
+        connection->next->previous = connection->previous;
+    }
     free(connection);
 }
 
@@ -77,6 +88,11 @@
         return;
     }
     uv_tcp_nodelay(&connection->tcp, 1);
+    connection->next = listener->first;
+    if (connection->next != NULL) {
+        connection->next->previous = connection;
+    }
+    listener->first = connection;
     listener->connections++;
     listener->accepted++;
     socket = h2o_uv_socket_create((uv_stream_t *)&connection->tcp, on_closed);
@@ -138,16 +154,30 @@
 void
 listen_close(listen_listener *listener)
 {
+    listen_connection *connection;
+    uv_os_fd_t fd;
+
     if (listener->is_open && !uv_is_closing((uv_handle_t *)&listener->tcp)) {
         uv_close((uv_handle_t *)&listener->tcp, NULL);
         h2o_context_request_shutdown(&listener->context);
     }
+    for (connection = listener->first; connection != NULL;
+         connection = connection->next) {
+        if (uv_fileno((uv_handle_t *)&connection->tcp, &fd) == 0) {
+            shutdown(fd, SHUT_RDWR);
+        }
+    }
 }
 
 void
 listen_finish(listen_listener *listener)
 {
+    if (listener->connections > 0) {
+        return;
+    }
     if (listener->is_open) {
+        h2o_timeout_unlink(
+            &listener->context.http2._graceful_shutdown_timeout);
         h2o_context_dispose(&listener->context);
     }
     h2o_config_dispose(&listener->config);
--- a/packages/net/source/operator-listen.c
+++ b/packages/net/source/operator-listen.c
@@ -23,6 +23,7 @@
 {
     req->res.status = status;
     req->res.reason = reason;
+    req->res.content_length = size;
     h2o_add_header(&req->pool, &req->res.headers, H2O_TOKEN_CONTENT_TYPE, NULL,
                    type, strlen(type));
     h2o_send_inline(req, text, size);
--- a/tests/fleet/common-http.c
+++ b/tests/fleet/common-http.c
@@ -1,5 +1,6 @@
 #include "common-http.h"
 
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -76,6 +77,7 @@
     h2o_hostconf_t *host;
     server_handler *handler;
 
+    signal(SIGPIPE, SIG_IGN); /* a caller may leave at any time */
     memset(server, 0, sizeof *server);
     server->on_request = on_request;
     server->context = context;
--- a/tests/fleet/part-fleet-engine-send.c
+++ b/tests/fleet/part-fleet-engine-send.c
@@ -161,6 +161,9 @@
         return;
     }
     if (reader->sent >= cut && cut < job->answer.size) {
+        if (!reader->is_started) {
+            start_answer(job, reader);
+        }
         job->engine->counts.cut++;
         job->is_cut = false;
         let_go(reader);
--- /dev/null
+++ b/tests/net/test-callers.c
@@ -0,0 +1,379 @@
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "rig.h"
+#include "script-server.h"
+
+#define KEY "Authorization: Bearer key-of-alpha\r\n"
+#define CHAT "/v1/chat/completions"
+#define CHAT_BODY                                                             \
+    "{\"model\":\"m\",\"user\":\"u/1\",\"messages\":[{\"role\":\"user\","     \
+    "\"content\":\"hello there\"}],\"reply_tokens\":3}"
+#define READ_TIMEOUT_MS 8000
+
+static rig_rig rig;
+
+static void
+start_with(const rig_shape *shape)
+{
+    cr_assert(rig_start(&rig, shape), "the log is in %s", rig.folder);
+}
+
+static void
+stop(void)
+{
+    cr_expect(rig_stop(&rig));
+}
+
+static const char *
+callers(void)
+{
+    return rig.routers[0].callers;
+}
+
+/* Whatever was refused before, others' requests are answered. */
+static void
+expect_alive(void)
+{
+    rig_answer answer;
+
+    rig_ask(callers(), "POST", CHAT, KEY, CHAT_BODY, &answer);
+    cr_expect_eq(answer.status, 200);
+    cr_expect(answer.is_whole);
+    rig_answer_finish(&answer);
+}
+
+typedef struct bad_case {
+    const char *name;
+    const char *bytes;
+    size_t filling; /* so many more bytes of 'x', before `tail` */
+    const char *tail;
+    int status;       /* 0: only closed */
+    const char *kind; /* of the error; NULL: any */
+} bad_case;
+
+static const bad_case bad_cases[] = {
+    {"no key",
+     "POST " CHAT " HTTP/1.1\r\nHost: r\r\nContent-Length: 2\r\n\r\n{}", 0, "",
+     401, "no-key"},
+    {"wrong key",
+     "POST " CHAT " HTTP/1.1\r\nHost: r\r\nAuthorization: Bearer "
+     "nobody\r\nContent-Length: 2\r\n\r\n{}",
+     0, "", 401, "unknown-key"},
+    {"other scheme",
+     "POST " CHAT " HTTP/1.1\r\nHost: r\r\nAuthorization: Basic "
+     "abc\r\nContent-Length: 2\r\n\r\n{}",
+     0, "", 401, "no-key"},
+    {"long key", "POST " CHAT " HTTP/1.1\r\nHost: r\r\nAuthorization: Bearer ",
+     30000, "\r\nContent-Length: 2\r\n\r\n{}", 401, "unknown-key"},
+    {"unknown route",
+     "POST /nowhere HTTP/1.1\r\nHost: r\r\n" KEY "Content-Length: 2\r\n\r\n{}",
+     0, "", 404, "unknown-route"},
+    {"dots in the path",
+     "POST /book/../lookup HTTP/1.1\r\nHost: r\r\n" KEY
+     "Content-Length: 2\r\n\r\n{}",
+     0, "", 400, "bad-request"},
+    {"hidden dots in the path",
+     "POST /book/%2e%2e/lookup HTTP/1.1\r\nHost: r\r\n" KEY
+     "Content-Length: 2\r\n\r\n{}",
+     0, "", 400, "bad-request"},
+    {"no JSON",
+     "POST " CHAT " HTTP/1.1\r\nHost: r\r\n" KEY
+     "Content-Length: 5\r\n\r\nhello",
+     0, "", 400, "bad-request"},
+    {"cut JSON",
+     "POST " CHAT " HTTP/1.1\r\nHost: r\r\n" KEY
+     "Content-Length: 10\r\n\r\n{\"model\":\"",
+     0, "", 400, "bad-request"},
+    {"no body", "POST " CHAT " HTTP/1.1\r\nHost: r\r\n" KEY "\r\n", 0, "", 400,
+     "bad-request"},
+    {"no model",
+     "POST " CHAT " HTTP/1.1\r\nHost: r\r\n" KEY "Content-Length: 2\r\n\r\n{}",
+     0, "", 400, "bad-request"},
+    {"unknown model",
+     "POST " CHAT " HTTP/1.1\r\nHost: r\r\n" KEY
+     "Content-Length: 13\r\n\r\n{\"model\":\"n\"}",
+     0, "", 404, "unknown-model"},
+    {"unknown class",
+     "POST " CHAT " HTTP/1.1\r\nHost: r\r\n" KEY
+     "Lavender-Class: play\r\nContent-Length: 2\r\n\r\n{}",
+     0, "", 400, "unknown-class"},
+    {"long class",
+     "POST " CHAT " HTTP/1.1\r\nHost: r\r\n" KEY "Lavender-Class: ", 500,
+     "\r\nContent-Length: 2\r\n\r\n{}", 400, "unknown-class"},
+    {"body over the account's limit",
+     "POST /lookup HTTP/1.1\r\nHost: r\r\n" KEY "Content-Length: 3000\r\n\r\n",
+     3000, "", 413, "body-too-large"},
+    {"body over the router's limit",
+     "POST /lookup HTTP/1.1\r\nHost: r\r\n" KEY
+     "Content-Length: 30000000\r\n\r\n",
+     0, "", 413, "body-too-large"},
+    {"chunked body over the router's limit",
+     "POST /lookup HTTP/1.1\r\nHost: r\r\n" KEY
+     "Transfer-Encoding: chunked\r\n\r\n40000\r\n",
+     262144, "", 413, "body-too-large"},
+    {"malformed chunk",
+     "POST /lookup HTTP/1.1\r\nHost: r\r\n" KEY
+     "Transfer-Encoding: chunked\r\n\r\nzz\r\nhello",
+     0, "", 400, "bad-request"},
+    {"no number as length",
+     "POST /lookup HTTP/1.1\r\nHost: r\r\n" KEY "Content-Length: many\r\n\r\n",
+     0, "", 400, "bad-request"},
+    {"no HTTP", "hello there\r\n\r\n", 0, "", 0, NULL},
+    {"bytes of another kind", "\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03", 0,
+     "\r\n\r\n", 0, NULL},
+    {"head without an end", "GET / HTTP/1.1\r\nHost: r\r\nX: ", 600000, "", 0,
+     NULL},
+    {"invalid ticket",
+     "POST /book HTTP/1.1\r\nHost: r\r\n" KEY
+     "Idempotency-Key: abc\r\nContent-Length: 2\r\n\r\n{}",
+     0, "", 422, "ticket-invalid"},
+    {"long ticket",
+     "POST /book HTTP/1.1\r\nHost: r\r\n" KEY "Idempotency-Key: ", 4000,
+     "\r\nContent-Length: 2\r\n\r\n{}", 422, "ticket-invalid"},
+};
+
+static void
+expect_refused(const bad_case *bad)
+{
+    char *filling = malloc(bad->filling + 1), kind[64], value[64];
+    int fd = rig_connect(callers());
+    rig_answer answer;
+
+    cr_assert_geq(fd, 0);
+    memset(filling, 'x', bad->filling);
+    rig_write(fd, bad->bytes, strlen(bad->bytes));
+    rig_write(fd, filling, bad->filling);
+    rig_write(fd, bad->tail, strlen(bad->tail));
+    rig_read(fd, &answer, READ_TIMEOUT_MS);
+    if (bad->status == 0) {
+        cr_expect(answer.status == 400 || answer.is_closed, "%s: status %d",
+                  bad->name, answer.status);
+    }
+    else {
+        snprintf(kind, sizeof kind, "\"kind\": \"%s\"", bad->kind);
+        cr_expect_eq(answer.status, bad->status, "%s: status %d %s", bad->name,
+                     answer.status, answer.body);
+        cr_expect_not_null(strstr(answer.body, kind), "%s: %s", bad->name,
+                           answer.body);
+        cr_expect_not_null(strstr(answer.body, "\"remedy\": \""), "%s",
+                           bad->name);
+        cr_expect_str_eq(
+            rig_header(&answer, "lavender-outcome", value, sizeof value),
+            "not-run", "%s", bad->name);
+        cr_expect(answer.is_whole, "%s", bad->name);
+    }
+    rig_answer_finish(&answer);
+    close(fd);
+    free(filling);
+}
+
+Test(callers, bad_input_is_refused_by_name, .fini = stop)
+{
+    static const rig_shape shape = {.entry = "body = 2KiB\n",
+                                    .settings = "[limits]\nbody = 128KiB\n"
+                                                "[timeouts]\nrequest = 2s\n"};
+    size_t i;
+
+    start_with(&shape);
+    for (i = 0; i < sizeof bad_cases / sizeof bad_cases[0]; i++) {
+        expect_refused(&bad_cases[i]);
+        expect_alive();
+    }
+}
+
+/* A caller that sends slowly is closed after the time a request may take,
+ * and keeps nobody else waiting. */
+Test(callers, slow_senders_are_closed, .fini = stop)
+{
+    static const rig_shape shape = {.settings =
+                                        "[timeouts]\nrequest = 500ms\n"};
+    static const char *const beginnings[] = {
+        "", "POST /lookup HT",
+        "POST /lookup HTTP/1.1\r\nHost: r\r\n" KEY
+        "Content-Length: 100\r\n\r\nabc"};
+    rig_answer answer;
+    size_t i;
+    int fd;
+
+    start_with(&shape);
+    for (i = 0; i < sizeof beginnings / sizeof beginnings[0]; i++) {
+        fd = rig_connect(callers());
+        cr_assert_geq(fd, 0);
+        rig_write(fd, beginnings[i], strlen(beginnings[i]));
+        expect_alive();
+        rig_read(fd, &answer, READ_TIMEOUT_MS);
+        cr_expect(answer.is_closed, "%s", beginnings[i]);
+        cr_expect_eq(answer.status, 0);
+        rig_answer_finish(&answer);
+        close(fd);
+    }
+}
+
+Test(callers, connections_are_bounded, .fini = stop)
+{
+    static const rig_shape shape = {.settings = "[limits]\nconnections = 4\n"};
+    int fds[4];
+    rig_answer answer;
+    char value[64];
+    size_t i;
+    int fd;
+
+    start_with(&shape);
+    for (i = 0; i < 4; i++) {
+        fds[i] = rig_connect(callers());
+        cr_assert_geq(fds[i], 0);
+    }
+    fd = rig_connect(callers());
+    rig_read(fd, &answer, READ_TIMEOUT_MS);
+    cr_expect_eq(answer.status, 503);
+    cr_expect_not_null(strstr(answer.body, "\"kind\": \"connections\""));
+    cr_expect_str_eq(rig_header(&answer, "retry-after", value, sizeof value),
+                     "1");
+    rig_answer_finish(&answer);
+    close(fd);
+    for (i = 0; i < 4; i++) {
+        close(fds[i]);
+    }
+    proc_sleep_ms(200);
+    expect_alive();
+}
+
+/* One connection serves any number of requests, one after the other and
+ * sent at once. */
+Test(callers, connections_are_kept, .fini = stop)
+{
+    static const rig_shape shape = {0};
+    static const char request[] =
+        "POST /lookup HTTP/1.1\r\nHost: r\r\n" KEY
+        "Content-Length: 14\r\n\r\n{\"user\":\"u/1\"}";
+    rig_answer answer;
+    int fd, i;
+
+    start_with(&shape);
+    fd = rig_connect(callers());
+    cr_assert_geq(fd, 0);
+    for (i = 0; i < 3; i++) {
+        rig_write(fd, request, strlen(request));
+        rig_read(fd, &answer, READ_TIMEOUT_MS);
+        cr_expect_eq(answer.status, 200, "%s", answer.body);
+        cr_expect(answer.is_whole);
+        rig_answer_finish(&answer);
+    }
+    rig_write(fd, request, strlen(request));
+    rig_write(fd, request, strlen(request));
+    for (i = 0; i < 2; i++) {
+        rig_read(fd, &answer, READ_TIMEOUT_MS);
+        cr_expect_eq(answer.status, 200, "%s", answer.body);
+        rig_answer_finish(&answer);
+    }
+    close(fd);
+}
+
+/* A caller that leaves has its stream cancelled at the engine, while its
+ * answer comes and while it waits for the first byte. */
+Test(callers, leaving_cancels, .fini = stop)
+{
+    static const rig_shape shape = {.token_us = 20000, .linger_ms = 300};
+    static const char body[] =
+        "{\"model\":\"m\",\"user\":\"u/1\",\"stream\":true,\"messages\":"
+        "[{\"role\":\"user\",\"content\":\"x\"}],\"reply_tokens\":4000}";
+    char head[512];
+    long long cancelled = 0;
+    char bytes[64];
+    int fd, i, waits;
+    int size;
+
+    start_with(&shape);
+    size = snprintf(head, sizeof head,
+                    "POST " CHAT " HTTP/1.1\r\nHost: r\r\n" KEY
+                    "Content-Length: %zu\r\n\r\n%s",
+                    strlen(body), body);
+    for (i = 1; i <= 2; i++) {
+        fd = rig_connect(callers());
+        rig_write(fd, head, (size_t)size);
+        if (i == 1) {
+            cr_assert_gt(read(fd, bytes, sizeof bytes), 0);
+        }
+        else {
+            proc_sleep_ms(10);
+        }
+        close(fd);
+        for (waits = 0; waits < 200 && cancelled < i; waits++) {
+            cancelled = rig_count(&rig.engine, "/admin/counts", "cancelled");
+            proc_sleep_ms(20);
+        }
+        cr_expect_eq(cancelled, i);
+        cr_expect_eq(rig_count(&rig.engine, "/admin/counts", "running"), 0);
+    }
+    expect_alive();
+}
+
+static uint64_t
+count_body(int fd)
+{
+    char bytes[65536];
+    uint64_t size = 0;
+    ssize_t length;
+
+    while ((length = read(fd, bytes, sizeof bytes)) > 0) {
+        size += (uint64_t)length;
+    }
+    return size;
+}
+
+/* Wait until the server sends no more; returns what it has sent. */
+static size_t
+wait_for_stop(script_server *server)
+{
+    size_t sent = 0, before;
+    int i;
+
+    for (i = 0; i < 100; i++) {
+        before = sent;
+        proc_sleep_ms(100);
+        sent = atomic_load(&server->sent);
+        if (sent > 0 && sent == before) {
+            break;
+        }
+    }
+    return sent;
+}
+
+/* A caller that does not read stops the endpoint, and the router keeps no
+ * more than its buffer. */
+Test(callers, slow_readers_hold_little_memory, .fini = stop)
+{
+    enum {
+        SIZE = 128 * 1024 * 1024
+    };
+    script_server server = {
+        .answer = "HTTP/1.1 200 OK\r\ncontent-length: 134217728\r\n\r\n",
+        .repeat = SIZE,
+        .keeps_open = 1};
+    rig_shape shape = {.service_address = server.address,
+                       .settings = "[limits]\nbuffer = 64KiB\n"};
+    static const char request[] =
+        "GET /lookup HTTP/1.1\r\nHost: r\r\nConnection: close\r\n" KEY "\r\n";
+    uint64_t before, after;
+    int fd;
+
+    script_start(&server);
+    start_with(&shape);
+    expect_alive();
+    before = proc_memory_kb(rig.routers[0].process.pid);
+    fd = rig_connect(callers());
+    rig_write(fd, request, strlen(request));
+    cr_expect_lt(wait_for_stop(&server), (size_t)SIZE / 2);
+    after = proc_memory_kb(rig.routers[0].process.pid);
+    cr_expect_lt(after, before + 8 * 1024, "%llu kB before, %llu after",
+                 (unsigned long long)before, (unsigned long long)after);
+    expect_alive();
+    cr_expect_gt(count_body(fd), (uint64_t)SIZE);
+    close(fd);
+    script_stop(&server);
+}
