--- a/packages/net/source/endpoints-exchange.c
+++ b/packages/net/source/endpoints-exchange.c
@@ -22,7 +22,7 @@
     bool is_reading_body;
     bool is_chunked;
     exch_exchange *next;
-    exch_exchange *previous;
+    exch_exchange **link; /* what points to this one */
     char head[];
 };
 
@@ -30,14 +30,9 @@
 release(exch_exchange *exchange)
 {
     h2o_timeout_unlink(&exchange->timeout);
-    if (exchange->previous != NULL) {
-        exchange->previous->next = exchange->next;
-    }
-    else {
-        exchange->client->first = exchange->next;
-    }
+    *exchange->link = exchange->next;
     if (exchange->next != NULL) {
-        exchange->next->previous = exchange->previous;
+        exchange->next->link = exchange->link;
     }
     exchange->pool->users--;
     exchange->client->exchanges--;
@@ -308,8 +303,9 @@
     pool->last_use = ++client->started;
     client->exchanges++;
     exchange->next = client->first;
+    exchange->link = &client->first;
     if (exchange->next != NULL) {
-        exchange->next->previous = exchange;
+        exchange->next->link = &exchange->next;
     }
     client->first = exchange;
     exchange->timeout.cb = on_start;
