--- a/packages/net/source/endpoints-load.c
+++ b/packages/net/source/endpoints-load.c
@@ -9,7 +9,7 @@
 
 #define ENDPOINTS_MAX 1024
 #define MODELS_MAX 256
-#define LOAD_ANSWER_MAX (256 * 1024)
+#define LOAD_ANSWER_MAX ((size_t)256 * 1024)
 #define ORDER_ANSWER_MAX 4096
 #define STATUS_ACCEPTED 200
 
