--- a/tests/net/rig-caller.c
+++ b/tests/net/rig-caller.c
@@ -66,7 +66,7 @@
 /* Read some bytes; 0 at the end, at a reset and when the time is over. */
 static size_t
 read_some(int socket, char *bytes, size_t size, uint64_t until,
-          bool *is_closed)
+          rig_answer *answer)
 {
     struct pollfd poller = {.fd = socket, .events = POLLIN};
     uint64_t now = now_ms();
@@ -77,7 +77,8 @@
     }
     length = recv(socket, bytes, size, 0);
     if (length <= 0) {
-        *is_closed = true;
+        answer->is_closed = true;
+        answer->is_reset = length < 0 && errno == ECONNRESET;
         return 0;
     }
     return (size_t)length;
@@ -152,8 +153,7 @@
     char *end;
 
     while (used + 1 < sizeof answer->head) {
-        length = read_some(socket, answer->head + used, 1, until,
-                           &answer->is_closed);
+        length = read_some(socket, answer->head + used, 1, until, answer);
         if (length == 0) {
             return false;
         }
@@ -196,8 +196,7 @@
     while (answer->size < wanted && answer->size < RIG_ANSWER_SIZE &&
            !(is_chunked && has_last_chunk(answer))) {
         length = read_some(socket, answer->body + answer->size,
-                           RIG_ANSWER_SIZE - answer->size, until,
-                           &answer->is_closed);
+                           RIG_ANSWER_SIZE - answer->size, until, answer);
         if (length == 0) {
             break;
         }
--- a/tests/net/rig.c
+++ b/tests/net/rig.c
@@ -11,7 +11,6 @@
 #define START_TIMEOUT_MS 20000
 #define POLL_MS 20
 #define END_TIMEOUT_MS 30000
-#define LOOPBACK "127.0.0.1"
 
 static FILE *
 open_file(const rig_rig *rig, const char *name, char path[PROC_PATH_SIZE])
@@ -182,16 +181,24 @@
                            rig->has_no_catalogue ? "/healthz" : "/readyz");
 }
 
+/* Each process and router has a loopback address of its own, so that tests
+ * that run at the same time do not take each other's ports. */
 static void
 name_router(rig_router *router, uint32_t index)
 {
+    uint32_t pid = (uint32_t)getpid();
+    uint16_t port;
+    char ip[32];
+
+    snprintf(ip, sizeof ip, "127.%u.%u.%u", 1 + (pid >> 15) % 254,
+             (pid >> 7) & 0xff, (pid & 0x7f) + index * 0x80);
+    port = proc_free_port(ip);
+    port = port < UINT16_MAX - 2 ? port : port - 2;
     snprintf(router->name, sizeof router->name, "router%u", index + 1);
-    snprintf(router->callers, sizeof router->callers, LOOPBACK ":%u",
-             proc_free_port(LOOPBACK));
+    snprintf(router->callers, sizeof router->callers, "%s:%u", ip, port);
     snprintf(router->operator_address, sizeof router->operator_address,
-             LOOPBACK ":%u", proc_free_port(LOOPBACK));
-    snprintf(router->peer, sizeof router->peer, LOOPBACK ":%u",
-             proc_free_port(LOOPBACK));
+             "%s:%u", ip, port + 1U);
+    snprintf(router->peer, sizeof router->peer, "%s:%u", ip, port + 2U);
 }
 
 bool
--- a/tests/net/rig.h
+++ b/tests/net/rig.h
@@ -71,6 +71,7 @@
     size_t size;
     bool is_whole; /* its framing came to its end */
     bool is_closed;
+    bool is_reset; /* the connection ended with a reset */
 } rig_answer;
 
 /* Read one answer, for at most timeout_ms. */
