--- a/packages/ctl/source/main.c
+++ b/packages/ctl/source/main.c
@@ -14,6 +14,7 @@
 } command;
 
 static const command commands[] = {
+    {"check", ctl_check, "check a settings file of lavenderd"},
     {"status", ctl_status, "show what routers say of themselves"},
     {"fairness", ctl_fairness,
      "show each account's service, wait and share, "
