Give up callers that do not read, and say why a document was refused

Cause: a caller that never reads held a slot for ever; a refused catalogue left one word in the log; refusals before the entry left none. Change: [timeouts] caller_stall; an event=document-error line for each error, event=refuse for refusals that the entry does not see. Tests of both, of the bound of memory, of the log's form and of a reset HTTP/2 stream.

--- a/packages/net/source/callers-answer.c
+++ b/packages/net/source/callers-answer.c
@@ -108,6 +108,7 @@
     answer->pending = swap;
     answer->pending.size = 0;
     answer->is_sending = true;
+    answer->sending_since = request->server->clock();
     if (answer->is_ended) {
         answer->is_final = true;
         state = answer->is_cut ? H2O_SEND_STATE_ERROR : H2O_SEND_STATE_FINAL;
--- a/packages/net/source/callers-gone.c
+++ b/packages/net/source/callers-gone.c
@@ -84,6 +84,39 @@
     }
 }
 
+static bool
+is_stalled(const call_request *request, lv_time now)
+{
+    return request->answer.is_sending &&
+           lv_elapsed(now, request->answer.sending_since) >
+               request->server->settings.stall_timeout;
+}
+
+/* A caller that does not read would hold a slot for as long as it likes. */
+static void
+drop_stalled(call_server *server)
+{
+    lv_time now = server->clock();
+    call_request *request, *next;
+
+    for (request = server->requests; request != NULL; request = next) {
+        next = request->next;
+        if (request->req == NULL || request->is_gone ||
+            !is_stalled(request, now)) {
+            continue;
+        }
+        server->counts.stalled++;
+        log_event(LOG_LEVEL_NOTICE, now, "caller-stalled", "request=%llu",
+                  (unsigned long long)request->number);
+        if (request->req->version < 0x200) {
+            close_gone(request);
+        }
+        else {
+            request_gone(request);
+        }
+    }
+}
+
 static uint32_t
 collect(call_server *server)
 {
@@ -111,9 +144,10 @@
 on_timer(uv_timer_t *timer)
 {
     call_server *server = timer->data;
-    uint32_t count = collect(server);
-    uint32_t i;
+    uint32_t count, i;
 
+    drop_stalled(server);
+    count = collect(server);
     if (count == 0 || poll(server->polled, count, 0) <= 0) {
         return;
     }
--- a/packages/net/source/callers-imp.h
+++ b/packages/net/source/callers-imp.h
@@ -73,6 +73,7 @@
     bool is_cut;     /* end with an error */
     bool is_final;   /* the last piece is with h2o */
     bool is_sending; /* h2o holds `sending` */
+    lv_time sending_since;
     call_buffer pending;
     call_buffer sending;
     call_buffer kept; /* for the ticket */
@@ -94,9 +95,10 @@
     bool is_engine;
     bool is_idempotent;
     bool is_head_method;
-    bool is_over; /* the outcome is known */
-    bool is_gone; /* the caller left before */
-    bool is_sent; /* a byte may have gone to an endpoint */
+    bool is_over;      /* the outcome is known */
+    bool is_gone;      /* the caller left before */
+    bool is_sent;      /* a byte may have gone to an endpoint */
+    bool is_submitted; /* the entry saw it, and logs its end */
     bool is_freed;
     lv_handle ticket; /* LV_HANDLE_NONE: none */
     bool is_joined;   /* waits for another request's answer */
--- a/packages/net/source/callers-request.c
+++ b/packages/net/source/callers-request.c
@@ -138,6 +138,17 @@
     request_end(request, &outcome);
 }
 
+static void
+log_end(const call_request *request, const out_outcome *outcome, lv_time now)
+{
+    if (!request->is_submitted && outcome->kind != OUT_DONE) {
+        log_event(
+            LOG_LEVEL_INFO, now, "refuse", "request=%llu reason=%s outcome=%s",
+            (unsigned long long)request->number,
+            out_reason_name(outcome->reason), out_kind_name(outcome->kind));
+    }
+}
+
 /* The outcome is known: tell the caller, and those that wait with it. */
 void
 request_end(call_request *request, const out_outcome *outcome)
@@ -145,6 +156,7 @@
     call_server *server = request->server;
 
     request->is_over = true;
+    log_end(request, outcome, server->clock());
     server->counts.finished[outcome->kind]++;
     if (outcome->kind != OUT_DONE) {
         server->counts.refused[outcome->reason]++;
@@ -279,6 +291,7 @@
     bool is_taken;
 
     server->submitting = request;
+    request->is_submitted = true;
     is_taken = entry_submit(node_entry(server->node), server->clock(), wanted,
                             &handle, &refusal);
     server->submitting = NULL;
--- a/packages/net/source/daemon-host.c
+++ b/packages/net/source/daemon-host.c
@@ -1,3 +1,5 @@
+#include <string.h>
+
 #include "daemon-imp.h"
 
 static daemon_daemon *
@@ -30,6 +32,29 @@
     call_finish_request(of(host)->callers, request, outcome);
 }
 
+/* A refused document's errors, each in a line of its own. */
+static void
+write_refusal(daemon_daemon *daemon, const lv_decision *decision)
+{
+    doc_kind doc =
+        decision->pool != NULL && strcmp(decision->pool, "lists") == 0
+            ? DOC_LISTS
+            : DOC_CATALOGUE;
+    const err_list *errors =
+        doc_refusal(node_documents(&daemon->node), doc, NULL);
+    char text[ERR_MESSAGE_SIZE + ERR_REMEDY_SIZE + 256], quoted[1024];
+    size_t i;
+
+    for (i = 0; errors != NULL && i < errors->count && i < ERR_LIST_SIZE;
+         i++) {
+        err_item_format(&errors->items[i], text, sizeof text);
+        log_event(LOG_LEVEL_WARNING, daemon_now(), "document-error",
+                  "document=%s error=%s",
+                  doc == DOC_LISTS ? "lists" : "catalogue",
+                  log_quote(text, quoted, sizeof quoted));
+    }
+}
+
 static void
 write_decision(lv_host *host, const lv_decision *decision)
 {
@@ -50,6 +75,10 @@
         }
     }
     log_decision(decision, endpoint, instance);
+    if (daemon->has_node && decision->kind == LV_DECIDE_DOCUMENT &&
+        strcmp(decision->reason, "accepted") != 0) {
+        write_refusal(daemon, decision);
+    }
 }
 
 static void
--- a/packages/net/source/settings-keys.c
+++ b/packages/net/source/settings-keys.c
@@ -114,6 +114,7 @@
 static const conf_key timeouts_keys[] = {
     TIME_KEY("request", callers.head_timeout, 100 * MILLISECOND, HOUR),
     TIME_KEY("caller_idle", callers.idle_timeout, 100 * MILLISECOND, HOUR),
+    TIME_KEY("caller_stall", callers.stall_timeout, 100 * MILLISECOND, HOUR),
     TIME_KEY("drain", drain_timeout, SECOND, 24 * HOUR),
 };
 
--- a/packages/net/source/settings.c
+++ b/packages/net/source/settings.c
@@ -34,6 +34,7 @@
     settings->callers.relayed_answer = (uint64_t)1024 * 1024;
     settings->callers.head_timeout = 10 * LV_SECOND;
     settings->callers.idle_timeout = 60 * LV_SECOND;
+    settings->callers.stall_timeout = 60 * LV_SECOND;
     settings->client.connect_timeout = 1 * LV_SECOND;
     settings->client.first_byte_timeout = 120 * LV_SECOND;
     settings->client.idle_timeout = 30 * LV_SECOND;
--- a/tests/net/test-callers.c
+++ b/tests/net/test-callers.c
@@ -389,3 +389,115 @@
     script_stop(&server);
     stop();
 }
+
+/* A caller that never reads is given up after a while. */
+Test(callers, stalled_readers_are_given_up)
+{
+    script_server server = {
+        .answer = "HTTP/1.1 200 OK\r\ncontent-length: 134217728\r\n\r\n",
+        .repeat = (size_t)128 * 1024 * 1024,
+        .keeps_open = 1};
+    rig_shape shape = {.service_address = server.address,
+                       .settings = "[timeouts]\ncaller_stall = 300ms\n"};
+    static const char request[] =
+        "GET /lookup HTTP/1.1\r\nHost: r\r\n" KEY "\r\n";
+    const char *stalled = NULL;
+    rig_answer answer;
+    int fd, i;
+
+    script_start(&server);
+    start_with(&shape);
+    fd = rig_connect(callers());
+    rig_write(fd, request, strlen(request));
+    for (i = 0; i < 200 && stalled == NULL; i++) {
+        proc_sleep_ms(50);
+        rig_ask(rig.routers[0].operator_address, "GET", "/metrics", "", "",
+                &answer);
+        stalled = strstr(answer.body, "\nlavender_callers_stalled_total 1\n");
+        if (stalled != NULL) {
+            cr_expect_not_null(strstr(answer.body, "\nlavender_running 0\n"));
+        }
+        rig_answer_finish(&answer);
+    }
+    cr_expect_not_null(stalled);
+    cr_expect_lt(count_body(fd), (uint64_t)128 * 1024 * 1024);
+    close(fd);
+    expect_alive();
+    script_stop(&server);
+    stop();
+}
+
+/* Bodies in hand are bounded in bytes; what is refused is refused by name. */
+Test(callers, memory_is_bounded)
+{
+    static const rig_shape shape = {
+        .service_time_us = 300000,
+        .settings = "[limits]\nmemory = 1MiB\nbody = 1MiB\n"};
+    enum {
+        SENDERS = 4,
+        SIZE = 300000
+    };
+    char *body = malloc(SIZE + 1), head[256];
+    int fds[SENDERS], i, done = 0, refused = 0;
+    rig_answer answer;
+
+    memset(body, ' ', SIZE);
+    memcpy(body, "{\"user\":\"m/1\"}", strlen("{\"user\":\"m/1\"}"));
+    start_with(&shape);
+    snprintf(head, sizeof head,
+             "POST /lookup HTTP/1.1\r\nHost: r\r\n" KEY
+             "Content-Length: %d\r\n\r\n",
+             SIZE);
+    for (i = 0; i < SENDERS; i++) {
+        fds[i] = rig_connect(callers());
+        rig_write(fds[i], head, strlen(head));
+        rig_write(fds[i], body, SIZE);
+    }
+    for (i = 0; i < SENDERS; i++) {
+        rig_read(fds[i], &answer, READ_TIMEOUT_MS);
+        done += answer.status == 200;
+        refused += answer.status == 503 &&
+                   strstr(answer.body, "\"kind\": \"memory\"") != NULL;
+        rig_answer_finish(&answer);
+        close(fds[i]);
+    }
+    cr_expect_eq(done, 3);
+    cr_expect_eq(refused, 1);
+    free(body);
+    expect_alive();
+    stop();
+}
+
+/* Every line of the log is "key=value ...", and each request has its lines. */
+Test(callers, the_log_is_structured)
+{
+    static const rig_shape shape = {0};
+    char line[2048];
+    int admits = 0, routes = 0, ends = 0, refusals = 0;
+    rig_answer answer;
+    FILE *log;
+
+    start_with(&shape);
+    expect_alive();
+    rig_ask(callers(), "POST", CHAT, "", CHAT_BODY, &answer);
+    rig_answer_finish(&answer);
+    log = fopen(rig.log, "r");
+    cr_assert_not_null(log);
+    while (fgets(line, sizeof line, log) != NULL) {
+        cr_expect_eq(strncmp(line, "time=", 5), 0, "%s", line);
+        cr_expect_not_null(strstr(line, " level="), "%s", line);
+        cr_expect_not_null(strstr(line, " instance=router1 "), "%s", line);
+        admits += strstr(line, " decision=admit ") != NULL;
+        routes += strstr(line, " decision=route ") != NULL;
+        ends +=
+            strstr(line, " decision=finish reason=done request=1 ") != NULL;
+        refusals +=
+            strstr(line, " event=refuse request=2 reason=no-key ") != NULL;
+    }
+    fclose(log);
+    cr_expect_eq(admits, 1);
+    cr_expect_eq(routes, 1);
+    cr_expect_eq(ends, 1);
+    cr_expect_eq(refusals, 1);
+    stop();
+}
--- a/tests/net/test-operator.c
+++ b/tests/net/test-operator.c
@@ -293,3 +293,34 @@
     }
     stop();
 }
+
+/* A catalogue that does not validate is refused with every error in the log,
+ * and the one in force stays. */
+Test(operator, a_bad_catalogue_is_named)
+{
+    static const rig_shape shape = {0};
+    static const char bad[] = "[catalogue]\nrevision = 2\n[pool x]\n"
+                              "kind = nonsense\n[route /y]\npool = z\n";
+    char path[PROC_PATH_SIZE + 16], line[2048];
+    int kinds = 0, waits;
+    FILE *file;
+
+    start(&shape);
+    snprintf(path, sizeof path, "%s/head.ini", rig.folder);
+    file = fopen(path, "w");
+    cr_assert_not_null(file);
+    fputs(bad, file);
+    fclose(file);
+    for (waits = 0; waits < 100 && kinds == 0; waits++) {
+        proc_sleep_ms(50);
+        file = fopen(rig.log, "r");
+        while (fgets(line, sizeof line, file) != NULL) {
+            kinds += strstr(line, "event=document-error") != NULL &&
+                     strstr(line, "nonsense") != NULL;
+        }
+        fclose(file);
+    }
+    cr_expect_eq(kinds, 1);
+    ask_some(1);
+    stop();
+}
--- a/tests/net/test-protocols.c
+++ b/tests/net/test-protocols.c
@@ -13,7 +13,7 @@
 #define CHAT "/v1/chat/completions"
 #define BODY                                                                  \
     "{\"model\":\"m\",\"user\":\"u/1\",\"stream\":true,\"messages\":"         \
-    "[{\"role\":\"user\",\"content\":\"x\"}],\"reply_tokens\":5}"
+    "[{\"role\":\"user\",\"content\":\"x\"}],\"reply_tokens\":40}"
 #define DAYS ((long)24 * 3600)
 
 /* HTTP/2 frame types and flags */
@@ -30,6 +30,7 @@
     END_HEADERS = 4
 };
 
+static const char preface[] = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
 static rig_rig rig;
 static char certificate_path[64], key_path[64];
 
@@ -161,16 +162,16 @@
 }
 
 typedef struct h2_answer {
-    char body[16384];
+    char body[65536];
     size_t size;
     int heads;
     bool has_ended;
     bool is_reset;
 } h2_answer;
 
-/* Read frames until all streams (1, 3 ...) have ended. */
+/* Read frames until `count` streams have ended, from the first on. */
 static void
-read_answers(wire *self, h2_answer *answers, int count)
+read_answers(wire *self, h2_answer *answers, uint32_t first, int count)
 {
     unsigned char head[9], payload[16384];
     int ended = 0;
@@ -178,7 +179,7 @@
     while (ended < count && wire_read(self, head, sizeof head)) {
         size_t size = (size_t)head[0] << 16 | (size_t)head[1] << 8 | head[2];
         uint32_t stream = (uint32_t)head[7] << 8 | head[8];
-        h2_answer *answer = &answers[(stream - 1) / 2];
+        h2_answer *answer;
 
         if (size > sizeof payload || !wire_read(self, payload, size)) {
             break;
@@ -187,9 +188,10 @@
             write_frame(self, SETTINGS, ACK, 0, NULL, 0);
         }
         check(head[3] != GOAWAY, "frame", "GOAWAY");
-        if (stream == 0 || stream > (uint32_t)count * 2) {
+        if (stream < first || stream >= first + (uint32_t)count * 2) {
             continue;
         }
+        answer = &answers[(stream - first) / 2];
         answer->heads += head[3] == HEADERS;
         answer->is_reset |= head[3] == RST_STREAM;
         if (head[3] == DATA && answer->size + size < sizeof answer->body) {
@@ -208,7 +210,6 @@
 static void
 expect_http2(const char *protocol)
 {
-    static const char preface[] = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
     static h2_answer answers[3];
     wire self;
     int i;
@@ -220,7 +221,7 @@
     for (i = 0; i < 3; i++) {
         write_request(&self, (uint32_t)i * 2 + 1);
     }
-    read_answers(&self, answers, 3);
+    read_answers(&self, answers, 1, 3);
     for (i = 0; i < 3; i++) {
         check(answers[i].heads == 1, "one head", answers[i].body);
         check(answers[i].has_ended && !answers[i].is_reset, "end",
@@ -299,3 +300,36 @@
     wire_close(&self);
     stop();
 }
+
+/* A stream that is reset is cancelled; the connection's others go on. */
+Test(protocols, a_reset_stream_is_cancelled)
+{
+    static const rig_shape shape = {.token_us = 50000, .linger_ms = 200};
+    static const unsigned char cancel[4] = {0, 0, 0, 8};
+    static h2_answer answers[1];
+    long long cancelled = 0;
+    wire self;
+    int i;
+
+    cr_assert(rig_start(&rig, &shape));
+    wire_open(&self, NULL);
+    wire_write(&self, preface, strlen(preface));
+    write_frame(&self, SETTINGS, 0, 0, NULL, 0);
+    write_request(&self, 3);
+    while (rig_count(&rig.engine, "/admin/counts", "running") < 1) {
+        proc_sleep_ms(5);
+    }
+    write_frame(&self, RST_STREAM, 0, 3, cancel, sizeof cancel);
+    for (i = 0; i < 200 && cancelled == 0; i++) {
+        proc_sleep_ms(20);
+        cancelled = rig_count(&rig.engine, "/admin/counts", "cancelled");
+    }
+    cr_expect_eq(cancelled, 1);
+    memset(answers, 0, sizeof answers);
+    write_request(&self, 5);
+    read_answers(&self, answers, 5, 1);
+    cr_expect(answers[0].has_ended);
+    cr_expect_not_null(strstr(answers[0].body, "[DONE]"));
+    wire_close(&self);
+    stop();
+}
