--- a/packages/core/source/node.c
+++ b/packages/core/source/node.c
@@ -13,6 +13,8 @@
  * quiet process is not taken for a paused one. */
 #define TICKS_PER_PAUSE_LIMIT 4
 
+#define TICKET_LIFETIME (900 * LV_SECOND)
+
 void
 node_default_settings(node_settings *settings)
 {
@@ -36,7 +38,7 @@
     settings->placement.order_interval = 2 * LV_SECOND;
     settings->placement.order_timeout = 60 * LV_SECOND;
     settings->placement.quiet = 5 * LV_SECOND;
-    settings->tickets.lifetime = 15 * 60 * LV_SECOND;
+    settings->tickets.lifetime = TICKET_LIFETIME;
     settings->tickets.max_tickets = 20000;
     settings->tickets.max_answers = (size_t)32 * 1024 * 1024;
     settings->tickets.max_answer = (size_t)64 * 1024;
--- a/packages/ctl/source/ctl-keys.c
+++ b/packages/ctl/source/ctl-keys.c
@@ -101,13 +101,13 @@
     }
     if (is_json) {
         ctl_print_json(json_pack(
-            "{s:s, s:s, s:s, s:s, s:s}", "curve_public", public_key,
-            "curve_secret", secret_key, "ticket_key", ticket_key,
-            "account_key", account_key, "account_digest", account_digest));
+            "{s:s, s:s, s:s, s:s, s:s}", "public_key", public_key,
+            "secret_key", secret_key, "ticket_key", ticket_key, "account_key",
+            account_key, "account_digest", account_digest));
         return CTL_OK;
     }
     printf("; lavenderd.ini, the same on every instance\n"
-           "[peers]\ncurve_public = %s\ncurve_secret = %s\n"
+           "[peers]\npublic_key = %s\nsecret_key = %s\n"
            "[tickets]\nkey = %s\n\n"
            "; for one client account: the caller's bearer key\n; %s\n"
            "; and its line in the catalogue\nkey_digest = %s\n",
--- a/packages/net/source/endpoints-exchange.c
+++ b/packages/net/source/endpoints-exchange.c
@@ -332,7 +332,8 @@
     exch_exchange *exchange;
 
     while ((exchange = client->first) != NULL) {
-        if (exchange->http != NULL) {
+        /* release() unlinks it: the list never holds a freed one. */
+        if (exchange->http != NULL) { /* NOLINT(clang-analyzer-unix.Malloc) */
             h2o_http1client_cancel(exchange->http);
         }
         finish(exchange, EXCH_LOST);
