--- a/tests/core/lease-entry.c
+++ b/tests/core/lease-entry.c
@@ -386,6 +386,14 @@
     msg_held held[FLEET_LEASES];
 } report_room;
 
+static bool
+asks_shard(const fleet_fleet *fleet, uint32_t account, uint32_t shard)
+{
+    uint32_t mask = fleet->plan.work[account].shards;
+
+    return mask == 0 || (mask >> shard & 1) != 0;
+}
+
 static void
 add_accounts(const fleet_fleet *fleet, fleet_entry *entry, fleet_talk *talk,
              msg_message *message, report_room *room)
@@ -393,7 +401,8 @@
     for (uint32_t a = 0; a < fleet->plan.accounts; a++) {
         bool has_work = waiting(entry, a) > 0 || talk->has_arrived[a];
 
-        if (message->is_full ? has_work : talk->is_changed[a]) {
+        if (asks_shard(fleet, a, message->shard) &&
+            (message->is_full ? has_work : talk->is_changed[a])) {
             room->demands[message->demand_count++] =
                 make_demand(fleet, entry, a);
             talk->said_waiting[a] = waiting(entry, a);
@@ -476,6 +485,7 @@
         uint32_t count = waiting(entry, a);
 
         if (talk->is_changed[a] &&
+            asks_shard(fleet, a, (uint32_t)(talk - entry->talks)) &&
             (count > talk->said_waiting[a] ||
              (count == 0 && talk->said_waiting[a] > 0))) {
             return true;
--- a/tests/core/lease-fleet.h
+++ b/tests/core/lease-fleet.h
@@ -28,6 +28,7 @@
     uint32_t rate;      /* requests per second; 0: no limit */
     uint32_t burst;
     uint32_t entries;      /* bit mask of the entries they use */
+    uint32_t shards;       /* bit mask of those asked for slots; 0: all */
     uint32_t backlog;      /* keep this many deferrable ones waiting at each */
     lv_time interval;      /* an arrival this often, at entries in turn */
     cat_priority priority; /* of those arrivals */
--- a/tests/core/test-dispatcher-limits.c
+++ b/tests/core/test-dispatcher-limits.c
@@ -172,6 +172,52 @@
     fleet_finish(&fleet);
 }
 
+/* Slots that nobody else wanted are no lead to be made up for later. */
+Test(dispatcher_limits, use_of_idle_slots_is_no_debt)
+{
+    lv_time before;
+
+    fill_work(4, 0);
+    work[0].backlog = 4;
+    work[0].in_flight = 2;
+    work[1].backlog = 4;
+    work[1].start = 30 * LV_SECOND;
+    work[2].backlog = 4;
+    work[2].start = 30 * LV_SECOND;
+    start_fleet(12, 0);
+    fleet_run(&fleet, 30 * LV_SECOND);
+    before = fleet.service[0];
+    fleet_run(&fleet, 35 * LV_SECOND);
+    cr_expect_geq(fleet.service[0] - before, 9 * LV_SECOND, "%.3f s",
+                  (double)(fleet.service[0] - before) / 1e6);
+    fleet_finish(&fleet);
+}
+
+/* What one router left unused comes back for another. */
+Test(dispatcher_limits, unused_allowance_comes_back)
+{
+    uint64_t before;
+
+    fill_work(4, 0);
+    work[2].interval = 100 * LV_MILLISECOND;
+    work[2].priority = CAT_DEFERRABLE;
+    work[2].entries = 0x01;
+    work[2].rate = 20;
+    work[2].burst = 10;
+    work[2].least_ms = 5;
+    work[2].most_ms = 20;
+    start_fleet(13, 0);
+    fleet_run(&fleet, fleet.now + 5 * LV_SECOND);
+    work[2].entries = 0x08;
+    work[2].interval = 10 * LV_MILLISECOND;
+    fleet_run(&fleet, fleet.now + 2 * LV_SECOND);
+    before = fleet.admitted[2];
+    fleet_run(&fleet, fleet.now + 10 * LV_SECOND);
+    cr_expect_geq(fleet.admitted[2] - before, 190, "%u of 200",
+                  (unsigned)(fleet.admitted[2] - before));
+    fleet_finish(&fleet);
+}
+
 /* A lone request in a calm pool starts with no message between. */
 Test(dispatcher_limits, lone_request_pays_no_round_trip)
 {
--- a/tests/core/test-dispatcher-protocol.c
+++ b/tests/core/test-dispatcher-protocol.c
@@ -30,7 +30,8 @@
     msg_grant grants[GRANTS_MAX];
     uint32_t recalled_count; /* of the last message */
     uint64_t recalled[GRANTS_MAX];
-    int64_t level[2]; /* of ACCOUNT and RIVAL */
+    int64_t level[2];   /* of ACCOUNT and RIVAL */
+    uint32_t allowance; /* of RIVAL */
 } sent_log;
 
 typedef struct wire_host {
@@ -58,6 +59,9 @@
         log->recalled[i] = message->recalled[i];
     }
     for (uint32_t i = 0; i < message->level_count; i++) {
+        if (message->levels[i].account == RIVAL) {
+            log->allowance = message->levels[i].allowance;
+        }
         log->level[message->levels[i].account - ACCOUNT] =
             message->levels[i].level;
     }
@@ -452,6 +456,71 @@
     disp_finish(&disp);
 }
 
+/* A recalled slot counts with the mean cost of what it will run. */
+Test(dispatcher_protocol, recalls_stop_when_the_lag_is_made_up)
+{
+    msg_held held[2];
+    msg_service service = {.account = ACCOUNT, .total = 120, .since = 120};
+    msg_demand demand = wait_for(ACCOUNT, 5);
+    msg_message report;
+
+    pool.default_cost = 60;
+    start();
+    claim_both();
+    cr_assert(say_demand(ENTRY, 2, ACCOUNT, 5));
+    cr_assert(say_demand(OTHER, 2, RIVAL, 5));
+    for (int i = 0; i < 2; i++) {
+        held[i] = (msg_held){.lease = host.logs[0].grants[i].lease,
+                             .endpoint = ENDPOINT,
+                             .account = ACCOUNT,
+                             .is_busy = true,
+                             .priority = CAT_DEFERRABLE};
+    }
+    report = make_report(ENTRY, 3, true);
+    report.held = held;
+    report.held_count = 2;
+    report.demands = &demand;
+    report.demand_count = 1;
+    report.services = &service;
+    report.service_count = 1;
+    cr_assert(disp_take_report(&disp, now, &report));
+    cr_expect_eq(host.logs[0].recalled_count, 1, "%u recalled",
+                 host.logs[0].recalled_count);
+    disp_finish(&disp);
+}
+
+/* What an entry admits by itself is paid back from the fleet's rate. */
+Test(dispatcher_protocol, admission_without_allowance_is_charged)
+{
+    cat_entry classes[2] = {0};
+    msg_demand demand = {.account = RIVAL, .arrivals = 2};
+    msg_message report;
+    uint32_t allowance[4];
+
+    classes[1].limits.requests_per_second = 5;
+    classes[1].limits.burst = 5;
+    catalogue.entries = classes;
+    catalogue.entry_count = 2;
+    accounts[1].first_entry = 1;
+    accounts[1].entry_count = 1;
+    start();
+    claim_both();
+    for (uint64_t i = 0; i < 4; i++) {
+        report = make_report(ENTRY, 2 + i, true);
+        report.demands = &demand;
+        report.demand_count = 1;
+        cr_assert(disp_take_report(&disp, now, &report));
+        allowance[i] = host.logs[0].allowance - demand.arrivals;
+        demand.arrivals = 12;
+        now += i == 2 ? 1400 * LV_MILLISECOND : 0;
+    }
+    cr_expect_eq(allowance[0], 5, "%u: full burst", allowance[0]);
+    cr_expect_eq(allowance[1], 0, "%u: five over it", allowance[1]);
+    cr_expect_eq(allowance[2], 0);
+    cr_expect_eq(allowance[3], 2, "%u after 1.4 s", allowance[3]);
+    disp_finish(&disp);
+}
+
 /* A sticky lease at one entry does not starve the account elsewhere. */
 Test(dispatcher_protocol, slots_move_to_the_oldest_request)
 {
--- a/tests/core/test-dispatcher-shards.c
+++ b/tests/core/test-dispatcher-shards.c
@@ -141,6 +141,34 @@
     fleet_finish(&fleet);
 }
 
+/* An account that only one shard can serve gets that shard's slots, because
+ * the others are served elsewhere. */
+Test(dispatcher_shards, service_of_other_shards_counts)
+{
+    shard_case with = {"", 8, 8, 0, 0, false, true};
+    lv_time mark[FLEET_ACCOUNTS];
+    uint32_t slots = 0;
+    lv_time narrow = 0;
+
+    start_case(&with);
+    for (uint32_t a = 0; a < 4; a++) {
+        work[a].shards = 0x1;
+    }
+    for (uint32_t i = 0; i < ENDPOINTS; i++) {
+        slots += fleet.shard_of[i] == 0;
+    }
+    fleet_run(&fleet, fleet.now + WARM_UP);
+    fleet_mark(&fleet, mark);
+    fleet_run(&fleet, fleet.now + RUN);
+    for (uint32_t a = 0; a < 4; a++) {
+        narrow += fleet.service[a] - mark[a];
+    }
+    printf("one shard only: %.3f s of its %.3f s\n", (double)narrow / 1e6,
+           (double)(slots * RUN) / 1e6);
+    cr_expect_geq(narrow * 10, slots * RUN * 9);
+    fleet_finish(&fleet);
+}
+
 Test(dispatcher_shards, in_flight_holds_over_all_shards)
 {
     shard_case with = {"", 7, 8, 0, 0, false, true};
--- a/tests/core/test-dispatcher-urgent.c
+++ b/tests/core/test-dispatcher-urgent.c
@@ -19,16 +19,20 @@
     uint32_t backlog; /* deferrable, at each of 8 entries */
     bool has_backlog; /* the urgent accounts have deferrable work too */
     lv_time interval; /* of the urgent arrivals of each of two accounts */
+    uint64_t quantum;
     uint64_t urgent_credit;
     lv_time length; /* of the urgent work */
     uint32_t count; /* urgent requests at least */
 } urgent_case;
 
 static urgent_case urgent_cases[] = {
-    {"urgent accounts without a backlog", 1, 20, false, 150000, 5000, RUN,
+    {"urgent accounts without a backlog", 1, 20, false, 150000, 200, 5000, RUN,
      200},
-    {"urgent accounts with a backlog", 2, 20, true, 150000, 5000, RUN, 200},
-    {"a burst of urgent work", 3, 20, false, 50000, 5000, 2 * LV_SECOND, 70},
+    {"urgent accounts with a backlog", 2, 20, true, 150000, 200, 5000, RUN,
+     200},
+    {"a burst of urgent work", 3, 20, false, 50000, 200, 5000, 2 * LV_SECOND,
+     70},
+    {"slots that stay for long", 5, 20, false, 500000, 20000, 20000, RUN, 70},
 };
 
 ParameterizedTestParameters(dispatcher_urgent, waits_a_tenth)
@@ -48,7 +52,7 @@
         .slots = 2,
         .accounts = 6,
         .work = work,
-        .quantum = 200,
+        .quantum = with->quantum,
         .urgent_credit = with->urgent_credit,
         .latency = LV_MILLISECOND,
     };
