--- a/tests/core/bench-entry.c
+++ b/tests/core/bench-entry.c
@@ -17,7 +17,10 @@
 #define PER_PART 2000u
 #define PARTS 32u
 #define LEASES 16u
+#define MANY_LEASES 4096u
+#define STARTED (LEASES * 2)
 #define TICKETS 10000u
+#define TICKET_BOUND 20000u
 
 typedef struct bench {
     lv_host host;
@@ -27,7 +30,7 @@
     world_lists lists;
     lv_time now;
     lv_time full_sent;
-    lv_attempt started[LEASES * 2];
+    lv_attempt started[STARTED];
     uint32_t started_count;
     uint64_t reports;
     uint32_t next_account;
@@ -51,7 +54,7 @@
 note_attempt(lv_host *host, const lv_attempt *attempt)
 {
     (void)host;
-    bed.started[bed.started_count++ % (LEASES * 2)] = *attempt;
+    bed.started[bed.started_count++ % STARTED] = *attempt;
 }
 
 static void
@@ -185,7 +188,7 @@
 static void
 run_one(uint32_t index)
 {
-    lv_attempt attempt = bed.started[index % (LEASES * 2)];
+    lv_attempt attempt = bed.started[index % STARTED];
 
     bed.now += 100;
     if (!entry_may_send(&bed.entry, bed.now, attempt.request,
@@ -258,7 +261,7 @@
 measure_tickets(void)
 {
     tkt_settings settings = {.lifetime = LV_SECOND,
-                             .max_tickets = TICKETS * 2};
+                             .max_tickets = TICKET_BOUND};
     char text[TKT_TEXT_SIZE];
     tkt_store store;
     err_error error;
@@ -272,7 +275,7 @@
         }
     }
     printf("tickets %u bytes %zu per ticket of the bound %zu\n", TICKETS,
-           ticket_memory(&store), ticket_memory(&store) / (TICKETS * 2));
+           ticket_memory(&store), ticket_memory(&store) / TICKET_BOUND);
     tkt_finish(&store);
 }
 
@@ -282,26 +285,26 @@
     size_t empty = memory();
     size_t one_each;
     size_t ten_each;
+    size_t further = (size_t)accounts * 9;
 
     for (uint32_t i = 0; i < accounts; i++) {
         submit(i);
     }
     one_each = memory();
-    for (uint32_t i = 0; i < 9 * accounts; i++) {
+    for (uint32_t i = 0; i < further; i++) {
         submit(i % accounts);
     }
     ten_each = memory();
     printf("accounts %u empty %zu one request each %zu ten each %zu: "
            "per further request %zu, per account without it %zu\n",
            accounts, empty, one_each, ten_each,
-           (ten_each - one_each) / (9 * accounts),
-           (one_each - empty) / accounts -
-               (ten_each - one_each) / (9 * accounts));
-    for (uint32_t i = 0; i < 256; i++) {
+           (ten_each - one_each) / further,
+           (one_each - empty) / accounts - (ten_each - one_each) / further);
+    for (uint32_t i = 0; i < MANY_LEASES / LEASES; i++) {
         grant(i * LEASES, LEASES, false);
     }
-    printf("leases %u: per lease %zu\n", 256 * LEASES,
-           (memory() - ten_each) / (256 * LEASES));
+    printf("leases %u: per lease %zu\n", MANY_LEASES,
+           (memory() - ten_each) / MANY_LEASES);
     measure_tickets();
 }
 
