--- a/packages/core/source/dispatcher-report.c
+++ b/packages/core/source/dispatcher-report.c
@@ -22,6 +22,7 @@
         return LV_HANDLE_NONE;
     }
     if (message->incarnation > disp->entries[row].incarnation) {
+        disp_entry_keep_sequence(disp, row);
         disp->entries[row].is_gone = true;
         disp_entry_silence(disp, now, row);
         row =
@@ -242,6 +243,19 @@
     }
 }
 
+/* A full report has charged every request that began before it. */
+static void
+end_begun(disp_dispatcher *disp, lv_time now, uint32_t entry)
+{
+    uint32_t row = disp->entries[entry].begun_list.first;
+
+    while (row != LV_HANDLE_NONE) {
+        disp_demand_end_begun(disp, row);
+        disp_account_refresh(disp, now, disp->demands[row].account);
+        row = disp->entries[entry].begun_list.first;
+    }
+}
+
 static void
 take_full(disp_dispatcher *disp, lv_time now, uint32_t row,
           const msg_message *message)
@@ -313,6 +327,9 @@
         clear_unlisted_demand(disp, now, row);
     }
     take_services(disp, now, row, message);
+    if (message->is_full) {
+        end_begun(disp, now, row);
+    }
     disp_check_settled(disp, now);
     disp_choose(disp, now);
     if (message->is_full) {
