Give an account no credit for idle time in the local fair baseline

Cause: without a dispatcher nothing raised the counter of an account that came back, so it took every slot until it had caught up. Change: the pool keeps the virtual time of the last start, and a flow that begins to wait starts no lower.

--- a/packages/core/source/entry-attempt.c
+++ b/packages/core/source/entry-attempt.c
@@ -56,6 +56,7 @@
     item->state = ITEM_OPENING;
     item->attempt++;
     if (offset == 0) {
+        entry_note_turn(entry, item->flow);
         entry_charge_start(entry, now, index);
     }
     entry->counts.running++;
--- a/packages/core/source/entry-cost.c
+++ b/packages/core/source/entry-cost.c
@@ -36,6 +36,31 @@
                  flow->level + flow->since / (int64_t)flow->weight);
 }
 
+/* Without a dispatcher the entry keeps the pool's virtual time itself. */
+void
+entry_note_turn(entry_entry *entry, uint32_t index)
+{
+    entry_pool *pool = &entry->pools[entry->flows[index].pool];
+    int64_t level = entry->queues.flows[index].level;
+
+    if (level > pool->virtual_time) {
+        pool->virtual_time = level;
+    }
+}
+
+/* A flow that comes back from idle has no credit from that time. */
+void
+entry_join_turn(entry_entry *entry, uint32_t index)
+{
+    int64_t behind = entry->pools[entry->flows[index].pool].virtual_time -
+                     entry->queues.flows[index].level;
+
+    if (entry->settings.mode == ENTRY_MODE_LOCAL_FAIR && behind > 0) {
+        entry->flows[index].level += behind;
+        entry_set_level(entry, index);
+    }
+}
+
 static void
 charge(entry_entry *entry, uint32_t index, int64_t units)
 {
--- a/packages/core/source/entry-imp.h
+++ b/packages/core/source/entry-imp.h
@@ -96,8 +96,9 @@
     uint32_t first_shard;
     uint32_t shards;    /* in use; their records are a chain by next_in_pool */
     uint32_t endpoints; /* not leaving */
-    entry_list idle;    /* leases for any account */
-    entry_list held;    /* all idle leases, longest idle first */
+    int64_t virtual_time; /* level of the flow that started last */
+    entry_list idle;      /* leases for any account */
+    entry_list held;      /* all idle leases, longest idle first */
 };
 
 /* The conversation with the dispatcher of one pool shard. */
@@ -265,6 +266,8 @@
                       bool is_whole, uint64_t input_units,
                       uint64_t output_units);
 void entry_set_level(entry_entry *entry, uint32_t flow);
+void entry_note_turn(entry_entry *entry, uint32_t flow);
+void entry_join_turn(entry_entry *entry, uint32_t flow);
 ledger_line *entry_line(entry_entry *entry, uint32_t flow);
 void entry_note_backlog(entry_entry *entry, lv_time now, uint32_t flow);
 
--- a/tests/core/test-entry-shards.c
+++ b/tests/core/test-entry-shards.c
@@ -299,6 +299,50 @@
     }
 }
 
+/* End the oldest attempt that runs. */
+static void
+end_oldest(uint32_t *oldest)
+{
+    const lv_attempt *attempt = &world.attempts[(*oldest)++];
+
+    world.now += LV_MILLISECOND;
+    entry_may_send(&world.entry, world.now, attempt->request, 1);
+    entry_attempt_end(&world.entry, world.now, attempt->request, 1,
+                      ENTRY_END_DONE, 10, 50);
+}
+
+Test(baseline, an_account_that_was_idle_has_no_credit)
+{
+    lv_id live[] = {ew_id("r1")};
+    lv_handle of_b[40];
+    uint32_t oldest = 0;
+    uint32_t started_b = 0;
+
+    start_local(&world, ENTRY_MODE_LOCAL_FAIR, "r1", live, 1);
+    for (int i = 0; i < 200; i++) {
+        ew_submit(&world, "a", "drafts", "/chat", NULL);
+    }
+    while (oldest < 100) {
+        end_oldest(&oldest);
+    }
+    for (int i = 0; i < 40; i++) {
+        of_b[i] = ew_submit(&world, "b", NULL, "/chat", NULL);
+    }
+    for (int i = 0; i < 30; i++) {
+        end_oldest(&oldest);
+    }
+    for (uint32_t i = 100; i < world.attempt_count; i++) {
+        for (int j = 0; j < 40; j++) {
+            started_b += world.attempts[i].request == of_b[j];
+        }
+    }
+    cr_assert_geq(started_b, 16, "two thirds by weight, and not %u",
+                  started_b);
+    cr_assert_leq(started_b, 24, "two thirds by weight, and not %u",
+                  started_b);
+    ew_finish_world(&world);
+}
+
 Test(baseline, slots_follow_the_live_instances_at_request_ends)
 {
     lv_id live[] = {ew_id("r1"), ew_id("r2")};
