Place models on endpoints

Every router works out the same wanted set: rendezvous hashing per model, with a share per endpoint. Without the share two models of two copies each wanted the same two of six engines, which held one model each, and the second was never loaded while two engines stayed empty (test-placement, full engines).

Load orders keep the weight store's interval, the model with the fewest copies first; one order is in flight per endpoint and waits for its effect to show; refusals and silence back off. A model goes only when each wanted copy is there, or, at an endpoint that refuses loads twice in a row, when another endpoint has it. Where fencing is ignored, and for each unload, the view must have been quiet.

--- a/packages/core/include/lavender/hash.h
+++ b/packages/core/include/lavender/hash.h
@@ -23,6 +23,9 @@
 uint64_t hrw_root_key(lv_id pool);
 uint64_t hrw_watcher_key(lv_id zone);
 
+/* Key of a model's copies, whose candidates are endpoints. */
+uint64_t hrw_model_key(lv_id model);
+
 /* The shard of an endpoint, when its pool has `shards` of them. */
 uint32_t hrw_shard_of(lv_id endpoint, uint32_t shards);
 
--- a/packages/core/source/hash.c
+++ b/packages/core/source/hash.c
@@ -6,7 +6,8 @@
     ROLE_DISPATCHER = 1,
     ROLE_ROOT,
     ROLE_WATCHER,
-    ROLE_SHARD
+    ROLE_SHARD,
+    ROLE_MODEL
 } role_tag;
 
 static uint64_t
@@ -90,6 +91,12 @@
     return hash_words(ROLE_WATCHER, zone, 0);
 }
 
+uint64_t
+hrw_model_key(lv_id model)
+{
+    return hash_words(ROLE_MODEL, model, 0);
+}
+
 uint32_t
 hrw_shard_of(lv_id endpoint, uint32_t shards)
 {
--- /dev/null
+++ b/packages/core/source/placement.c
@@ -0,0 +1,192 @@
+#include "lavender/placement.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "placement-imp.h"
+#include "rows-imp.h"
+
+/* A refused order is tried again after the interval, doubled as often. */
+#define BACKOFF_DOUBLINGS_MAX 5
+
+bool
+place_init(place_placement *placement, lv_host *host,
+           const place_settings *settings, lv_time now, err_error *error)
+{
+    memset(placement, 0, sizeof *placement);
+    if (settings->order_interval == 0 || settings->order_timeout == 0) {
+        return err_set(error, ERR_BAD_VALUE,
+                       "set order_interval and order_timeout to more than "
+                       "zero",
+                       "a length of time of the placement is zero");
+    }
+    placement->host = host;
+    placement->settings = *settings;
+    placement->view_changed = now;
+    placement->next_look = LV_TIME_NEVER;
+    return true;
+}
+
+void
+place_finish(place_placement *placement)
+{
+    free(placement->pools);
+    free(placement->rows);
+    free(placement->wanted);
+    memset(placement, 0, sizeof *placement);
+}
+
+void
+place_set_views(place_placement *placement, lv_time now,
+                const cat_catalogue *catalogue, const world_lists *lists)
+{
+    placement->catalogue = catalogue;
+    placement->lists = lists;
+    placement->view_changed = now;
+    placement->next_look = now;
+    place_rebuild(placement);
+}
+
+void
+place_set_pool(place_placement *placement, lv_time now, lv_id pool,
+               bool is_mine)
+{
+    uint32_t place = 0;
+
+    while (place < placement->pool_count &&
+           placement->pools[place].pool != pool) {
+        place++;
+    }
+    if ((place < placement->pool_count) == is_mine) {
+        return;
+    }
+    if (is_mine) {
+        if (!row_reserve(&placement->pools, &placement->pool_capacity,
+                         placement->pool_count + 1,
+                         sizeof *placement->pools)) {
+            return;
+        }
+        placement->pools[place].pool = pool;
+        placement->pools[place].since = now;
+        placement->pool_count++;
+    }
+    else {
+        placement->pools[place] = placement->pools[--placement->pool_count];
+    }
+    placement->next_look = now;
+    place_rebuild(placement);
+}
+
+/* The effect of the last order shows, so that a further one may follow. */
+static void
+settle_order(place_row *row)
+{
+    if (row->order_model != LV_ID_NONE && !row->is_in_flight &&
+        place_has_loaded(row, row->order_model) == row->order_is_load) {
+        row->order_model = LV_ID_NONE;
+        row->failures = 0;
+    }
+}
+
+void
+place_take_models(place_placement *placement, lv_time now, lv_id endpoint,
+                  const lv_id *models, uint32_t count)
+{
+    place_row *row = place_find(placement, endpoint);
+
+    if (row == NULL) {
+        return;
+    }
+    if (count > PLACE_LOADED_MAX) {
+        count = PLACE_LOADED_MAX;
+    }
+    if (!row->has_reported || count != row->loaded_count ||
+        (count > 0 &&
+         memcmp(row->loaded, models, count * sizeof *models) != 0)) {
+        placement->next_look = now;
+    }
+    if (count > 0) {
+        memcpy(row->loaded, models, count * sizeof *models);
+    }
+    row->loaded_count = count;
+    row->has_reported = true;
+    settle_order(row);
+}
+
+static void
+note_failure(place_placement *placement, lv_time now, place_row *row,
+             const char *reason)
+{
+    lv_decision decision = {
+        .kind = LV_DECIDE_ORDER,
+        .reason = reason,
+        .endpoint = row->endpoint,
+        .value = row->failures + 1,
+    };
+    uint32_t doublings = row->failures < BACKOFF_DOUBLINGS_MAX
+                             ? row->failures
+                             : BACKOFF_DOUBLINGS_MAX;
+
+    row->retry_at = now + (placement->settings.order_interval << doublings);
+    row->failures++;
+    row->is_in_flight = false;
+    row->order_model = LV_ID_NONE;
+    placement->next_look = now;
+    placement->host->ops->log_decision(placement->host, &decision);
+}
+
+void
+place_order_done(place_placement *placement, lv_time now, lv_id endpoint,
+                 bool accepted)
+{
+    place_row *row = place_find(placement, endpoint);
+
+    if (row == NULL || !row->is_in_flight) {
+        return;
+    }
+    row->is_in_flight = false;
+    if (accepted) {
+        settle_order(row);
+        placement->next_look = now;
+        return;
+    }
+    placement->counts.refused++;
+    note_failure(placement, now, row, "order-refused");
+}
+
+static void
+check_timeouts(place_placement *placement, lv_time now)
+{
+    for (uint32_t i = 0; i < placement->row_count; i++) {
+        place_row *row = &placement->rows[i];
+        lv_time end = row->order_at + placement->settings.order_timeout;
+
+        if (row->order_model == LV_ID_NONE) {
+            continue;
+        }
+        if (now >= end) {
+            placement->counts.timeouts++;
+            note_failure(placement, now, row, "order-timeout");
+        }
+        else if (end < placement->next_look) {
+            placement->next_look = end;
+        }
+    }
+}
+
+void
+place_tick(place_placement *placement, lv_time now)
+{
+    placement->next_look = LV_TIME_NEVER;
+    if (placement->row_count == 0) {
+        return;
+    }
+    check_timeouts(placement, now);
+    place_give_orders(placement, now);
+}
+
+lv_time
+place_next_tick(const place_placement *placement)
+{
+    return placement->next_look;
+}
