--- a/packages/core/include/lavender/dispatcher.h
+++ b/packages/core/include/lavender/dispatcher.h
@@ -71,13 +71,15 @@
     uint32_t meant_for; /* demand that its recall shall serve */
     uint32_t stamp;     /* of the full report that listed it last */
     bool is_recalled;
+    bool is_recall_sent;
     bool is_pending; /* the entry has not said that it knows of it */
     bool is_busy;
     cat_priority priority;
     disp_link of_entry;
     disp_link of_endpoint;
-    disp_link of_demand; /* while not recalled */
-    disp_link of_sent;   /* while pending, in order of sequence */
+    disp_link of_demand;   /* while not recalled */
+    disp_link of_recalled; /* while recalled */
+    disp_link of_sent;     /* while pending, in order of sequence */
 } disp_lease;
 
 /* What one account waits for, holds and used at one entry. */
@@ -87,6 +89,7 @@
     uint32_t waiting[CAT_PRIORITY_COUNT];
     lv_time oldest[CAT_PRIORITY_COUNT]; /* since when the head waits */
     uint32_t pending;                   /* grants on their way */
+    uint32_t begun;    /* grants seen since service was last reported */
     uint32_t promised; /* recalled slots that are meant for it */
     uint32_t held;     /* leases not recalled */
     uint32_t arrivals; /* cumulative, as last reported */
@@ -115,6 +118,7 @@
     disp_link of_account;
     disp_link of_holders; /* demands of the account that hold leases */
     disp_link of_entry;
+    disp_link of_begun;   /* demands of the entry with grants begun */
     disp_link of_reclaim; /* demands of the entry that give back allowance */
     disp_link of_waiting; /* demands of the entry that wait */
     bool is_waiting;
@@ -124,14 +128,16 @@
     lv_id id;            /* LV_ID_NONE: the place is free */
     lv_handle catalogue; /* LV_HANDLE_NONE: not in the catalogue */
     uint32_t weight;
-    uint32_t epoch;          /* of the last rebase of its level */
-    int64_t level;           /* virtual counter: service / weight */
-    int64_t residue;         /* service that is less than one unit of level */
-    int64_t cost;            /* of a request, service units, averaged */
-    int64_t given;           /* service / weight charged by this shard */
-    int64_t foreign;         /* service / weight that other shards gave */
-    int64_t claimed;         /* highest level claimed while settling */
-    int64_t since;           /* service / weight on top of claimed */
+    uint32_t epoch;  /* of the last rebase of its level */
+    int64_t level;   /* virtual counter: service / weight */
+    int64_t residue; /* service that is less than one unit of level */
+    int64_t cost;    /* of a request, service units, averaged */
+    int64_t given;   /* service / weight charged by this shard */
+    int64_t foreign; /* service / weight that other shards gave */
+    int64_t claimed; /* highest level claimed while settling */
+    int64_t since;   /* service / weight on top of claimed */
+    int64_t guess;   /* what other shards are taken to give at the same time */
+    int64_t old_guess;       /* the part of it before the last SHARD_SUM */
     int64_t summed;          /* given, as the last SHARD_SUM had it */
     uint64_t foreign_tenure; /* of the root that foreign came from */
     bool is_rated;
@@ -140,6 +146,7 @@
     uint32_t leased; /* all leases bound to it */
     uint32_t held;   /* those not recalled */
     uint32_t pending;
+    uint32_t begun;
     uint32_t promised;
     uint32_t waiting;
     uint32_t reported; /* requests waiting, as its entries last said */
@@ -179,10 +186,12 @@
     bool has_claimed;
     bool needs_grant; /* something waits to be sent */
     disp_list lease_list;
+    disp_list recall_list;
     disp_list sent_list; /* pending leases, oldest grant first */
     disp_list demand_list;
     disp_list waiting_list;
     disp_list reclaim_list;
+    disp_list begun_list;
 } disp_entry;
 
 typedef struct disp_endpoint {
