--- a/packages/core/source/placement.c
+++ b/packages/core/source/placement.c
@@ -3,329 +3,190 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "lavender/hash.h"
+#include "placement-imp.h"
+#include "rows-imp.h"
 
-/* Between two looks at what is loaded and what is wanted. */
-#define TICK_INTERVAL (200 * LV_MILLISECOND)
+/* A refused order is tried again after the interval, doubled as often. */
+#define BACKOFF_DOUBLINGS_MAX 5
 
 bool
 place_init(place_placement *placement, lv_host *host,
            const place_settings *settings, lv_time now, err_error *error)
 {
-    if (settings->order_timeout == 0) {
-        return err_set(error, ERR_BAD_VALUE, "give it a length of time",
-                       "the timeout of placement orders is zero");
-    }
     memset(placement, 0, sizeof *placement);
+    if (settings->order_interval == 0 || settings->order_timeout == 0) {
+        return err_set(error, ERR_BAD_VALUE,
+                       "set order_interval and order_timeout to more than "
+                       "zero",
+                       "a length of time of the placement is zero");
+    }
     placement->host = host;
     placement->settings = *settings;
-    placement->changed = now;
-    placement->next_tick = now + TICK_INTERVAL;
+    placement->view_changed = now;
+    placement->next_look = LV_TIME_NEVER;
     return true;
 }
 
 void
 place_finish(place_placement *placement)
 {
-    free(placement->endpoints);
-    free(placement->pools);
-}
-
-static uint64_t
-model_key(const cat_model *model)
-{
-    return model->id;
-}
-
-/* The endpoints of a pool that outrank one for a model. */
-static uint32_t
-count_better(const world_lists *lists, const cat_model *model,
-             const ep_endpoint *endpoint)
-{
-    uint64_t weight = hrw_weight(endpoint->id, model_key(model));
-    uint32_t better = 0;
-
-    for (uint32_t i = 0; i < lists->endpoint_count; i++) {
-        const ep_endpoint *other = &lists->endpoints[i];
-
-        if (other->pool == endpoint->pool && !other->leaving &&
-            hrw_weight(other->id, model_key(model)) > weight) {
-            better++;
-        }
-    }
-    return better;
-}
-
-bool
-place_is_wanted(const cat_catalogue *catalogue, const world_lists *lists,
-                lv_handle model_handle, lv_handle endpoint_handle)
-{
-    const cat_model *model = &catalogue->models[model_handle];
-    const ep_endpoint *endpoint = &lists->endpoints[endpoint_handle];
-
-    if (endpoint->leaving ||
-        catalogue->pools[model->pool].id != endpoint->pool) {
-        return false;
-    }
-    return model->copies == 0 ||
-           count_better(lists, model, endpoint) < model->copies;
-}
-
-static bool
-copy_endpoints(place_placement *placement, const world_lists *lists)
-{
-    place_endpoint *endpoints =
-        calloc(lists->endpoint_count + 1, sizeof *endpoints);
-    uint32_t old = 0;
-
-    if (endpoints == NULL) {
-        return false;
-    }
-    for (uint32_t i = 0; i < lists->endpoint_count; i++) {
-        lv_id id = lists->endpoints[i].id;
-
-        while (old < placement->endpoint_count &&
-               placement->endpoints[old].id < id) {
-            old++;
-        }
-        if (old < placement->endpoint_count &&
-            placement->endpoints[old].id == id) {
-            endpoints[i] = placement->endpoints[old];
-        }
-        endpoints[i].id = id;
-    }
-    free(placement->endpoints);
-    placement->endpoints = endpoints;
-    placement->endpoint_count = lists->endpoint_count;
-    return true;
-}
-
-static place_pool *
-find_pool(const place_placement *placement, lv_id id)
-{
-    for (uint32_t i = 0; i < placement->pool_count; i++) {
-        if (placement->pools[i].id == id) {
-            return &placement->pools[i];
-        }
-    }
-    return NULL;
-}
-
-static bool
-copy_pools(place_placement *placement, const cat_catalogue *catalogue)
-{
-    place_pool *pools = calloc(catalogue->pool_count + 1, sizeof *pools);
-
-    if (pools == NULL) {
-        return false;
-    }
-    for (uint32_t i = 0; i < catalogue->pool_count; i++) {
-        const place_pool *old = find_pool(placement, catalogue->pools[i].id);
-
-        pools[i].id = catalogue->pools[i].id;
-        pools[i].is_mine = old != NULL && old->is_mine;
-    }
     free(placement->pools);
-    placement->pools = pools;
-    placement->pool_count = catalogue->pool_count;
-    return true;
+    free(placement->rows);
+    free(placement->wanted);
+    memset(placement, 0, sizeof *placement);
 }
 
 void
 place_set_views(place_placement *placement, lv_time now,
                 const cat_catalogue *catalogue, const world_lists *lists)
 {
-    bool has_copied =
-        copy_endpoints(placement, lists) && copy_pools(placement, catalogue);
-
-    placement->catalogue = has_copied ? catalogue : NULL;
+    placement->catalogue = catalogue;
     placement->lists = lists;
-    placement->changed = now;
+    placement->view_changed = now;
+    placement->next_look = now;
+    place_rebuild(placement);
 }
 
 void
-place_set_pool(place_placement *placement, lv_time now, lv_id id, bool is_mine)
+place_set_pool(place_placement *placement, lv_time now, lv_id pool,
+               bool is_mine)
 {
-    place_pool *pool = find_pool(placement, id);
+    uint32_t place = 0;
 
-    if (pool == NULL || pool->is_mine == is_mine) {
+    while (place < placement->pool_count &&
+           placement->pools[place].pool != pool) {
+        place++;
+    }
+    if ((place < placement->pool_count) == is_mine) {
         return;
     }
-    pool->is_mine = is_mine;
-    placement->changed = now;
-}
-
-static place_endpoint *
-find_endpoint(place_placement *placement, lv_id id)
-{
-    lv_handle handle;
-
-    if (placement->lists == NULL) {
-        return NULL;
+    if (is_mine) {
+        if (!row_reserve(&placement->pools, &placement->pool_capacity,
+                         placement->pool_count + 1,
+                         sizeof *placement->pools)) {
+            return;
+        }
+        placement->pools[place].pool = pool;
+        placement->pools[place].since = now;
+        placement->pool_count++;
     }
-    handle = ep_find(placement->lists, id);
-    if (handle == LV_HANDLE_NONE || handle >= placement->endpoint_count) {
-        return NULL;
+    else {
+        placement->pools[place] = placement->pools[--placement->pool_count];
     }
-    return &placement->endpoints[handle];
+    placement->next_look = now;
+    place_rebuild(placement);
 }
 
-void
-place_take_models(place_placement *placement, lv_time now, lv_id id,
-                  const lv_id *models, uint32_t count)
+/* The effect of the last order shows, so that a further one may follow. */
+static void
+settle_order(place_row *row)
 {
-    place_endpoint *endpoint = find_endpoint(placement, id);
-
-    (void)now;
-    if (endpoint == NULL || models == NULL || count > PLACE_MODELS_MAX) {
-        return;
+    if (row->order_model != LV_ID_NONE && !row->is_in_flight &&
+        place_has_loaded(row, row->order_model) == row->order_is_load) {
+        row->order_model = LV_ID_NONE;
+        row->failures = 0;
     }
-    memcpy(endpoint->models, models, count * sizeof *models);
-    endpoint->model_count = count;
-    endpoint->is_heard = true;
 }
 
 void
-place_order_done(place_placement *placement, lv_time now, lv_id id,
-                 bool accepted)
+place_take_models(place_placement *placement, lv_time now, lv_id endpoint,
+                  const lv_id *models, uint32_t count)
 {
-    place_endpoint *endpoint = find_endpoint(placement, id);
+    place_row *row = place_find(placement, endpoint);
 
-    if (endpoint == NULL || !endpoint->is_ordered) {
+    if (row == NULL) {
         return;
     }
-    endpoint->is_ordered = false;
-    endpoint->is_heard = false;
-    if (!accepted) {
-        endpoint->rests_until = now + placement->settings.order_interval;
+    if (count > PLACE_LOADED_MAX) {
+        count = PLACE_LOADED_MAX;
     }
-}
-
-static bool
-has_model(const place_endpoint *endpoint, lv_id model)
-{
-    for (uint32_t i = 0; i < endpoint->model_count; i++) {
-        if (endpoint->models[i] == model) {
-            return true;
-        }
+    if (!row->has_reported || count != row->loaded_count ||
+        (count > 0 &&
+         memcmp(row->loaded, models, count * sizeof *models) != 0)) {
+        placement->next_look = now;
     }
-    return false;
-}
-
-/* A model is unloaded only when every endpoint that should have it says that
- * it has: so the last copy stays. */
-static bool
-is_settled_elsewhere(const place_placement *placement, lv_handle model)
-{
-    lv_id id = placement->catalogue->models[model].id;
-    uint32_t copies = 0;
-
-    for (uint32_t i = 0; i < placement->endpoint_count; i++) {
-        if (!place_is_wanted(placement->catalogue, placement->lists, model,
-                             i)) {
-            continue;
-        }
-        if (!placement->endpoints[i].is_heard ||
-            !has_model(&placement->endpoints[i], id)) {
-            return false;
-        }
-        copies++;
+    if (count > 0) {
+        memcpy(row->loaded, models, count * sizeof *models);
     }
-    return copies > 0;
+    row->loaded_count = count;
+    row->has_reported = true;
+    settle_order(row);
 }
 
 static void
-send_order(place_placement *placement, lv_time now, uint32_t index,
-           lv_handle model, bool load)
+note_failure(place_placement *placement, lv_time now, place_row *row,
+             const char *reason)
 {
-    place_endpoint *endpoint = &placement->endpoints[index];
-    const cat_model *ordered = &placement->catalogue->models[model];
-    lv_order order = {
-        .endpoint = endpoint->id,
-        .model = ordered->name,
-        .load = load,
-        .fence_catalogue = placement->catalogue->revision,
-        .fence_lists = placement->lists->revision,
-    };
     lv_decision decision = {
         .kind = LV_DECIDE_ORDER,
-        .reason = load ? "load" : "unload",
-        .pool = placement->catalogue->pools[ordered->pool].name,
-        .endpoint = endpoint->id,
-        .value = ordered->id,
+        .reason = reason,
+        .endpoint = row->endpoint,
+        .value = row->failures + 1,
     };
-
-    endpoint->is_ordered = true;
-    endpoint->order_ends = now + placement->settings.order_timeout;
-    if (load) {
-        placement->next_load = now + placement->settings.order_interval;
-    }
+    uint32_t doublings = row->failures < BACKOFF_DOUBLINGS_MAX
+                             ? row->failures
+                             : BACKOFF_DOUBLINGS_MAX;
+
+    row->retry_at = now + (placement->settings.order_interval << doublings);
+    row->failures++;
+    row->is_in_flight = false;
+    row->order_model = LV_ID_NONE;
+    placement->next_look = now;
     placement->host->ops->log_decision(placement->host, &decision);
-    placement->host->ops->send_order(placement->host, &order);
 }
 
-/* The first order that an endpoint needs: loads before unloads. */
-static bool
-order_endpoint(place_placement *placement, lv_time now, uint32_t index)
+void
+place_order_done(place_placement *placement, lv_time now, lv_id endpoint,
+                 bool accepted)
 {
-    const cat_catalogue *catalogue = placement->catalogue;
-    const place_endpoint *endpoint = &placement->endpoints[index];
-    lv_id pool = placement->lists->endpoints[index].pool;
+    place_row *row = place_find(placement, endpoint);
 
-    for (int load = 1; load >= 0; load--) {
-        if (load == 1 && now < placement->next_load) {
-            continue;
-        }
-        for (uint32_t m = 0; m < catalogue->model_count; m++) {
-            bool is_wanted =
-                place_is_wanted(catalogue, placement->lists, m, index);
-
-            if (catalogue->pools[catalogue->models[m].pool].id != pool ||
-                is_wanted != (load == 1) ||
-                has_model(endpoint, catalogue->models[m].id) == is_wanted) {
-                continue;
-            }
-            if (load == 1 || is_settled_elsewhere(placement, m)) {
-                send_order(placement, now, index, m, load == 1);
-                return true;
-            }
-        }
+    if (row == NULL || !row->is_in_flight) {
+        return;
+    }
+    row->is_in_flight = false;
+    if (accepted) {
+        settle_order(row);
+        placement->next_look = now;
+        return;
     }
-    return false;
+    placement->counts.refused++;
+    note_failure(placement, now, row, "order-refused");
 }
 
-static bool
-may_order(place_placement *placement, lv_time now, uint32_t index)
+static void
+check_timeouts(place_placement *placement, lv_time now)
 {
-    place_endpoint *endpoint = &placement->endpoints[index];
-    const place_pool *pool =
-        find_pool(placement, placement->lists->endpoints[index].pool);
+    for (uint32_t i = 0; i < placement->row_count; i++) {
+        place_row *row = &placement->rows[i];
+        lv_time end = row->order_at + placement->settings.order_timeout;
 
-    if (endpoint->is_ordered && now >= endpoint->order_ends) {
-        endpoint->is_ordered = false;
-        endpoint->is_heard = false;
+        if (row->order_model == LV_ID_NONE) {
+            continue;
+        }
+        if (now >= end) {
+            placement->counts.timeouts++;
+            note_failure(placement, now, row, "order-timeout");
+        }
+        else if (end < placement->next_look) {
+            placement->next_look = end;
+        }
     }
-    return pool != NULL && pool->is_mine && endpoint->is_heard &&
-           !endpoint->is_ordered && now >= endpoint->rests_until;
 }
 
 void
 place_tick(place_placement *placement, lv_time now)
 {
-    placement->next_tick = now + TICK_INTERVAL;
-    if (placement->catalogue == NULL ||
-        lv_elapsed(now, placement->changed) < placement->settings.quiet) {
+    placement->next_look = LV_TIME_NEVER;
+    if (placement->row_count == 0) {
         return;
     }
-    for (uint32_t i = 0; i < placement->endpoint_count; i++) {
-        if (may_order(placement, now, i)) {
-            order_endpoint(placement, now, i);
-        }
-    }
+    check_timeouts(placement, now);
+    place_give_orders(placement, now);
 }
 
 lv_time
 place_next_tick(const place_placement *placement)
 {
-    return placement->next_tick;
+    return placement->next_look;
 }
