--- a/tests/fleet/common-http.c
+++ b/tests/fleet/common-http.c
@@ -77,6 +77,7 @@
     h2o_hostconf_t *host;
     server_handler *handler;
 
+    signal(SIGPIPE, SIG_IGN); /* a caller may leave at any time */
     memset(server, 0, sizeof *server);
     signal(SIGPIPE, SIG_IGN);
     server->on_request = on_request;
