Poll engines alone, and let the scripted server take connections side by side

Cause: every poll of a plain service failed, since it has no load report; in the tests such a poll's connection kept the scripted server from taking the next one (net-test-answers failed once in a full run: 'busy', no answer in 10 s). Change: only endpoints of engine pools are polled; a thread per connection.

--- a/packages/net/source/endpoints-load.c
+++ b/packages/net/source/endpoints-load.c
@@ -51,6 +51,25 @@
     return handle == LV_HANDLE_NONE ? NULL : lists->endpoints[handle].address;
 }
 
+/* Plain services have no load report. */
+static bool
+is_engine(const load_poller *poller, lv_id endpoint)
+{
+    const cat_catalogue *catalogue =
+        doc_catalogue(node_documents(poller->node));
+    const world_lists *lists = doc_lists(node_documents(poller->node));
+    lv_handle handle =
+        lists == NULL ? LV_HANDLE_NONE : ep_find(lists, endpoint);
+    lv_handle pool;
+
+    if (handle == LV_HANDLE_NONE || catalogue == NULL) {
+        return false;
+    }
+    pool = cat_find_pool(catalogue, lists->endpoints[handle].pool);
+    return pool != LV_HANDLE_NONE &&
+           catalogue->pools[pool].kind == CAT_POOL_ENGINE;
+}
+
 static uint32_t
 read_count(const json_t *root, const char *name)
 {
@@ -205,7 +224,7 @@
         poller->targets[i]->is_wanted = false;
     }
     for (i = 0; i < count; i++) {
-        target = target_of(poller, ids[i]);
+        target = is_engine(poller, ids[i]) ? target_of(poller, ids[i]) : NULL;
         if (target != NULL) {
             target->is_wanted = true;
             poll_target(poller, target);
--- a/tests/net/script-server.c
+++ b/tests/net/script-server.c
@@ -85,6 +85,37 @@
     }
 }
 
+typedef struct connection {
+    script_server *server;
+    int fd;
+} connection;
+
+static void *
+run_connection(void *context)
+{
+    connection *self = context;
+
+    serve(self->server, self->fd);
+    close(self->fd);
+    free(self);
+    return NULL;
+}
+
+static void
+start_connection(script_server *server, int fd)
+{
+    connection *self = malloc(sizeof *self);
+
+    if (self == NULL || server->thread_count == SCRIPT_CONNECTIONS) {
+        abort();
+    }
+    *self = (connection){server, fd};
+    if (pthread_create(&server->threads[server->thread_count++], NULL,
+                       run_connection, self) != 0) {
+        abort();
+    }
+}
+
 static void *
 run(void *context)
 {
@@ -93,12 +124,10 @@
 
     while (wait_for(server, server->listener, POLLIN)) {
         fd = accept(server->listener, NULL, NULL);
-        if (fd < 0) {
-            continue;
+        if (fd >= 0) {
+            atomic_fetch_add(&server->connections, 1);
+            start_connection(server, fd);
         }
-        atomic_fetch_add(&server->connections, 1);
-        serve(server, fd);
-        close(fd);
     }
     return NULL;
 }
@@ -129,5 +158,8 @@
 {
     atomic_store(&server->stop, 1);
     pthread_join(server->thread, NULL);
+    while (server->thread_count > 0) {
+        pthread_join(server->threads[--server->thread_count], NULL);
+    }
     close(server->listener);
 }
--- a/tests/net/script-server.h
+++ b/tests/net/script-server.h
@@ -1,6 +1,6 @@
 /*
- * A server on loopback that answers each connection with given bytes, in a
- * thread of its own.
+ * A server on loopback that answers each request with given bytes; each
+ * connection has a thread of its own.
  */
 #ifndef SCRIPT_SERVER_H
 #define SCRIPT_SERVER_H
@@ -9,6 +9,8 @@
 #include <stdatomic.h>
 #include <stddef.h>
 
+#define SCRIPT_CONNECTIONS 256
+
 typedef struct script_server {
     const char *answer; /* NULL: stay silent */
     size_t repeat;      /* then so many bytes of filling */
@@ -16,6 +18,8 @@
     char address[64];
     int listener;
     pthread_t thread;
+    pthread_t threads[SCRIPT_CONNECTIONS];
+    int thread_count;
     atomic_int connections;
     atomic_int requests;
     atomic_size_t sent; /* bytes of filling */
--- a/tests/net/test-callers.c
+++ b/tests/net/test-callers.c
@@ -442,7 +442,7 @@
     rig_answer answer;
 
     memset(body, ' ', SIZE);
-    memcpy(body, "{\"user\":\"m/1\"}", strlen("{\"user\":\"m/1\"}"));
+    body[snprintf(body, SIZE, "{\"user\":\"m/1\"}")] = ' ';
     start_with(&shape);
     snprintf(head, sizeof head,
              "POST /lookup HTTP/1.1\r\nHost: r\r\n" KEY
--- a/tests/net/test-operator.c
+++ b/tests/net/test-operator.c
@@ -324,3 +324,31 @@
     ask_some(1);
     stop();
 }
+
+/* Engines are polled for their load and cache events, plain services are
+ * not. */
+Test(operator, engines_are_polled)
+{
+    static const rig_shape shape = {0};
+    rig_answer answer;
+    double events = 0, polls = 0, failures = -1;
+    int waits;
+
+    start(&shape);
+    rig_ask(rig.routers[0].callers, "POST", "/v1/chat/completions", KEY,
+            "{\"model\":\"m\",\"messages\":[{\"content\":\"x\"}]}", &answer);
+    cr_expect_eq(answer.status, 200, "%s", answer.body);
+    rig_answer_finish(&answer);
+    for (waits = 0; waits < 200 && events < 1; waits++) {
+        proc_sleep_ms(50);
+        get("/metrics", &answer);
+        events = metric(answer.body, "lavender_cache_events_total");
+        polls = metric(answer.body, "lavender_load_polls_total");
+        failures = metric(answer.body, "lavender_load_failures_total");
+        rig_answer_finish(&answer);
+    }
+    cr_expect_eq(events, 1);
+    cr_expect_gt(polls, 0);
+    cr_expect_eq(failures, 0);
+    stop();
+}
