Keep heads from h2o's client that would end the process

Change: the exchange reads each head before the client does; such a head, and an interim one, is a broken protocol. Random tests with fixed seeds of the settings (4000 texts), of callers' requests (400) and of endpoints' answers (200).

--- a/packages/net/source/endpoints-exchange.c
+++ b/packages/net/source/endpoints-exchange.c
@@ -10,6 +10,9 @@
     void *owner;
     h2o_http1client_t *http; /* NULL once h2o is done with it */
     h2o_timeout_entry_t timeout;
+    h2o_timeout_entry_t guard;
+    h2o_socket_cb send_callback; /* h2o's own, behind the guard */
+    h2o_socket_cb head_callback;
     h2o_socket_cb paused_reader;
     h2o_iovec_t buffers[2];
     size_t buffer_count;
@@ -30,6 +33,7 @@
 release(exch_exchange *exchange)
 {
     h2o_timeout_unlink(&exchange->timeout);
+    h2o_timeout_unlink(&exchange->guard);
     *exchange->link = exchange->next;
     if (exchange->next != NULL) {
         exchange->next->link = exchange->link;
@@ -212,6 +216,65 @@
     return on_body;
 }
 
+static exch_exchange *
+exchange_of(h2o_socket_t *socket)
+{
+    return ((h2o_http1client_t *)socket->data)->data;
+}
+
+/* h2o's client ends the process over a head whose length or coding it does
+ * not take, so such a head must not reach it. */
+static void
+on_head_bytes(h2o_socket_t *socket, const char *error)
+{
+    exch_exchange *exchange = exchange_of(socket);
+
+    if (error == NULL &&
+        !head_is_good(socket->input->bytes, socket->input->size)) {
+        h2o_http1client_cancel(exchange->http);
+        finish(exchange, EXCH_PROTOCOL);
+        return;
+    }
+    exchange->head_callback(socket, error);
+}
+
+static void
+guard_head(h2o_socket_t *socket)
+{
+    exch_exchange *exchange = exchange_of(socket);
+
+    if (socket->_cb.read != NULL) {
+        exchange->head_callback = socket->_cb.read;
+        socket->_cb.read = on_head_bytes;
+    }
+}
+
+static void
+on_sent(h2o_socket_t *socket, const char *error)
+{
+    exchange_of(socket)->send_callback(socket, error);
+    if (error == NULL) {
+        guard_head(socket);
+    }
+}
+
+/* h2o sets its callbacks after on_connect; none of them can have run yet. */
+static void
+on_guard(h2o_timeout_entry_t *entry)
+{
+    exch_exchange *exchange =
+        H2O_STRUCT_FROM_MEMBER(exch_exchange, guard, entry);
+    h2o_socket_t *socket = exchange->http->sock;
+
+    if (socket->_cb.write != NULL) {
+        exchange->send_callback = socket->_cb.write;
+        socket->_cb.write = on_sent;
+    }
+    else {
+        guard_head(socket);
+    }
+}
+
 static h2o_http1client_head_cb
 on_connect(h2o_http1client_t *http, const char *error, h2o_iovec_t **buffers,
            size_t *count, int *is_head_method)
@@ -238,6 +301,9 @@
     *count = exchange->buffer_count;
     *is_head_method = exchange->is_head_method;
     set_deadline(exchange, &exchange->client->first_byte_timeout);
+    exchange->guard.cb = on_guard;
+    h2o_timeout_link(exchange->client->loop, &exchange->client->zero_timeout,
+                     &exchange->guard);
     return on_head;
 }
 
--- a/packages/net/source/endpoints-imp.h
+++ b/packages/net/source/endpoints-imp.h
@@ -15,6 +15,10 @@
     uv_idle_t closer;  /* tells when the memory may be freed */
 };
 
+/* May h2o's client see this beginning of an answer? True while the head is
+ * not whole. */
+bool head_is_good(const char *bytes, size_t size);
+
 /* The pool of an address, made when new; NULL when it is malformed. */
 client_pool *pool_of(client_client *client, const char *address);
 
--- a/tests/net/test-answers.c
+++ b/tests/net/test-answers.c
@@ -131,3 +131,53 @@
     script_stop(&server);
     cr_expect(rig_stop(&rig));
 }
+
+#define FUZZ_ROUNDS 200
+
+/* A small generator with a fixed seed. */
+static uint32_t
+draw(uint64_t *state, uint32_t below)
+{
+    *state = *state * UINT64_C(6364136223846793005) + 1442695040888963407;
+    return (uint32_t)(*state >> 33) % below;
+}
+
+/* An endpoint that answers with spoiled bytes harms nobody: each request has
+ * an answer, and the router lives. */
+Test(answers, spoiled_answers)
+{
+    static const char good[] =
+        OK "content-type: text/event-stream\r\nlavender-attempt: 1\r\n"
+           "transfer-encoding: chunked\r\n\r\n"
+           "10\r\ndata: {\"a\": 1}\n\r\n10\r\n\ndata: [DONE]\n\n\r\n"
+           "0\r\n\r\n";
+    static char texts[FUZZ_ROUNDS][sizeof good];
+    rig_shape shape = {
+        .service_address = server.address,
+        .settings =
+            "[endpoints]\nfirst_byte = 100ms\n"
+            "idle = 100ms\nattempts = 1\nrest = 1ms\nrest_max = 1ms\n"};
+    uint64_t state = 20250103;
+    uint32_t changes;
+    rig_answer answer;
+    int round, answered = 0;
+
+    server.answer = good;
+    script_start(&server);
+    cr_assert(rig_start(&rig, &shape));
+    for (round = 0; round < FUZZ_ROUNDS; round++) {
+        memcpy(texts[round], good, sizeof good);
+        for (changes = draw(&state, 5); changes > 0; changes--) {
+            texts[round][draw(&state, sizeof good - 1)] =
+                (char)(1 + draw(&state, 255));
+        }
+        server.answer = texts[round];
+        ask("1.1", &answer);
+        answered += answer.status != 0;
+        cr_assert_neq(answer.status, 0, "round %d", round);
+        rig_answer_finish(&answer);
+    }
+    cr_expect_eq(answered, FUZZ_ROUNDS);
+    script_stop(&server);
+    cr_expect(rig_stop(&rig));
+}
--- a/tests/net/test-callers.c
+++ b/tests/net/test-callers.c
@@ -501,3 +501,49 @@
     cr_expect_eq(refusals, 1);
     stop();
 }
+
+#define FUZZ_ROUNDS 400
+
+/* A small generator with a fixed seed. */
+static uint32_t
+draw(uint64_t *state, uint32_t below)
+{
+    *state = *state * UINT64_C(6364136223846793005) + 1442695040888963407;
+    return (uint32_t)(*state >> 33) % below;
+}
+
+/* Requests with spoiled bytes, cut at any place: none harms the router, and
+ * others are answered all the while. */
+Test(callers, spoiled_requests)
+{
+    static const rig_shape shape = {.settings = "[timeouts]\nrequest = 1s\n"};
+    static const char good[] =
+        "POST " CHAT " HTTP/1.1\r\nHost: r\r\n" KEY "Lavender-Class: work\r\n"
+        "Idempotency-Key: abc\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "60\r\n" CHAT_BODY "\r\n0\r\n\r\n";
+    uint64_t state = 20250102;
+    char text[sizeof good];
+    uint32_t size, changes;
+    rig_answer answer;
+    int fd, round;
+
+    start_with(&shape);
+    for (round = 0; round < FUZZ_ROUNDS; round++) {
+        memcpy(text, good, sizeof good);
+        for (changes = draw(&state, 6); changes > 0; changes--) {
+            text[draw(&state, sizeof good - 1)] = (char)draw(&state, 256);
+        }
+        size = draw(&state, 4) == 0 ? draw(&state, sizeof good)
+                                    : (uint32_t)sizeof good - 1;
+        fd = rig_connect(callers());
+        rig_write(fd, text, size);
+        rig_read(fd, &answer, 5);
+        rig_answer_finish(&answer);
+        close(fd);
+        if (round % 50 == 0) {
+            expect_alive();
+        }
+    }
+    expect_alive();
+    stop();
+}
--- a/tests/net/test-settings.c
+++ b/tests/net/test-settings.c
@@ -238,3 +238,74 @@
     expect_item(&errors, "answer is larger than answers");
     expect_item(&errors, "key");
 }
+
+#define FUZZ_ROUNDS 4000
+
+/* A small generator with a fixed seed. */
+static uint32_t
+draw(uint64_t *state, uint32_t below)
+{
+    *state = *state * UINT64_C(6364136223846793005) + 1442695040888963407;
+    return (uint32_t)(*state >> 33) % below;
+}
+
+static void
+spoil(char *text, size_t size, uint64_t *state)
+{
+    static const char bytes[] = "[]=;#\n \t.0123456789azAZ-%\\\"\x01\x7f\xff";
+    uint32_t changes = 1 + draw(state, 8);
+    size_t at, length;
+
+    while (changes-- > 0) {
+        at = draw(state, (uint32_t)size);
+        switch (draw(state, 3)) {
+        case 0:
+            text[at] = bytes[draw(state, sizeof bytes - 1)];
+            break;
+        case 1: /* repeat a piece elsewhere */
+            length = draw(state, 40);
+            if (at + length < size) {
+                memmove(text + draw(state, (uint32_t)(size - length)),
+                        text + at, length);
+            }
+            break;
+        default:
+            text[at] = '\0';
+            break;
+        }
+    }
+}
+
+/* Whatever the text, it is read without harm, and what is refused has an
+ * error with a remedy. */
+Test(settings, spoiled_texts)
+{
+    static set_settings settings;
+    static err_list errors;
+    char *example = calloc(1, 65536), *text = calloc(1, 65536);
+    FILE *file = fopen(EXAMPLE, "r");
+    uint64_t state = 20250101;
+    int round, refused = 0;
+    size_t size, i;
+
+    cr_assert_not_null(file);
+    size = fread(example, 1, 65535, file);
+    fclose(file);
+    for (round = 0; round < FUZZ_ROUNDS; round++) {
+        memcpy(text, example, size + 1);
+        spoil(text, size, &state);
+        err_list_init(&errors);
+        if (set_read_text(&settings, "spoiled", text, &errors)) {
+            continue;
+        }
+        refused++;
+        check(errors.count > 0, "round", "refused without an error");
+        for (i = 0; i < errors.count && i < ERR_LIST_SIZE; i++) {
+            check(errors.items[i].error.remedy[0] != '\0',
+                  errors.items[i].error.message, "no remedy");
+        }
+    }
+    cr_expect_gt(refused, FUZZ_ROUNDS / 20);
+    free(example);
+    free(text);
+}
