--- a/packages/net/include/lavender-net/callers.h
+++ b/packages/net/include/lavender-net/callers.h
@@ -28,8 +28,8 @@
     uint64_t whole_answer; /* an answer up to this is sent when it is whole */
     lv_time head_timeout;  /* for a request to arrive whole */
     lv_time idle_timeout;  /* of a connection between requests (HTTP/2) */
-    lv_time stall_timeout;   /* a caller that takes nothing of its answer for
-                                so long is given up */
+    lv_time stall_timeout; /* a caller that takes nothing of its answer for
+                              so long is given up */
     uint64_t relayed_answer; /* bytes of an answer relayed for a ticket */
 } call_settings;
 
@@ -37,7 +37,7 @@
     uint64_t connections_accepted;
     uint64_t connections_refused;
     uint64_t requests;
-    uint64_t gone; /* callers that went away before their answer's end */
+    uint64_t gone;    /* callers that went away before their answer's end */
     uint64_t stalled; /* of these, given up because they did not read */
     uint64_t refused[OUT_REASON_COUNT];
     uint64_t finished[OUT_UNKNOWN + 1];
