Tell progress often and what is held seldom

Full reports went out ten times a second and list every lease. Change: full reports go out every 400 ms; between them, every 100 ms, only service that changed and arrivals under a rate. Defaults at the end of items are not encoded. Gaps in either sequence bring a full report at once, claims are repeated every 100 ms. Conclusion: to be measured on real processes.

--- a/packages/core/include/lavender/dispatcher.h
+++ b/packages/core/include/lavender/dispatcher.h
@@ -171,17 +171,19 @@
 typedef struct disp_entry {
     lv_id id; /* LV_ID_NONE: the place is free */
     uint64_t incarnation;
-    uint64_t sequence; /* of the last report taken */
-    uint64_t sent;     /* sequence of the last GRANT */
-    lv_time echo;      /* `sent` of the last full report */
-    lv_time heard;     /* when that report came */
-    lv_time deadline;  /* when its leases end here */
+    uint64_t sequence;    /* of the last report taken */
+    uint64_t sent;        /* sequence of the last GRANT */
+    uint64_t sent_before; /* `sent` at the last report of progress */
+    lv_time echo;         /* `sent` of the last full report */
+    lv_time heard;        /* when that report came */
+    lv_time deadline;     /* when its leases end here */
     uint32_t leases;
     uint32_t idle_any; /* leases for any account that no request uses */
     uint32_t recent;   /* arrivals lately, decaying */
     bool is_member;
-    bool is_gone;  /* a later incarnation came */
-    bool is_fresh; /* heard of lately: may get grants */
+    bool is_gone;    /* a later incarnation came */
+    bool wants_full; /* a report of its was lost */
+    bool is_fresh;   /* heard of lately: may get grants */
 
     bool has_claimed;
     bool needs_grant; /* something waits to be sent */
--- a/packages/core/include/lavender/entry.h
+++ b/packages/core/include/lavender/entry.h
@@ -32,7 +32,8 @@
     uint32_t max_attempts;   /* for one idempotent request */
     uint32_t retry_percent;  /* of recent successes: the retry budget */
     uint32_t local_share;    /* live instances, until entry_set_live says */
-    lv_time report_interval; /* between full REPORTs */
+    lv_time report_interval; /* between REPORTs of progress */
+    lv_time full_interval;   /* between full REPORTs */
     lv_time idle_interval;   /* the same, when there is nothing to report */
     lv_time short_interval;  /* at least, between short REPORTs */
     lv_time silence;         /* a dispatcher that has not answered a REPORT
@@ -92,6 +93,7 @@
     uint64_t stale_answers;  /* of older attempts, dropped */
     uint64_t stale_messages; /* old grants, dropped */
     uint64_t reports_full;
+    uint64_t reports_progress;
     uint64_t reports_short;
     uint64_t expired_leases;
     uint32_t waiting;
--- a/packages/core/include/lavender/message.h
+++ b/packages/core/include/lavender/message.h
@@ -139,10 +139,11 @@
     uint32_t leaving_count;
 
     /* REPORT */
-    bool is_full;  /* lists every lease, demand and service */
-    bool is_claim; /* first report to a new dispatcher */
-    lv_time sent;  /* sender's clock; echoed in GRANT */
-    uint64_t seen; /* highest GRANT sequence taken */
+    bool is_full;     /* lists every lease, demand and service */
+    bool is_claim;    /* first report to a new dispatcher */
+    bool is_progress; /* lists every service total that changed */
+    lv_time sent;     /* sender's clock; echoed in GRANT */
+    uint64_t seen;    /* highest GRANT sequence taken */
     const msg_demand *demands;
     uint32_t demand_count;
     const msg_held *held;
@@ -156,6 +157,7 @@
     lv_time echo;      /* `sent` of the last report taken */
     lv_time ttl;       /* leases end at echo + ttl on the entry's clock */
     bool is_contended; /* somebody waits: give idle slots back at once */
+    bool wants_full;   /* a report was lost: send a full one */
     const msg_grant *grants;
     uint32_t grant_count;
     const uint64_t *recalled; /* give back at the end of the request */
--- a/packages/core/source/dispatcher-report.c
+++ b/packages/core/source/dispatcher-report.c
@@ -297,6 +297,50 @@
     }
 }
 
+/* Accounts under a fleet-wide rate hear their allowance more often. */
+static void
+list_rated_levels(disp_dispatcher *disp, lv_time now, uint32_t entry,
+                  const msg_message *message)
+{
+    for (uint32_t i = 0; i < message->demand_count; i++) {
+        uint32_t account =
+            map_find(&disp->account_map, message->demands[i].account);
+
+        if (account != LV_HANDLE_NONE && disp->accounts[account].is_rated) {
+            disp_send_level(disp, now, disp_demand_find(disp, entry, account));
+            disp_send_mark(disp, entry);
+        }
+    }
+}
+
+static void
+note_loss(disp_entry *entry, const msg_message *message)
+{
+    if (message->is_full) {
+        entry->wants_full = false;
+    }
+    else if (message->sequence != entry->sequence + 1) {
+        entry->wants_full = true;
+    }
+}
+
+/* A GRANT that was sent before the last report of progress and is not known
+ * of now was lost; another one makes the entry see the gap. */
+static void
+answer_loss(disp_dispatcher *disp, uint32_t row, const msg_message *message)
+{
+    disp_entry *entry = &disp->entries[row];
+    uint32_t first = entry->sent_list.first;
+
+    if (entry->wants_full ||
+        (first != LV_HANDLE_NONE && disp->leases[first].sequence != 0 &&
+         disp->leases[first].sequence <= entry->sent_before &&
+         disp->leases[first].sequence > message->seen)) {
+        disp_send_mark(disp, row);
+    }
+    entry->sent_before = entry->sent;
+}
+
 bool
 disp_take_report(disp_dispatcher *disp, lv_time now,
                  const msg_message *message)
@@ -313,6 +357,7 @@
     }
     raise_tenure(disp, message);
     disp->stamp++;
+    note_loss(&disp->entries[row], message);
     disp->entries[row].sequence = message->sequence;
     disp->entries[row].has_claimed = true;
     if (!message->is_claim) {
@@ -327,7 +372,7 @@
         clear_unlisted_demand(disp, now, row);
     }
     take_services(disp, now, row, message);
-    if (message->is_full) {
+    if (message->is_full || message->is_progress) {
         end_begun(disp, now, row);
     }
     disp_check_settled(disp, now);
@@ -337,6 +382,10 @@
         list_levels(disp, now, row, message);
         disp_send_answer(disp, row);
     }
+    else if (message->is_progress) {
+        list_rated_levels(disp, now, row, message);
+        answer_loss(disp, row, message);
+    }
     disp_send_marked(disp);
     return true;
 }
--- a/packages/core/source/dispatcher-send.c
+++ b/packages/core/source/dispatcher-send.c
@@ -154,6 +154,7 @@
         .echo = entry->echo,
         .ttl = disp->settings.lease_ttl,
         .is_contended = disp->is_contended,
+        .wants_full = entry->wants_full,
         .grant_count = collect_grants(disp, entry),
         .recalled_count = collect_recalls(disp, entry, is_answer),
     };
--- a/packages/core/source/entry-grant.c
+++ b/packages/core/source/entry-grant.c
@@ -81,6 +81,10 @@
 {
     lv_time end = message->echo + message->ttl;
 
+    if (message->wants_full ||
+        (shard->seen != 0 && message->sequence != shard->seen + 1)) {
+        shard->is_full_wanted = true;
+    }
     shard->seen = message->sequence;
     if (message->tenure >= shard->tenure) {
         shard->tenure = message->tenure;
@@ -220,6 +224,21 @@
     }
 }
 
+/* A lost message leaves leases that one side does not know of: the next full
+ * report clears that up. */
+static void
+follow_loss(entry_entry *entry, lv_time now, uint32_t index)
+{
+    entry_shard *shard = &entry->shards[index];
+
+    if (!shard->is_full_wanted) {
+        return;
+    }
+    shard->is_full_wanted = false;
+    shard->next_full = now;
+    entry_mark_due(entry, index);
+}
+
 bool
 entry_take_grant(entry_entry *entry, lv_time now, const msg_message *message)
 {
@@ -251,6 +270,7 @@
         entry_release_all_idle(entry, now, index);
     }
     correct_demand(entry, index, message);
+    follow_loss(entry, now, index);
     entry_flush(entry, now);
     return true;
 }
@@ -304,11 +324,12 @@
         if (shard->dispatcher == LV_ID_NONE) {
             continue;
         }
-        if (shard->next_full <= now) {
+        if (shard->next_full <= now || shard->next_progress <= now) {
             entry_mark_due(entry, i);
         }
         else {
             entry_wake(entry, shard->next_full);
+            entry_wake(entry, shard->next_progress);
         }
     }
 }
--- a/packages/core/source/entry-imp.h
+++ b/packages/core/source/entry-imp.h
@@ -119,12 +119,15 @@
     lv_time previous_full_sent;
     lv_time short_sent;
     lv_time next_full;
+    lv_time progress_sent; /* the last report with service totals */
+    lv_time next_progress;
     lv_time unanswered_since; /* first full report without an answer; 0 */
     lv_time fresh_since;      /* only answers to reports from then count */
     lv_time claim_sent;
     bool is_claiming;
     bool is_stale; /* dispatch nothing until a fresh answer */
     bool is_contended;
+    bool is_full_wanted; /* a message was lost */
     bool is_silent;
     bool is_due; /* in due_shards */
     uint32_t next_due;
@@ -151,7 +154,8 @@
     uint32_t waiting[CAT_PRIORITY_COUNT];
     uint32_t told[CAT_PRIORITY_COUNT]; /* what the dispatcher believes */
     int64_t total;
-    int64_t told_total;
+    int64_t told_total;     /* in the last full report */
+    int64_t progress_total; /* in the last report with service totals */
     int64_t previous_total;
     int64_t level;
     int64_t level_total; /* total when the level was made */
--- a/packages/core/source/entry-report.c
+++ b/packages/core/source/entry-report.c
@@ -79,16 +79,21 @@
 {
     entry_part *part = &entry->parts[index];
     entry_shard *shard = &entry->shards[part->shard];
-    lv_time earliest = shard->full_sent + entry->settings.report_interval;
+    lv_time progress = shard->progress_sent + entry->settings.report_interval;
+    lv_time full = shard->full_sent + entry->settings.full_interval;
 
     if (part->is_active ||
         (!has_demand(entry, part) && part->total == part->told_total)) {
         return;
     }
     append_active(entry, index);
-    if (shard->next_full > earliest) {
-        shard->next_full = earliest;
-        entry_wake(entry, earliest);
+    if (shard->next_full > full) {
+        shard->next_full = full;
+        entry_wake(entry, full);
+    }
+    if (shard->next_progress > progress) {
+        shard->next_progress = progress;
+        entry_wake(entry, progress);
     }
 }
 
@@ -160,6 +165,7 @@
     service->since = part->total - part->level_total;
     part->previous_total = part->told_total;
     part->told_total = part->total;
+    part->progress_total = part->total;
 }
 
 static void
@@ -360,16 +366,31 @@
     shard->changed.count = 0;
 }
 
+/* A claim is repeated soon: the first may come before its receiver knows that
+ * it is the dispatcher. */
+static lv_time
+choose_full_interval(const entry_entry *entry, const entry_shard *shard)
+{
+    if (shard->is_claiming || shard->is_stale) {
+        return entry->settings.report_interval;
+    }
+    if (shard->active.count > 0 || shard->leases.count > 0) {
+        return entry->settings.full_interval;
+    }
+    return entry->settings.idle_interval;
+}
+
 static void
 note_full_sent(entry_entry *entry, lv_time now, entry_shard *shard)
 {
-    bool is_busy = shard->active.count > 0 || shard->leases.count > 0 ||
-                   shard->is_claiming || shard->is_stale;
+    bool is_busy = shard->active.count > 0 || shard->leases.count > 0;
 
     shard->full_sent = now;
     shard->short_sent = now;
-    shard->next_full = now + (is_busy ? entry->settings.report_interval
-                                      : entry->settings.idle_interval);
+    shard->progress_sent = now;
+    shard->next_full = now + choose_full_interval(entry, shard);
+    shard->next_progress =
+        is_busy ? now + entry->settings.report_interval : LV_TIME_NEVER;
     if (shard->unanswered_since == 0) {
         shard->unanswered_since = now;
     }
@@ -377,6 +398,7 @@
         shard->claim_sent = now;
     }
     entry_wake(entry, shard->next_full);
+    entry_wake(entry, shard->next_progress);
     entry_wake(entry, shard->unanswered_since + entry->settings.silence);
     entry->counts.reports_full++;
 }
@@ -427,6 +449,59 @@
     entry->host->ops->send(entry->host, shard->dispatcher, &message);
 }
 
+/* Service that changed, and arrivals that use up a fleet-wide rate. */
+static void
+add_progress(entry_entry *entry, lv_time now, const entry_shard *shard,
+             msg_message *message)
+{
+    uint32_t index = shard->active.first;
+
+    for (uint32_t i = 0; i < shard->active.count; i++) {
+        entry_part *part = &entry->parts[index];
+        const entry_flow *flow = &entry->flows[part->flow];
+
+        if (part->total != part->progress_total &&
+            message->service_count < MSG_ITEMS_MAX) {
+            msg_service *service =
+                &entry->scratch->services[message->service_count++];
+
+            *service =
+                (msg_service){.account = flow->account, .total = part->total};
+            part->progress_total = part->total;
+        }
+        if (flow->is_rated && part->told_arrivals != flow->arrivals) {
+            add_demand(entry, now, part, message);
+        }
+        index = part->next_active;
+    }
+}
+
+/* Between full reports, what was used is told more often than what is
+ * held. */
+static void
+send_progress(entry_entry *entry, lv_time now, entry_shard *shard)
+{
+    msg_message message;
+
+    charge_running(entry, now, shard);
+    start_message(entry, now, shard, &message);
+    message.is_progress = true;
+    add_changes(entry, now, shard, &message);
+    add_progress(entry, now, shard, &message);
+    shard->progress_sent = now;
+    shard->next_progress = now + entry->settings.report_interval;
+    entry_wake(entry, shard->next_progress);
+    if (message.demand_count + message.service_count +
+            message.released_count ==
+        0) {
+        shard->sequence--;
+        return;
+    }
+    shard->short_sent = now;
+    entry->counts.reports_progress++;
+    entry->host->ops->send(entry->host, shard->dispatcher, &message);
+}
+
 static bool
 take_due(entry_entry *entry, uint32_t *index)
 {
@@ -461,6 +536,9 @@
         if (shard->next_full <= now) {
             entry_send_full(entry, now, index);
         }
+        else if (shard->next_progress <= now) {
+            send_progress(entry, now, shard);
+        }
         else if (now >= earliest) {
             send_short(entry, now, shard);
         }
--- a/packages/core/source/entry-table.c
+++ b/packages/core/source/entry-table.c
@@ -166,6 +166,7 @@
         .number = number,
         .next_in_pool = entry->pools[pool].first_shard,
         .next_full = LV_TIME_NEVER,
+        .next_progress = LV_TIME_NEVER,
     };
     entry->pools[pool].first_shard = index;
     entry->shard_count++;
--- a/packages/core/source/entry.c
+++ b/packages/core/source/entry.c
@@ -17,9 +17,10 @@
         .retry_percent = 20,
         .local_share = 1,
         .report_interval = 100 * LV_MILLISECOND,
+        .full_interval = 400 * LV_MILLISECOND,
         .idle_interval = LV_SECOND,
         .short_interval = LV_MILLISECOND,
-        .silence = 500 * LV_MILLISECOND,
+        .silence = LV_SECOND,
         .rest = 100 * LV_MILLISECOND,
         .rest_max = 2 * LV_SECOND,
         .max_prefixes = 16384,
@@ -41,11 +42,13 @@
                        "prefixes are 0");
     }
     if (settings->report_interval == 0 || settings->short_interval == 0 ||
-        settings->idle_interval < settings->report_interval ||
-        settings->silence <= settings->report_interval) {
+        settings->full_interval < settings->report_interval ||
+        settings->idle_interval < settings->full_interval ||
+        settings->silence <= settings->full_interval) {
         return err_set(error, ERR_CONFLICT,
-                       "make the idle interval and the silence longer than "
-                       "the report interval, and all over 0",
+                       "make the full interval at least the report interval, "
+                       "the idle interval and the silence longer than that, "
+                       "and all over 0",
                        "the intervals of reports do not fit together");
     }
     if (settings->rest == 0 || settings->rest_max < settings->rest) {
--- a/packages/core/source/message-encode.c
+++ b/packages/core/source/message-encode.c
@@ -59,6 +59,29 @@
     return count;
 }
 
+/* Defaults at the end of an item are left out. */
+static uint32_t
+count_fields(const char *item, const msg_array *array)
+{
+    uint32_t count = array->field_count;
+
+    while (count > 1 && is_default(item, &array->fields[count - 1])) {
+        count--;
+    }
+    return count;
+}
+
+static void
+pack_item(msgpack_packer *packer, const char *item, const msg_array *array)
+{
+    uint32_t count = count_fields(item, array);
+
+    msgpack_pack_array(packer, count);
+    for (uint32_t f = 0; f < count; f++) {
+        pack_field(packer, item, &array->fields[f]);
+    }
+}
+
 static void
 pack_array(msgpack_packer *packer, const msg_message *message,
            const msg_array *array)
@@ -70,11 +93,7 @@
     msgpack_pack_uint32(packer, array->key);
     msgpack_pack_array(packer, count);
     for (uint32_t i = 0; i < count; i++) {
-        msgpack_pack_array(packer, array->field_count);
-        for (uint32_t f = 0; f < array->field_count; f++) {
-            pack_field(packer, items + i * array->item_size,
-                       &array->fields[f]);
-        }
+        pack_item(packer, items + i * array->item_size, array);
     }
 }
 
--- a/packages/core/source/message.c
+++ b/packages/core/source/message.c
@@ -90,6 +90,8 @@
     FIELD(23, msg_message, doc, MSG_FIELD_U32, DOC_COUNT - 1),
     FIELD(24, msg_message, doc_part, MSG_FIELD_U32, 0),
     FIELD(25, msg_message, doc_digest, MSG_FIELD_U64, 0),
+    FIELD(26, msg_message, is_progress, MSG_FIELD_BOOL, 0),
+    FIELD(27, msg_message, wants_full, MSG_FIELD_BOOL, 0),
 };
 
 #define COUNT_OF(array) ((uint32_t)(sizeof(array) / sizeof((array)[0])))
--- a/packages/net/source/settings-check.c
+++ b/packages/net/source/settings-check.c
@@ -84,17 +84,19 @@
     const swim_settings *membership = &settings->node.membership;
     const entry_settings *entry = &settings->node.entry;
 
-    if (leases->lease_ttl < 2 * leases->report_interval) {
+    if (leases->lease_ttl < 2 * entry->full_interval) {
         err_list_add(errors, file, 0, ERR_CONFLICT,
-                     "write a ttl of at least two report intervals",
-                     "[leases] ttl is shorter than two of report_interval");
+                     "write a ttl of at least two full intervals",
+                     "[leases] ttl is shorter than two of full_interval");
     }
-    if (entry->idle_interval < leases->report_interval ||
-        entry->silence <= leases->report_interval) {
+    if (entry->full_interval < leases->report_interval ||
+        entry->idle_interval < entry->full_interval ||
+        entry->silence <= entry->full_interval) {
         err_list_add(errors, file, 0, ERR_CONFLICT,
-                     "write an idle_interval and a silence over "
-                     "report_interval",
-                     "[leases] idle_interval or silence is too short");
+                     "write a full_interval of at least report_interval, and "
+                     "an idle_interval and a silence over full_interval",
+                     "[leases] full_interval, idle_interval or silence is "
+                     "too short");
     }
     if (entry->rest_max < entry->rest) {
         err_list_add(errors, file, 0, ERR_CONFLICT,
--- a/tests/core/entry-world.c
+++ b/tests/core/entry-world.c
@@ -222,6 +222,8 @@
     world->host.ops = &recording_ops;
     world->now = 10 * LV_SECOND;
     entry_default_settings(&usual);
+    usual.full_interval = usual.report_interval;
+    usual.silence = 500 * LV_MILLISECOND;
     if (!ledger_init(&world->ledger, 1000, &error) ||
         !entry_init(&world->entry, &world->host,
                     settings != NULL ? settings : &usual, &world->ledger,
--- a/tests/core/test-entry.c
+++ b/tests/core/test-entry.c
@@ -686,3 +686,48 @@
     cr_assert_gt(refusals, 0, "classes that are gone are refused");
     cr_assert_eq(ew_counts(&world).waiting + refusals, 100);
 }
+
+/* Between full reports only what was used is told. */
+Test(entry, progress_is_told_between_full_reports)
+{
+    const lv_attempt *attempt;
+    uint64_t before;
+
+    world.entry.settings.full_interval = 400 * LV_MILLISECOND;
+    ew_submit(&world, "a", "drafts", "/chat", NULL);
+    ew_grant(&world, "eng", "e1", "a");
+    ew_send_last(&world);
+    attempt = ew_last_attempt(&world);
+    before = ew_counts(&world).reports_full;
+    for (int i = 0; i < 10; i++) {
+        msg_message message = ew_message(&world, "eng");
+        msg_message other = ew_message(&world, "svc");
+
+        ew_take(&world, &message);
+        ew_take(&world, &other);
+        entry_progress(&world.entry, world.now, attempt->request,
+                       attempt->number, 1000 + 10 * (uint64_t)i, 0);
+        ew_run(&world, 100 * LV_MILLISECOND);
+    }
+    cr_assert_leq(ew_counts(&world).reports_full - before, 6,
+                  "two conversations, each at most three times a second");
+    cr_assert_geq(ew_counts(&world).reports_progress, 7);
+    cr_assert(world.report.message.is_progress ||
+              world.report.message.is_full);
+}
+
+/* A gap in the sequence of GRANTs asks for a full report at once. */
+Test(entry, lost_grant_brings_a_full_report)
+{
+    msg_message message;
+    uint64_t before;
+
+    world.entry.settings.full_interval = 400 * LV_MILLISECOND;
+    ew_grant(&world, "eng", "e1", "a");
+    ew_run(&world, 410 * LV_MILLISECOND);
+    message = ew_message(&world, "eng");
+    message.sequence += 3;
+    before = ew_counts(&world).reports_full;
+    cr_assert(ew_take(&world, &message));
+    cr_assert_eq(ew_counts(&world).reports_full, before + 1);
+}
