Test fleets of real processes through faults; doubt not-run under a foreign ticket

The test of a stale platform found a refusal that said not-run for a request with a ticket which the killed minter had already run (said not-run, but ran: 1 of 28 refusals).

--- a/packages/net/source/callers-imp.h
+++ b/packages/net/source/callers-imp.h
@@ -100,6 +100,7 @@
     bool is_freed;
     lv_handle ticket; /* LV_HANDLE_NONE: none */
     bool is_joined;   /* waits for another request's answer */
+    bool is_vouched;  /* what became of its ticket is known here */
     exch_call *relay;
     h2o_iovec_t body;
     char *body_copy; /* owned, when the caller may leave before the end */
--- a/packages/net/source/callers-request.c
+++ b/packages/net/source/callers-request.c
@@ -139,11 +139,27 @@
 }
 
 /* The outcome is known: tell the caller, and those that wait with it. */
+/* A request may have run before under its ticket, through another router or
+ * another process of this one: only who vouches for the ticket may say that
+ * it did not. */
+static void
+doubt_not_run(const call_request *request, out_outcome *outcome)
+{
+    if (outcome->kind == OUT_NOT_RUN && !request->is_vouched &&
+        !request->is_idempotent && request->req != NULL &&
+        request_header(request->req, "idempotency-key").base != NULL) {
+        outcome->kind = OUT_UNKNOWN;
+    }
+}
+
 void
 request_end(call_request *request, const out_outcome *outcome)
 {
     call_server *server = request->server;
+    out_outcome said = *outcome;
 
+    doubt_not_run(request, &said);
+    outcome = &said;
     request->is_over = true;
     server->counts.finished[outcome->kind]++;
     if (outcome->kind != OUT_DONE) {
--- a/packages/net/source/callers-ticket.c
+++ b/packages/net/source/callers-ticket.c
@@ -111,6 +111,7 @@
                     request->account, hash_request(request), &request->ticket,
                     &minter)) {
     case TKT_RUN:
+        request->is_vouched = true;
         keep_body(request);
         if (request->body.len > 0 && request->body_copy == NULL) {
             tkt_release(node_tickets(server->node), request->ticket);
@@ -120,6 +121,7 @@
         }
         return true;
     case TKT_JOIN:
+        request->is_vouched = true;
         request->is_joined = true;
         server->counts.joined++;
         return false;
@@ -140,6 +142,7 @@
         return false;
     case TKT_INVALID:
     case TKT_MISMATCH:
+        request->is_vouched = true;
         break;
     }
     request->ticket = LV_HANDLE_NONE;
--- a/tests/fleet/part-fleet-load-flow.c
+++ b/tests/fleet/part-fleet-load-flow.c
@@ -1,3 +1,4 @@
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -426,6 +427,17 @@
     uv_timer_start(timer, on_end, (uint64_t)(load->plan.drain * 1000), 0);
 }
 
+static void
+on_signal(uv_signal_t *signal, int number)
+{
+    load_load *load = signal->data;
+
+    (void)number;
+    if (!load->is_stopping) {
+        on_end(&load->stop_timer);
+    }
+}
+
 void
 load_run_flows(load_load *load)
 {
@@ -454,6 +466,9 @@
     load->stop_timer.data = load;
     uv_timer_start(&load->stop_timer, on_end,
                    (uint64_t)(load->plan.seconds * 1000), 0);
+    uv_signal_init(&load->loop, &load->stop_signal);
+    load->stop_signal.data = load;
+    uv_signal_start(&load->stop_signal, on_signal, SIGTERM);
     uv_run(&load->loop, UV_RUN_DEFAULT);
     load->verdicts[LOAD_PENDING] = load->outstanding;
     free(sources);
--- a/tests/fleet/part-fleet-load.h
+++ b/tests/fleet/part-fleet-load.h
@@ -134,6 +134,7 @@
     load_sample after;
     uv_timer_t sample_timer;
     uv_timer_t stop_timer;
+    uv_signal_t stop_signal;
     uint32_t verdicts[LOAD_VERDICT_COUNT];
     uint64_t not_run_but_ran;
     uint64_t done_but_not_run;
