Tell the first shard of arrivals and of refusals for the rate

Cause: the first shard deals out the rates, but heard only of accounts whose demand was placed there, and not of those refused by their rate.

--- a/packages/core/source/entry-admit.c
+++ b/packages/core/source/entry-admit.c
@@ -221,6 +221,9 @@
     if (line != NULL) {
         line->refused++;
     }
+    if (reason == OUT_REASON_RATE) {
+        entry_note_rate(entry, found->flow, true);
+    }
     *refusal = (out_outcome){OUT_NOT_RUN, reason, retry_after};
     entry->counts.refused[reason]++;
     entry_log_refusal(entry, request, reason);
@@ -282,6 +285,7 @@
               found.route->idempotent ? "idempotent" : "once", index, NONE,
               entry->flows[found.flow].waiting, 0);
     entry_wait(entry, now, index, true);
+    entry_note_rate(entry, found.flow, false);
     entry_serve_flow(entry, now, entry->items[index].queue);
     entry_flush(entry, now);
     return true;
--- a/packages/core/source/entry-imp.h
+++ b/packages/core/source/entry-imp.h
@@ -147,6 +147,7 @@
     uint32_t next_changed;
     bool is_active;
     bool is_changed;
+    bool was_refused; /* for its rate, since the last full report */
     uint32_t told_arrivals;
     uint32_t waiting[CAT_PRIORITY_COUNT];
     uint32_t told[CAT_PRIORITY_COUNT]; /* what the dispatcher believes */
@@ -253,6 +254,7 @@
 void entry_wait(entry_entry *entry, lv_time now, uint32_t item, bool is_new);
 void entry_unwait(entry_entry *entry, lv_time now, uint32_t item);
 void entry_replace_demand(entry_entry *entry, lv_time now, uint32_t silent);
+void entry_note_rate(entry_entry *entry, uint32_t flow, bool was_refused);
 void entry_expire_waits(entry_entry *entry, lv_time now);
 uint32_t entry_place(entry_entry *entry, lv_time now, uint32_t pool,
                      uint32_t flow);
--- a/packages/core/source/entry-report.c
+++ b/packages/core/source/entry-report.c
@@ -51,7 +51,7 @@
 has_demand(const entry_entry *entry, const entry_part *part)
 {
     return part->waiting[CAT_URGENT] > 0 ||
-           part->waiting[CAT_DEFERRABLE] > 0 ||
+           part->waiting[CAT_DEFERRABLE] > 0 || part->was_refused ||
            part->told_arrivals != entry->flows[part->flow].arrivals;
 }
 
@@ -138,6 +138,7 @@
     demand->account = entry->flows[part->flow].account;
     demand->arrivals = entry->flows[part->flow].arrivals;
     part->told_arrivals = demand->arrivals;
+    part->was_refused = false;
     for (int i = 0; i < CAT_PRIORITY_COUNT; i++) {
         demand->waiting[i] = part->waiting[i];
         demand->oldest_age[i] = oldest_age(entry, now, part->flow, i);
--- a/packages/core/source/entry-wait.c
+++ b/packages/core/source/entry-wait.c
@@ -144,6 +144,26 @@
     remove_demand(entry, index);
 }
 
+/* The pool's first shard deals out the rate: it hears of each account that
+ * has a rate and sends requests here, also when all were refused. */
+void
+entry_note_rate(entry_entry *entry, uint32_t index, bool was_refused)
+{
+    const entry_flow *flow = &entry->flows[index];
+    uint32_t shard;
+    uint32_t part;
+
+    if (!flow->is_rated || entry->settings.mode != ENTRY_MODE_LEASES) {
+        return;
+    }
+    shard = entry_get_shard(entry, flow->pool, 0);
+    part = shard == NONE ? NONE : entry_get_part(entry, shard, index);
+    if (part != NONE) {
+        entry->parts[part].was_refused |= was_refused;
+        entry_update_active(entry, part);
+    }
+}
+
 /* Must a waiting request's demand be told to another shard? */
 static bool
 is_misplaced(const entry_entry *entry, const entry_item *item, uint32_t silent)
--- a/tests/core/entry-world.c
+++ b/tests/core/entry-world.c
@@ -118,6 +118,9 @@
             message->sent;
         world->was_claim[message->pool != ew_id("eng")] = message->is_claim;
     }
+    for (uint32_t i = 0; message->is_full && i < message->demand_count; i++) {
+        world->rated_told += message->demands[i].account == ew_id("rated");
+    }
     report->to = to;
     report->message = *message;
     copy_array(message->demands, message->demand_count, sizeof(msg_demand),
--- a/tests/core/entry-world.h
+++ b/tests/core/entry-world.h
@@ -36,6 +36,7 @@
     uint64_t sequence;
     lv_time full_sent[2][2]; /* last full reports for eng and svc, by shard */
     bool was_claim[2];       /* were they claims? */
+    uint32_t rated_told;     /* full reports with demand of account "rated" */
     uint32_t report_count;
     ew_report report; /* the last one */
     uint32_t attempt_count;
--- a/tests/core/test-entry-refuse.c
+++ b/tests/core/test-entry-refuse.c
@@ -254,6 +254,38 @@
                   LV_HANDLE_NONE);
 }
 
+/* Use up the rate: nothing waits afterwards. */
+static void
+use_up_rate(void)
+{
+    lv_handle request = ew_submit(&world, "rated", NULL, "/chat", NULL);
+
+    while (request != LV_HANDLE_NONE) {
+        entry_cancel(&world.entry, world.now, request);
+        request = ew_submit(&world, "rated", NULL, "/chat", NULL);
+    }
+}
+
+Test(refuse, an_account_refused_for_its_rate_is_told_once)
+{
+    lv_id live[] = {ew_id("r1"), ew_id("r2")};
+    msg_message message = ew_message(&world, "eng");
+    uint32_t before;
+
+    entry_set_live(&world.entry, world.now, live, 2);
+    ew_take(&world, &message);
+    use_up_rate();
+    ew_run(&world, 110 * LV_MILLISECOND);
+    before = world.rated_told;
+    cr_assert_gt(before, 0, "arrivals are told");
+    cr_assert_eq(ew_submit(&world, "rated", NULL, "/chat", NULL),
+                 LV_HANDLE_NONE, "5 a second: no token yet");
+    ew_run(&world, 110 * LV_MILLISECOND);
+    cr_assert_eq(world.rated_told, before + 1);
+    ew_run(&world, LV_SECOND);
+    cr_assert_eq(world.rated_told, before + 1);
+}
+
 typedef struct settings_case {
     const char *what;
     size_t offset;
--- a/tests/core/test-entry-shards.c
+++ b/tests/core/test-entry-shards.c
@@ -24,7 +24,7 @@
 static ew_world world;
 static uint32_t told[SHARDS];
 static lv_time full_sent[SHARDS];
-static lv_time last_sent;
+static uint32_t first_shard_arrivals;
 
 /* Keep what the last report to each shard said. */
 static void
@@ -36,13 +36,15 @@
         return;
     }
     cr_assert_lt(message->shard, SHARDS);
-    last_sent = message->sent;
     if (message->is_full) {
         told[message->shard] = 0;
         full_sent[message->shard] = message->sent;
     }
     for (uint32_t i = 0; i < message->demand_count; i++) {
         told[message->shard] = message->demands[i].waiting[CAT_DEFERRABLE];
+        if (message->shard == 0) {
+            first_shard_arrivals = message->demands[i].arrivals;
+        }
     }
 }
 
@@ -227,6 +229,34 @@
     cr_assert_eq(total_told(), 8);
 }
 
+static const char rated_catalogue[] =
+    "[catalogue]\nrevision = 3\n"
+    "[pool eng]\nkind = engine\nslots = 2\ninput_weight = 1\n"
+    "output_weight = 2\nquantum = 1000\nhold = 5ms\ndefault_cost = 100\n"
+    "shard_endpoints = 1\n"
+    "[route /chat]\npool = eng\nidempotent = yes\n"
+    "[account a]\nweight = 1\nkey_digest = "
+    "0000000000000000000000000000000000000000000000000000000000000001\n"
+    "[entry a/drafts]\npriority = deferrable\ndeadline = 1m\n"
+    "requests_per_second = 100\n";
+
+Test(shards, the_first_shard_hears_of_every_account_with_a_rate)
+{
+    uint32_t before;
+
+    ew_set_catalogue(&world, rated_catalogue);
+    ew_run(&world, 110 * LV_MILLISECOND);
+    for (uint32_t i = 0; i < SHARDS; i++) {
+        answer(i, endpoints_of(i) != 1 || i == 0, NULL);
+    }
+    before = first_shard_arrivals;
+    ew_submit(&world, "a", NULL, "/chat", NULL);
+    ew_submit(&world, "a", NULL, "/chat", NULL);
+    ew_run(&world, 110 * LV_MILLISECOND);
+    cr_assert_eq(told[0], 0, "nothing waits for it");
+    cr_assert_eq(first_shard_arrivals, before + 2);
+}
+
 /* The baselines: instances r1 .. rN, endpoints of three slots each. */
 
 static void
