--- a/tests/core/test-entry-shards.c
+++ b/tests/core/test-entry-shards.c
@@ -11,15 +11,19 @@
 
 #define SHARDS 4
 
-static const char sharded_catalogue[] =
-    "[catalogue]\nrevision = 2\n"
-    "[pool eng]\nkind = engine\nslots = 2\ninput_weight = 1\n"
-    "output_weight = 2\nquantum = 1000\nhold = 5ms\ndefault_cost = 100\n"
-    "shard_endpoints = 1\n"
-    "[route /chat]\npool = eng\nidempotent = yes\n"
-    "[account a]\nweight = 1\nkey_digest = "
-    "0000000000000000000000000000000000000000000000000000000000000001\n"
-    "[entry a/drafts]\npriority = deferrable\ndeadline = 1m\n";
+#define SHARDED_CATALOGUE(limits)                                             \
+    "[catalogue]\nrevision = 2\n"                                             \
+    "[pool eng]\nkind = engine\nslots = 2\ninput_weight = 1\n"                \
+    "output_weight = 2\nquantum = 1000\nhold = 5ms\ndefault_cost = 100\n"     \
+    "shard_endpoints = 1\n"                                                   \
+    "[route /chat]\npool = eng\nidempotent = yes\n"                           \
+    "[account a]\nweight = 1\nkey_digest = "                                  \
+    "0000000000000000000000000000000000000000000000000000000000000001\n"      \
+    "[entry a/drafts]\npriority = deferrable\ndeadline = 1m\n" limits
+
+static const char sharded_catalogue[] = SHARDED_CATALOGUE("");
+static const char rated_catalogue[] =
+    SHARDED_CATALOGUE("requests_per_second = 100\n");
 
 static ew_world world;
 static uint32_t told[SHARDS];
@@ -229,17 +233,6 @@
     cr_assert_eq(total_told(), 8);
 }
 
-static const char rated_catalogue[] =
-    "[catalogue]\nrevision = 3\n"
-    "[pool eng]\nkind = engine\nslots = 2\ninput_weight = 1\n"
-    "output_weight = 2\nquantum = 1000\nhold = 5ms\ndefault_cost = 100\n"
-    "shard_endpoints = 1\n"
-    "[route /chat]\npool = eng\nidempotent = yes\n"
-    "[account a]\nweight = 1\nkey_digest = "
-    "0000000000000000000000000000000000000000000000000000000000000001\n"
-    "[entry a/drafts]\npriority = deferrable\ndeadline = 1m\n"
-    "requests_per_second = 100\n";
-
 Test(shards, the_first_shard_hears_of_every_account_with_a_rate)
 {
     uint32_t before;
--- a/tests/core/test-entry.c
+++ b/tests/core/test-entry.c
@@ -350,14 +350,33 @@
     cr_assert_eq(ew_last_finish(&world)->outcome.kind, OUT_DONE);
 }
 
-static const char smaller_catalogue[] =
-    "[catalogue]\nrevision = 2\n"
-    "[pool eng]\nkind = engine\nslots = 2\ninput_weight = 1\n"
-    "output_weight = 2\nquantum = 1000\nhold = 5ms\ndefault_cost = 100\n"
-    "[route /chat]\npool = eng\nidempotent = yes\n"
-    "[account a]\nweight = 3\nkey_digest = "
-    "0000000000000000000000000000000000000000000000000000000000000001\n"
-    "[entry a/drafts]\npriority = deferrable\ndeadline = 1m\n";
+#define SMALLER_CATALOGUE(limits)                                             \
+    "[catalogue]\nrevision = 2\n"                                             \
+    "[pool eng]\nkind = engine\nslots = 2\ninput_weight = 1\n"                \
+    "output_weight = 2\nquantum = 1000\nhold = 5ms\ndefault_cost = 100\n"     \
+    "[route /chat]\npool = eng\nidempotent = yes\n"                           \
+    "[account a]\nweight = 3\nkey_digest = "                                  \
+    "0000000000000000000000000000000000000000000000000000000000000001\n"      \
+    "[entry a/drafts]\npriority = deferrable\ndeadline = 1m\n" limits
+
+static const char smaller_catalogue[] = SMALLER_CATALOGUE("");
+static const char tighter_catalogue[] = SMALLER_CATALOGUE("waiting = 1\n");
+
+Test(entry, limits_of_entries_that_stay_change_at_once)
+{
+    out_outcome refusal;
+
+    ew_submit(&world, "a", "drafts", "/chat", NULL);
+    ew_submit(&world, "a", "drafts", "/chat", NULL);
+    ew_set_catalogue(&world, tighter_catalogue);
+    cr_assert_eq(ew_counts(&world).waiting, 2, "what was accepted stays");
+    cr_assert_eq(ew_submit(&world, "a", "drafts", "/chat", &refusal),
+                 LV_HANDLE_NONE);
+    cr_assert_eq(refusal.reason, OUT_REASON_WAITING_FULL);
+    ew_set_catalogue(&world, smaller_catalogue);
+    cr_assert_neq(ew_submit(&world, "a", "drafts", "/chat", &refusal),
+                  LV_HANDLE_NONE);
+}
 
 Test(entry, a_new_catalogue_keeps_requests_and_refuses_those_whose_entry_went)
 {
