--- a/tests/core/test-dispatcher-limits.c
+++ b/tests/core/test-dispatcher-limits.c
@@ -179,6 +179,7 @@
 
     fill_work(4, 0);
     work[0].backlog = 4;
+    work[0].entries = 0x01;
     work[0].in_flight = 2;
     work[1].backlog = 4;
     work[1].start = 30 * LV_SECOND;
