--- a/tests/core/lease-fleet.c
+++ b/tests/core/lease-fleet.c
@@ -449,9 +449,26 @@
     return false;
 }
 
+static void
+note_idle(fleet_fleet *fleet, bool is_waiting)
+{
+    for (uint32_t i = 0; i < fleet->plan.endpoints; i++) {
+        if (!is_waiting || fleet->running_at[i] >= fleet->plan.slots) {
+            fleet->idle_from[i] = 0;
+        }
+        else if (fleet->idle_from[i] == 0) {
+            fleet->idle_from[i] = fleet->now;
+        }
+        else if (fleet->now - fleet->idle_from[i] > fleet->longest_idle) {
+            fleet->longest_idle = fleet->now - fleet->idle_from[i];
+        }
+    }
+}
+
 static void
 account_step(fleet_fleet *fleet)
 {
+    bool is_waiting;
     uint32_t busy = 0;
     uint32_t slots = fleet->plan.endpoints * fleet->plan.slots;
 
@@ -467,7 +484,9 @@
             fleet->most_running_at[i] = fleet->running_at[i];
         }
     }
-    if (has_waiting(fleet)) {
+    is_waiting = has_waiting(fleet);
+    note_idle(fleet, is_waiting);
+    if (is_waiting) {
         fleet->slot_time += slots * FLEET_STEP;
         fleet->busy_time += (busy < slots ? busy : slots) * FLEET_STEP;
     }
@@ -578,6 +597,7 @@
 fleet_reset_counts(fleet_fleet *fleet)
 {
     fleet->slot_time = 0;
+    fleet->longest_idle = 0;
     fleet->busy_time = 0;
     for (int i = 0; i < CAT_PRIORITY_COUNT; i++) {
         fleet->waits[i].count = 0;
--- a/tests/core/lease-fleet.h
+++ b/tests/core/lease-fleet.h
@@ -183,8 +183,10 @@
     uint64_t admitted[FLEET_ACCOUNTS];
     uint64_t refused[FLEET_ACCOUNTS];
     fleet_waits waits[CAT_PRIORITY_COUNT];
-    lv_time slot_time;      /* while work waited */
-    lv_time busy_time;      /* of it */
+    lv_time slot_time;                  /* while work waited */
+    lv_time busy_time;                  /* of it */
+    lv_time idle_from[FLEET_ENDPOINTS]; /* with a slot free while work waits */
+    lv_time longest_idle;
     uint64_t bad_decisions; /* log lines without a reason */
 };
 
--- a/tests/core/test-dispatcher-limits.c
+++ b/tests/core/test-dispatcher-limits.c
@@ -219,6 +219,30 @@
     fleet_finish(&fleet);
 }
 
+/* While work waits, a slot that is moved is idle for one round trip and the
+ * hold at most, and what the entry takes to gather its news. */
+Test(dispatcher_limits, no_slot_idles_while_work_waits)
+{
+    fleet_plan plan = base_plan;
+    lv_time most;
+
+    fill_work(8, 2);
+    plan.seed = 14;
+    plan.endpoints = 14;
+    plan.slots = 1;
+    plan.accounts = 8;
+    fleet_init(&fleet, &plan);
+    most =
+        2 * plan.latency + fleet.pool.hold + LV_MILLISECOND + 2 * FLEET_STEP;
+    fleet_run(&fleet, fleet.now + 2 * LV_SECOND);
+    fleet_reset_counts(&fleet);
+    fleet_run(&fleet, fleet.now + 60 * LV_SECOND);
+    printf("longest idle %.1f ms of %.1f ms\n",
+           (double)fleet.longest_idle / 1e3, (double)most / 1e3);
+    cr_expect_leq(fleet.longest_idle, most);
+    fleet_finish(&fleet);
+}
+
 /* A lone request in a calm pool starts with no message between. */
 Test(dispatcher_limits, lone_request_pays_no_round_trip)
 {
