--- a/tests/fleet/common-http.c
+++ b/tests/fleet/common-http.c
@@ -79,6 +79,7 @@
 
     signal(SIGPIPE, SIG_IGN); /* a caller may leave at any time */
     memset(server, 0, sizeof *server);
+    signal(SIGPIPE, SIG_IGN);
     server->on_request = on_request;
     server->context = context;
     h2o_config_init(&server->config);
