Serve an account with limited requests in flight in one shard

Cause: each of several shards had a fixed part of the limit; entries place a request at one shard, so an account with a limit below the number of shards waited for ever where the part was none. Change: hrw_home_shard names the one shard that serves such an account; the entry places its demand there and the dispatchers of the others grant it nothing. Conclusion: a limit of 1 over four shards is used and never exceeded.

--- a/packages/core/include/lavender/dispatcher.h
+++ b/packages/core/include/lavender/dispatcher.h
@@ -229,6 +229,8 @@
     lv_id pool_id;
     uint32_t shard;
     uint32_t shard_count;
+    uint32_t *shard_slots; /* as listed, of each shard */
+    uint32_t shard_slot_capacity;
     uint64_t tenure;
     lv_time started;
     bool is_settled;
--- a/packages/core/source/dispatcher-account.c
+++ b/packages/core/source/dispatcher-account.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "dispatcher-imp.h"
+#include "lavender/hash.h"
 #include "table-imp.h"
 
 enum {
@@ -126,22 +127,19 @@
     }
 }
 
-/* This shard's part of a fleet-wide number; the parts of all shards add up
- * to it. */
-static uint64_t
-shard_part(const disp_dispatcher *disp, uint64_t number)
-{
-    uint64_t count = disp->shard_count > 0 ? disp->shard_count : 1;
-
-    return number * (disp->shard + 1) / count - number * disp->shard / count;
-}
-
+/* A limit of requests in flight is held by one shard alone, the account's
+ * home, so it is exact however the demand is spread. */
 static uint32_t
-lease_limit(const disp_dispatcher *disp, uint64_t in_flight)
+lease_limit(const disp_dispatcher *disp, lv_id account, uint64_t in_flight)
 {
-    uint64_t limit = shard_part(disp, in_flight);
+    uint64_t limit = in_flight;
 
-    if (disp->visible_share < 1000 && limit > 0) {
+    if (disp->shard_count > 1 &&
+        hrw_home_shard(account, disp->shard_slots, disp->shard_count) !=
+            disp->shard) {
+        return 0;
+    }
+    if (disp->visible_share < 1000) {
         limit = limit * disp->visible_share / 1000;
         limit = limit > 0 ? limit : 1;
     }
@@ -170,7 +168,8 @@
         rate += limits->requests_per_second;
         burst += limits->burst;
     }
-    account->limit = is_limited ? lease_limit(disp, in_flight) : UINT32_MAX;
+    account->limit =
+        is_limited ? lease_limit(disp, account->id, in_flight) : UINT32_MAX;
     rate = rate * LIM_PER_SECOND * disp->visible_share / 1000;
     if (account->is_rated && was_rated) {
         lim_set(&account->rate, rate, (uint32_t)burst, now);
--- a/packages/core/source/dispatcher-counts.c
+++ b/packages/core/source/dispatcher-counts.c
@@ -11,6 +11,7 @@
            disp->member_capacity * sizeof *disp->members +
            disp->lease_capacity * sizeof *disp->leases +
            disp->endpoint_capacity * sizeof *disp->endpoints +
+           disp->shard_slot_capacity * sizeof *disp->shard_slots +
            disp->scratch_capacity * sizeof *disp->scratch +
            disp->dirty_capacity * sizeof *disp->dirty +
            disp->touched_capacity * sizeof *disp->touched +
--- a/packages/core/source/dispatcher-role.c
+++ b/packages/core/source/dispatcher-role.c
@@ -3,6 +3,7 @@
 
 #include "dispatcher-imp.h"
 #include "lavender/hash.h"
+#include "table-imp.h"
 
 /* The role looks after silent entries this often in a report interval. */
 enum {
@@ -93,7 +94,7 @@
     disp->self = self;
     disp->pool_id = pool;
     disp->shard = shard;
-    disp->shard_count = shard + 1;
+    disp->shard_count = 1;
     disp->tenure = tenure;
     disp->started = now;
     disp->calm_since = now;
@@ -134,6 +135,7 @@
     free(disp->members);
     free(disp->leases);
     free(disp->endpoints);
+    free(disp->shard_slots);
     free(disp->scratch);
     free(disp->dirty);
     free(disp->touched);
@@ -172,19 +174,38 @@
 static void
 take_endpoint(disp_dispatcher *disp, const ep_endpoint *from)
 {
+    uint32_t slots = from->slots > 0 ? from->slots : disp->pool.slots;
+    uint32_t shard;
     uint32_t row;
 
-    if (from->pool != disp->pool_id ||
-        hrw_shard_of(from->id, disp->shard_count) != disp->shard) {
+    if (from->pool != disp->pool_id) {
+        return;
+    }
+    shard = hrw_shard_of(from->id, disp->shard_count);
+    if (!from->leaving) {
+        disp->shard_slots[shard] += slots;
+    }
+    if (shard != disp->shard) {
         return;
     }
     row = slot_endpoint_make(disp, from->id);
     if (row != LV_HANDLE_NONE) {
         disp->endpoints[row].is_listed = true;
         disp->endpoints[row].is_leaving = from->leaving;
-        set_bound(&disp->endpoints[row],
-                  from->slots > 0 ? from->slots : disp->pool.slots);
+        set_bound(&disp->endpoints[row], slots);
+    }
+}
+
+static bool
+clear_shard_slots(disp_dispatcher *disp, uint32_t shards)
+{
+    if (!table_reserve((void **)&disp->shard_slots, &disp->shard_slot_capacity,
+                       shards, sizeof *disp->shard_slots)) {
+        return false;
     }
+    memset(disp->shard_slots, 0, shards * sizeof *disp->shard_slots);
+    disp->shard_count = shards;
+    return true;
 }
 
 static void
@@ -193,9 +214,9 @@
     for (uint32_t row = 0; row < disp->endpoint_count; row++) {
         disp->endpoints[row].is_listed = false;
     }
-    if (lists != NULL && disp->has_pool) {
-        disp->shard_count = hrw_shard_count(count_endpoints(disp, lists),
-                                            disp->pool.shard_endpoints);
+    if (lists != NULL && disp->has_pool &&
+        clear_shard_slots(disp, hrw_shard_count(count_endpoints(disp, lists),
+                                                disp->pool.shard_endpoints))) {
         for (uint32_t i = 0; i < lists->endpoint_count; i++) {
             take_endpoint(disp, &lists->endpoints[i]);
         }
--- a/packages/core/source/entry-wait.c
+++ b/packages/core/source/entry-wait.c
@@ -1,4 +1,5 @@
 #include "entry-imp.h"
+#include "lavender/hash.h"
 
 /* Can a shard's dispatcher be asked for slots now? */
 static bool
@@ -56,10 +57,44 @@
     return best;
 }
 
+/* The one shard that may serve an account with a fleet-wide bound, as
+ * hrw_home_shard says. */
+static uint32_t
+home_shard(const entry_entry *entry, const entry_pool *pool, lv_id account)
+{
+    uint32_t home = hrw_shard_of(account, pool->shards);
+    uint32_t nearest = pool->shards;
+    uint32_t found = NONE;
+
+    for (uint32_t i = pool->first_shard; i != NONE;
+         i = entry->shards[i].next_in_pool) {
+        const entry_shard *shard = &entry->shards[i];
+        uint32_t distance;
+
+        if (shard->number >= pool->shards || shard->slots == 0) {
+            continue;
+        }
+        distance = (shard->number + pool->shards - home) % pool->shards;
+        if (distance < nearest) {
+            nearest = distance;
+            found = i;
+        }
+    }
+    return found;
+}
+
 uint32_t
 entry_place(entry_entry *entry, lv_time now, uint32_t pool, uint32_t flow)
 {
-    uint32_t shard = choose_shard(entry, now, &entry->pools[pool]);
+    const entry_pool *from = &entry->pools[pool];
+    uint32_t shard = NONE;
+
+    if (entry->flows[flow].is_limited && from->shards > 1) {
+        shard = home_shard(entry, from, entry->flows[flow].account);
+    }
+    if (shard == NONE) {
+        shard = choose_shard(entry, now, from);
+    }
 
     return shard == NONE ? NONE : entry_get_part(entry, shard, flow);
 }
@@ -156,6 +191,11 @@
     }
     index = entry->parts[item->part].shard;
     shard = &entry->shards[index];
+    if (entry->flows[item->flow].is_limited &&
+        index != home_shard(entry, &entry->pools[shard->pool],
+                            entry->flows[item->flow].account)) {
+        return true;
+    }
     return index == silent ||
            shard->number >= entry->pools[shard->pool].shards;
 }
--- a/packages/core/source/hash.c
+++ b/packages/core/source/hash.c
@@ -114,6 +114,19 @@
     return shard;
 }
 
+uint32_t
+hrw_home_shard(lv_id account, const uint32_t *slots, uint32_t shards)
+{
+    uint32_t home = hrw_shard_of(account, shards);
+
+    for (uint32_t i = 0; i < shards; i++) {
+        if (slots[(home + i) % shards] > 0) {
+            return (home + i) % shards;
+        }
+    }
+    return home;
+}
+
 uint32_t
 hrw_shard_count(uint32_t endpoints, uint32_t shard_endpoints)
 {
--- a/tests/core/test-dispatcher-shards.c
+++ b/tests/core/test-dispatcher-shards.c
@@ -183,5 +183,15 @@
     fleet_run(&fleet, fleet.now + RUN);
     cr_expect_leq(fleet.most_running[3], 6);
     cr_expect_geq(fleet.most_running[3], 4);
+    fleet.entries_of[3].limits.in_flight = 1;
+    work[3].in_flight = 1;
+    for (uint32_t i = 0; i < SHARDS; i++) {
+        disp_set_views(&fleet.dispatchers[i].disp, fleet.now, &fleet.catalogue,
+                       &fleet.lists);
+    }
+    fleet_run(&fleet, fleet.now + LV_SECOND);
+    fleet_reset_counts(&fleet);
+    fleet_run(&fleet, fleet.now + RUN);
+    cr_expect_eq(fleet.most_running[3], 1, "less than there are shards");
     fleet_finish(&fleet);
 }
--- a/tests/core/test-entry-shards.c
+++ b/tests/core/test-entry-shards.c
@@ -19,7 +19,11 @@
     "[route /chat]\npool = eng\nidempotent = yes\n"
     "[account a]\nweight = 1\nkey_digest = "
     "0000000000000000000000000000000000000000000000000000000000000001\n"
-    "[entry a/drafts]\npriority = deferrable\ndeadline = 1m\n";
+    "[entry a/drafts]\npriority = deferrable\ndeadline = 1m\n"
+    "[account limited]\nweight = 1\nkey_digest = "
+    "0000000000000000000000000000000000000000000000000000000000000004\n"
+    "[entry limited/work]\npriority = deferrable\ndeadline = 1m\n"
+    "in_flight = 1\n";
 
 static ew_world world;
 static uint32_t told[SHARDS];
@@ -146,6 +150,24 @@
     }
 }
 
+Test(shards, limited_demand_goes_to_the_accounts_home)
+{
+    uint32_t slots[SHARDS];
+    uint32_t home;
+
+    for (int i = 0; i < SHARDS; i++) {
+        slots[i] = endpoints_of((uint32_t)i);
+    }
+    home = hrw_home_shard(ew_id("limited"), slots, SHARDS);
+    cr_assert_gt(slots[home], 0);
+    for (int i = 0; i < 6; i++) {
+        ew_submit(&world, "limited", NULL, "/chat", NULL);
+    }
+    ew_run(&world, 5 * LV_MILLISECOND);
+    cr_assert_eq(told[home], 6);
+    cr_assert_eq(total_told(), 6);
+}
+
 Test(shards, demand_goes_where_nobody_waits)
 {
     uint32_t calm = used_shard();
