Hold rates at the account's home shard, and list refused accounts to it

Cause: with several shards only shard 0 gave allowances, but an entry reports an account to the shard where its requests were placed; and an account that was refused for its rate was not listed, so it got no allowance until the last one was out of date. Conclusion: over four shards 95% of the rate is used and none above it.

--- a/packages/core/include/lavender/dispatcher.h
+++ b/packages/core/include/lavender/dispatcher.h
@@ -141,6 +141,7 @@
     int64_t summed;          /* given, as the last SHARD_SUM had it */
     uint64_t foreign_tenure; /* of the root that foreign came from */
     bool is_rated;
+    bool is_home;    /* of several shards this one holds its limits */
     uint8_t dirty;   /* SHARD_SUMs that shall still carry it */
     uint32_t limit;  /* most leases; UINT32_MAX: no limit */
     uint32_t leased; /* all leases bound to it */
--- a/packages/core/source/dispatcher-account.c
+++ b/packages/core/source/dispatcher-account.c
@@ -127,16 +127,23 @@
     }
 }
 
-/* A limit of requests in flight is held by one shard alone, the account's
- * home, so it is exact however the demand is spread. */
+/* Limits are held by one shard alone, the account's home, so they are exact
+ * however the demand is spread. */
+static bool
+is_home(const disp_dispatcher *disp, lv_id account)
+{
+    return disp->shard_count == 1 ||
+           hrw_home_shard(account, disp->shard_slots, disp->shard_count) ==
+               disp->shard;
+}
+
 static uint32_t
-lease_limit(const disp_dispatcher *disp, lv_id account, uint64_t in_flight)
+lease_limit(const disp_dispatcher *disp, const disp_account *account,
+            uint64_t in_flight)
 {
     uint64_t limit = in_flight;
 
-    if (disp->shard_count > 1 &&
-        hrw_home_shard(account, disp->shard_slots, disp->shard_count) !=
-            disp->shard) {
+    if (!account->is_home) {
         return 0;
     }
     if (disp->visible_share < 1000) {
@@ -156,6 +163,7 @@
     bool is_limited = from->entry_count > 0;
     bool was_rated = account->is_rated;
 
+    account->is_home = is_home(disp, account->id);
     account->is_rated = from->entry_count > 0;
     for (uint32_t i = 0; i < from->entry_count; i++) {
         const cat_limits *limits =
@@ -166,10 +174,11 @@
         account->is_rated =
             account->is_rated && limits->requests_per_second > 0;
         rate += limits->requests_per_second;
-        burst += limits->burst;
+        burst +=
+            limits->burst > 0 ? limits->burst : limits->requests_per_second;
     }
     account->limit =
-        is_limited ? lease_limit(disp, account->id, in_flight) : UINT32_MAX;
+        is_limited ? lease_limit(disp, account, in_flight) : UINT32_MAX;
     rate = rate * LIM_PER_SECOND * disp->visible_share / 1000;
     if (account->is_rated && was_rated) {
         lim_set(&account->rate, rate, (uint32_t)burst, now);
--- a/packages/core/source/dispatcher-rate.c
+++ b/packages/core/source/dispatcher-rate.c
@@ -6,11 +6,13 @@
     WINDOW_REPORTS = 4
 };
 
-/* The pool's rates are held by its first shard alone. */
+/* Of several shards the account's home alone holds its rate. */
 static bool
 is_rated(const disp_dispatcher *disp, const disp_demand *demand)
 {
-    return disp->shard == 0 && disp->accounts[demand->account].is_rated;
+    const disp_account *account = &disp->accounts[demand->account];
+
+    return account->is_home && account->is_rated;
 }
 
 /* Requests that the entry may admit still, as far as is known here. */
--- a/packages/core/source/entry-admit.c
+++ b/packages/core/source/entry-admit.c
@@ -143,6 +143,7 @@
     }
     refill(now, limits, is_allowed ? 1 : live_count(entry), record);
     if (is_allowed && (int32_t)(flow->allowance - flow->arrivals) <= 0) {
+        entry_ask_allowance(entry, found->flow);
         *retry_after =
             LV_SECOND * live_count(entry) / limits->requests_per_second;
         return OUT_REASON_RATE;
--- a/packages/core/source/entry-grant.c
+++ b/packages/core/source/entry-grant.c
@@ -124,7 +124,8 @@
         part->level_total = message->echo == shard->full_sent
                                 ? part->told_total
                                 : part->previous_total;
-        if (shard->number == 0) {
+        if (entry->flows[flow].is_rated &&
+            index == entry_home_shard(entry, flow)) {
             entry->flows[flow].has_allowance = true;
             entry->flows[flow].allowance = level->allowance;
             entry->flows[flow].allowance_time = now;
--- a/packages/core/source/entry-imp.h
+++ b/packages/core/source/entry-imp.h
@@ -254,6 +254,10 @@
 void entry_unwait(entry_entry *entry, lv_time now, uint32_t item);
 void entry_replace_demand(entry_entry *entry, lv_time now, uint32_t silent);
 void entry_expire_waits(entry_entry *entry, lv_time now);
+/* The one shard that holds an account's fleet-wide limits, as
+ * hrw_home_shard says; NONE while no shard has slots. */
+uint32_t entry_home_shard(const entry_entry *entry, uint32_t flow);
+void entry_ask_allowance(entry_entry *entry, uint32_t flow);
 uint32_t entry_place(entry_entry *entry, lv_time now, uint32_t pool,
                      uint32_t flow);
 lv_time entry_drain_time(const entry_entry *entry, uint32_t flow,
--- a/packages/core/source/entry-wait.c
+++ b/packages/core/source/entry-wait.c
@@ -57,15 +57,18 @@
     return best;
 }
 
-/* The one shard that may serve an account with a fleet-wide bound, as
- * hrw_home_shard says. */
-static uint32_t
-home_shard(const entry_entry *entry, const entry_pool *pool, lv_id account)
+uint32_t
+entry_home_shard(const entry_entry *entry, uint32_t flow)
 {
-    uint32_t home = hrw_shard_of(account, pool->shards);
+    const entry_pool *pool = &entry->pools[entry->flows[flow].pool];
     uint32_t nearest = pool->shards;
     uint32_t found = NONE;
+    uint32_t home;
 
+    if (pool->shards == 0) {
+        return NONE;
+    }
+    home = hrw_shard_of(entry->flows[flow].account, pool->shards);
     for (uint32_t i = pool->first_shard; i != NONE;
          i = entry->shards[i].next_in_pool) {
         const entry_shard *shard = &entry->shards[i];
@@ -83,6 +86,23 @@
     return found;
 }
 
+/* Let the next full report to the account's home list it, so that it gets
+ * an allowance also when nothing of it waits there. */
+void
+entry_ask_allowance(entry_entry *entry, uint32_t flow)
+{
+    uint32_t shard = entry_home_shard(entry, flow);
+    uint32_t part = NONE;
+
+    if (shard != NONE) {
+        part = entry_get_part(entry, shard, flow);
+    }
+    if (part != NONE) {
+        entry->parts[part].told_arrivals = entry->flows[flow].arrivals - 1;
+        entry_update_active(entry, part);
+    }
+}
+
 uint32_t
 entry_place(entry_entry *entry, lv_time now, uint32_t pool, uint32_t flow)
 {
@@ -90,7 +110,7 @@
     uint32_t shard = NONE;
 
     if (entry->flows[flow].is_limited && from->shards > 1) {
-        shard = home_shard(entry, from, entry->flows[flow].account);
+        shard = entry_home_shard(entry, flow);
     }
     if (shard == NONE) {
         shard = choose_shard(entry, now, from);
@@ -163,6 +183,10 @@
         entry_wake(entry, item->deadline);
     }
     add_demand(entry, index);
+    if (is_new && flow->is_rated &&
+        entry->settings.mode == ENTRY_MODE_LEASES) {
+        entry_ask_allowance(entry, item->flow);
+    }
 }
 
 void
@@ -192,8 +216,7 @@
     index = entry->parts[item->part].shard;
     shard = &entry->shards[index];
     if (entry->flows[item->flow].is_limited &&
-        index != home_shard(entry, &entry->pools[shard->pool],
-                            entry->flows[item->flow].account)) {
+        index != entry_home_shard(entry, item->flow)) {
         return true;
     }
     return index == silent ||
--- a/tests/core/lease-entry.c
+++ b/tests/core/lease-entry.c
@@ -55,7 +55,7 @@
 static bool
 may_admit(fleet_fleet *fleet, fleet_entry *entry, uint32_t account)
 {
-    const fleet_talk *talk = &entry->talks[0];
+    const fleet_talk *talk = &entry->talks[fleet->home_of[account]];
 
     if (fleet->plan.work[account].rate == 0) {
         return true;
--- a/tests/core/lease-fleet.c
+++ b/tests/core/lease-fleet.c
@@ -162,9 +162,11 @@
 static void
 init_lists(fleet_fleet *fleet)
 {
+    uint32_t slots[FLEET_SHARDS] = {0};
     uint32_t shards =
         hrw_shard_count(fleet->plan.endpoints, fleet->pool.shard_endpoints);
 
+    require(shards <= FLEET_SHARDS, "too many shards");
     require(shards == fleet->plan.shards, "other number of shards");
     for (uint32_t i = 0; i < fleet->plan.endpoints; i++) {
         ep_endpoint *endpoint = &fleet->endpoints[i];
@@ -172,6 +174,11 @@
         endpoint->id = 3000 + i;
         endpoint->pool = fleet->pool.id;
         fleet->shard_of[i] = hrw_shard_of(endpoint->id, shards);
+        slots[fleet->shard_of[i]] += fleet->plan.slots;
+    }
+    for (uint32_t a = 0; a < fleet->plan.accounts; a++) {
+        fleet->home_of[a] =
+            hrw_home_shard(fleet->accounts[a].id, slots, shards);
     }
     fleet->lists.endpoints = fleet->endpoints;
     fleet->lists.endpoint_count = fleet->plan.endpoints;
--- a/tests/core/lease-fleet.h
+++ b/tests/core/lease-fleet.h
@@ -164,6 +164,7 @@
     uint32_t most_running_at[FLEET_ENDPOINTS];
     uint64_t started_at[FLEET_ENDPOINTS];
     uint32_t shard_of[FLEET_ENDPOINTS];
+    uint32_t home_of[FLEET_ACCOUNTS]; /* shard with the account's limits */
     fleet_entry entries[FLEET_ENTRIES];
     fleet_dispatcher dispatchers[FLEET_DISPATCHERS];
     uint32_t dispatcher_count;
--- a/tests/core/test-dispatcher-shards.c
+++ b/tests/core/test-dispatcher-shards.c
@@ -141,6 +141,37 @@
     fleet_finish(&fleet);
 }
 
+Test(dispatcher_shards, rate_holds_over_all_shards)
+{
+    shard_case with = {"", 9, 8, 0, 0, false, true};
+    uint64_t before;
+
+    start_case(&with);
+    for (uint32_t a = 0; a < 8; a++) {
+        work[a].backlog = 0;
+    }
+    for (uint32_t a = 0; a < 4; a++) {
+        work[a].interval = 5 * LV_MILLISECOND;
+        work[a].priority = CAT_DEFERRABLE;
+        work[a].rate = 40;
+        work[a].burst = 10;
+        work[a].least_ms = 5;
+        work[a].most_ms = 20;
+        fleet.entries_of[a].limits.requests_per_second = 40;
+        fleet.entries_of[a].limits.burst = 10;
+    }
+    for (uint32_t i = 0; i < SHARDS; i++) {
+        disp_set_views(&fleet.dispatchers[i].disp, fleet.now, &fleet.catalogue,
+                       &fleet.lists);
+    }
+    fleet_run(&fleet, fleet.now + WARM_UP);
+    before = fleet.admitted[1];
+    fleet_run(&fleet, fleet.now + RUN);
+    cr_expect_leq(fleet.admitted[1] - before, 40 * 20 + 10);
+    cr_expect_geq(fleet.admitted[1] - before, 40 * 20 * 95 / 100);
+    fleet_finish(&fleet);
+}
+
 /* An account that only one shard can serve gets that shard's slots, because
  * the others are served elsewhere. */
 Test(dispatcher_shards, service_of_other_shards_counts)
