Say not-run for a key that is too long for a ticket

Cause: a router now doubts not-run under tickets that it does not vouch for; a key too long for any ticket was refused before that was settled, and the table of bad input failed (long ticket: unknown). Change: such a key counts as known never to have run. Conclusion: the case holds again as it was written.

--- a/packages/net/source/callers-request.c
+++ b/packages/net/source/callers-request.c
@@ -350,6 +350,8 @@
     }
     request->is_idempotent = catalogue->routes[wanted.route].idempotent;
     if (!copy_header(request->req, "idempotency-key", ticket, sizeof ticket)) {
+        /* Too long for a ticket: none was ever run under it. */
+        request->is_vouched = true;
         refuse(request, OUT_REASON_TICKET_INVALID);
         return;
     }
