Let each shard's dispatcher place models on its endpoints

Orders came from the dispatcher of a pool's first shard alone, which hears the load reports of its own endpoints only: in a pool of several shards the others would never have got an order. Each dispatcher now orders for the endpoints that report to it, and load orders slow down by the number of shards, so that the pool as a whole keeps the weight store's interval.

--- a/packages/core/include/lavender/placement.h
+++ b/packages/core/include/lavender/placement.h
@@ -47,7 +47,10 @@
 
 typedef struct place_pool {
     lv_id pool;
-    lv_time since; /* ours from then on */
+    uint32_t shards;      /* of the pool */
+    uint32_t shards_mine; /* dispatched here */
+    lv_time since;        /* ours from then on */
+    lv_time next_load;    /* no load order before */
 } place_pool;
 
 typedef struct place_counts {
@@ -70,7 +73,6 @@
     uint32_t row_count;
     bool *wanted; /* row_count x model_count */
     lv_time view_changed;
-    lv_time next_load;
     lv_time next_look;
     place_counts counts;
 };
@@ -83,9 +85,12 @@
 void place_set_views(place_placement *placement, lv_time now,
                      const cat_catalogue *catalogue, const world_lists *lists);
 
-/* Pools this instance dispatches: only these get its orders. */
+/* How many of a pool's shards this instance dispatches. Their endpoints are
+ * the ones that report here, and so the ones that get orders from here; load
+ * orders come as much more slowly as other instances dispatch the rest, so
+ * that the pool keeps to one per interval. */
 void place_set_pool(place_placement *placement, lv_time now, lv_id pool,
-                    bool is_mine);
+                    uint32_t shards_mine, uint32_t shards);
 
 /* What an endpoint says it has loaded (its load report). */
 void place_take_models(place_placement *placement, lv_time now, lv_id endpoint,
--- a/packages/core/source/node-roles.c
+++ b/packages/core/source/node-roles.c
@@ -349,8 +349,19 @@
     }
 }
 
-/* Pools whose first shard is dispatched here get their placement orders
- * from here. */
+static uint32_t
+count_dispatched(const node_node *node, lv_id pool)
+{
+    uint32_t count = 0;
+
+    for (uint32_t i = 0; i < node->shard_count; i++) {
+        count +=
+            node->shards[i].pool == pool && node->shards[i].dispatcher != NULL;
+    }
+    return count;
+}
+
+/* Endpoints get their placement orders from the dispatcher of their shard. */
 static void
 tell_placement(node_node *node)
 {
@@ -359,7 +370,8 @@
 
         if (shard->shard == 0) {
             place_set_pool(&node->placement, node->now, shard->pool,
-                           shard->dispatcher != NULL);
+                           count_dispatched(node, shard->pool),
+                           shard->shard_count);
         }
     }
 }
--- a/packages/core/source/placement-order.c
+++ b/packages/core/source/placement-order.c
@@ -14,18 +14,28 @@
     }
 }
 
+static place_pool *
+find_pool(const place_placement *placement, lv_handle pool)
+{
+    lv_id id = placement->catalogue->pools[pool].id;
+
+    for (uint32_t i = 0; i < placement->pool_count; i++) {
+        if (placement->pools[i].pool == id) {
+            return &placement->pools[i];
+        }
+    }
+    return NULL;
+}
+
 /* The time from which the view of a pool counts as quiet. */
 static lv_time
 quiet_from(const place_placement *placement, lv_handle pool)
 {
-    lv_id id = placement->catalogue->pools[pool].id;
+    const place_pool *mine = find_pool(placement, pool);
     lv_time changed = placement->view_changed;
 
-    for (uint32_t i = 0; i < placement->pool_count; i++) {
-        if (placement->pools[i].pool == id &&
-            placement->pools[i].since > changed) {
-            changed = placement->pools[i].since;
-        }
+    if (mine != NULL && mine->since > changed) {
+        changed = mine->since;
     }
     return changed + placement->settings.quiet;
 }
@@ -47,13 +57,15 @@
     return copies;
 }
 
+/* Of those that report here. */
 static uint32_t
 count_wanted(const place_placement *placement, uint32_t model)
 {
     uint32_t wanted = 0;
 
     for (uint32_t i = 0; i < placement->row_count; i++) {
-        wanted += place_wants(placement, i, model);
+        wanted += placement->rows[i].has_reported &&
+                  place_wants(placement, i, model);
     }
     return wanted;
 }
@@ -119,48 +131,68 @@
                              placement->catalogue->models[model].id);
 }
 
+/* Where a load order is due, and how many others could have been chosen. */
+typedef struct load_choice {
+    uint32_t row; /* LV_HANDLE_NONE: nowhere */
+    uint32_t model;
+    uint32_t copies;
+    uint32_t candidates;
+} load_choice;
+
+static void
+consider_model(place_placement *placement, lv_time now, uint32_t model,
+               load_choice *choice)
+{
+    uint32_t copies = count_copies(placement, model, false);
+
+    for (uint32_t i = 0; i < placement->row_count; i++) {
+        if (!needs_load(placement, i, model) ||
+            !may_order(placement, now, &placement->rows[i], true)) {
+            continue;
+        }
+        choice->candidates++;
+        if (choice->row == LV_HANDLE_NONE || copies < choice->copies) {
+            choice->row = i;
+            choice->model = model;
+            choice->copies = copies;
+        }
+    }
+}
+
 /* The model with the fewest copies goes first. */
 static void
-give_load(place_placement *placement, lv_time now)
+give_load(place_placement *placement, lv_time now, lv_handle pool)
 {
-    uint32_t best_row = LV_HANDLE_NONE;
-    uint32_t best_model = 0;
-    uint32_t best_copies = 0;
-    uint32_t candidates = 0;
+    place_pool *mine = find_pool(placement, pool);
+    load_choice choice = {.row = LV_HANDLE_NONE};
 
+    if (mine == NULL) {
+        return;
+    }
     for (uint32_t m = 0; m < placement->catalogue->model_count; m++) {
-        uint32_t copies = count_copies(placement, m, false);
-
-        for (uint32_t i = 0; i < placement->row_count; i++) {
-            if (!needs_load(placement, i, m) ||
-                !may_order(placement, now, &placement->rows[i], true)) {
-                continue;
-            }
-            candidates++;
-            if (best_row == LV_HANDLE_NONE || copies < best_copies) {
-                best_row = i;
-                best_model = m;
-                best_copies = copies;
-            }
+        if (placement->catalogue->models[m].pool == pool) {
+            consider_model(placement, now, m, &choice);
         }
     }
-    if (best_row == LV_HANDLE_NONE) {
+    if (choice.row == LV_HANDLE_NONE) {
         return;
     }
-    if (now < placement->next_load) {
-        look_again(placement, placement->next_load);
+    if (now < mine->next_load) {
+        look_again(placement, mine->next_load);
         return;
     }
-    placement->next_load = now + placement->settings.order_interval;
+    mine->next_load = now + placement->settings.order_interval * mine->shards /
+                                mine->shards_mine;
     placement->counts.loads++;
-    give_order(placement, now, &placement->rows[best_row], best_model, true,
-               candidates - 1);
-    if (candidates > 1) {
-        look_again(placement, placement->next_load);
+    give_order(placement, now, &placement->rows[choice.row], choice.model,
+               true, choice.candidates - 1);
+    if (choice.candidates > 1) {
+        look_again(placement, mine->next_load);
     }
 }
 
-/* A model goes when every wanted copy of it is there. A full endpoint may
+/* A model goes when every wanted copy of it that is seen here is there, and
+ * at least one. A full endpoint may
  * make room earlier, but never with the last copy. */
 static bool
 may_unload(const place_placement *placement, const place_row *row,
@@ -199,5 +231,7 @@
 place_give_orders(place_placement *placement, lv_time now)
 {
     give_unloads(placement, now);
-    give_load(placement, now);
+    for (uint32_t i = 0; i < placement->catalogue->pool_count; i++) {
+        give_load(placement, now, i);
+    }
 }
--- a/packages/core/source/placement.c
+++ b/packages/core/source/placement.c
@@ -47,34 +47,55 @@
     place_rebuild(placement);
 }
 
+static place_pool *
+find_pool(const place_placement *placement, lv_id pool)
+{
+    for (uint32_t i = 0; i < placement->pool_count; i++) {
+        if (placement->pools[i].pool == pool) {
+            return &placement->pools[i];
+        }
+    }
+    return NULL;
+}
+
+static void
+add_pool(place_placement *placement, lv_time now, const place_pool *pool)
+{
+    if (!row_reserve(&placement->pools, &placement->pool_capacity,
+                     placement->pool_count + 1, sizeof *placement->pools)) {
+        return;
+    }
+    placement->pools[placement->pool_count] = *pool;
+    placement->pools[placement->pool_count++].since = now;
+    placement->next_look = now;
+    place_rebuild(placement);
+}
+
 void
 place_set_pool(place_placement *placement, lv_time now, lv_id pool,
-               bool is_mine)
+               uint32_t shards_mine, uint32_t shards)
 {
-    uint32_t place = 0;
+    place_pool *known = find_pool(placement, pool);
+    place_pool wanted = {
+        .pool = pool, .shards = shards, .shards_mine = shards_mine};
 
-    while (place < placement->pool_count &&
-           placement->pools[place].pool != pool) {
-        place++;
-    }
-    if ((place < placement->pool_count) == is_mine) {
+    if (known == NULL) {
+        if (shards_mine > 0) {
+            add_pool(placement, now, &wanted);
+        }
         return;
     }
-    if (is_mine) {
-        if (!row_reserve(&placement->pools, &placement->pool_capacity,
-                         placement->pool_count + 1,
-                         sizeof *placement->pools)) {
-            return;
-        }
-        placement->pools[place].pool = pool;
-        placement->pools[place].since = now;
-        placement->pool_count++;
+    if (shards_mine == 0) {
+        *known = placement->pools[--placement->pool_count];
+        place_rebuild(placement);
+        return;
     }
-    else {
-        placement->pools[place] = placement->pools[--placement->pool_count];
+    if (known->shards != shards || known->shards_mine != shards_mine) {
+        known->shards = shards;
+        known->shards_mine = shards_mine;
+        known->since = now;
+        placement->next_look = now;
     }
-    placement->next_look = now;
-    place_rebuild(placement);
 }
 
 /* The effect of the last order shows, so that a further one may follow. */
