Start the daemon with the membership's own defaults

The node had numbers of its own, which no test or measurement used, and the settings took up to 256 rumours where the membership refuses more than 32: the check passed and the start failed.

--- a/packages/core/source/node.c
+++ b/packages/core/source/node.c
@@ -26,13 +26,7 @@
     settings->dispatcher.lease_margin = 200 * LV_MILLISECOND;
     settings->dispatcher.report_interval = settings->entry.report_interval;
     settings->dispatcher.settle = 3200 * LV_MILLISECOND;
-    settings->membership.probe_interval = 200 * LV_MILLISECOND;
-    settings->membership.probe_timeout = 100 * LV_MILLISECOND;
-    settings->membership.suspicion = 500 * LV_MILLISECOND;
-    settings->membership.forget = 600 * LV_SECOND;
-    settings->membership.indirect_probes = 2;
-    settings->membership.peers = 16;
-    settings->membership.rumours_per_message = 8;
+    swim_default_settings(&settings->membership);
     settings->documents.fetch_timeout = 500 * LV_MILLISECOND;
     settings->documents.start_wait = 2 * LV_SECOND;
     settings->placement.order_interval = 2 * LV_SECOND;
--- a/packages/net/source/settings-keys.c
+++ b/packages/net/source/settings-keys.c
@@ -151,7 +151,8 @@
     TIME_KEY("forget", node.membership.forget, SECOND, 24 * HOUR),
     COUNT_KEY("indirect_probes", node.membership.indirect_probes, 0, 16),
     COUNT_KEY("peers", node.membership.peers, 0, 4096),
-    COUNT_KEY("rumours", node.membership.rumours_per_message, 1, 256),
+    COUNT_KEY("rumours", node.membership.rumours_per_message, 1,
+              SWIM_RUMOURS_MAX),
 };
 
 static const conf_key documents_keys[] = {
--- a/tests/net/test-settings.c
+++ b/tests/net/test-settings.c
@@ -165,6 +165,7 @@
         {"long rest", "[endpoints]\nrest = 1m\n", "rest_max", 1},
         {"long probe", "[membership]\nprobe_timeout = 1s\n", "probe_interval",
          1},
+        {"more rumours than fit", "[membership]\nrumours = 33\n", "32", 1},
         {"too many files", "[limits]\nconnections = 1000000\n", "files", 1},
         {"several at once",
          "[limits]\nbody = 5\nbufer = 1\n[log]\nlevel = loud\n", "bufer", 3},
