--- a/tests/core/mesh.c
+++ b/tests/core/mesh.c
@@ -36,6 +36,7 @@
     settings->nodes = nodes;
     settings->zones = 3;
     settings->watchers = 2;
+    settings->accounts_per_part = 10;
     settings->seed = seed;
     settings->delay = 500;
     settings->jitter = LV_MILLISECOND;
@@ -542,7 +543,8 @@
     mesh_version *version = add_version(mesh, DOC_CATALOGUE, revision);
 
     version->part_count = (uint32_t)text_make_catalogue(
-        version->parts, MESH_PARTS_MAX, revision, accounts, 10);
+        version->parts, MESH_PARTS_MAX, revision, accounts,
+        mesh->settings.accounts_per_part);
     tell_watchers(mesh, DOC_CATALOGUE);
 }
 
--- a/tests/core/mesh.h
+++ b/tests/core/mesh.h
@@ -11,17 +11,18 @@
 #include "texts.h"
 
 #define MESH_VERSIONS_MAX 32
-#define MESH_PARTS_MAX 8
+#define MESH_PARTS_MAX 64
 
 typedef struct mesh_settings {
     uint32_t nodes;
     uint32_t zones;
     uint32_t watchers; /* nodes that hear of changes from the platform */
     uint64_t seed;
-    lv_time delay;         /* least, one way */
-    lv_time jitter;        /* added at random: messages overtake each other */
-    uint32_t drop;         /* thousandths */
-    uint32_t duplicate;    /* thousandths */
+    lv_time delay;      /* least, one way */
+    lv_time jitter;     /* added at random: messages overtake each other */
+    uint32_t drop;      /* thousandths */
+    uint32_t duplicate; /* thousandths */
+    uint32_t accounts_per_part;
     bool has_no_documents; /* one parsed list is shared by all */
     swim_settings swim;
     doc_settings documents;
