--- a/tests/net/test-link.c
+++ b/tests/net/test-link.c
@@ -68,8 +68,8 @@
     int probe = socket(AF_INET, SOCK_STREAM, 0);
 
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    cr_assert_eq(bind(probe, (struct sockaddr *)&address, size), 0);
-    cr_assert_eq(getsockname(probe, (struct sockaddr *)&address, &size), 0);
+    cr_assert(bind(probe, (struct sockaddr *)&address, size) == 0 &&
+              getsockname(probe, (struct sockaddr *)&address, &size) == 0);
     close(probe);
     return ntohs(address.sin_port);
 }
