--- a/tests/fleet/common-fleet-load.c
+++ b/tests/fleet/common-fleet-load.c
@@ -91,3 +91,42 @@
     snprintf(path, sizeof path, "%.400s/report.json", fleet->folder);
     return is_ended ? json_load_file(path, 0, NULL) : NULL;
 }
+
+static bool
+has_finding(const fleet_fleet *fleet, const char *name)
+{
+    char path[PROC_PATH_SIZE];
+    char line[4096];
+    bool is_found = false;
+    FILE *file;
+
+    snprintf(path, sizeof path, "%.400s/%.60s.log", fleet->folder, name);
+    file = fopen(path, "r");
+    if (file == NULL) {
+        return false;
+    }
+    while (!is_found && fgets(line, sizeof line, file) != NULL) {
+        is_found = strstr(line, "Sanitizer: ") != NULL ||
+                   strstr(line, "runtime error: ") != NULL;
+    }
+    fclose(file);
+    if (is_found) {
+        fprintf(stderr, "%s: %s", path, line);
+    }
+    return is_found;
+}
+
+bool
+fleet_has_findings(const fleet_fleet *fleet)
+{
+    bool is_found = has_finding(fleet, "platform") ||
+                    has_finding(fleet, "proxy") || has_finding(fleet, "load");
+
+    for (uint32_t i = 0; i < fleet->shape.routers; i++) {
+        is_found = is_found || has_finding(fleet, fleet->routers[i].name);
+    }
+    for (uint32_t i = 0; i < fleet->endpoint_count; i++) {
+        is_found = is_found || has_finding(fleet, fleet->endpoints[i].name);
+    }
+    return is_found;
+}
--- a/tests/fleet/common-fleet-text.c
+++ b/tests/fleet/common-fleet-text.c
@@ -191,9 +191,9 @@
     fprintf(file, "[listen]\ncallers = %s\noperator = %s\npeer = %s\n",
             router->callers, router->operator_address, router->peer);
     fprintf(file,
-            "[platform]\nsource = service\naddress = %s\nwatch = 5s\n"
+            "[platform]\nsource = service\naddress = %s\nwatch = %ums\n"
             "timeout = 1s\nbackoff = 100ms\nbackoff_max = 1s\n",
-            fleet->platform.address);
+            fleet->platform.address, fleet->shape.watch_ms);
     fprintf(file, "[tickets]\nkey = "
                   "000102030405060708090a0b0c0d0e0f"
                   "101112131415161718191a1b1c1d1e1f\n");
--- a/tests/fleet/common-fleet.c
+++ b/tests/fleet/common-fleet.c
@@ -38,6 +38,7 @@
     set_default(&shape->urgent_credit, 400);
     set_default(&shape->output_weight, 2);
     set_default(&shape->hold_ms, 20);
+    set_default(&shape->watch_ms, 30000);
     if (shape->policy[0] == '\0') {
         snprintf(shape->policy, sizeof shape->policy, "leases");
     }
--- a/tests/fleet/common-fleet.h
+++ b/tests/fleet/common-fleet.h
@@ -41,6 +41,7 @@
     uint32_t urgent_credit;
     uint32_t output_weight;
     uint32_t hold_ms;
+    uint32_t watch_ms; /* longest wait of a watch on the platform */
     bool ignores_fencing;
     char policy[FLEET_NAME_SIZE];          /* [mode] policy of the routers */
     char router_settings[FLEET_TEXT_SIZE]; /* further sections */
@@ -95,6 +96,9 @@
 /* Kill everything that runs and remove the folder (kept when asked). */
 void fleet_stop(fleet_fleet *fleet, bool keeps_folder);
 
+/* True when a process of the fleet has logged a sanitizer's finding. */
+bool fleet_has_findings(const fleet_fleet *fleet);
+
 /* Publish a new revision of the catalogue or of the lists. */
 bool fleet_publish_catalogue(fleet_fleet *fleet);
 bool fleet_publish_lists(fleet_fleet *fleet);
--- a/tests/fleet/trial.c
+++ b/tests/fleet/trial.c
@@ -26,7 +26,8 @@
 fleet_shape
 trial_shape(void)
 {
-    fleet_shape shape = {.routers = 3, .engines = 2, .services = 1};
+    fleet_shape shape = {
+        .routers = 3, .engines = 2, .services = 1, .watch_ms = 5000};
 
     snprintf(shape.programs, sizeof shape.programs, "%s", FLEET_PROGRAMS);
     snprintf(shape.daemon, sizeof shape.daemon, "%s", FLEET_DAEMON);
@@ -115,6 +116,8 @@
             "unknown %lld, cut %lld, no-answer %lld\n",
             result.requests, result.whole, result.not_run, result.incomplete,
             result.unknown, result.cut, result.no_answer);
+    trial_require(trial, !fleet_has_findings(&trial->fleet),
+                  "a sanitizer found something");
     trial_require(trial, result.wrong == 0, "an answer was wrong");
     trial_require(trial, result.pending == 0, "a request got no end");
     trial_require(trial, result.not_run_but_ran == 0, "said not-run, but ran");
