--- a/tests/fleet/common-fleet-load.c
+++ b/tests/fleet/common-fleet-load.c
@@ -3,16 +3,16 @@
 
 #include "common-fleet.h"
 
+/* One address a line: the plan's lines are bounded. */
 static void
 write_endpoints(FILE *file, const fleet_fleet *fleet, bool is_service)
 {
-    fprintf(file, "%s = ", is_service ? "services" : "engines");
     for (uint32_t i = 0; i < fleet->endpoint_count; i++) {
         if (fleet->endpoints[i].is_service == is_service) {
-            fprintf(file, "%s,", fleet->endpoints[i].process.admin);
+            fprintf(file, "%s = %s\n", is_service ? "services" : "engines",
+                    fleet->endpoints[i].process.admin);
         }
     }
-    fputs("\n", file);
 }
 
 /* The services themselves in place of routers. */
@@ -21,11 +21,31 @@
 {
     for (uint32_t i = 0; i < fleet->endpoint_count; i++) {
         if (fleet->endpoints[i].is_service) {
-            fprintf(file, "%s,", fleet->endpoints[i].process.address);
+            fprintf(file, "routers = %s\n",
+                    fleet->endpoints[i].process.address);
         }
     }
 }
 
+static void
+write_routers(FILE *file, const fleet_fleet *fleet)
+{
+    bool is_direct = strcmp(fleet->shape.policy, FLEET_DIRECT) == 0;
+
+    for (uint32_t i = 0; i < fleet->shape.routers; i++) {
+        const fleet_router *router = &fleet->routers[i];
+
+        if (!is_direct) {
+            fprintf(file, "routers = %s\n", router->callers);
+        }
+        fprintf(file, "operators = %s\npids = %d\n", router->operator_address,
+                (int)router->process.pid);
+    }
+    if (is_direct) {
+        write_direct(file, fleet);
+    }
+}
+
 static bool
 write_plan(const fleet_fleet *fleet, const char *path, const char *load_keys,
            const char *flows)
@@ -36,24 +56,9 @@
         perror(path);
         return false;
     }
-    fputs("[load]\nrouters = ", file);
-    if (strcmp(fleet->shape.policy, FLEET_DIRECT) == 0) {
-        write_direct(file, fleet);
-    }
-    for (uint32_t i = 0; i < fleet->shape.routers &&
-                         strcmp(fleet->shape.policy, FLEET_DIRECT) != 0;
-         i++) {
-        fprintf(file, "%s,", fleet->routers[i].callers);
-    }
-    fputs("\noperators = ", file);
-    for (uint32_t i = 0; i < fleet->shape.routers; i++) {
-        fprintf(file, "%s,", fleet->routers[i].operator_address);
-    }
-    fputs("\npids = ", file);
-    for (uint32_t i = 0; i < fleet->shape.routers; i++) {
-        fprintf(file, "%d,", (int)fleet->routers[i].process.pid);
-    }
-    fprintf(file, "\nplatform = %s\n", fleet->platform.admin);
+    fputs("[load]\n", file);
+    write_routers(file, fleet);
+    fprintf(file, "platform = %s\n", fleet->platform.admin);
     write_endpoints(file, fleet, false);
     write_endpoints(file, fleet, true);
     fprintf(file, "%s%s", load_keys, flows);
