Bound the leads that come of a partition

Change: when claims are merged an account's lead is at most 16 times the larger of quantum and urgent credit.

--- a/packages/core/source/dispatcher-account.c
+++ b/packages/core/source/dispatcher-account.c
@@ -419,6 +419,47 @@
     mark_dirty(disp, row);
 }
 
+/* The least level of those that wait. */
+static int64_t
+least_level(const disp_dispatcher *disp)
+{
+    uint32_t top = heap_top(&disp->heaps[DISP_READY]);
+
+    return top != LV_HANDLE_NONE ? disp->accounts[top].level
+                                 : disp->virtual_now;
+}
+
+static int64_t
+merged_lead(const disp_dispatcher *disp)
+{
+    uint64_t lead = disp->pool.quantum > disp->pool.urgent_credit
+                        ? disp->pool.quantum
+                        : disp->pool.urgent_credit;
+
+    return (int64_t)(lead * DISP_MERGED_LEAD);
+}
+
+/* Claims are in: nobody goes on with a lead that starves it. */
+void
+disp_account_bound_leads(disp_dispatcher *disp, lv_time now)
+{
+    int64_t most = least_level(disp) + merged_lead(disp);
+
+    if (disp->heaps[DISP_READY].count == 0) {
+        return;
+    }
+    for (uint32_t row = 0; row < disp->account_count; row++) {
+        if (disp->accounts[row].id != LV_ID_NONE &&
+            disp->accounts[row].level > most) {
+            disp->accounts[row].level = most;
+            disp_account_refresh(disp, now, row);
+        }
+    }
+    if (disp->highest > most) {
+        disp->highest = most;
+    }
+}
+
 void
 disp_account_claim(disp_dispatcher *disp, uint32_t row, int64_t level,
                    int64_t since)
@@ -436,7 +477,10 @@
         }
     }
     else if (level > old) {
-        raise_level(disp, account, level - old);
+        int64_t most = least_level(disp) + merged_lead(disp);
+
+        level = level < most ? level : most;
+        raise_level(disp, account, level > old ? level - old : 0);
     }
     disp_account_charge(disp, row, since);
 }
@@ -459,13 +503,9 @@
 void
 disp_account_lift(disp_dispatcher *disp, uint32_t row)
 {
-    int64_t least = disp->virtual_now;
-    uint32_t top = heap_top(&disp->heaps[DISP_READY]);
+    int64_t least = least_level(disp);
     int64_t level = disp_account_level(disp, row);
 
-    if (top != LV_HANDLE_NONE) {
-        least = disp->accounts[top].level;
-    }
     if (level < least) {
         raise_level(disp, &disp->accounts[row], least - level);
     }
--- a/packages/core/source/dispatcher-choose.c
+++ b/packages/core/source/dispatcher-choose.c
@@ -304,6 +304,7 @@
     }
     if (is_settled) {
         disp->is_settled = true;
+        disp_account_bound_leads(disp, now);
         disp->virtual_now = disp->highest;
         disp->calm_since = now;
     }
--- a/packages/core/source/dispatcher-imp.h
+++ b/packages/core/source/dispatcher-imp.h
@@ -15,6 +15,11 @@
  * a new epoch: what was used in the calm is neither credit nor debt. */
 #define DISP_CALM_REPORTS 4
 
+/* Counters of two dispatchers that served apart can not be compared, so an
+ * account keeps no more than this lead when they are merged: this many times
+ * the larger of quantum and urgent credit. */
+#define DISP_MERGED_LEAD 16
+
 /* Lists of handles, linked through a disp_link in each row. */
 typedef struct disp_rows {
     void *rows;
@@ -39,6 +44,7 @@
 void disp_account_add_foreign(disp_dispatcher *disp, lv_time now, uint32_t row,
                               uint64_t tenure, int64_t foreign);
 void disp_account_drop_guess(disp_dispatcher *disp, lv_time now, uint32_t row);
+void disp_account_bound_leads(disp_dispatcher *disp, lv_time now);
 void disp_account_lift(disp_dispatcher *disp, uint32_t row);
 void disp_account_set_catalogue(disp_dispatcher *disp, lv_time now,
                                 uint32_t row);
--- a/packages/core/source/dispatcher-report.c
+++ b/packages/core/source/dispatcher-report.c
@@ -302,6 +302,7 @@
                  const msg_message *message)
 {
     uint32_t row = LV_HANDLE_NONE;
+    bool is_merge;
 
     if (message->kind == MSG_REPORT && message->pool == disp->pool_id &&
         message->shard == disp->shard) {
@@ -311,6 +312,8 @@
         disp->events.stale_reports++;
         return false;
     }
+    is_merge = disp->is_settled && message->is_claim && message->tenure != 0 &&
+               message->tenure != disp->tenure;
     raise_tenure(disp, message);
     disp->stamp++;
     disp->entries[row].sequence = message->sequence;
@@ -330,6 +333,9 @@
     if (message->is_full) {
         end_begun(disp, now, row);
     }
+    if (is_merge) {
+        disp_account_bound_leads(disp, now);
+    }
     disp_check_settled(disp, now);
     disp_choose(disp, now);
     if (message->is_full) {
--- a/tests/core/test-dispatcher-faults.c
+++ b/tests/core/test-dispatcher-faults.c
@@ -275,6 +275,48 @@
     fleet_finish(&fleet);
 }
 
+/* Accounts that had a side of a partition to themselves got much more; they
+ * are not kept waiting for as long afterwards. */
+static partition_case long_cases[] = {
+    {"the old one stays", 24, 60 * LV_SECOND, 0},
+    {"the new one stays", 25, 60 * LV_SECOND, 1},
+};
+
+ParameterizedTestParameters(dispatcher_faults,
+                            nobody_starves_after_a_long_partition)
+{
+    return cr_make_param_array(partition_case, long_cases,
+                               sizeof long_cases / sizeof long_cases[0]);
+}
+
+ParameterizedTest(partition_case *with, dispatcher_faults,
+                  nobody_starves_after_a_long_partition)
+{
+    lv_time mark[FLEET_ACCOUNTS];
+    uint32_t other;
+
+    start_fleet(with->seed);
+    for (uint32_t a = 0; a < ACCOUNTS; a++) {
+        work[a].entries = a < 2 ? 0xf0 : 0x0f;
+        work[a].backlog = 8;
+    }
+    split(&other);
+    fleet_run(&fleet, fleet.now + with->length);
+    cr_expect_gt(fleet.service[0], 2 * fleet.service[2]);
+    rejoin(with->stays == 0 ? other : 0, with->stays == 0 ? 0 : other);
+    for (int i = 0; i < 4; i++) {
+        fleet_run(&fleet, fleet.now + (i == 0 ? 5 : 2) * LV_SECOND);
+        fleet_mark(&fleet, mark);
+        fleet_run(&fleet, fleet.now + 3 * LV_SECOND);
+        for (uint32_t a = 0; a < ACCOUNTS; a++) {
+            cr_expect_gt(fleet.service[a] - mark[a], 2 * LV_SECOND,
+                         "account %u: %.3f s of about 5", a,
+                         (double)(fleet.service[a] - mark[a]) / 1e6);
+        }
+    }
+    fleet_finish(&fleet);
+}
+
 Test(dispatcher_faults, leaving_endpoint_gets_nothing_new)
 {
     start_fleet(31);
--- a/tests/core/test-dispatcher-protocol.c
+++ b/tests/core/test-dispatcher-protocol.c
@@ -357,6 +357,43 @@
     disp_finish(&disp);
 }
 
+/* Counters of two dispatchers that served apart can not be compared: a lead
+ * that comes of them is bounded, so that nobody starves for it. */
+Test(dispatcher_protocol, merged_leads_are_bounded)
+{
+    msg_service service = {.account = ACCOUNT, .total = 9, .level = 1000000};
+    msg_demand demand = wait_for(RIVAL, 1);
+    msg_message report;
+
+    start();
+    report = make_report(ENTRY, 1, true);
+    report.is_claim = true;
+    report.services = &service;
+    report.service_count = 1;
+    cr_assert(disp_take_report(&disp, now, &report));
+    report = make_report(OTHER, 1, true);
+    report.is_claim = true;
+    report.demands = &demand;
+    report.demand_count = 1;
+    cr_assert(disp_take_report(&disp, now, &report));
+    service.since = 1;
+    report = make_report(ENTRY, 2, true);
+    report.services = &service;
+    report.service_count = 1;
+    cr_assert(disp_take_report(&disp, now, &report));
+    cr_expect_eq(host.logs[0].level[0], 1600, "when it settles");
+    cr_assert(say_demand(OTHER, 2, RIVAL, 9));
+    service.level = 2000000;
+    report = make_report(ENTRY, 1, true);
+    report.incarnation = 2;
+    report.is_claim = true;
+    report.services = &service;
+    report.service_count = 1;
+    cr_assert(disp_take_report(&disp, now, &report));
+    cr_expect_leq(host.logs[0].level[0], 1601, "a late claim");
+    disp_finish(&disp);
+}
+
 /* More leases than slots, as after a partition: no grant until they drain. */
 Test(dispatcher_protocol, excess_leases_drain)
 {
