--- a/tests/core/test-dispatcher-walk.c
+++ b/tests/core/test-dispatcher-walk.c
@@ -235,7 +235,8 @@
     uint64_t first_seed;
 } walk_case;
 
-static walk_case walk_cases[] = {{1000}, {2000}, {3000}, {4000}};
+static walk_case walk_cases[] = {{1000}, {2000},  {3000},
+                                 {4000}, {11000}, {14000}};
 
 ParameterizedTestParameters(dispatcher_walk, recovers_from_any_faults)
 {
