--- a/packages/core/source/dispatcher-report.c
+++ b/packages/core/source/dispatcher-report.c
@@ -346,6 +346,7 @@
                  const msg_message *message)
 {
     uint32_t row = LV_HANDLE_NONE;
+    bool is_merge;
 
     if (message->kind == MSG_REPORT && message->pool == disp->pool_id &&
         message->shard == disp->shard) {
@@ -355,6 +356,8 @@
         disp->events.stale_reports++;
         return false;
     }
+    is_merge = disp->is_settled && message->is_claim && message->tenure != 0 &&
+               message->tenure != disp->tenure;
     raise_tenure(disp, message);
     disp->stamp++;
     note_loss(&disp->entries[row], message);
@@ -375,6 +378,9 @@
     if (message->is_full || message->is_progress) {
         end_begun(disp, now, row);
     }
+    if (is_merge) {
+        disp_account_bound_leads(disp, now);
+    }
     disp_check_settled(disp, now);
     disp_choose(disp, now);
     if (message->is_full) {
