Measure the drain rate over busy time only

Cause: the gap between two starts took in the time that an account was idle, so that after a quiet ten minutes a refused caller was told to stay away for up to a minute; attempts again counted as requests started in the ledger. Change: gaps are counted from the begin of a backlog; the ledger counts a request's first start.

--- a/packages/core/source/entry-admit.c
+++ b/packages/core/source/entry-admit.c
@@ -278,6 +278,9 @@
         refuse(entry, request, &found, reason, retry_after, refusal);
         return false;
     }
+    if (entry_is_idle(entry)) {
+        entry->last_finish = now;
+    }
     fill_item(entry, now, index, request, &found);
     *handle = entry_item_handle(entry, index);
     entry->counts.admitted++;
--- a/packages/core/source/entry-attempt.c
+++ b/packages/core/source/entry-attempt.c
@@ -4,6 +4,7 @@
 #define RETRY_BURST (100 * HUNDREDTHS)
 #define GAP_PARTS 8
 
+/* The average time between two events of a busy time. */
 static void
 note_gap(lv_time now, lv_time *last, lv_time *gap)
 {
@@ -22,11 +23,13 @@
     entry_flow *flow = &entry->flows[item->flow];
     ledger_line *line = entry_line(entry, item->flow);
 
-    note_gap(now, &flow->last_start, &flow->start_gap);
+    if (now > item->arrived) {
+        note_gap(now, &flow->last_start, &flow->start_gap);
+    }
     if (flow->told_later > 0) {
         flow->told_later--;
     }
-    if (line != NULL) {
+    if (line != NULL && item->attempt == 0) {
         line->started++;
         line->waited += lv_elapsed(now, item->arrived);
     }
--- a/packages/core/source/entry-imp.h
+++ b/packages/core/source/entry-imp.h
@@ -63,7 +63,7 @@
     int64_t since;   /* service units after that */
     uint32_t waiting;
     lv_time backlog_since;
-    lv_time last_start;
+    lv_time last_start;  /* or the begin of the backlog */
     lv_time start_gap;   /* average between two starts */
     uint32_t told_later; /* refused callers told to come back */
     uint32_t arrivals;   /* admitted, ever; modulo 2^32 */
--- a/packages/core/source/entry-wait.c
+++ b/packages/core/source/entry-wait.c
@@ -114,6 +114,7 @@
     item->state = ITEM_WAITING;
     if (flow->waiting++ == 0) {
         flow->backlog_since = now;
+        flow->last_start = now;
         entry_join_turn(entry, item->flow);
     }
     if (entry->settings.mode == ENTRY_MODE_LEASES) {
--- a/tests/core/test-entry-refuse.c
+++ b/tests/core/test-entry-refuse.c
@@ -167,31 +167,99 @@
     cr_assert_geq(accepted, 7, "of three floods each leaves a quarter free");
 }
 
-Test(refuse, the_time_to_come_back_follows_the_drain_rate)
+/* Let the one request that runs end after a time, renew the lease, and make
+ * sure that the next one runs. */
+static void
+end_after(lv_time length, const char *account)
 {
-    out_outcome first;
-    out_outcome second;
+    msg_message message;
+
+    ew_run(&world, length);
+    ew_send_last(&world);
+    ew_end_last(&world, ENTRY_END_DONE);
+    message = ew_message(&world, "eng");
+    ew_take(&world, &message);
+    if (ew_counts(&world).leases == 0) {
+        ew_grant(&world, "eng", "e1", account);
+    }
+}
 
+/* Requests of the class with two places that end every 200 ms. */
+static void
+run_steadily(int count)
+{
     ew_submit(&world, "a", "few", "/chat", NULL);
     ew_submit(&world, "a", "few", "/chat", NULL);
     ew_grant(&world, "eng", "e1", "a");
-    for (int i = 0; i < 40; i++) {
+    for (int i = 0; i < count; i++) {
         ew_submit(&world, "a", "few", "/chat", NULL);
-        ew_run(&world, 200 * LV_MILLISECOND);
-        ew_send_last(&world);
-        ew_end_last(&world, ENTRY_END_DONE);
-        ew_grant(&world, "eng", "e1", "a");
+        end_after(200 * LV_MILLISECOND, "a");
     }
-    while (ew_submit(&world, "a", "few", "/chat", &first) != LV_HANDLE_NONE) {
+}
+
+/* Fill the class until it is refused. */
+static out_outcome
+fill_class(void)
+{
+    out_outcome refusal = {0};
+
+    while (ew_submit(&world, "a", "few", "/chat", &refusal) !=
+           LV_HANDLE_NONE) {
     }
-    ew_submit(&world, "a", "few", "/chat", &second);
+    return refusal;
+}
+
+Test(refuse, the_time_to_come_back_follows_the_drain_rate)
+{
+    out_outcome first;
+    out_outcome second;
+
+    run_steadily(40);
+    first = fill_class();
+    second = fill_class();
     cr_assert_eq(first.reason, OUT_REASON_WAITING_FULL);
-    cr_assert_geq(first.retry_after, 50 * LV_MILLISECOND);
-    cr_assert_leq(first.retry_after, 400 * LV_MILLISECOND);
+    cr_assert_geq(first.retry_after, 150 * LV_MILLISECOND);
+    cr_assert_leq(first.retry_after, 250 * LV_MILLISECOND);
     cr_assert_eq(second.retry_after, 2 * first.retry_after,
                  "each caller gets the next place");
 }
 
+Test(refuse, idle_time_does_not_lengthen_the_time_to_come_back)
+{
+    run_steadily(40);
+    for (int i = 0; i < 3; i++) {
+        ew_send_last(&world);
+        ew_end_last(&world, ENTRY_END_DONE);
+    }
+    cr_assert(entry_is_idle(&world.entry));
+    ew_run(&world, 600 * LV_SECOND);
+    run_steadily(3);
+    cr_assert_leq(fill_class().retry_after, 250 * LV_MILLISECOND);
+}
+
+Test(refuse, a_full_router_says_when_requests_end)
+{
+    entry_settings settings;
+    out_outcome refusal = {0};
+
+    stop();
+    entry_default_settings(&settings);
+    settings.max_requests = 4;
+    ew_init(&world, &settings);
+    ew_run(&world, 600 * LV_SECOND);
+    ew_submit(&world, "b", NULL, "/chat", NULL);
+    ew_grant(&world, "eng", "e1", "b");
+    for (int i = 0; i < 20; i++) {
+        ew_submit(&world, "b", NULL, "/chat", NULL);
+        end_after(300 * LV_MILLISECOND, "b");
+    }
+    while (ew_submit(&world, "b", NULL, "/chat", &refusal) != LV_HANDLE_NONE) {
+    }
+    cr_assert_eq(refusal.reason, OUT_REASON_MEMORY);
+    cr_assert_geq(refusal.retry_after, 250 * LV_MILLISECOND);
+    cr_assert_leq(refusal.retry_after, 350 * LV_MILLISECOND);
+}
+
 Test(refuse, the_rate_refills_when_it_said)
 {
     out_outcome refusal;
