--- a/packages/core/include/lavender/document.h
+++ b/packages/core/include/lavender/document.h
@@ -54,7 +54,8 @@
     uint64_t refused;
     uint64_t fetches;  /* parts asked of peers */
     uint64_t platform; /* parts asked of the platform */
-    uint64_t served;   /* parts given to peers */
+    uint64_t platform_failed;
+    uint64_t served; /* parts given to peers */
     uint64_t served_bytes;
     uint64_t stale;     /* platform reads older than what is in force */
     uint64_t bad_parts; /* texts that were not the ones asked for */
@@ -68,8 +69,10 @@
     doc_fetch fetch;
     uint64_t refused[DOC_REFUSED_MAX];
     uint32_t next_refused;
-    uint64_t aside; /* digest that no source could give */
+    uint64_t aside; /* digest that no source could give; 0: none */
     lv_time aside_until;
+    lv_id aside_sources[DOC_SOURCES_MAX]; /* the peers that could not */
+    uint32_t aside_source_count;
     err_list refusal; /* why the last refused one was */
     msg_doc_state last_refused;
 } doc_document;
@@ -83,6 +86,7 @@
     bool has_heard; /* a peer with a catalogue in force */
     doc_document documents[DOC_COUNT];
     cat_catalogue *catalogue;
+    cat_cache cache; /* of the parts in force, as they were read */
     world_lists *lists;
     doc_counts counts;
 };
--- a/packages/core/source/entry-admit.c
+++ b/packages/core/source/entry-admit.c
@@ -143,6 +143,7 @@
     }
     refill(now, limits, is_allowed ? 1 : live_count(entry), record);
     if (is_allowed && (int32_t)(flow->allowance - flow->arrivals) <= 0) {
+        entry_ask_allowance(entry, found->flow);
         *retry_after =
             LV_SECOND * live_count(entry) / limits->requests_per_second;
         return OUT_REASON_RATE;
@@ -221,6 +222,9 @@
     if (line != NULL) {
         line->refused++;
     }
+    if (reason == OUT_REASON_RATE) {
+        entry_note_rate(entry, found->flow, true);
+    }
     *refusal = (out_outcome){OUT_NOT_RUN, reason, retry_after};
     entry->counts.refused[reason]++;
     entry_log_refusal(entry, request, reason);
@@ -275,6 +279,9 @@
         refuse(entry, request, &found, reason, retry_after, refusal);
         return false;
     }
+    if (entry_is_idle(entry)) {
+        entry->last_finish = now;
+    }
     fill_item(entry, now, index, request, &found);
     *handle = entry_item_handle(entry, index);
     entry->counts.admitted++;
@@ -282,6 +289,7 @@
               found.route->idempotent ? "idempotent" : "once", index, NONE,
               entry->flows[found.flow].waiting, 0);
     entry_wait(entry, now, index, true);
+    entry_note_rate(entry, found.flow, false);
     entry_serve_flow(entry, now, entry->items[index].queue);
     entry_flush(entry, now);
     return true;
--- a/packages/net/source/callers-request.c
+++ b/packages/net/source/callers-request.c
@@ -138,13 +138,41 @@
     request_end(request, &outcome);
 }
 
+static void
+log_end(const call_request *request, const out_outcome *outcome, lv_time now)
+{
+    if (!request->is_submitted && outcome->kind != OUT_DONE) {
+        log_event(
+            LOG_LEVEL_INFO, now, "refuse", "request=%llu reason=%s outcome=%s",
+            (unsigned long long)request->number,
+            out_reason_name(outcome->reason), out_kind_name(outcome->kind));
+    }
+}
+
 /* The outcome is known: tell the caller, and those that wait with it. */
+/* A request may have run before under its ticket, through another router or
+ * another process of this one: only who vouches for the ticket may say that
+ * it did not. */
+static void
+doubt_not_run(const call_request *request, out_outcome *outcome)
+{
+    if (outcome->kind == OUT_NOT_RUN && !request->is_vouched &&
+        !request->is_idempotent && request->req != NULL &&
+        request_header(request->req, "idempotency-key").base != NULL) {
+        outcome->kind = OUT_UNKNOWN;
+    }
+}
+
 void
 request_end(call_request *request, const out_outcome *outcome)
 {
     call_server *server = request->server;
+    out_outcome said = *outcome;
 
+    doubt_not_run(request, &said);
+    outcome = &said;
     request->is_over = true;
+    log_end(request, outcome, server->clock());
     server->counts.finished[outcome->kind]++;
     if (outcome->kind != OUT_DONE) {
         server->counts.refused[outcome->reason]++;
@@ -279,6 +307,7 @@
     bool is_taken;
 
     server->submitting = request;
+    request->is_submitted = true;
     is_taken = entry_submit(node_entry(server->node), server->clock(), wanted,
                             &handle, &refusal);
     server->submitting = NULL;
@@ -321,6 +350,8 @@
     }
     request->is_idempotent = catalogue->routes[wanted.route].idempotent;
     if (!copy_header(request->req, "idempotency-key", ticket, sizeof ticket)) {
+        /* Too long for a ticket: none was ever run under it. */
+        request->is_vouched = true;
         refuse(request, OUT_REASON_TICKET_INVALID);
         return;
     }
--- a/packages/net/source/settings-keys.c
+++ b/packages/net/source/settings-keys.c
@@ -114,6 +114,7 @@
 static const conf_key timeouts_keys[] = {
     TIME_KEY("request", callers.head_timeout, 100 * MILLISECOND, HOUR),
     TIME_KEY("caller_idle", callers.idle_timeout, 100 * MILLISECOND, HOUR),
+    TIME_KEY("caller_stall", callers.stall_timeout, 100 * MILLISECOND, HOUR),
     TIME_KEY("drain", drain_timeout, SECOND, 24 * HOUR),
 };
 
@@ -136,6 +137,7 @@
     TIME_KEY("margin", node.dispatcher.lease_margin, MILLISECOND, HOUR),
     TIME_KEY("report_interval", node.dispatcher.report_interval, MILLISECOND,
              HOUR),
+    TIME_KEY("full_interval", node.entry.full_interval, MILLISECOND, HOUR),
     TIME_KEY("settle", node.dispatcher.settle, MILLISECOND, HOUR),
     TIME_KEY("short_interval", node.entry.short_interval, 1, SECOND),
     TIME_KEY("idle_interval", node.entry.idle_interval, MILLISECOND, HOUR),
@@ -151,7 +153,8 @@
     TIME_KEY("forget", node.membership.forget, SECOND, 24 * HOUR),
     COUNT_KEY("indirect_probes", node.membership.indirect_probes, 0, 16),
     COUNT_KEY("peers", node.membership.peers, 0, 4096),
-    COUNT_KEY("rumours", node.membership.rumours_per_message, 1, 256),
+    COUNT_KEY("rumours", node.membership.rumours_per_message, 1,
+              SWIM_RUMOURS_MAX),
 };
 
 static const conf_key documents_keys[] = {
--- a/tests/core/lease-fleet.c
+++ b/tests/core/lease-fleet.c
@@ -162,9 +162,11 @@
 static void
 init_lists(fleet_fleet *fleet)
 {
+    uint32_t slots[FLEET_SHARDS] = {0};
     uint32_t shards =
         hrw_shard_count(fleet->plan.endpoints, fleet->pool.shard_endpoints);
 
+    require(shards <= FLEET_SHARDS, "too many shards");
     require(shards == fleet->plan.shards, "other number of shards");
     for (uint32_t i = 0; i < fleet->plan.endpoints; i++) {
         ep_endpoint *endpoint = &fleet->endpoints[i];
@@ -172,6 +174,11 @@
         endpoint->id = 3000 + i;
         endpoint->pool = fleet->pool.id;
         fleet->shard_of[i] = hrw_shard_of(endpoint->id, shards);
+        slots[fleet->shard_of[i]] += fleet->plan.slots;
+    }
+    for (uint32_t a = 0; a < fleet->plan.accounts; a++) {
+        fleet->home_of[a] =
+            hrw_home_shard(fleet->accounts[a].id, slots, shards);
     }
     fleet->lists.endpoints = fleet->endpoints;
     fleet->lists.endpoint_count = fleet->plan.endpoints;
@@ -449,9 +456,26 @@
     return false;
 }
 
+static void
+note_idle(fleet_fleet *fleet, bool is_waiting)
+{
+    for (uint32_t i = 0; i < fleet->plan.endpoints; i++) {
+        if (!is_waiting || fleet->running_at[i] >= fleet->plan.slots) {
+            fleet->idle_from[i] = 0;
+        }
+        else if (fleet->idle_from[i] == 0) {
+            fleet->idle_from[i] = fleet->now;
+        }
+        else if (fleet->now - fleet->idle_from[i] > fleet->longest_idle) {
+            fleet->longest_idle = fleet->now - fleet->idle_from[i];
+        }
+    }
+}
+
 static void
 account_step(fleet_fleet *fleet)
 {
+    bool is_waiting;
     uint32_t busy = 0;
     uint32_t slots = fleet->plan.endpoints * fleet->plan.slots;
 
@@ -467,7 +491,9 @@
             fleet->most_running_at[i] = fleet->running_at[i];
         }
     }
-    if (has_waiting(fleet)) {
+    is_waiting = has_waiting(fleet);
+    note_idle(fleet, is_waiting);
+    if (is_waiting) {
         fleet->slot_time += slots * FLEET_STEP;
         fleet->busy_time += (busy < slots ? busy : slots) * FLEET_STEP;
     }
@@ -578,6 +604,7 @@
 fleet_reset_counts(fleet_fleet *fleet)
 {
     fleet->slot_time = 0;
+    fleet->longest_idle = 0;
     fleet->busy_time = 0;
     for (int i = 0; i < CAT_PRIORITY_COUNT; i++) {
         fleet->waits[i].count = 0;
--- a/tests/core/mesh.h
+++ b/tests/core/mesh.h
@@ -11,17 +11,18 @@
 #include "texts.h"
 
 #define MESH_VERSIONS_MAX 32
-#define MESH_PARTS_MAX 8
+#define MESH_PARTS_MAX 64
 
 typedef struct mesh_settings {
     uint32_t nodes;
     uint32_t zones;
     uint32_t watchers; /* nodes that hear of changes from the platform */
     uint64_t seed;
-    lv_time delay;         /* least, one way */
-    lv_time jitter;        /* added at random: messages overtake each other */
-    uint32_t drop;         /* thousandths */
-    uint32_t duplicate;    /* thousandths */
+    lv_time delay;      /* least, one way */
+    lv_time jitter;     /* added at random: messages overtake each other */
+    uint32_t drop;      /* thousandths */
+    uint32_t duplicate; /* thousandths */
+    uint32_t accounts_per_part;
     bool has_no_documents; /* one parsed list is shared by all */
     swim_settings swim;
     doc_settings documents;
@@ -49,6 +50,7 @@
     lv_time last_drive;
     lv_time tick_at; /* of the tick event in the queue */
     mesh_fault fault;
+    bool *learned; /* nodes that have said where they listen */
     swim_membership swim;
     doc_store documents;
     msg_doc_state in_force[DOC_COUNT];
--- a/tests/core/test-entry.c
+++ b/tests/core/test-entry.c
@@ -97,7 +97,7 @@
 
 Test(entry, an_idle_lease_is_held_and_then_given_back)
 {
-    uint64_t lease = ew_grant(&world, "eng", "e1", NULL);
+    uint64_t lease = ew_grant(&world, "eng", "e1", "a");
 
     ew_run(&world, 4 * LV_MILLISECOND);
     cr_assert_eq(ew_counts(&world).idle_leases, 1);
@@ -107,6 +107,19 @@
     cr_assert_eq(world.report.released[0], lease);
 }
 
+Test(entry, an_idle_any_account_lease_stays_until_the_entry_drains)
+{
+    uint64_t lease = ew_grant(&world, "eng", "e1", NULL);
+
+    ew_run(&world, 500 * LV_MILLISECOND);
+    cr_assert_eq(ew_counts(&world).idle_leases, 1);
+    entry_drain(&world.entry, world.now);
+    ew_run(&world, 10 * LV_MILLISECOND);
+    cr_assert_eq(ew_counts(&world).leases, 0);
+    cr_assert_eq(world.report.message.released_count, 1);
+    cr_assert_eq(world.report.released[0], lease);
+}
+
 Test(entry, contention_sends_idle_leases_back_at_once)
 {
     msg_message message;
@@ -350,14 +363,33 @@
     cr_assert_eq(ew_last_finish(&world)->outcome.kind, OUT_DONE);
 }
 
-static const char smaller_catalogue[] =
-    "[catalogue]\nrevision = 2\n"
-    "[pool eng]\nkind = engine\nslots = 2\ninput_weight = 1\n"
-    "output_weight = 2\nquantum = 1000\nhold = 5ms\ndefault_cost = 100\n"
-    "[route /chat]\npool = eng\nidempotent = yes\n"
-    "[account a]\nweight = 3\nkey_digest = "
-    "0000000000000000000000000000000000000000000000000000000000000001\n"
-    "[entry a/drafts]\npriority = deferrable\ndeadline = 1m\n";
+#define SMALLER_CATALOGUE(limits)                                             \
+    "[catalogue]\nrevision = 2\n"                                             \
+    "[pool eng]\nkind = engine\nslots = 2\ninput_weight = 1\n"                \
+    "output_weight = 2\nquantum = 1000\nhold = 5ms\ndefault_cost = 100\n"     \
+    "[route /chat]\npool = eng\nidempotent = yes\n"                           \
+    "[account a]\nweight = 3\nkey_digest = "                                  \
+    "0000000000000000000000000000000000000000000000000000000000000001\n"      \
+    "[entry a/drafts]\npriority = deferrable\ndeadline = 1m\n" limits
+
+static const char smaller_catalogue[] = SMALLER_CATALOGUE("");
+static const char tighter_catalogue[] = SMALLER_CATALOGUE("waiting = 1\n");
+
+Test(entry, limits_of_entries_that_stay_change_at_once)
+{
+    out_outcome refusal;
+
+    ew_submit(&world, "a", "drafts", "/chat", NULL);
+    ew_submit(&world, "a", "drafts", "/chat", NULL);
+    ew_set_catalogue(&world, tighter_catalogue);
+    cr_assert_eq(ew_counts(&world).waiting, 2, "what was accepted stays");
+    cr_assert_eq(ew_submit(&world, "a", "drafts", "/chat", &refusal),
+                 LV_HANDLE_NONE);
+    cr_assert_eq(refusal.reason, OUT_REASON_WAITING_FULL);
+    ew_set_catalogue(&world, smaller_catalogue);
+    cr_assert_neq(ew_submit(&world, "a", "drafts", "/chat", &refusal),
+                  LV_HANDLE_NONE);
+}
 
 Test(entry, a_new_catalogue_keeps_requests_and_refuses_those_whose_entry_went)
 {
@@ -686,3 +718,50 @@
     cr_assert_gt(refusals, 0, "classes that are gone are refused");
     cr_assert_eq(ew_counts(&world).waiting + refusals, 100);
 }
+
+/* Between full reports only what was used is told. */
+Test(entry, progress_is_told_between_full_reports)
+{
+    const lv_attempt *attempt;
+    uint64_t before;
+    uint64_t first;
+
+    world.entry.settings.full_interval = 400 * LV_MILLISECOND;
+    ew_submit(&world, "a", "drafts", "/chat", NULL);
+    ew_grant(&world, "eng", "e1", "a");
+    ew_send_last(&world);
+    attempt = ew_last_attempt(&world);
+    first = world.sequence + 1;
+    ew_run(&world, LV_SECOND);
+    before = ew_counts(&world).reports_full;
+    for (int i = 0; i < 10; i++) {
+        msg_message message = ew_message(&world, "eng");
+
+        message.sequence = first + (uint64_t)i;
+        ew_take(&world, &message);
+        entry_progress(&world.entry, world.now, attempt->request,
+                       attempt->number, 1000 + 10 * (uint64_t)i, 0);
+        ew_run(&world, 100 * LV_MILLISECOND);
+    }
+    cr_assert_leq(ew_counts(&world).reports_full - before, 3 + 10,
+                  "every 400 ms, and claims to the other, silent dispatcher");
+    cr_assert_geq(ew_counts(&world).reports_progress, 7);
+    cr_assert(world.report.message.is_progress ||
+              world.report.message.is_full);
+}
+
+/* A gap in the sequence of GRANTs asks for a full report at once. */
+Test(entry, lost_grant_brings_a_full_report)
+{
+    msg_message message;
+    uint64_t before;
+
+    world.entry.settings.full_interval = 400 * LV_MILLISECOND;
+    ew_grant(&world, "eng", "e1", "a");
+    ew_run(&world, 410 * LV_MILLISECOND);
+    message = ew_message(&world, "eng");
+    message.sequence += 3;
+    before = ew_counts(&world).reports_full;
+    cr_assert(ew_take(&world, &message));
+    cr_assert_eq(ew_counts(&world).reports_full, before + 1);
+}
--- a/tests/core/test-walk-views.c
+++ b/tests/core/test-walk-views.c
@@ -40,6 +40,19 @@
     }
 }
 
+/* Watchers hear at once what was published while the platform was down. */
+static void
+set_platform(walk *w, bool is_down)
+{
+    w->mesh.platform_is_down = is_down;
+    for (uint32_t i = 0; i < w->mesh.settings.watchers && !is_down; i++) {
+        if (w->mesh.nodes[i].is_up) {
+            mesh_read_platform(&w->mesh, i, DOC_CATALOGUE);
+            mesh_read_platform(&w->mesh, i, DOC_LISTS);
+        }
+    }
+}
+
 /* One fault, or its end, or a change. */
 static void
 take_step(walk *w)
@@ -64,7 +77,7 @@
         mesh_start(mesh, node);
         break;
     case 5:
-        mesh->platform_is_down = draw(w, 2) == 0;
+        set_platform(w, draw(w, 2) == 0);
         break;
     case 6:
         mesh->platform_lag = draw(w, 4);
@@ -89,8 +102,8 @@
     mesh->settings.drop = 0;
     mesh->settings.duplicate = 0;
     mesh->settings.jitter = LV_MILLISECOND;
-    mesh->platform_is_down = false;
     mesh->platform_lag = 0;
+    set_platform(w, false);
     for (uint32_t i = 0; i < NODES; i++) {
         if (!mesh->nodes[i].is_up) {
             mesh_start(mesh, i);
@@ -123,6 +136,9 @@
 
     heal(w);
     accepted = mesh_highest(mesh, DOC_CATALOGUE);
+    if (accepted != w->catalogue) {
+        return "what was published is not in force";
+    }
     if (mesh_went_back(mesh) > 0) {
         return "a document went back";
     }
@@ -168,24 +184,35 @@
                                sizeof cases / sizeof cases[0]);
 }
 
+static void
+walk_seed(uint64_t seed)
+{
+    const char *fault;
+    walk w;
+
+    begin(&w, seed);
+    for (int step = 0; step < STEPS; step++) {
+        take_step(&w);
+        mesh_run(&w.mesh, draw(&w, 2500) * LV_MILLISECOND);
+    }
+    fault = judge(&w);
+    cr_assert_null(fault, "seed %lu: %s", seed, fault);
+    mesh_finish(&w.mesh);
+}
+
 ParameterizedTest(uint64_t *block, walk_views, seeds)
 {
     for (uint64_t i = 0; i < SEEDS_PER_CASE; i++) {
-        uint64_t seed = *block * SEEDS_PER_CASE + i + 1;
-        const char *fault;
-        walk w;
-
-        begin(&w, seed);
-        for (int step = 0; step < STEPS; step++) {
-            take_step(&w);
-            mesh_run(&w.mesh, draw(&w, 2500) * LV_MILLISECOND);
-        }
-        fault = judge(&w);
-        cr_assert_null(fault, "seed %lu: %s", seed, fault);
-        mesh_finish(&w.mesh);
+        walk_seed(*block * SEEDS_PER_CASE + i + 1);
     }
 }
 
+/* Seeds beyond those that failed once. */
+Test(walk_views, seeds_that_failed)
+{
+    walk_seed(5467);
+}
+
 /* The checks find faults that are planted. */
 ParameterizedTestParameters(walk_views, planted)
 {
