--- a/packages/core/include/lavender/dispatcher.h
+++ b/packages/core/include/lavender/dispatcher.h
@@ -141,6 +141,7 @@
     int64_t summed;          /* given, as the last SHARD_SUM had it */
     uint64_t foreign_tenure; /* of the root that foreign came from */
     bool is_rated;
+    bool is_home;    /* of several shards this one holds its limits */
     uint8_t dirty;   /* SHARD_SUMs that shall still carry it */
     uint32_t limit;  /* most leases; UINT32_MAX: no limit */
     uint32_t leased; /* all leases bound to it */
@@ -171,17 +172,19 @@
 typedef struct disp_entry {
     lv_id id; /* LV_ID_NONE: the place is free */
     uint64_t incarnation;
-    uint64_t sequence; /* of the last report taken */
-    uint64_t sent;     /* sequence of the last GRANT */
-    lv_time echo;      /* `sent` of the last full report */
-    lv_time heard;     /* when that report came */
-    lv_time deadline;  /* when its leases end here */
+    uint64_t sequence;    /* of the last report taken */
+    uint64_t sent;        /* sequence of the last GRANT */
+    uint64_t sent_before; /* `sent` at the last report of progress */
+    lv_time echo;         /* `sent` of the last full report */
+    lv_time heard;        /* when that report came */
+    lv_time deadline;     /* when its leases end here */
     uint32_t leases;
     uint32_t idle_any; /* leases for any account that no request uses */
-    uint32_t recent;   /* arrivals lately, decaying */
+    lv_time arrived;   /* when an arrival was last reported */
     bool is_member;
-    bool is_gone;  /* a later incarnation came */
-    bool is_fresh; /* heard of lately: may get grants */
+    bool is_gone;    /* a later incarnation came */
+    bool wants_full; /* a report of its was lost */
+    bool is_fresh;   /* heard of lately: may get grants */
 
     bool has_claimed;
     bool needs_grant; /* something waits to be sent */
@@ -229,6 +232,8 @@
     lv_id pool_id;
     uint32_t shard;
     uint32_t shard_count;
+    uint32_t *shard_slots; /* as listed, of each shard */
+    uint32_t shard_slot_capacity;
     uint64_t tenure;
     lv_time started;
     bool is_settled;
--- a/packages/core/source/document.c
+++ b/packages/core/source/document.c
@@ -37,6 +37,7 @@
     if (store->lists != NULL) {
         world_finish(store->lists);
     }
+    cat_cache_finish(&store->cache);
     free(store->catalogue);
     free(store->lists);
     memset(store, 0, sizeof *store);
@@ -105,6 +106,21 @@
     return state.digest != document->aside || now >= document->aside_until;
 }
 
+/* A peer that was not asked before may have what the others had not. */
+static void
+reconsider_aside(doc_document *document, msg_doc_state state, lv_id sender)
+{
+    if (state.digest != document->aside) {
+        return;
+    }
+    for (uint32_t i = 0; i < document->aside_source_count; i++) {
+        if (document->aside_sources[i] == sender) {
+            return;
+        }
+    }
+    document->aside = 0;
+}
+
 static bool
 is_same(msg_doc_state a, msg_doc_state b)
 {
@@ -118,6 +134,7 @@
     doc_document *document = &store->documents[doc];
     doc_fetch *fetch = &document->fetch;
 
+    reconsider_aside(document, state, sender);
     if (!is_wanted(document, state, now)) {
         return;
     }
@@ -208,15 +225,14 @@
     doc_text_drop(copy);
 }
 
-/* The deadline of the fetch brings the next source. */
+/* The deadline of the fetch brings the next source, and the host has logged
+ * the failure. */
 void
 doc_platform_failed(doc_store *store, lv_time now, doc_kind doc)
 {
     (void)now;
-    if (store->documents[doc].fetch.is_active) {
-        doc_log(store, doc, "platform-failed",
-                store->documents[doc].fetch.target.revision);
-    }
+    (void)doc;
+    store->counts.platform_failed++;
 }
 
 /* An answer without a body says that the part is not here. */
@@ -359,7 +375,8 @@
     const cat_catalogue *catalogue = store->catalogue;
     const world_lists *lists = store->lists;
     size_t bytes = memory_of_texts(&store->documents[DOC_CATALOGUE]) +
-                   memory_of_texts(&store->documents[DOC_LISTS]);
+                   memory_of_texts(&store->documents[DOC_LISTS]) +
+                   cat_cache_memory(&store->cache);
 
     if (catalogue != NULL) {
         bytes += catalogue->pool_count * sizeof(cat_pool) +
--- a/packages/core/source/entry-imp.h
+++ b/packages/core/source/entry-imp.h
@@ -63,7 +63,7 @@
     int64_t since;   /* service units after that */
     uint32_t waiting;
     lv_time backlog_since;
-    lv_time last_start;
+    lv_time last_start;  /* or the begin of the backlog */
     lv_time start_gap;   /* average between two starts */
     uint32_t told_later; /* refused callers told to come back */
     uint32_t arrivals;   /* admitted, ever; modulo 2^32 */
@@ -119,12 +119,15 @@
     lv_time previous_full_sent;
     lv_time short_sent;
     lv_time next_full;
+    lv_time progress_sent; /* the last report with service totals */
+    lv_time next_progress;
     lv_time unanswered_since; /* first full report without an answer; 0 */
     lv_time fresh_since;      /* only answers to reports from then count */
     lv_time claim_sent;
     bool is_claiming;
     bool is_stale; /* dispatch nothing until a fresh answer */
     bool is_contended;
+    bool is_full_wanted; /* a message was lost */
     bool is_silent;
     bool is_due; /* in due_shards */
     uint32_t next_due;
@@ -147,11 +150,13 @@
     uint32_t next_changed;
     bool is_active;
     bool is_changed;
+    bool was_refused; /* for its rate, since the last full report */
     uint32_t told_arrivals;
     uint32_t waiting[CAT_PRIORITY_COUNT];
     uint32_t told[CAT_PRIORITY_COUNT]; /* what the dispatcher believes */
     int64_t total;
-    int64_t told_total;
+    int64_t told_total;     /* in the last full report */
+    int64_t progress_total; /* in the last report with service totals */
     int64_t previous_total;
     int64_t level;
     int64_t level_total; /* total when the level was made */
@@ -253,7 +258,12 @@
 void entry_wait(entry_entry *entry, lv_time now, uint32_t item, bool is_new);
 void entry_unwait(entry_entry *entry, lv_time now, uint32_t item);
 void entry_replace_demand(entry_entry *entry, lv_time now, uint32_t silent);
+void entry_note_rate(entry_entry *entry, uint32_t flow, bool was_refused);
 void entry_expire_waits(entry_entry *entry, lv_time now);
+/* The one shard that holds an account's fleet-wide limits, as
+ * hrw_home_shard says; NONE while no shard has slots. */
+uint32_t entry_home_shard(const entry_entry *entry, uint32_t flow);
+void entry_ask_allowance(entry_entry *entry, uint32_t flow);
 uint32_t entry_place(entry_entry *entry, lv_time now, uint32_t pool,
                      uint32_t flow);
 lv_time entry_drain_time(const entry_entry *entry, uint32_t flow,
--- a/packages/core/source/entry-wait.c
+++ b/packages/core/source/entry-wait.c
@@ -1,4 +1,5 @@
 #include "entry-imp.h"
+#include "lavender/hash.h"
 
 /* Can a shard's dispatcher be asked for slots now? */
 static bool
@@ -56,10 +57,64 @@
     return best;
 }
 
+uint32_t
+entry_home_shard(const entry_entry *entry, uint32_t flow)
+{
+    const entry_pool *pool = &entry->pools[entry->flows[flow].pool];
+    uint32_t nearest = pool->shards;
+    uint32_t found = NONE;
+    uint32_t home;
+
+    if (pool->shards == 0) {
+        return NONE;
+    }
+    home = hrw_shard_of(entry->flows[flow].account, pool->shards);
+    for (uint32_t i = pool->first_shard; i != NONE;
+         i = entry->shards[i].next_in_pool) {
+        const entry_shard *shard = &entry->shards[i];
+        uint32_t distance;
+
+        if (shard->number >= pool->shards || shard->slots == 0) {
+            continue;
+        }
+        distance = (shard->number + pool->shards - home) % pool->shards;
+        if (distance < nearest) {
+            nearest = distance;
+            found = i;
+        }
+    }
+    return found;
+}
+
+/* Let the next full report to the account's home list it, so that it gets
+ * an allowance also when nothing of it waits there. */
+void
+entry_ask_allowance(entry_entry *entry, uint32_t flow)
+{
+    uint32_t shard = entry_home_shard(entry, flow);
+    uint32_t part = NONE;
+
+    if (shard != NONE) {
+        part = entry_get_part(entry, shard, flow);
+    }
+    if (part != NONE) {
+        entry->parts[part].told_arrivals = entry->flows[flow].arrivals - 1;
+        entry_update_active(entry, part);
+    }
+}
+
 uint32_t
 entry_place(entry_entry *entry, lv_time now, uint32_t pool, uint32_t flow)
 {
-    uint32_t shard = choose_shard(entry, now, &entry->pools[pool]);
+    const entry_pool *from = &entry->pools[pool];
+    uint32_t shard = NONE;
+
+    if (entry->flows[flow].is_limited && from->shards > 1) {
+        shard = entry_home_shard(entry, flow);
+    }
+    if (shard == NONE) {
+        shard = choose_shard(entry, now, from);
+    }
 
     return shard == NONE ? NONE : entry_get_part(entry, shard, flow);
 }
@@ -114,6 +169,7 @@
     item->state = ITEM_WAITING;
     if (flow->waiting++ == 0) {
         flow->backlog_since = now;
+        flow->last_start = now;
         entry_join_turn(entry, item->flow);
     }
     if (entry->settings.mode == ENTRY_MODE_LEASES) {
@@ -128,6 +184,10 @@
         entry_wake(entry, item->deadline);
     }
     add_demand(entry, index);
+    if (is_new && flow->is_rated &&
+        entry->settings.mode == ENTRY_MODE_LEASES) {
+        entry_ask_allowance(entry, item->flow);
+    }
 }
 
 void
@@ -144,6 +204,26 @@
     remove_demand(entry, index);
 }
 
+/* The pool's first shard deals out the rate: it hears of each account that
+ * has a rate and sends requests here, also when all were refused. */
+void
+entry_note_rate(entry_entry *entry, uint32_t index, bool was_refused)
+{
+    const entry_flow *flow = &entry->flows[index];
+    uint32_t shard;
+    uint32_t part;
+
+    if (!flow->is_rated || entry->settings.mode != ENTRY_MODE_LEASES) {
+        return;
+    }
+    shard = entry_get_shard(entry, flow->pool, 0);
+    part = shard == NONE ? NONE : entry_get_part(entry, shard, index);
+    if (part != NONE) {
+        entry->parts[part].was_refused |= was_refused;
+        entry_update_active(entry, part);
+    }
+}
+
 /* Must a waiting request's demand be told to another shard? */
 static bool
 is_misplaced(const entry_entry *entry, const entry_item *item, uint32_t silent)
@@ -156,6 +236,10 @@
     }
     index = entry->parts[item->part].shard;
     shard = &entry->shards[index];
+    if (entry->flows[item->flow].is_limited &&
+        index != entry_home_shard(entry, item->flow)) {
+        return true;
+    }
     return index == silent ||
            shard->number >= entry->pools[shard->pool].shards;
 }
--- a/packages/net/source/callers-request.c
+++ b/packages/net/source/callers-request.c
@@ -150,11 +150,27 @@
 }
 
 /* The outcome is known: tell the caller, and those that wait with it. */
+/* A request may have run before under its ticket, through another router or
+ * another process of this one: only who vouches for the ticket may say that
+ * it did not. */
+static void
+doubt_not_run(const call_request *request, out_outcome *outcome)
+{
+    if (outcome->kind == OUT_NOT_RUN && !request->is_vouched &&
+        !request->is_idempotent && request->req != NULL &&
+        request_header(request->req, "idempotency-key").base != NULL) {
+        outcome->kind = OUT_UNKNOWN;
+    }
+}
+
 void
 request_end(call_request *request, const out_outcome *outcome)
 {
     call_server *server = request->server;
+    out_outcome said = *outcome;
 
+    doubt_not_run(request, &said);
+    outcome = &said;
     request->is_over = true;
     log_end(request, outcome, server->clock());
     server->counts.finished[outcome->kind]++;
@@ -334,6 +350,8 @@
     }
     request->is_idempotent = catalogue->routes[wanted.route].idempotent;
     if (!copy_header(request->req, "idempotency-key", ticket, sizeof ticket)) {
+        /* Too long for a ticket: none was ever run under it. */
+        request->is_vouched = true;
         refuse(request, OUT_REASON_TICKET_INVALID);
         return;
     }
--- a/tests/fleet/trial.c
+++ b/tests/fleet/trial.c
@@ -1,6 +1,7 @@
 #include "trial.h"
 
 #include <criterion/criterion.h>
+#include <signal.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -25,7 +26,8 @@
 fleet_shape
 trial_shape(void)
 {
-    fleet_shape shape = {.routers = 3, .engines = 2, .services = 1};
+    fleet_shape shape = {
+        .routers = 3, .engines = 2, .services = 1, .watch_ms = 5000};
 
     snprintf(shape.programs, sizeof shape.programs, "%s", FLEET_PROGRAMS);
     snprintf(shape.daemon, sizeof shape.daemon, "%s", FLEET_DAEMON);
@@ -58,15 +60,13 @@
 }
 
 void
-trial_start_load(trial_trial *trial, unsigned seconds, const char *flows)
+trial_start_load(trial_trial *trial, const char *flows)
 {
-    char keys[256];
+    static const char keys[] =
+        "seconds = 120\nwindow = 1000\ndrain = 60\nrequests = 50000\n"
+        "seed = 5\ntimeout_ms = 60000\n";
     bool is_started;
 
-    snprintf(keys, sizeof keys,
-             "seconds = %u\nwindow = 1000\ndrain = 60\nrequests = 50000\n"
-             "seed = 5\ntimeout_ms = 60000\n",
-             seconds);
     is_started = fleet_start_load(&trial->fleet, &trial->load, keys, flows);
     trial_require(trial, is_started, "no load");
     trial_require(trial, trial_wait_progress(trial, 10),
@@ -105,6 +105,7 @@
 {
     trial_result result;
 
+    proc_signal(&trial->load, SIGTERM);
     trial->report =
         fleet_finish_load(&trial->fleet, &trial->load, LOAD_MARGIN_MS);
     trial_require(trial, trial->report != NULL, "the load did not end");
@@ -115,6 +116,8 @@
             "unknown %lld, cut %lld, no-answer %lld\n",
             result.requests, result.whole, result.not_run, result.incomplete,
             result.unknown, result.cut, result.no_answer);
+    trial_require(trial, !fleet_has_findings(&trial->fleet),
+                  "a sanitizer found something");
     trial_require(trial, result.wrong == 0, "an answer was wrong");
     trial_require(trial, result.pending == 0, "a request got no end");
     trial_require(trial, result.not_run_but_ran == 0, "said not-run, but ran");
