--- a/packages/core/source/dispatcher-account.c
+++ b/packages/core/source/dispatcher-account.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "dispatcher-imp.h"
+#include "lavender/hash.h"
 #include "table-imp.h"
 
 enum {
@@ -126,22 +127,26 @@
     }
 }
 
-/* This shard's part of a fleet-wide number; the parts of all shards add up
- * to it. */
-static uint64_t
-shard_part(const disp_dispatcher *disp, uint64_t number)
+/* Limits are held by one shard alone, the account's home, so they are exact
+ * however the demand is spread. */
+static bool
+is_home(const disp_dispatcher *disp, lv_id account)
 {
-    uint64_t count = disp->shard_count > 0 ? disp->shard_count : 1;
-
-    return number * (disp->shard + 1) / count - number * disp->shard / count;
+    return disp->shard_count == 1 ||
+           hrw_home_shard(account, disp->shard_slots, disp->shard_count) ==
+               disp->shard;
 }
 
 static uint32_t
-lease_limit(const disp_dispatcher *disp, uint64_t in_flight)
+lease_limit(const disp_dispatcher *disp, const disp_account *account,
+            uint64_t in_flight)
 {
-    uint64_t limit = shard_part(disp, in_flight);
+    uint64_t limit = in_flight;
 
-    if (disp->visible_share < 1000 && limit > 0) {
+    if (!account->is_home) {
+        return 0;
+    }
+    if (disp->visible_share < 1000) {
         limit = limit * disp->visible_share / 1000;
         limit = limit > 0 ? limit : 1;
     }
@@ -158,6 +163,7 @@
     bool is_limited = from->entry_count > 0;
     bool was_rated = account->is_rated;
 
+    account->is_home = is_home(disp, account->id);
     account->is_rated = from->entry_count > 0;
     for (uint32_t i = 0; i < from->entry_count; i++) {
         const cat_limits *limits =
@@ -168,9 +174,11 @@
         account->is_rated =
             account->is_rated && limits->requests_per_second > 0;
         rate += limits->requests_per_second;
-        burst += limits->burst;
+        burst +=
+            limits->burst > 0 ? limits->burst : limits->requests_per_second;
     }
-    account->limit = is_limited ? lease_limit(disp, in_flight) : UINT32_MAX;
+    account->limit =
+        is_limited ? lease_limit(disp, account, in_flight) : UINT32_MAX;
     rate = rate * LIM_PER_SECOND * disp->visible_share / 1000;
     if (account->is_rated && was_rated) {
         lim_set(&account->rate, rate, (uint32_t)burst, now);
@@ -411,6 +419,47 @@
     mark_dirty(disp, row);
 }
 
+/* The least level of those that wait. */
+static int64_t
+least_level(const disp_dispatcher *disp)
+{
+    uint32_t top = heap_top(&disp->heaps[DISP_READY]);
+
+    return top != LV_HANDLE_NONE ? disp->accounts[top].level
+                                 : disp->virtual_now;
+}
+
+static int64_t
+merged_lead(const disp_dispatcher *disp)
+{
+    uint64_t lead = disp->pool.quantum > disp->pool.urgent_credit
+                        ? disp->pool.quantum
+                        : disp->pool.urgent_credit;
+
+    return (int64_t)(lead * DISP_MERGED_LEAD);
+}
+
+/* Claims are in: nobody goes on with a lead that starves it. */
+void
+disp_account_bound_leads(disp_dispatcher *disp, lv_time now)
+{
+    int64_t most = least_level(disp) + merged_lead(disp);
+
+    if (disp->heaps[DISP_READY].count == 0) {
+        return;
+    }
+    for (uint32_t row = 0; row < disp->account_count; row++) {
+        if (disp->accounts[row].id != LV_ID_NONE &&
+            disp->accounts[row].level > most) {
+            disp->accounts[row].level = most;
+            disp_account_refresh(disp, now, row);
+        }
+    }
+    if (disp->highest > most) {
+        disp->highest = most;
+    }
+}
+
 void
 disp_account_claim(disp_dispatcher *disp, uint32_t row, int64_t level,
                    int64_t since)
@@ -428,7 +477,10 @@
         }
     }
     else if (level > old) {
-        raise_level(disp, account, level - old);
+        int64_t most = least_level(disp) + merged_lead(disp);
+
+        level = level < most ? level : most;
+        raise_level(disp, account, level > old ? level - old : 0);
     }
     disp_account_charge(disp, row, since);
 }
@@ -451,13 +503,9 @@
 void
 disp_account_lift(disp_dispatcher *disp, uint32_t row)
 {
-    int64_t least = disp->virtual_now;
-    uint32_t top = heap_top(&disp->heaps[DISP_READY]);
+    int64_t least = least_level(disp);
     int64_t level = disp_account_level(disp, row);
 
-    if (top != LV_HANDLE_NONE) {
-        least = disp->accounts[top].level;
-    }
     if (level < least) {
         raise_level(disp, &disp->accounts[row], least - level);
     }
--- a/tests/core/entry-world.c
+++ b/tests/core/entry-world.c
@@ -118,6 +118,9 @@
             message->sent;
         world->was_claim[message->pool != ew_id("eng")] = message->is_claim;
     }
+    for (uint32_t i = 0; message->is_full && i < message->demand_count; i++) {
+        world->rated_told += message->demands[i].account == ew_id("rated");
+    }
     report->to = to;
     report->message = *message;
     copy_array(message->demands, message->demand_count, sizeof(msg_demand),
@@ -222,6 +225,8 @@
     world->host.ops = &recording_ops;
     world->now = 10 * LV_SECOND;
     entry_default_settings(&usual);
+    usual.full_interval = usual.report_interval;
+    usual.silence = 500 * LV_MILLISECOND;
     if (!ledger_init(&world->ledger, 1000, &error) ||
         !entry_init(&world->entry, &world->host,
                     settings != NULL ? settings : &usual, &world->ledger,
