Recall for urgent work only what may be deferrable; shrink small messages

Cause: in a pool of urgent calls alone, half of the calls of 50 ms brought a recall 'urgent': what runs in a lease is known as of the last full report, and a lease between two calls was taken for free. Reports of changes and grants were 125 bytes, 26 of them the documents' revisions. Change: such a lease yields only when its account has no urgent work waiting; probes and full reports alone carry the documents.

--- a/packages/core/source/dispatcher-choose.c
+++ b/packages/core/source/dispatcher-choose.c
@@ -139,6 +139,19 @@
     return LV_HANDLE_NONE;
 }
 
+/* What runs in a lease is known as of the last full report. A lease that was
+ * between two requests then has the kind of work that waits for it. */
+static bool
+yields_to_urgent(const disp_dispatcher *disp, uint32_t row)
+{
+    const disp_lease *lease = &disp->leases[row];
+
+    if (lease->is_busy || lease->demand == LV_HANDLE_NONE) {
+        return lease->priority != CAT_URGENT || !lease->is_busy;
+    }
+    return disp->demands[lease->demand].waiting[CAT_URGENT] == 0;
+}
+
 static bool
 recall_for_urgent(disp_dispatcher *disp, lv_time now)
 {
@@ -157,8 +170,7 @@
     demand = urgent_demand(disp, account);
     lease = pick_lease(disp, most);
     if (demand == LV_HANDLE_NONE || lease == LV_HANDLE_NONE ||
-        (disp->leases[lease].is_busy &&
-         disp->leases[lease].priority == CAT_URGENT)) {
+        !yields_to_urgent(disp, lease)) {
         return false;
     }
     slot_lease_recall(disp, now, lease, demand, "urgent", alternatives(hold));
--- a/packages/core/source/entry-report.c
+++ b/packages/core/source/entry-report.c
@@ -213,8 +213,7 @@
 }
 
 static void
-start_message(entry_entry *entry, lv_time now, entry_shard *shard,
-              msg_message *message)
+start_message(entry_entry *entry, entry_shard *shard, msg_message *message)
 {
     *message = (msg_message){
         .kind = MSG_REPORT,
@@ -226,7 +225,6 @@
         .tenure = shard->tenure,
         .pool = entry->pools[shard->pool].id,
         .shard = shard->number,
-        .sent = now,
         .seen = shard->seen,
         .demands = entry->scratch->demands,
         .held = entry->scratch->held,
@@ -266,7 +264,7 @@
 {
     msg_message message;
 
-    start_message(entry, now, shard, &message);
+    start_message(entry, shard, &message);
     if (!add_changes(entry, now, shard, &message)) {
         shard->sequence--;
         return;
@@ -430,8 +428,9 @@
     msg_message message;
 
     charge_running(entry, now, shard);
-    start_message(entry, now, shard, &message);
+    start_message(entry, shard, &message);
     message.is_full = true;
+    message.sent = now;
     message.is_claim = shard->is_claiming;
     if (shard->is_claiming) {
         add_claim(entry, now, shard, &message);
@@ -485,7 +484,7 @@
     msg_message message;
 
     charge_running(entry, now, shard);
-    start_message(entry, now, shard, &message);
+    start_message(entry, shard, &message);
     message.is_progress = true;
     add_changes(entry, now, shard, &message);
     add_progress(entry, now, shard, &message);
--- a/packages/core/source/node-message.c
+++ b/packages/core/source/node-message.c
@@ -9,6 +9,15 @@
     return (node_node *)inner;
 }
 
+/* Reports of changes and grants are many and small: probes and full reports
+ * are enough to spread the documents. */
+static bool
+carries_documents(const msg_message *message)
+{
+    return message->kind != MSG_GRANT &&
+           (message->kind != MSG_REPORT || message->is_full);
+}
+
 static void
 stamp(node_node *node, lv_id to, msg_message *message)
 {
@@ -24,7 +33,9 @@
         incarnation = 0;
     }
     message->target_incarnation = incarnation;
-    doc_read_state(&node->documents, message->docs);
+    if (carries_documents(message)) {
+        doc_read_state(&node->documents, message->docs);
+    }
 }
 
 static void
