--- a/packages/ctl/source/ctl-drain.c
+++ b/packages/ctl/source/ctl-drain.c
@@ -1,4 +1,3 @@
-#include <argp.h>
 #include <stdio.h>
 #include <stdlib.h>
 
@@ -7,32 +6,9 @@
 #define STATUS_ACCEPTED_LOW 200
 #define STATUS_ACCEPTED_HIGH 299
 
-static error_t
-parse_option(int key, char *argument, struct argp_state *state)
-{
-    (void)argument;
-    if (key == ARGP_KEY_INIT) {
-        state->child_inputs[0] = state->input;
-        return 0;
-    }
-    return ARGP_ERR_UNKNOWN;
-}
-
-static const struct argp_child children[] = {
-    {&ctl_routers_argp, 0, NULL, 0},
-    {0},
-};
-
-static const struct argp parser = {
-    NULL,
-    parse_option,
-    "ADDRESS...",
+static const char doc[] =
     "Tell routers to take no more requests, run what they accepted to its "
-    "end, and exit. ADDRESS is the IP:PORT of a router's operator listener.",
-    children,
-    NULL,
-    NULL,
-};
+    "end, and exit. ADDRESS is the IP:PORT of a router's operator listener.";
 
 static bool
 drain_one(const ctl_routers *routers, const char *address)
@@ -64,8 +40,7 @@
     json_t *all = json_object();
     int result = CTL_OK;
 
-    ctl_routers_init(&routers);
-    if (argp_parse(&parser, argc, argv, 0, NULL, &routers) != 0) {
+    if (!ctl_routers_parse(&routers, doc, argc, argv)) {
         json_decref(all);
         return CTL_USAGE;
     }
--- a/packages/ctl/source/ctl-routers.c
+++ b/packages/ctl/source/ctl-routers.c
@@ -58,3 +58,14 @@
     memset(routers, 0, sizeof *routers);
     routers->timeout = DEFAULT_TIMEOUT;
 }
+
+bool
+ctl_routers_parse(ctl_routers *routers, const char *doc, int argc, char **argv)
+{
+    struct argp parser = ctl_routers_argp;
+
+    parser.args_doc = "ADDRESS...";
+    parser.doc = doc;
+    ctl_routers_init(routers);
+    return argp_parse(&parser, argc, argv, 0, NULL, routers) == 0;
+}
--- a/packages/ctl/source/ctl-routers.h
+++ b/packages/ctl/source/ctl-routers.h
@@ -21,4 +21,8 @@
 
 void ctl_routers_init(ctl_routers *routers);
 
+/* Parse a subcommand that has no other options; doc is its help text. */
+bool ctl_routers_parse(ctl_routers *routers, const char *doc, int argc,
+                       char **argv);
+
 #endif
--- a/packages/ctl/source/ctl-status.c
+++ b/packages/ctl/source/ctl-status.c
@@ -1,35 +1,11 @@
-#include <argp.h>
 #include <stdio.h>
 #include <stdlib.h>
 
 #include "ctl-routers.h"
 
-static error_t
-parse_option(int key, char *argument, struct argp_state *state)
-{
-    (void)argument;
-    if (key == ARGP_KEY_INIT) {
-        state->child_inputs[0] = state->input;
-        return 0;
-    }
-    return ARGP_ERR_UNKNOWN;
-}
-
-static const struct argp_child children[] = {
-    {&ctl_routers_argp, 0, NULL, 0},
-    {0},
-};
-
-static const struct argp parser = {
-    NULL,
-    parse_option,
-    "ADDRESS...",
+static const char doc[] =
     "Show what routers say of themselves. ADDRESS is the IP:PORT of a "
-    "router's operator listener.",
-    children,
-    NULL,
-    NULL,
-};
+    "router's operator listener.";
 
 static long long
 read_number(json_t *object, const char *key)
@@ -92,8 +68,7 @@
     json_t *all = json_object();
     int result = CTL_OK;
 
-    ctl_routers_init(&routers);
-    if (argp_parse(&parser, argc, argv, 0, NULL, &routers) != 0) {
+    if (!ctl_routers_parse(&routers, doc, argc, argv)) {
         json_decref(all);
         return CTL_USAGE;
     }
--- a/packages/ctl/source/main.c
+++ b/packages/ctl/source/main.c
@@ -1,3 +1,4 @@
+#include <argp.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -52,6 +53,7 @@
 int
 main(int argc, char **argv)
 {
+    static char name[LV_NAME_SIZE]; /* in usage messages */
     const command *found;
 
     if (argc < 2) {
@@ -74,5 +76,8 @@
                 argv[1]);
         return CTL_USAGE;
     }
+    snprintf(name, sizeof name, "lavenderctl %s", found->name);
+    argv[1] = name;
+    argp_err_exit_status = CTL_USAGE;
     return found->run(argc - 1, argv + 1);
 }
--- a/packages/net/source/log.c
+++ b/packages/net/source/log.c
@@ -264,7 +264,9 @@
                  (unsigned long long)decision->request);
     }
     add_text(line, sizeof line, "account", decision->account);
-    add_text(line, sizeof line, "pool", decision->pool);
+    add_text(line, sizeof line,
+             decision->kind == LV_DECIDE_DOCUMENT ? "document" : "pool",
+             decision->pool);
     add_id(line, sizeof line, "endpoint", endpoint, decision->endpoint);
     add_id(line, sizeof line, "peer", instance, decision->instance);
     used = strlen(line);
