--- a/packages/core/source/catalogue-cache.c
+++ b/packages/core/source/catalogue-cache.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "catalogue-imp.h"
+#include "table-imp.h"
 
 struct cat_cached_part {
     uint64_t digest;
@@ -100,8 +101,8 @@
                        &kept.account_lines) ||
         !row_copy_from(&stage->entries, first_entry, &kept.entries,
                        &kept.entry_lines) ||
-        !row_reserve(&cache->parts, &cache->capacity, cache->count + 1,
-                     sizeof *cache->parts)) {
+        !table_reserve((void **)&cache->parts, &cache->capacity,
+                       cache->count + 1, sizeof *cache->parts)) {
         free_part(&kept);
         return;
     }
--- a/packages/core/source/entry-imp.h
+++ b/packages/core/source/entry-imp.h
@@ -285,13 +285,18 @@
 void entry_note_prefix(entry_entry *entry, uint64_t hash, uint32_t endpoint);
 uint32_t entry_prefix_endpoint(const entry_entry *entry, uint64_t hash);
 
-/* entry-report.c: REPORTs */
+/* entry-active.c: which parts have something to tell, and when */
+void entry_wake(entry_entry *entry, lv_time time);
 void entry_mark_due(entry_entry *entry, uint32_t shard);
 void entry_mark_part(entry_entry *entry, uint32_t part, bool is_urgent);
 void entry_update_active(entry_entry *entry, uint32_t part);
+bool entry_has_demand(const entry_entry *entry, const entry_part *part);
+void entry_append_active(entry_entry *entry, uint32_t part);
+void entry_leave_active(entry_entry *entry, uint32_t part);
+
+/* entry-report.c: REPORTs */
 void entry_flush(entry_entry *entry, lv_time now);
 void entry_send_full(entry_entry *entry, lv_time now, uint32_t shard);
-void entry_wake(entry_entry *entry, lv_time time);
 
 /* entry-grant.c: GRANTs and the dispatchers they come from */
 void entry_tick_shards(entry_entry *entry, lv_time now);
--- a/packages/core/source/membership-probe.c
+++ b/packages/core/source/membership-probe.c
@@ -4,6 +4,7 @@
 #include "lavender/hash.h"
 #include "membership-imp.h"
 #include "rows-imp.h"
+#include "table-imp.h"
 
 /* Neighbours in the ring of sorted identities are always peers, so that the
  * graph of peers is connected and every instance is probed by some. */
@@ -141,8 +142,8 @@
     live = malloc((membership->member_count + 1) * sizeof *live);
     winners = malloc((membership->settings.peers + 1) * sizeof *winners);
     if (live == NULL || winners == NULL ||
-        !row_reserve(&membership->peers, &membership->peer_capacity,
-                     membership->member_count + 1, sizeof *live)) {
+        !table_reserve((void **)&membership->peers, &membership->peer_capacity,
+                       membership->member_count + 1, sizeof *live)) {
         membership->peers_changed = true;
         goto done;
     }
--- a/packages/core/source/membership-rumour.c
+++ b/packages/core/source/membership-rumour.c
@@ -3,6 +3,7 @@
 
 #include "membership-imp.h"
 #include "rows-imp.h"
+#include "table-imp.h"
 
 /* A rumour is sent this many times log2 of the live instances. */
 #define TRANSMISSIONS_FACTOR 3
@@ -25,8 +26,8 @@
 static void
 queue_add(swim_queue *queue, lv_id id)
 {
-    if (row_reserve(&queue->ids, &queue->capacity, queue->count + 1,
-                    sizeof *queue->ids)) {
+    if (table_reserve((void **)&queue->ids, &queue->capacity, queue->count + 1,
+                      sizeof *queue->ids)) {
         queue->ids[queue->count++] = id;
     }
 }
@@ -480,8 +481,9 @@
         return;
     }
     if (membership->leaving_count == LEAVING_MAX ||
-        !row_reserve(&membership->leaving, &membership->leaving_capacity,
-                     membership->leaving_count + 1, sizeof *leaving)) {
+        !table_reserve((void **)&membership->leaving,
+                       &membership->leaving_capacity,
+                       membership->leaving_count + 1, sizeof *leaving)) {
         membership->counts.dropped_foreign++;
         return;
     }
--- a/packages/core/source/membership.c
+++ b/packages/core/source/membership.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "rows-imp.h"
+#include "table-imp.h"
 
 void
 swim_default_settings(swim_settings *settings)
@@ -190,8 +191,9 @@
 {
     swim_member *member;
 
-    if (!row_reserve(&membership->members, &membership->member_capacity,
-                     membership->member_count + 1, sizeof *member)) {
+    if (!table_reserve((void **)&membership->members,
+                       &membership->member_capacity,
+                       membership->member_count + 1, sizeof *member)) {
         return NULL;
     }
     member = &membership->members[place];
--- a/packages/core/source/placement.c
+++ b/packages/core/source/placement.c
@@ -5,6 +5,7 @@
 
 #include "placement-imp.h"
 #include "rows-imp.h"
+#include "table-imp.h"
 
 /* A refused order is tried again after the interval, doubled as often. */
 #define BACKOFF_DOUBLINGS_MAX 5
@@ -61,8 +62,8 @@
 static void
 add_pool(place_placement *placement, lv_time now, const place_pool *pool)
 {
-    if (!row_reserve(&placement->pools, &placement->pool_capacity,
-                     placement->pool_count + 1, sizeof *placement->pools)) {
+    if (!table_reserve((void **)&placement->pools, &placement->pool_capacity,
+                       placement->pool_count + 1, sizeof *placement->pools)) {
         return;
     }
     placement->pools[placement->pool_count] = *pool;
--- a/packages/core/source/rows-imp.h
+++ b/packages/core/source/rows-imp.h
@@ -58,9 +58,4 @@
 lv_handle row_find_id(const void *rows, uint32_t count, size_t row_size,
                       size_t offset, lv_id id);
 
-/* Grow an array of rows to hold `wanted` of them, by doubling; false when
- * memory ended. `rows` points to the array's pointer. */
-bool row_reserve(void *rows, uint32_t *capacity, uint32_t wanted,
-                 size_t row_size);
-
 #endif
--- a/packages/core/source/rows.c
+++ b/packages/core/source/rows.c
@@ -1,10 +1,9 @@
 #include "rows-imp.h"
+#include "table-imp.h"
 
 #include <stdlib.h>
 #include <string.h>
 
-#define FIRST_CAPACITY 16
-
 void
 row_init(row_table *table, size_t row_size)
 {
@@ -23,30 +22,6 @@
     table->capacity = 0;
 }
 
-bool
-row_reserve(void *rows, uint32_t *capacity, uint32_t wanted, size_t row_size)
-{
-    void *old;
-    void *grown;
-    uint32_t size = *capacity;
-
-    if (wanted <= size) {
-        return true;
-    }
-    size = size < FIRST_CAPACITY ? FIRST_CAPACITY : size;
-    while (size < wanted) {
-        size *= 2;
-    }
-    memcpy(&old, rows, sizeof old);
-    grown = realloc(old, size * row_size);
-    if (grown == NULL) {
-        return false;
-    }
-    memcpy(rows, &grown, sizeof grown);
-    *capacity = size;
-    return true;
-}
-
 void *
 row_add(row_table *table, const char *file, int line)
 {
@@ -54,10 +29,10 @@
     row_place *place;
     char *row;
 
-    if (!row_reserve(&table->places, &places_capacity, table->count + 1,
-                     sizeof *table->places) ||
-        !row_reserve(&table->rows, &table->capacity, table->count + 1,
-                     table->row_size)) {
+    if (!table_reserve((void **)&table->places, &places_capacity,
+                       table->count + 1, sizeof *table->places) ||
+        !table_reserve((void **)&table->rows, &table->capacity,
+                       table->count + 1, table->row_size)) {
         table->has_failed = true;
         return NULL;
     }
