--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 	cmake --build $(SANITIZED) -j $(JOBS)
 
 # The tests run under the address and undefined-behaviour sanitizers.
-test: build-sanitize
+test: setup build-sanitize
 	sh scripts/test $(SANITIZED) 4
 
 demo: setup build
