--- a/packages/core/source/membership-rumour.c
+++ b/packages/core/source/membership-rumour.c
@@ -483,7 +483,8 @@
     if (membership->leaving_count == LEAVING_MAX ||
         !table_reserve((void **)&membership->leaving,
                        &membership->leaving_capacity,
-                       membership->leaving_count + 1, sizeof *leaving)) {
+                       membership->leaving_count + 1, sizeof *leaving) ||
+        membership->leaving == NULL) {
         membership->counts.dropped_foreign++;
         return;
     }
