Say which limits hold at each router

Cause: catalogue.h called the limit of waiting requests fleet-wide; it holds at each router, as docs/CALLERS.md says. Two files included a header that they no longer use. Conclusion: comments and includes only.

--- a/packages/core/include/lavender/catalogue.h
+++ b/packages/core/include/lavender/catalogue.h
@@ -81,8 +81,9 @@
     uint32_t entry_count;
 } cat_account;
 
-/* Limits are fleet-wide, but for body and deadline, which hold for each
- * request. Zero means "no limit" for the first four. */
+/* Limits are fleet-wide, but for waiting, which holds at each router, and for
+ * body and deadline, which hold for each request. Zero means "no limit" for
+ * the first four. */
 typedef struct cat_limits {
     uint32_t requests_per_second;
     uint32_t burst;
--- a/packages/core/source/membership-probe.c
+++ b/packages/core/source/membership-probe.c
@@ -3,7 +3,6 @@
 
 #include "lavender/hash.h"
 #include "membership-imp.h"
-#include "rows-imp.h"
 #include "table-imp.h"
 
 /* Neighbours in the ring of sorted identities are always peers, so that the
--- a/packages/core/source/placement.c
+++ b/packages/core/source/placement.c
@@ -4,7 +4,6 @@
 #include <string.h>
 
 #include "placement-imp.h"
-#include "rows-imp.h"
 #include "table-imp.h"
 
 /* A refused order is tried again after the interval, doubled as often. */
