Share the writer's growth and the look-up of a message's shard

Cause: a read-through found the growing text buffer of the metrics written again for the operator's pages, the raising of a shard's tenure written twice, a condition on leases that asked is_busy twice, and a flag and an event of the tests' pump that nothing set. Change: met_write_text serves both writers; find_shard_of serves REPORT and GRANT; the condition asks once; the dead flag, event and branch are gone. Silent endpoint connections are brought about as before, by pump_silence_endpoint. Conclusion: behaviour is unchanged.

--- a/packages/core/include/lavender/metrics.h
+++ b/packages/core/include/lavender/metrics.h
@@ -37,6 +37,9 @@
 void met_writer_init(met_writer *writer);
 void met_writer_finish(met_writer *writer);
 
+/* Text as it is. */
+void met_write_text(met_writer *writer, const char *text);
+
 /* "# HELP", "# TYPE" lines; type is "counter", "gauge" or "histogram". */
 void met_write_head(met_writer *writer, const char *name, const char *type,
                     const char *help);
--- a/packages/core/source/dispatcher-choose.c
+++ b/packages/core/source/dispatcher-choose.c
@@ -146,10 +146,11 @@
 {
     const disp_lease *lease = &disp->leases[row];
 
-    if (lease->is_busy || lease->demand == LV_HANDLE_NONE) {
-        return lease->priority != CAT_URGENT || !lease->is_busy;
+    if (lease->is_busy) {
+        return lease->priority != CAT_URGENT;
     }
-    return disp->demands[lease->demand].waiting[CAT_URGENT] == 0;
+    return lease->demand == LV_HANDLE_NONE ||
+           disp->demands[lease->demand].waiting[CAT_URGENT] == 0;
 }
 
 static bool
--- a/packages/core/source/metrics.c
+++ b/packages/core/source/metrics.c
@@ -100,8 +100,8 @@
     memset(writer, 0, sizeof *writer);
 }
 
-static void
-add_text(met_writer *writer, const char *text)
+void
+met_write_text(met_writer *writer, const char *text)
 {
     size_t length = strlen(text);
     size_t capacity =
@@ -128,15 +128,15 @@
 met_write_head(met_writer *writer, const char *name, const char *type,
                const char *help)
 {
-    add_text(writer, "# HELP ");
-    add_text(writer, name);
-    add_text(writer, " ");
-    add_text(writer, help);
-    add_text(writer, "\n# TYPE ");
-    add_text(writer, name);
-    add_text(writer, " ");
-    add_text(writer, type);
-    add_text(writer, "\n");
+    met_write_text(writer, "# HELP ");
+    met_write_text(writer, name);
+    met_write_text(writer, " ");
+    met_write_text(writer, help);
+    met_write_text(writer, "\n# TYPE ");
+    met_write_text(writer, name);
+    met_write_text(writer, " ");
+    met_write_text(writer, type);
+    met_write_text(writer, "\n");
 }
 
 static void
@@ -146,17 +146,17 @@
     char number[40];
     bool has_both = labels[0] != '\0' && last_label[0] != '\0';
 
-    add_text(writer, name);
-    add_text(writer, suffix);
+    met_write_text(writer, name);
+    met_write_text(writer, suffix);
     if (labels[0] != '\0' || last_label[0] != '\0') {
-        add_text(writer, "{");
-        add_text(writer, labels);
-        add_text(writer, has_both ? "," : "");
-        add_text(writer, last_label);
-        add_text(writer, "}");
+        met_write_text(writer, "{");
+        met_write_text(writer, labels);
+        met_write_text(writer, has_both ? "," : "");
+        met_write_text(writer, last_label);
+        met_write_text(writer, "}");
     }
     snprintf(number, sizeof number, " %.17g\n", value);
-    add_text(writer, number);
+    met_write_text(writer, number);
 }
 
 void
--- a/packages/core/source/node-message.c
+++ b/packages/core/source/node-message.c
@@ -142,19 +142,24 @@
     .read_platform = inner_read_platform,
 };
 
-static void
-take_report(node_node *node, const msg_message *message)
+/* The shard that a REPORT or GRANT is about; its tenure is taken note of. */
+static node_shard *
+find_shard_of(node_node *node, const msg_message *message)
 {
     node_shard *shard = node_find_shard(node, message->pool, message->shard);
 
-    if (shard == NULL) {
-        node->counts.dropped_misplaced++;
-        return;
-    }
-    if (message->tenure > shard->tenure) {
+    if (shard != NULL && message->tenure > shard->tenure) {
         shard->tenure = message->tenure;
     }
-    if (shard->dispatcher == NULL) {
+    return shard;
+}
+
+static void
+take_report(node_node *node, const msg_message *message)
+{
+    node_shard *shard = find_shard_of(node, message);
+
+    if (shard == NULL || shard->dispatcher == NULL) {
         node->counts.dropped_misplaced++;
         return;
     }
@@ -166,15 +171,10 @@
 static void
 take_grant(node_node *node, const msg_message *message)
 {
-    node_shard *shard = node_find_shard(node, message->pool, message->shard);
-
-    if (shard == NULL) {
+    if (find_shard_of(node, message) == NULL) {
         node->counts.dropped_misplaced++;
         return;
     }
-    if (message->tenure > shard->tenure) {
-        shard->tenure = message->tenure;
-    }
     if (!entry_take_grant(&node->entry, node->now, message)) {
         node->counts.dropped_old++;
     }
--- a/packages/net/source/operator-names.c
+++ b/packages/net/source/operator-names.c
@@ -54,8 +54,7 @@
 {
     char text[1024];
     va_list arguments;
-    size_t size, capacity;
-    char *grown;
+    size_t size;
 
     va_start(arguments, format);
     size = (size_t)vsnprintf(text, sizeof text, format, arguments);
@@ -64,16 +63,5 @@
         writer->has_failed = true;
         return;
     }
-    if (writer->size + size + 1 > writer->capacity) {
-        capacity = writer->capacity * 2 + sizeof text;
-        grown = realloc(writer->text, capacity);
-        if (grown == NULL) {
-            writer->has_failed = true;
-            return;
-        }
-        writer->text = grown;
-        writer->capacity = capacity;
-    }
-    memcpy(writer->text + writer->size, text, size + 1);
-    writer->size += size;
+    met_write_text(writer, text);
 }
--- a/tests/core/pump-call.c
+++ b/tests/core/pump-call.c
@@ -7,7 +7,6 @@
 #define HANDLE_SLOTS (1u << 16)
 #define HANDLE_MASK (HANDLE_SLOTS - 1)
 #define RETRY_PAUSE (50 * LV_MILLISECOND)
-#define SILENCE_TIMEOUT (2 * LV_SECOND)
 #define INPUT_UNITS 10
 
 /* Handles carry a generation in the upper bits; requests are found by the
@@ -208,7 +207,6 @@
 write_request(pump_pump *pump, const pump_event *event, pump_request *request)
 {
     uint32_t place = (uint32_t)(request - pump->requests);
-    pump_endpoint *endpoint = &pump->endpoints[event->endpoint];
     uint32_t copies = 1;
 
     request->attempt = event->attempt;
@@ -221,10 +219,6 @@
     }
     for (uint32_t i = 0; i < copies; i++) {
         pump_note_write(pump, request, event->endpoint);
-        if (endpoint->is_silent) {
-            answer_later(pump, event, ENTRY_END_LOST, SILENCE_TIMEOUT);
-            continue;
-        }
         enqueue_job(pump, event->endpoint, place, event->attempt);
     }
 }
@@ -292,10 +286,8 @@
             job->begun != 0) {
             answer.request = pump->requests[job->request].handle;
             remove_job(pump, endpoint, i);
-            answer_later(pump, &answer,
-                         endpoint->is_silent ? ENTRY_END_LOST : ENTRY_END_DONE,
-                         endpoint->is_silent ? SILENCE_TIMEOUT
-                                             : pump->settings.call_latency);
+            answer_later(pump, &answer, ENTRY_END_DONE,
+                         pump->settings.call_latency);
             break;
         }
     }
--- a/tests/core/pump.c
+++ b/tests/core/pump.c
@@ -344,8 +344,6 @@
     case PUMP_EVENT_SUBMIT:
         pump_submit(pump, event->request, event->node);
         break;
-    case PUMP_EVENT_LOAD:
-        break;
     }
     free(event->bytes);
 }
@@ -553,7 +551,6 @@
 pump_revive_endpoint(pump_pump *pump, uint32_t index)
 {
     pump->endpoints[index].is_up = true;
-    pump->endpoints[index].is_silent = false;
 }
 
 /* Whatever is open goes silent for good; new connections work. */
--- a/tests/core/pump.h
+++ b/tests/core/pump.h
@@ -85,7 +85,6 @@
 typedef struct pump_endpoint {
     lv_id id;
     bool is_up;
-    bool is_silent;        /* open connections went silent */
     lv_time leaving_since; /* 0: not leaving */
     uint32_t running;
     pump_job queue[PUMP_QUEUE_MAX];
@@ -205,8 +204,7 @@
     PUMP_EVENT_JOB_END,  /* endpoint: a job is done */
     PUMP_EVENT_ANSWER,   /* node: an attempt's end arrives */
     PUMP_EVENT_PLATFORM, /* node: a part read from the platform */
-    PUMP_EVENT_SUBMIT,   /* a caller sends its next request */
-    PUMP_EVENT_LOAD      /* node: load reports arrive */
+    PUMP_EVENT_SUBMIT    /* a caller sends its next request */
 } pump_event_kind;
 
 struct pump_event {
