--- a/packages/core/include/lavender/admission.h
+++ b/packages/core/include/lavender/admission.h
@@ -41,7 +41,9 @@
     const eng_prompt *prompt;
     lv_time received;
     lv_time aim;
-    double share; /* what the account got, in parts of what it is due */
+    double share;       /* what the account got, in parts of what it is due */
+    uint32_t first_row; /* any number: endpoints that are alike are taken from
+                           here on, so that instances spread over them */
     uint32_t tried_count;
     lv_handle tried[ADM_TRIED_MAX]; /* endpoints that are not asked again */
 } adm_request;
@@ -51,12 +53,18 @@
     lv_handle endpoint;
     eng_prediction prediction;
     uint32_t candidates; /* endpoints that were weighed */
+    double share;        /* as in the request */
     lv_time retry_after; /* ADM_REFUSE */
     const char *reason;  /* a stable word */
 } adm_decision;
 
 void adm_default_settings(adm_settings *settings);
 
+/* May the request start at this endpoint now? */
+bool adm_check(const adm_settings *settings, const eng_table *table,
+               const adm_request *request, lv_handle endpoint, lv_time now,
+               eng_prediction *prediction);
+
 void adm_decide(const adm_settings *settings, const eng_table *table,
                 const adm_request *request, lv_time now,
                 adm_decision *decision);
--- a/packages/core/include/lavender/engine.h
+++ b/packages/core/include/lavender/engine.h
@@ -42,22 +42,13 @@
     uint32_t kv_tokens;  /* memory of the requests in flight */
 } eng_load;
 
-/* What a group of instances has at one endpoint. */
-typedef struct eng_group {
+/* What all instances have at one endpoint, as the instance sums it up that
+ * keeps the endpoint's account (peers.h). */
+typedef struct eng_summary {
     uint32_t in_flight;
     uint32_t kv_tokens;
-    uint32_t read_rate; /* prompt tokens a second, lately */
-} eng_group;
-
-/* Groups besides our own. */
-#define ENG_GROUPS_MAX 32
-
-/* Sums of the other groups at one endpoint. */
-typedef struct eng_far {
-    eng_group groups[ENG_GROUPS_MAX];
-    lv_time told_at[ENG_GROUPS_MAX]; /* 0: never */
-    eng_group sum;
-} eng_far;
+    lv_time wait; /* until all prompts sent so far have been read */
+} eng_summary;
 
 typedef struct eng_endpoint {
     eng_spec spec;
@@ -70,9 +61,8 @@
     eng_load own;
     uint32_t peers_in_flight;
     uint64_t peers_kv_tokens;
-    eng_far far;
-    double read_recent;    /* tokens our group had it read, fading */
-    lv_time read_at;       /* when read_recent was true */
+    eng_summary told; /* zeroes: nobody told lately */
+    lv_time told_at;
     uint64_t read_total;   /* by all instances, for the age of cached parts */
     lv_time prefill_until; /* when all prompts sent so far have been read */
     int64_t lag;           /* first tokens come so much later than modelled */
@@ -97,6 +87,7 @@
 typedef struct eng_prediction {
     bool has_room;     /* a slot and memory are free */
     lv_time wait;      /* until the endpoint turns to the request */
+    lv_time late;      /* the part of the wait that is not modelled reading */
     lv_time idle;      /* it has had nothing to read for so long */
     lv_time own;       /* from there to the first token or the answer */
     uint32_t uncached; /* prompt tokens that it would read */
@@ -146,16 +137,13 @@
 void eng_set_service(eng_table *table, lv_id service, bool is_engine,
                      uint64_t kv_tokens);
 
-/* How many groups the instances should form so that each group's picture of
- * its own requests stays exact at a bounded cost. */
-uint32_t eng_wanted_groups(const eng_table *table);
-
-/* What our own group has at an endpoint, and the same as another group tells
- * it. What was told is used until it is older than some datagrams. */
-void eng_group_load(const eng_table *table, lv_handle endpoint, lv_time now,
-                    eng_group *load);
-void eng_take_group(eng_table *table, lv_handle endpoint, uint32_t group,
-                    const eng_group *load, lv_time now);
+/* What this instance knows of all requests at an endpoint, and the same as
+ * another instance tells it. What was told is forgotten when it gets old. */
+void eng_summarize(const eng_table *table, lv_handle endpoint, lv_time now,
+                   eng_summary *summary);
+void eng_take_summary(eng_table *table, lv_handle endpoint,
+                      const eng_summary *summary, lv_time now);
+void eng_forget_summaries(eng_table *table, lv_time now);
 
 lv_handle eng_find(const eng_table *table, lv_id id);
 eng_endpoint *eng_at(const eng_table *table, lv_handle endpoint);
@@ -183,9 +171,20 @@
 /* A request of ours is sent; its first token or answer arrives; it ends. */
 void eng_start(eng_table *table, lv_handle endpoint, const eng_prompt *prompt,
                lv_time now, eng_use *use);
+
+/* The same with a prediction that is better than this instance's own. */
+void eng_start_as(eng_table *table, lv_handle endpoint,
+                  const eng_prompt *prompt, const eng_prediction *prediction,
+                  lv_time now, eng_use *use);
 void eng_first(eng_table *table, eng_use *use, lv_time now);
 void eng_end(eng_table *table, const eng_use *use, lv_time now);
 
+/* Another instance starts a request with these parts, which this instance
+ * let it do: `load`, what it is known to have there, grows by the request. */
+void eng_start_peer(eng_table *table, lv_handle endpoint,
+                    const eng_prompt *prompt, uint32_t uncached,
+                    eng_load *load, lv_time now);
+
 /* Another instance's load at an endpoint changed from `before` to `after`.
  * Pass zeroes when it is new or gone. */
 void eng_take_peer(eng_table *table, lv_handle endpoint,
--- a/packages/core/include/lavender/shares.h
+++ b/packages/core/include/lavender/shares.h
@@ -13,9 +13,6 @@
 
 #define SHR_STEPS 8 /* steps that a window slides in */
 
-/* Other groups of instances, whose sums arrive whole. */
-#define SHR_GROUPS_MAX 32
-
 /* What an account asked and got at one instance since its process began. */
 typedef struct shr_totals {
     uint32_t asked; /* tokens; wraps */
@@ -27,8 +24,10 @@
     shr_totals own;
     uint32_t asked[SHR_STEPS + 1]; /* by all instances, a value per step */
     uint32_t got[SHR_STEPS + 1];
-    uint64_t step; /* the step that the newest values belong to */
-    shr_totals far[SHR_GROUPS_MAX]; /* window sums of other groups */
+    uint64_t step;   /* the step that the newest values belong to */
+    shr_totals told; /* sums of the window over all instances, as another
+                        instance told them */
+    lv_time told_at; /* 0: never */
 } shr_account;
 
 typedef struct shr_shares {
@@ -37,7 +36,6 @@
     uint32_t count;
     uint32_t capacity;
     map_map by_id;
-    lv_time far_at[SHR_GROUPS_MAX]; /* when a group's sums were told; 0: not */
     uint64_t level; /* tokens in a window that an account may get */
     lv_time level_at;
     uint64_t *scratch; /* for sorting; as long as accounts */
@@ -60,15 +58,15 @@
 void shr_take_peer(shr_shares *shares, lv_handle account,
                    const shr_totals *added, lv_time now);
 
-/* What an account asked and got in the last window at our own group, and
- * the same as another group tells it. */
-void shr_own_sums(shr_shares *shares, lv_handle account, lv_time now,
-                  shr_totals *sums);
-void shr_take_group(shr_shares *shares, uint32_t group, lv_handle account,
-                    const shr_totals *sums, lv_time now);
+/* What an account asked and got in the last window as far as is known here,
+ * and the same over all instances as another one tells it. */
+void shr_sum(shr_shares *shares, lv_handle account, lv_time now,
+             shr_totals *sums);
+void shr_take_sums(shr_shares *shares, lv_handle account,
+                   const shr_totals *sums, lv_time now);
 
 /* What the account got in the last window, in parts of what it is due: over
- * 1 it got more than its share. */
+ * 1 it got more than its share. 0 while all get what they ask. */
 double shr_ratio(shr_shares *shares, lv_handle account, lv_time now);
 
 /* What the account got in the last window, and what each may get. */
--- a/packages/core/source/admission.c
+++ b/packages/core/source/admission.c
@@ -9,6 +9,12 @@
 /* A step at the share keeps all near it; less than a step let accounts that
  * ask much stay above (core-test-admission-gap). */
 #define OVER_SHARE_PERCENT 30
+
+/* An account that got less than this part of its share waits as long as the
+ * queues of requests with long aims are: late is better than never. */
+#define FAR_UNDER_SHARE 0.5
+#define UNDER_SHARE_PERCENT 200
+
 #define FAR_OVER_SHARE 1.2
 
 typedef struct candidate {
@@ -64,12 +70,27 @@
     return request->share > 1;
 }
 
-/* How long the request may wait at the endpoint and still meet its aim, for
- * an account within its share. One over its share waits OVER_SHARE_PERCENT of
- * that, and when it got r times its share 1/r^2 of that: of two accounts over
- * their shares the one with less goes first. A request whose own prompt takes
- * most of the aim may wait half of the usual: it will be late, but it must not
- * starve. */
+/* The part of the usual wait that an account may have. One over its share
+ * waits OVER_SHARE_PERCENT, and when it got r times its share 1/r^2 of that:
+ * of two accounts over their shares the one with less goes first. */
+static double
+part_of_wait(double share)
+{
+    if (share > 1) {
+        return OVER_SHARE_PERCENT / 100.0 / (share * share);
+    }
+    return 1;
+}
+
+static bool
+is_far_under_share(const adm_request *request)
+{
+    return request->share > 0 && request->share < FAR_UNDER_SHARE;
+}
+
+/* How long the request may wait at the endpoint and still meet its aim. A
+ * request whose own prompt takes most of the aim may wait half of the usual:
+ * it will be late, but it must not starve. */
 static lv_time
 wait_allowance(const adm_settings *settings, const adm_request *request,
                const eng_prediction *prediction, lv_time now)
@@ -78,12 +99,10 @@
     lv_time used = prediction->own + lv_elapsed(now, request->received);
     lv_time left = lv_elapsed(request->aim, used);
 
-    if (is_over_share(request)) {
-        double part = OVER_SHARE_PERCENT / 100.0;
-
-        part /= request->share * request->share;
-        allowance = (lv_time)((double)allowance * part);
+    if (is_far_under_share(request)) {
+        return allowance * UNDER_SHARE_PERCENT / 100;
     }
+    allowance = (lv_time)((double)allowance * part_of_wait(request->share));
     if (left > allowance) {
         return allowance;
     }
@@ -153,11 +172,13 @@
           const adm_request *request, lv_time now, candidate *best)
 {
     uint32_t count = 0;
-    lv_handle row;
+    uint32_t i;
 
     memset(best, 0, sizeof *best);
     best->endpoint = LV_HANDLE_NONE;
-    for (row = 0; row < table->capacity; row++) {
+    for (i = 0; i < table->capacity; i++) {
+        lv_handle row =
+            (request->first_row % table->capacity + i) % table->capacity;
         const eng_endpoint *endpoint = &table->endpoints[row];
         candidate one = {.endpoint = row};
 
@@ -176,6 +197,16 @@
     return count;
 }
 
+bool
+adm_check(const adm_settings *settings, const eng_table *table,
+          const adm_request *request, lv_handle endpoint, lv_time now,
+          eng_prediction *prediction)
+{
+    eng_predict(table, endpoint, request->prompt, now, prediction);
+    return may_start(settings, request, eng_at(table, endpoint), prediction,
+                     now);
+}
+
 static void
 refuse(adm_decision *decision, lv_time retry_after, const char *reason)
 {
@@ -194,6 +225,7 @@
     lv_time hold = request->aim * settings->hold_percent / 100;
     lv_time excess;
 
+    decision->share = request->share;
     decision->candidates = find_best(settings, table, request, now, &best);
     decision->endpoint = best.endpoint;
     decision->prediction = best.prediction;
--- a/packages/core/source/engine-cache.c
+++ b/packages/core/source/engine-cache.c
@@ -66,8 +66,7 @@
     const eng_endpoint *endpoint = &table->endpoints[row];
     uint64_t key = cache_key(table, row, chain);
     uint32_t index = map_find(&table->cached, key);
-    uint64_t running = endpoint->own.kv_tokens + endpoint->peers_kv_tokens +
-                       endpoint->far.sum.kv_tokens;
+    uint64_t running = eng_kv_used(endpoint);
     uint64_t usable = endpoint->kv_capacity * USABLE_PERCENT / 100;
     uint64_t read_since;
 
--- a/packages/core/source/engine-imp.h
+++ b/packages/core/source/engine-imp.h
@@ -11,7 +11,10 @@
  * peer: no engine holds as many tokens. */
 #define ENG_STEP_MAX 4000000u
 
-/* engine-far.c: our group had an endpoint read so many tokens. */
-void eng_note_reading(eng_endpoint *endpoint, uint32_t tokens, lv_time now);
+/* engine-summary.c: time until the prompts sent so far have been read */
+lv_time eng_modelled_wait(const eng_endpoint *endpoint, lv_time now);
+
+/* engine.c: memory of the requests in flight of all instances, in tokens */
+uint64_t eng_kv_used(const eng_endpoint *endpoint);
 
 #endif
--- a/packages/core/source/engine.c
+++ b/packages/core/source/engine.c
@@ -173,25 +173,24 @@
 uint32_t
 eng_in_flight(const eng_endpoint *endpoint)
 {
-    return endpoint->own.in_flight + endpoint->peers_in_flight +
-           endpoint->far.sum.in_flight;
+    uint32_t known = endpoint->own.in_flight + endpoint->peers_in_flight;
+
+    return known > endpoint->told.in_flight ? known : endpoint->told.in_flight;
 }
 
-/* Other groups take their part of an engine's time; at least so much is left
- * to us, in percent. */
-#define LEAST_PART 10
+uint64_t
+eng_kv_used(const eng_endpoint *endpoint)
+{
+    uint64_t known = endpoint->own.kv_tokens + endpoint->peers_kv_tokens;
+
+    return known > endpoint->told.kv_tokens ? known : endpoint->told.kv_tokens;
+}
 
 static lv_time
-read_time(const eng_table *table, const eng_endpoint *endpoint,
-          uint64_t tokens)
+read_time(const eng_table *table, uint64_t tokens)
 {
-    double rate = table->settings.prefill_tokens_per_ms;
-    double far = (double)endpoint->far.sum.read_rate * (double)LV_MILLISECOND /
-                 (double)LV_SECOND;
-    double least = rate * LEAST_PART / 100;
-
-    rate = rate - far > least ? rate - far : least;
-    return (lv_time)((double)tokens / rate * (double)LV_MILLISECOND);
+    return (lv_time)((double)tokens / table->settings.prefill_tokens_per_ms *
+                     (double)LV_MILLISECOND);
 }
 
 static void
@@ -199,19 +198,19 @@
                lv_time now, eng_prediction *prediction)
 {
     const eng_endpoint *endpoint = &table->endpoints[row];
-    uint64_t kv_used = endpoint->own.kv_tokens + endpoint->peers_kv_tokens +
-                       endpoint->far.sum.kv_tokens;
-    int64_t wait = (int64_t)lv_elapsed(endpoint->prefill_until, now);
+    uint64_t kv_used = eng_kv_used(endpoint);
+    int64_t wait = (int64_t)eng_modelled_wait(endpoint, now);
 
     prediction->uncached =
         prompt->tokens - eng_cached_tokens(table, row, prompt);
     prediction->has_room = eng_in_flight(endpoint) < endpoint->spec.slots &&
                            kv_used + prompt->tokens + prompt->output_tokens <=
                                endpoint->kv_capacity;
-    wait += endpoint->lag + (int64_t)endpoint->overdue;
+    prediction->late = (lv_time)endpoint->lag + endpoint->overdue;
+    wait += (int64_t)prediction->late;
     prediction->wait = wait > 0 ? (lv_time)wait : 0;
     prediction->idle = lv_elapsed(now, endpoint->prefill_until);
-    prediction->own = read_time(table, endpoint, prediction->uncached) +
+    prediction->own = read_time(table, prediction->uncached) +
                       table->settings.first_token_overhead;
 }
 
@@ -225,6 +224,7 @@
     uint32_t slots = endpoint->spec.slots > 0 ? endpoint->spec.slots : 1;
 
     prediction->uncached = 0;
+    prediction->late = endpoint->overdue;
     prediction->has_room = in_flight < slots;
     prediction->wait = endpoint->overdue;
     prediction->idle = LV_TIME_NEVER;
@@ -254,36 +254,63 @@
     if (endpoint->prefill_until < now) {
         endpoint->prefill_until = now;
     }
-    endpoint->prefill_until += read_time(table, endpoint, tokens);
-    eng_note_reading(endpoint, tokens, now);
+    endpoint->prefill_until += read_time(table, tokens);
     endpoint->read_total += tokens;
 }
 
+static void
+touch_parts(eng_table *table, lv_handle row, const eng_prompt *prompt)
+{
+    uint32_t i;
+
+    for (i = 0; i < prompt->part_count; i++) {
+        eng_touch_part(table, row, prompt->parts[i].chain);
+    }
+}
+
 void
-eng_start(eng_table *table, lv_handle row, const eng_prompt *prompt,
-          lv_time now, eng_use *use)
+eng_start_as(eng_table *table, lv_handle row, const eng_prompt *prompt,
+             const eng_prediction *prediction, lv_time now, eng_use *use)
 {
     eng_endpoint *endpoint = &table->endpoints[row];
-    eng_prediction prediction;
-    uint32_t i;
 
-    eng_predict(table, row, prompt, now, &prediction);
     use->endpoint = row;
     use->started = now;
-    use->expected_first = now + prediction.wait + prediction.own;
-    use->uncached = prediction.uncached;
+    use->expected_first = now + prediction->wait + prediction->own;
+    use->uncached = prediction->uncached;
     use->kv_tokens = prompt->tokens + prompt->output_tokens;
     use->has_first = false;
     endpoint->own.in_flight++;
-    endpoint->own.read_total += prediction.uncached;
+    endpoint->own.read_total += prediction->uncached;
     endpoint->own.kv_tokens += use->kv_tokens;
-    add_reading(table, endpoint, prediction.uncached, now);
-    for (i = 0; i < prompt->part_count; i++) {
-        eng_touch_part(table, row, prompt->parts[i].chain);
-    }
+    add_reading(table, endpoint, prediction->uncached, now);
+    touch_parts(table, row, prompt);
     eng_hold(table, row);
 }
 
+void
+eng_start(eng_table *table, lv_handle row, const eng_prompt *prompt,
+          lv_time now, eng_use *use)
+{
+    eng_prediction prediction;
+
+    eng_predict(table, row, prompt, now, &prediction);
+    eng_start_as(table, row, prompt, &prediction, now, use);
+}
+
+void
+eng_start_peer(eng_table *table, lv_handle row, const eng_prompt *prompt,
+               uint32_t uncached, eng_load *load, lv_time now)
+{
+    eng_load before = *load;
+
+    load->in_flight++;
+    load->read_total += uncached;
+    load->kv_tokens += prompt->tokens + prompt->output_tokens;
+    eng_take_peer(table, row, &before, load, now);
+    touch_parts(table, row, prompt);
+}
+
 void
 eng_first(eng_table *table, eng_use *use, lv_time now)
 {
--- a/packages/core/source/shares.c
+++ b/packages/core/source/shares.c
@@ -8,8 +8,9 @@
 /* How long a computed level is used: a step of the shortest window. */
 #define LEVEL_INTERVAL (200 * LV_MILLISECOND)
 
-/* Sums of a group are used for so long: some of its datagrams are lost. */
-#define GROUP_SILENCE (3 * LV_SECOND)
+/* Sums that another instance told are used for so long: some datagrams are
+ * lost. */
+#define SUMS_LIFE (2 * LV_SECOND)
 
 void
 shr_init(shr_shares *shares, lv_time window)
@@ -150,34 +151,30 @@
     return a < b ? -1 : a > b;
 }
 
-static bool
-is_told(const shr_shares *shares, uint32_t group, lv_time now)
+static uint64_t
+larger(uint64_t one, uint64_t other)
 {
-    return shares->far_at[group] != 0 &&
-           lv_elapsed(now, shares->far_at[group]) < GROUP_SILENCE;
+    return one > other ? one : other;
 }
 
-/* Sums of the last window over all groups. */
+/* Sums of the last window over all instances: what was told includes what was
+ * counted here, except for the latest. */
 static void
-sum_all(shr_shares *shares, shr_account *account, lv_time now, uint64_t *asked,
-        uint64_t *got)
+sum_all(const shr_shares *shares, shr_account *account, lv_time now,
+        uint64_t *asked, uint64_t *got)
 {
-    uint32_t group;
-
     slide(shares, account, now);
     *asked = sum(account->asked);
     *got = sum(account->got);
-    for (group = 0; group < SHR_GROUPS_MAX; group++) {
-        if (is_told(shares, group, now)) {
-            *asked += account->far[group].asked;
-            *got += account->far[group].got;
-        }
+    if (account->told_at != 0 &&
+        lv_elapsed(now, account->told_at) < SUMS_LIFE) {
+        *asked = larger(*asked, account->told.asked);
+        *got = larger(*got, account->told.got);
     }
 }
 
 void
-shr_own_sums(shr_shares *shares, lv_handle account, lv_time now,
-             shr_totals *sums)
+shr_sum(shr_shares *shares, lv_handle account, lv_time now, shr_totals *sums)
 {
     shr_account *row = &shares->accounts[account];
 
@@ -187,13 +184,11 @@
 }
 
 void
-shr_take_group(shr_shares *shares, uint32_t group, lv_handle account,
-               const shr_totals *sums, lv_time now)
+shr_take_sums(shr_shares *shares, lv_handle account, const shr_totals *sums,
+              lv_time now)
 {
-    if (group < SHR_GROUPS_MAX) {
-        shares->far_at[group] = now;
-        shares->accounts[account].far[group] = *sums;
-    }
+    shares->accounts[account].told = *sums;
+    shares->accounts[account].told_at = now;
 }
 
 /* What all accounts got is what there was to share. Give each the least of
@@ -252,8 +247,8 @@
     uint64_t level = shr_level(shares, now);
     uint64_t got = shr_got(shares, account, now);
 
-    if (level == UINT64_MAX || got == 0) {
+    if (level == UINT64_MAX) {
         return 0;
     }
-    return (double)got / (double)(level > 0 ? level : 1);
+    return (double)(got > 0 ? got : 1) / (double)(level > 0 ? level : 1);
 }
--- a/packages/ctl/source/ctl-explain.c
+++ b/packages/ctl/source/ctl-explain.c
@@ -108,11 +108,11 @@
 print_line(const found_line *line, double first)
 {
     static const char *const keys[] = {
-        "reason",   "status",      "endpoint",     "account", "route",
-        "target",   "age_ms",      "took_ms",      "wait_ms", "own_ms",
-        "uncached", "in_flight",   "candidates",   "sends",   "runs",
-        "begun",    "retry_ms",    "may_have_run", "config",  "peers",
-        "left_out", "list_age_ms", "store_lost"};
+        "reason",  "status",        "endpoint", "account",     "route",
+        "late_ms", "share_percent", "target",   "age_ms",      "took_ms",
+        "wait_ms", "own_ms",        "uncached", "in_flight",   "candidates",
+        "sends",   "runs",          "begun",    "retry_ms",    "may_have_run",
+        "config",  "peers",         "left_out", "list_age_ms", "store_lost"};
     char event[64] = "";
     char instance[128] = "-";
     char value[256];
--- a/packages/gateway/include/lavender-gateway/gate.h
+++ b/packages/gateway/include/lavender-gateway/gate.h
@@ -99,6 +99,7 @@
     bool is_draining;
     lv_time drain_since;
     uint64_t random;
+    uint32_t last_ask; /* number of the latest question to a keeper */
     uv_timer_t timer;
     uv_prepare_t prepare;
     uv_signal_t signals[3];
--- a/packages/gateway/include/lavender-gateway/peers.h
+++ b/packages/gateway/include/lavender-gateway/peers.h
@@ -4,6 +4,11 @@
  * of totals, so a lost one is made good by the next; a datagram is also the
  * heartbeat of its sender. Instances find each other through the seeds and
  * through the addresses that datagrams name.
+ *
+ * In a small fleet all tell all. In a large one each endpoint and account has
+ * a keeper, chosen by rendezvous hashing from the live instances: the others
+ * tell it what they have there, and it tells all the sums. Before a request
+ * is sent to an engine, its keeper is asked.
  */
 #ifndef LAVENDER_GATEWAY_PEERS_H
 #define LAVENDER_GATEWAY_PEERS_H
@@ -26,18 +31,19 @@
     lv_time silence;       /* after which a peer counts as gone */
     lv_time forget;        /* after which its address is dropped */
     lv_time seed_interval; /* between tries of seeds not heard from */
-    lv_time far_interval;  /* between datagrams to other groups */
 } peers_settings;
 
 typedef struct peers_load {
     lv_id endpoint;
     uint32_t serial; /* of the endpoint's row that knows the load */
     eng_load load;
+    lv_time heard_at;
 } peers_load;
 
 typedef struct peers_account {
     lv_id account;
     shr_totals totals;
+    lv_time heard_at;
 } peers_account;
 
 typedef struct peers_loads {
@@ -57,9 +63,11 @@
     uint64_t incarnation; /* of its process; 0: not heard yet */
     uint32_t sequence;
     lv_time heard_at;
-    lv_time tried_at; /* last time we sent while it was silent */
+    lv_time tried_at;      /* last time we sent while it was silent */
+    lv_time unanswered_at; /* it did not answer what it was asked; 0: never */
     bool is_live;
     bool reads_store;  /* the store answers it */
+    bool can_keep;     /* it knows the endpoints */
     bool has_told_all; /* in this life, to us */
     peers_loads loads;
     peers_accounts accounts;
@@ -70,6 +78,10 @@
     uint64_t sent_datagrams;
     uint64_t received_datagrams;
     uint64_t rejected; /* not readable, or older than what is known */
+    uint64_t asked;    /* keepers of endpoints, by this instance */
+    uint64_t unanswered;
+    uint64_t granted; /* as a keeper */
+    uint64_t denied;
 } peers_counts;
 
 /* A part of a prompt that was sent to an endpoint. */
@@ -89,8 +101,33 @@
 
 #define PEERS_LEAVING_MAX 64
 
-typedef struct peers_peers {
+/* What a keeper is asked: may a request start at an endpoint now? */
+typedef struct peers_ask {
+    uint32_t number; /* of the asker, for the answer */
+    lv_id endpoint;
+    lv_time aim;
+    lv_time waited; /* since the request was received */
+    double share;   /* of its account, as in adm_request */
+    eng_prompt prompt;
+} peers_ask;
+
+typedef struct peers_answer {
+    uint32_t number;
+    lv_id endpoint;
+    bool is_granted;
+    eng_summary summary; /* before the request */
+    lv_time own;         /* predicted, as in eng_prediction */
+    uint32_t uncached;
+} peers_answer;
+
+typedef struct peers_peers peers_peers;
+
+struct peers_peers {
     peers_settings settings;
+
+    /* How a datagram leaves; through the socket unless a test sees to it. */
+    bool (*send)(peers_peers *peers, const buf_buffer *datagram,
+                 const struct sockaddr_in *address);
     uv_udp_t socket;
     uv_timer_t timer;
     eng_table *endpoints;
@@ -111,16 +148,21 @@
     peers_leaving leaving[PEERS_LEAVING_MAX];
     uint32_t leaving_count;
     bool reads_store; /* the store answers this instance */
-    uint32_t group_count;
-    lv_time far_at;    /* last datagrams to other groups */
-    uint32_t far_next; /* where the search for the next receiver begins */
+    bool can_keep;    /* this instance knows the endpoints */
+    lv_time state_at; /* the sums that this instance keeps were last told */
     void (*on_change)(void *owner, const char *what, const char *address);
 
     /* A peer has read in the store that an endpoint leaves. */
     void (*on_leaving)(void *owner, lv_id endpoint, uint64_t revision);
+
+    /* A peer asks for a start at an endpoint that this instance keeps: fill
+     * in the answer, all but number and endpoint. */
+    void (*on_ask)(void *owner, lv_handle endpoint, const peers_ask *ask,
+                   peers_answer *answer);
+    void (*on_answer)(void *owner, const peers_answer *answer);
     void *owner;
     peers_counts counts;
-} peers_peers;
+};
 
 bool peers_init(peers_peers *peers, uv_loop_t *loop,
                 const peers_settings *settings, eng_table *endpoints,
@@ -142,29 +184,41 @@
 /* Does the store answer less than half of the instances heard from? */
 bool peers_miss_store(const peers_peers *peers);
 
-/* The instance's place among the groups. */
-uint64_t peers_place(const peers_peers *peers);
+/* Is the fleet so large that endpoints and accounts have keepers? Once it
+ * was, it stays so for the life of the process. */
+bool peers_is_large(const peers_peers *peers);
+
+/* Is this instance the keeper of an endpoint or account? */
+bool peers_keeps(const peers_peers *peers, lv_id key);
+
+/* Ask the endpoint's keeper; false when there is none to be asked: the fleet
+ * is small, or this instance is the keeper. A keeper that did not answer
+ * lately is passed over for the next one. */
+bool peers_send_ask(peers_peers *peers, const peers_ask *ask, lv_time now);
 
-/* Divide the instances into groups. Those of a group tell each other
- * everything; groups tell each other their sums. */
-uint32_t peers_group_of(uint64_t place, uint32_t group_count);
-void peers_set_groups(peers_peers *peers, uint32_t group_count, lv_time now);
+/* The endpoint's keeper did not answer in time. */
+void peers_note_unanswered(peers_peers *peers, lv_id endpoint, lv_time now);
 
 /* Instances that share the retry budget: the most seen in this life, since
  * a peer that is silent may still be serving. */
 uint32_t peers_instances(const peers_peers *peers);
 
 typedef enum peers_kind {
-    PEERS_NEWS, /* what changed, to our group */
-    PEERS_FULL, /* everything, to our group */
-    PEERS_FAR   /* our group's sums per account, to other groups */
+    PEERS_NEWS,  /* what changed at this instance */
+    PEERS_FULL,  /* everything that this instance has */
+    PEERS_STATE, /* sums of what this instance keeps */
+    PEERS_CALL   /* a question to a keeper, or its answer */
 } peers_kind;
 
 /* Parts that tests drive without a socket. */
 void peers_write(peers_peers *peers, peers_kind kind, lv_time now,
                  buf_buffer *to);
+void peers_write_ask(peers_peers *peers, const peers_ask *ask, buf_buffer *to);
+void peers_write_answer(peers_peers *peers, const peers_answer *answer,
+                        buf_buffer *to);
 bool peers_take(peers_peers *peers, const struct sockaddr_in *from,
                 const char *data, size_t size, lv_time now);
 void peers_expire(peers_peers *peers, lv_time now);
+void peers_tell(peers_peers *peers, lv_time now); /* what is due */
 
 #endif
--- /dev/null
+++ b/packages/gateway/source/gate-ask.c
@@ -0,0 +1,141 @@
+#include <string.h>
+
+#include "gate-imp.h"
+
+/* A keeper answers within a turn of its loop and two ways through the
+ * network; one that takes longer is paused or cut off. */
+#define ASK_TIME (25 * LV_MILLISECOND)
+
+/* Keepers that may turn a request down before it is refused: each question
+ * takes some milliseconds of its aim. */
+#define ASKS_MAX 4
+
+static void
+fill_ask(gate_request *request, lv_time now, peers_ask *ask)
+{
+    gate_gate *gate = request->gate;
+    const eng_endpoint *endpoint =
+        eng_at(&gate->endpoints, request->decision.endpoint);
+
+    memset(ask, 0, sizeof *ask);
+    ask->number = request->ask_number;
+    ask->endpoint = endpoint->spec.id;
+    ask->aim = request->route->aim;
+    ask->waited = lv_elapsed(now, request->received);
+    ask->share = request->decision.share;
+    ask->prompt = request->wire.prompt;
+}
+
+bool
+gate_has_asked_enough(const gate_request *request)
+{
+    return request->asks >= ASKS_MAX;
+}
+
+bool
+gate_ask_keeper(gate_request *request)
+{
+    gate_gate *gate = request->gate;
+    lv_time now = io_now();
+    peers_ask ask;
+
+    if (!eng_at(&gate->endpoints, request->decision.endpoint)->is_engine) {
+        return false;
+    }
+    request->ask_number = ++gate->last_ask;
+    fill_ask(request, now, &ask);
+    if (!peers_send_ask(&gate->peers, &ask, now)) {
+        return false;
+    }
+    request->state = GATE_ASKING;
+    request->ask_endpoint = ask.endpoint;
+    request->ask_until = now + ASK_TIME;
+    return true;
+}
+
+/* The endpoint may have left in the meantime. */
+static void
+start_or_decide(gate_request *request, const char *reason)
+{
+    const eng_table *table = &request->gate->endpoints;
+    lv_handle endpoint = request->decision.endpoint;
+
+    request->state = GATE_HELD;
+    if (eng_find(table, request->ask_endpoint) == endpoint &&
+        eng_at(table, endpoint)->is_listed) {
+        gate_start(request, reason);
+    }
+    else {
+        gate_decide(request);
+    }
+}
+
+/* Without its keeper's answer the endpoint is chosen by what is known here. */
+void
+gate_watch_ask(gate_request *request, lv_time now)
+{
+    if (now < request->ask_until) {
+        return;
+    }
+    peers_note_unanswered(&request->gate->peers, request->ask_endpoint, now);
+    start_or_decide(request, "keeper-silent");
+}
+
+void
+gate_take_ask(void *owner, lv_handle endpoint, const peers_ask *ask,
+              peers_answer *answer)
+{
+    gate_gate *gate = owner;
+    lv_time now = io_now();
+    eng_prompt prompt = ask->prompt;
+    adm_request request = {
+        .service = eng_at(&gate->endpoints, endpoint)->spec.service,
+        .prompt = &prompt,
+        .received = now - ask->waited,
+        .aim = ask->aim,
+        .share = ask->share};
+    eng_prediction prediction;
+
+    eng_find_home(&gate->endpoints, request.service, &prompt);
+    answer->is_granted = adm_check(&gate->settings.admission, &gate->endpoints,
+                                   &request, endpoint, now, &prediction);
+    eng_summarize(&gate->endpoints, endpoint, now, &answer->summary);
+    answer->own = prediction.own;
+    answer->uncached = prediction.uncached;
+}
+
+static gate_request *
+find_asking(const gate_gate *gate, uint32_t number)
+{
+    gate_request *request = gate->requests;
+
+    while (request != NULL &&
+           (request->state != GATE_ASKING || request->ask_number != number)) {
+        request = request->next;
+    }
+    return request;
+}
+
+void
+gate_take_answer(void *owner, const peers_answer *answer)
+{
+    gate_gate *gate = owner;
+    gate_request *request = find_asking(gate, answer->number);
+    eng_prediction *prediction;
+
+    if (request == NULL) {
+        return; /* its caller left, or it did not wait so long */
+    }
+    if (!answer->is_granted) {
+        request->state = GATE_HELD;
+        request->asks++;
+        gate_log_step(request, "denied", "keeper");
+        gate_decide(request);
+        return;
+    }
+    prediction = &request->decision.prediction;
+    prediction->wait = answer->summary.wait;
+    prediction->own = answer->own;
+    prediction->uncached = answer->uncached;
+    start_or_decide(request, "granted");
+}
--- a/packages/gateway/source/gate-attempt.c
+++ b/packages/gateway/source/gate-attempt.c
@@ -78,8 +78,8 @@
     request->state = GATE_RUNNING;
     request->sends++;
     request->last_piece_at = io_now();
-    eng_start(&gate->endpoints, endpoint, &request->wire.prompt, io_now(),
-              &request->use);
+    eng_start_as(&gate->endpoints, endpoint, &request->wire.prompt,
+                 &request->decision.prediction, io_now(), &request->use);
     note_parts(request);
     is_started = !message.has_failed &&
                  back_start(&gate->back, exchange, endpoint, &message);
--- a/packages/gateway/source/gate-imp.h
+++ b/packages/gateway/source/gate-imp.h
@@ -8,6 +8,7 @@
 
 typedef enum gate_state {
     GATE_HELD,    /* waits for room */
+    GATE_ASKING,  /* waits for the answer of an endpoint's keeper */
     GATE_RUNNING, /* an attempt is out */
     GATE_FINISHED
 } gate_state;
@@ -49,6 +50,10 @@
     lv_handle tried[ADM_TRIED_MAX];
     eng_use use; /* of the attempt that is out */
     adm_decision decision;
+    uint32_t ask_number; /* of the latest question to a keeper */
+    lv_id ask_endpoint;
+    lv_time ask_until;
+    uint32_t asks;     /* questions that were not granted */
     bool is_told_held; /* the log has said that it waits */
     bool may_have_run;
     bool was_not_run; /* the present answer says so */
@@ -69,6 +74,7 @@
 /* gate-request.c: a request's way from its receipt to its end */
 void gate_take_request(gate_gate *gate, front_connection *connection);
 void gate_decide(gate_request *request);
+void gate_start(gate_request *request, const char *reason);
 void gate_request_gone(gate_request *request);
 void gate_give_up(gate_request *request, uint32_t status, const char *reason);
 void gate_end_request(gate_request *request, const char *outcome,
@@ -81,6 +87,15 @@
 bool gate_start_attempt(gate_request *request);
 void gate_cancel_attempt(gate_request *request);
 
+/* gate-ask.c: what keepers of endpoints are asked. Returns false when there
+ * is none to be asked and the instance decides itself. */
+bool gate_ask_keeper(gate_request *request);
+bool gate_has_asked_enough(const gate_request *request);
+void gate_watch_ask(gate_request *request, lv_time now);
+void gate_take_ask(void *owner, lv_handle endpoint, const peers_ask *ask,
+                   peers_answer *answer);
+void gate_take_answer(void *owner, const peers_answer *answer);
+
 /* gate-stream.c: events; false when memory ended */
 bool gate_pass_events(gate_request *request, const char *data, size_t size);
 
--- a/packages/gateway/source/gate-log.c
+++ b/packages/gateway/source/gate-log.c
@@ -22,6 +22,12 @@
                : "-";
 }
 
+static unsigned
+share_percent(const gate_request *request)
+{
+    return (unsigned)(request->decision.share * 100);
+}
+
 /* How long ago the list of endpoints was last heard of. */
 static lv_time
 list_age(const gate_gate *gate, lv_time now)
@@ -43,16 +49,16 @@
         in_flight =
             eng_in_flight(eng_at(&gate->endpoints, decision->endpoint));
     }
-    log_request(LOG_LEVEL_INFO, LOG_ORDINARY, now, event,
-                "request=%s reason=%s endpoint=%s age_ms=%llu wait_ms=%llu "
-                "own_ms=%llu uncached=%u in_flight=%u candidates=%u sends=%u "
-                "list_age_ms=%llu peers=%u",
-                id_of(request), reason,
-                endpoint_name(request, decision->endpoint),
-                ms(lv_elapsed(now, request->received)),
-                ms(decision->prediction.wait), ms(decision->prediction.own),
-                decision->prediction.uncached, in_flight, decision->candidates,
-                request->sends, ms(list_age(gate, now)), gate->peers.live);
+    log_request(
+        LOG_LEVEL_INFO, LOG_ORDINARY, now, event,
+        "request=%s reason=%s endpoint=%s age_ms=%llu wait_ms=%llu "
+        "own_ms=%llu uncached=%u in_flight=%u candidates=%u sends=%u "
+        "share_percent=%u list_age_ms=%llu peers=%u",
+        id_of(request), reason, endpoint_name(request, decision->endpoint),
+        ms(lv_elapsed(now, request->received)), ms(decision->prediction.wait),
+        ms(decision->prediction.own), decision->prediction.uncached, in_flight,
+        decision->candidates, request->sends, share_percent(request),
+        ms(list_age(gate, now)), gate->peers.live);
 }
 
 /* The end of a request. */
@@ -69,8 +75,9 @@
     log_request(
         LOG_LEVEL_INFO, is_served ? LOG_ORDINARY : LOG_IMPORTANT, now, outcome,
         "request=%s reason=%s account=%s host=%s route=%s status=%u "
-        "endpoint=%s took_ms=%llu wait_ms=%llu own_ms=%llu sends=%u "
-        "runs=%u may_have_run=%d begun=%d retry_ms=%llu config=%llu "
+        "endpoint=%s took_ms=%llu wait_ms=%llu late_ms=%llu own_ms=%llu "
+        "share_percent=%u sends=%u runs=%u may_have_run=%d begun=%d "
+        "retry_ms=%llu config=%llu "
         "list_age_ms=%llu store_lost=%d peers=%u",
         id_of(request), reason,
         request->account != NULL ? request->account->name : "-",
@@ -78,8 +85,10 @@
         endpoint_name(request, endpoint),
         ms(lv_elapsed(now, request->received)),
         ms(request->decision.prediction.wait),
-        ms(request->decision.prediction.own), request->sends, request->runs,
-        request->may_have_run, request->has_begun,
+        ms(request->decision.prediction.late),
+        ms(request->decision.prediction.own), share_percent(request),
+        request->sends, request->runs, request->may_have_run,
+        request->has_begun,
         ms(request->decision.verdict == ADM_REFUSE
                ? request->decision.retry_after
                : 0),
--- a/packages/gateway/source/gate-request.c
+++ b/packages/gateway/source/gate-request.c
@@ -265,10 +265,38 @@
     if (request->share != LV_HANDLE_NONE) {
         to->share = shr_ratio(&gate->shares, request->share, now);
     }
+    to->first_row = (uint32_t)gate_random(gate);
     to->tried_count = request->tried_count;
     memcpy(to->tried, request->tried, sizeof to->tried);
 }
 
+static void
+refuse_now(gate_request *request, lv_time retry_after, const char *reason)
+{
+    if (request->may_have_run || request->has_begun) {
+        gate_give_up(request, 502, reason);
+    }
+    else {
+        refuse(request, retry_after, reason);
+    }
+}
+
+/* Send the request where it was decided. */
+void
+gate_start(gate_request *request, const char *reason)
+{
+    gate_gate *gate = request->gate;
+
+    gate_log_step(request, "start", reason);
+    if (request->sends == 0 && request->share != LV_HANDLE_NONE) {
+        shr_get(&gate->shares, request->share,
+                share_tokens(&request->wire.prompt), io_now());
+    }
+    if (!gate_start_attempt(request)) {
+        gate_give_up(request, 502, "no-connection");
+    }
+}
+
 void
 gate_decide(gate_request *request)
 {
@@ -282,13 +310,12 @@
                &request->decision);
     switch (request->decision.verdict) {
     case ADM_START:
-        gate_log_step(request, "start", request->decision.reason);
-        if (request->sends == 0 && request->share != LV_HANDLE_NONE) {
-            shr_get(&gate->shares, request->share,
-                    share_tokens(&request->wire.prompt), now);
+        if (gate_has_asked_enough(request)) {
+            refuse_now(request, gate->settings.admission.retry_least,
+                       "denied");
         }
-        if (!gate_start_attempt(request)) {
-            gate_give_up(request, 502, "no-connection");
+        else if (!gate_ask_keeper(request)) {
+            gate_start(request, request->decision.reason);
         }
         break;
     case ADM_HOLD:
@@ -299,13 +326,8 @@
         request->state = GATE_HELD;
         break;
     case ADM_REFUSE:
-        if (request->may_have_run || request->has_begun) {
-            gate_give_up(request, 502, request->decision.reason);
-        }
-        else {
-            refuse(request, request->decision.retry_after,
+        refuse_now(request, request->decision.retry_after,
                    request->decision.reason);
-        }
         break;
     }
 }
--- a/packages/gateway/source/gate-settings.c
+++ b/packages/gateway/source/gate-settings.c
@@ -108,7 +108,6 @@
     peers->silence = LV_SECOND;
     peers->forget = 30 * LV_SECOND;
     peers->seed_interval = 500 * LV_MILLISECOND;
-    peers->far_interval = 250 * LV_MILLISECOND;
 }
 
 static void
--- a/packages/gateway/source/gate-watch.c
+++ b/packages/gateway/source/gate-watch.c
@@ -73,6 +73,9 @@
         else if (request->state == GATE_RUNNING) {
             watch_running(request, now);
         }
+        else if (request->state == GATE_ASKING) {
+            gate_watch_ask(request, now);
+        }
         else {
             gate_decide(request);
         }
--- a/packages/gateway/source/gate.c
+++ b/packages/gateway/source/gate.c
@@ -172,23 +172,13 @@
         store->wait = gate->settings.lost_answer_bound;
     }
     gate->peers.reads_store = gate->feeds[WIRE_ENDPOINTS].lost_at == 0;
+    gate->peers.can_keep =
+        gate->peers.can_keep || gate->feeds[WIRE_ENDPOINTS].is_listed;
     if (peers_miss_store(&gate->peers)) {
         reg_note_outage(&gate->registry, now);
     }
 }
 
-static void
-set_groups(gate_gate *gate, lv_time now)
-{
-    uint32_t wanted = eng_wanted_groups(&gate->endpoints);
-
-    if (wanted != gate->peers.group_count) {
-        peers_set_groups(&gate->peers, wanted, now);
-        log_event(LOG_LEVEL_NOTICE, now, "groups", "count=%u own=%u", wanted,
-                  peers_group_of(peers_place(&gate->peers), wanted));
-    }
-}
-
 static void
 on_timer(uv_timer_t *timer)
 {
@@ -196,7 +186,6 @@
     lv_time now = io_now();
     int i;
 
-    set_groups(gate, now);
     follow_store(gate, now);
     for (i = 0; i < WIRE_SUBJECT_COUNT; i++) {
         store_feed_tick(&gate->feeds[i], now);
@@ -298,6 +287,8 @@
     }
     gate->peers.on_change = on_peer_change;
     gate->peers.on_leaving = on_leaving;
+    gate->peers.on_ask = gate_take_ask;
+    gate->peers.on_answer = gate_take_answer;
     gate->peers.owner = gate;
     return true;
 }
--- a/packages/gateway/source/peers-table.c
+++ b/packages/gateway/source/peers-table.c
@@ -121,23 +121,41 @@
     return row;
 }
 
+static void
+withdraw_load(peers_peers *peers, const peers_load *load, lv_time now)
+{
+    lv_handle endpoint = eng_find(peers->endpoints, load->endpoint);
+    eng_load last = {.read_total = load->load.read_total};
+
+    if (endpoint != LV_HANDLE_NONE &&
+        eng_at(peers->endpoints, endpoint)->serial == load->serial) {
+        eng_take_peer(peers->endpoints, endpoint, &load->load, &last, now);
+    }
+}
+
 void
 peers_withdraw(peers_peers *peers, peers_peer *peer, lv_time now)
 {
-    static const eng_load nothing;
     uint32_t i;
 
     for (i = 0; i < peer->loads.count; i++) {
-        const peers_load *load = &peer->loads.rows[i];
-        lv_handle endpoint = eng_find(peers->endpoints, load->endpoint);
-        eng_load last = nothing;
-
-        last.read_total = load->load.read_total;
-        if (endpoint != LV_HANDLE_NONE &&
-            eng_at(peers->endpoints, endpoint)->serial == load->serial) {
-            eng_take_peer(peers->endpoints, endpoint, &load->load, &last, now);
-        }
+        withdraw_load(peers, &peer->loads.rows[i], now);
     }
     peer->loads.count = 0;
     peer->accounts.count = 0;
 }
+
+void
+peers_drop_old_loads(peers_peers *peers, peers_peer *peer, lv_time now)
+{
+    uint32_t i;
+
+    for (i = peer->loads.count; peers_is_large(peers) && i > 0; i--) {
+        peers_load *load = &peer->loads.rows[i - 1];
+
+        if (lv_elapsed(now, load->heard_at) >= PEERS_ROW_LIFE) {
+            withdraw_load(peers, load, now);
+            *load = peer->loads.rows[--peer->loads.count];
+        }
+    }
+}
--- a/packages/gateway/source/peers-take.c
+++ b/packages/gateway/source/peers-take.c
@@ -42,14 +42,30 @@
            is_number(&fields[PEERS_FIELD_INCARNATION]) &&
            is_number(&fields[PEERS_FIELD_SEQUENCE]) &&
            is_number(&fields[PEERS_FIELD_KIND]) &&
-           is_number(&fields[PEERS_FIELD_READS_STORE]) &&
+           is_number(&fields[PEERS_FIELD_FLAGS]) &&
            is_number_list(&fields[PEERS_FIELD_LOADS], 4) &&
            is_number_list(&fields[PEERS_FIELD_ACCOUNTS], 3) &&
            is_number_list(&fields[PEERS_FIELD_USES], 2) &&
            is_number_list(&fields[PEERS_FIELD_ADDRESSES], 1) &&
            is_number_list(&fields[PEERS_FIELD_LEAVING], 2) &&
            is_number_list(&fields[PEERS_FIELD_SUMS], 3) &&
-           is_number_list(&fields[PEERS_FIELD_GROUP], 4);
+           is_number_list(&fields[PEERS_FIELD_SUMMARIES], 4) &&
+           is_number_list(&fields[PEERS_FIELD_ASK], 1) &&
+           is_number_list(&fields[PEERS_FIELD_ANSWER], 1);
+}
+
+/* Is the row the first of a peer's at this use of an endpoint's row? */
+static bool
+begin_load(const peers_peers *peers, peers_load *load, lv_handle endpoint)
+{
+    uint32_t serial = eng_at(peers->endpoints, endpoint)->serial;
+
+    if (load->serial == serial) {
+        return false;
+    }
+    memset(&load->load, 0, sizeof load->load);
+    load->serial = serial;
+    return true;
 }
 
 /* A row that is seen for the first time is the base to count from, or has
@@ -64,7 +80,6 @@
                       .read_total = (uint32_t)values[2].via.u64,
                       .kv_tokens = (uint32_t)values[3].via.u64};
     peers_load *load;
-    uint32_t serial;
 
     if (endpoint == LV_HANDLE_NONE) {
         return; /* not published here yet; a full datagram follows */
@@ -73,14 +88,25 @@
     if (load == NULL) {
         return;
     }
-    serial = eng_at(peers->endpoints, endpoint)->serial;
-    if (load->serial != serial) {
-        memset(&load->load, 0, sizeof load->load);
+    if (begin_load(peers, load, endpoint)) {
         load->load.read_total = is_base ? after.read_total : 0;
-        load->serial = serial;
+    }
+    /* It may not know yet what we, as its keeper, have just granted it. */
+    if ((int32_t)(after.read_total - load->load.read_total) < 0) {
+        after.read_total = load->load.read_total;
     }
     eng_take_peer(peers->endpoints, endpoint, &load->load, &after, now);
     load->load = after;
+    load->heard_at = now;
+}
+
+/* In a large fleet the account had another keeper in the meantime, and the
+ * difference is of long ago. */
+static bool
+is_old(const peers_peers *peers, lv_time heard_at, lv_time now)
+{
+    return peers_is_large(peers) && heard_at != 0 &&
+           lv_elapsed(now, heard_at) >= PEERS_ROW_LIFE;
 }
 
 static void
@@ -98,6 +124,10 @@
     if (row == NULL || account == LV_HANDLE_NONE) {
         return;
     }
+    if (is_old(peers, row->heard_at, now)) {
+        is_new = true;
+    }
+    row->heard_at = now;
     if (!is_new || !is_base) {
         added.asked = after.asked - row->totals.asked;
         added.got = after.got - row->totals.got;
@@ -130,54 +160,119 @@
 }
 
 static void
-take_group(peers_peers *peers, uint32_t group,
-           const msgpack_object_array *loads, lv_time now)
+take_sums(peers_peers *peers, const msgpack_object_array *sums, lv_time now)
 {
     uint32_t i;
 
-    for (i = 0; i < loads->size; i += 4) {
-        const msgpack_object *values = loads->ptr + i;
-        lv_handle row = eng_find(peers->endpoints, values[0].via.u64);
-        eng_group load = {.in_flight = (uint32_t)values[1].via.u64,
-                          .kv_tokens = (uint32_t)values[2].via.u64,
-                          .read_rate = (uint32_t)values[3].via.u64};
-
-        if (row != LV_HANDLE_NONE) {
-            eng_take_group(peers->endpoints, row, group, &load, now);
+    for (i = 0; i < sums->size; i += 3) {
+        lv_id id = sums->ptr[i].via.u64;
+        lv_handle account = shr_find(peers->shares, id);
+        shr_totals told = {.asked = (uint32_t)sums->ptr[i + 1].via.u64,
+                           .got = (uint32_t)sums->ptr[i + 2].via.u64};
+
+        if (account != LV_HANDLE_NONE && !peers_keeps(peers, id)) {
+            shr_take_sums(peers->shares, account, &told, now);
         }
     }
 }
 
 static void
-take_sums(peers_peers *peers, uint32_t group, const msgpack_object_array *sums,
-          lv_time now)
+take_summaries(peers_peers *peers, const msgpack_object_array *summaries,
+               lv_time now)
 {
     uint32_t i;
 
-    for (i = 0; i < sums->size; i += 3) {
-        lv_handle account = shr_find(peers->shares, sums->ptr[i].via.u64);
-        shr_totals told = {.asked = (uint32_t)sums->ptr[i + 1].via.u64,
-                           .got = (uint32_t)sums->ptr[i + 2].via.u64};
+    for (i = 0; i < summaries->size; i += 4) {
+        const msgpack_object *values = summaries->ptr + i;
+        lv_id id = values[0].via.u64;
+        lv_handle row = eng_find(peers->endpoints, id);
+        eng_summary summary = {.in_flight = (uint32_t)values[1].via.u64,
+                               .kv_tokens = (uint32_t)values[2].via.u64,
+                               .wait = values[3].via.u64};
 
-        if (account != LV_HANDLE_NONE) {
-            shr_take_group(peers->shares, group, account, &told, now);
+        if (row != LV_HANDLE_NONE && !peers_keeps(peers, id)) {
+            eng_take_summary(peers->endpoints, row, &summary, now);
         }
     }
 }
 
 static void
-take_far(peers_peers *peers, uint32_t place, const msgpack_object *fields,
-         lv_time now)
+take_state(peers_peers *peers, const msgpack_object *fields, lv_time now)
+{
+    take_sums(peers, &fields[PEERS_FIELD_SUMS].via.array, now);
+    take_summaries(peers, &fields[PEERS_FIELD_SUMMARIES].via.array, now);
+}
+
+/* As the keeper: the request counts from now on, before its sender tells. */
+static void
+take_ask(peers_peers *peers, uint32_t place,
+         const msgpack_object_array *values, lv_time now)
+{
+    peers_peer *peer = &peers->peers[place];
+    peers_answer answer;
+    peers_ask ask;
+    lv_handle endpoint;
+    peers_load *load;
+    buf_buffer datagram;
+
+    if (!peers_read_ask(values, &ask) || peers->on_ask == NULL) {
+        return;
+    }
+    endpoint = eng_find(peers->endpoints, ask.endpoint);
+    if (endpoint == LV_HANDLE_NONE) {
+        return; /* not published here yet; the asker decides itself */
+    }
+    memset(&answer, 0, sizeof answer);
+    answer.number = ask.number;
+    answer.endpoint = ask.endpoint;
+    peers->on_ask(peers->owner, endpoint, &ask, &answer);
+    load = peers_load_row(&peer->loads, ask.endpoint);
+    if (answer.is_granted && load != NULL) {
+        (void)begin_load(peers, load, endpoint);
+        eng_start_peer(peers->endpoints, endpoint, &ask.prompt,
+                       answer.uncached, &load->load, now);
+        load->heard_at = now;
+    }
+    peers->counts.granted += answer.is_granted;
+    peers->counts.denied += !answer.is_granted;
+    buf_init(&datagram);
+    peers_write_answer(peers, &answer, &datagram);
+    if (!datagram.has_failed) {
+        peers_send(peers, &datagram, &peer->address);
+    }
+    buf_finish(&datagram);
+}
+
+static void
+take_answer(peers_peers *peers, const msgpack_object_array *values,
+            lv_time now)
 {
-    const struct sockaddr_in *from = &peers->peers[place].address;
-    uint32_t group =
-        peers_group_of(peers_pack_address(from), peers->group_count);
+    peers_answer answer;
+    lv_handle endpoint;
 
-    if (peers_is_near(peers, from)) {
-        return; /* it does not know our groups yet */
+    if (!peers_read_answer(values, &answer) || peers->on_answer == NULL) {
+        return;
+    }
+    endpoint = eng_find(peers->endpoints, answer.endpoint);
+    if (endpoint != LV_HANDLE_NONE) {
+        eng_take_summary(peers->endpoints, endpoint, &answer.summary, now);
+    }
+    peers->on_answer(peers->owner, &answer);
+}
+
+static void
+take_call(peers_peers *peers, uint32_t place, const msgpack_object *fields,
+          lv_time now)
+{
+    const msgpack_object_array *ask = &fields[PEERS_FIELD_ASK].via.array;
+    const msgpack_object_array *answer = &fields[PEERS_FIELD_ANSWER].via.array;
+
+    if (ask->size > 0) {
+        take_ask(peers, place, ask, now);
+    }
+    if (answer->size > 0) {
+        take_answer(peers, answer, now);
     }
-    take_sums(peers, group, &fields[PEERS_FIELD_SUMS].via.array, now);
-    take_group(peers, group, &fields[PEERS_FIELD_GROUP].via.array, now);
 }
 
 static void
@@ -197,11 +292,11 @@
                    fields[PEERS_FIELD_KIND].via.u64 == PEERS_FULL;
     uint32_t i;
 
-    if (fields[PEERS_FIELD_KIND].via.u64 == PEERS_FAR) {
-        take_far(peers, place, fields, now);
-        take_addresses(peers, addresses);
+    if (fields[PEERS_FIELD_KIND].via.u64 == PEERS_CALL) {
+        take_call(peers, place, fields, now);
         return;
     }
+    take_state(peers, fields, now);
     for (i = 0; i < loads->size; i += 4) {
         take_load(peers, &peers->peers[place], loads->ptr + i, is_base, now);
     }
@@ -222,7 +317,7 @@
 static void
 note_live(peers_peers *peers, peers_peer *peer)
 {
-    if (peer->is_live || !peers_is_near(peers, &peer->address)) {
+    if (peer->is_live) {
         return;
     }
     peer->is_live = true;
@@ -239,6 +334,8 @@
 {
     uint64_t incarnation = fields[PEERS_FIELD_INCARNATION].via.u64;
     uint32_t sequence = (uint32_t)fields[PEERS_FIELD_SEQUENCE].via.u64;
+    uint64_t flags;
+    bool is_call = fields[PEERS_FIELD_KIND].via.u64 == PEERS_CALL;
     peers_peer *peer = peers_add(peers, from);
     uint32_t place;
 
@@ -250,15 +347,17 @@
         peer->incarnation = incarnation;
         peer->has_told_all = false;
     }
-    else if ((int32_t)(sequence - peer->sequence) <= 0) {
+    else if (!is_call && (int32_t)(sequence - peer->sequence) <= 0) {
         return false;
     }
-    peer->sequence = sequence;
-    peer->reads_store = fields[PEERS_FIELD_READS_STORE].via.u64 != 0;
-    peer->heard_at = now;
-    if (fields[PEERS_FIELD_KIND].via.u64 != PEERS_FAR) {
-        note_live(peers, peer);
+    if (!is_call) { /* calls are no totals: their order is no matter */
+        peer->sequence = sequence;
     }
+    flags = fields[PEERS_FIELD_FLAGS].via.u64;
+    peer->reads_store = (flags & PEERS_FLAG_READS_STORE) != 0;
+    peer->can_keep = (flags & PEERS_FLAG_CAN_KEEP) != 0;
+    peer->heard_at = now;
+    note_live(peers, peer);
     place = (uint32_t)(peer - peers->peers);
     take_lists(peers, place, fields, now);
     if (fields[PEERS_FIELD_KIND].via.u64 == PEERS_FULL) {
--- a/packages/gateway/source/peers.c
+++ b/packages/gateway/source/peers.c
@@ -12,6 +12,9 @@
  * grows, so that an instance's control traffic stays about the same. */
 #define FULL_RATE_PEERS 8
 
+/* A peer is gone when so many heartbeats are missing; some are just lost. */
+#define HEARTBEATS_LOST 4
+
 static char receive_buffer[DATAGRAM_SIZE];
 
 static void
@@ -28,16 +31,38 @@
     }
 }
 
+static lv_time
+news_interval(const peers_peers *peers)
+{
+    uint32_t live = peers->live;
+
+    if (live <= FULL_RATE_PEERS) {
+        return peers->settings.interval;
+    }
+    return peers->settings.interval * live / FULL_RATE_PEERS;
+}
+
+static lv_time
+silence_bound(const peers_peers *peers)
+{
+    lv_time several = news_interval(peers) * HEARTBEATS_LOST;
+
+    return several > peers->settings.silence ? several
+                                             : peers->settings.silence;
+}
+
 void
 peers_expire(peers_peers *peers, lv_time now)
 {
     uint32_t i;
 
+    eng_forget_summaries(peers->endpoints, now);
     for (i = peers->count; i > 0; i--) {
         peers_peer *peer = &peers->peers[i - 1];
         lv_time silent = lv_elapsed(now, peer->heard_at);
 
-        if (peer->is_live && silent >= peers->settings.silence) {
+        peers_drop_old_loads(peers, peer, now);
+        if (peer->is_live && silent >= silence_bound(peers)) {
             peer->is_live = false;
             peer->has_told_all = false;
             peers->live--;
@@ -82,15 +107,22 @@
     }
 }
 
-static void
-send_to(peers_peers *peers, const buf_buffer *datagram,
-        const struct sockaddr_in *address)
+static bool
+send_by_socket(peers_peers *peers, const buf_buffer *datagram,
+               const struct sockaddr_in *address)
 {
     uv_buf_t buffer =
         uv_buf_init(datagram->data, (unsigned int)datagram->size);
 
-    if (uv_udp_try_send(&peers->socket, &buffer, 1,
-                        (const struct sockaddr *)address) >= 0) {
+    return uv_udp_try_send(&peers->socket, &buffer, 1,
+                           (const struct sockaddr *)address) >= 0;
+}
+
+void
+peers_send(peers_peers *peers, const buf_buffer *datagram,
+           const struct sockaddr_in *address)
+{
+    if (peers->send(peers, datagram, address)) {
         peers->counts.sent_bytes += datagram->size;
         peers->counts.sent_datagrams++;
     }
@@ -99,11 +131,8 @@
 static bool
 is_due(const peers_peers *peers, const peers_peer *peer, lv_time now)
 {
-    bool is_silent =
-        peers_is_near(peers, &peer->address) || peer->heard_at == 0;
-
-    return peer->is_live || (is_silent && lv_elapsed(now, peer->tried_at) >=
-                                              peers->settings.seed_interval);
+    return peer->is_live ||
+           lv_elapsed(now, peer->tried_at) >= peers->settings.seed_interval;
 }
 
 static void
@@ -116,59 +145,11 @@
 
         if (is_due(peers, peer, now)) {
             peer->tried_at = now;
-            send_to(peers, datagram, &peer->address);
+            peers_send(peers, datagram, &peer->address);
         }
     }
 }
 
-/* One instance of another group, a different one each time; its group hears
- * of our sums from all of us in turn. */
-static const peers_peer *
-next_far(peers_peers *peers, uint32_t group, lv_time now)
-{
-    uint32_t i;
-
-    for (i = 0; i < peers->count; i++) {
-        const peers_peer *peer =
-            &peers->peers[(peers->far_next + i) % peers->count];
-
-        if (peer->heard_at != 0 &&
-            lv_elapsed(now, peer->heard_at) < peers->settings.forget &&
-            peers_group_of(peers_pack_address(&peer->address),
-                           peers->group_count) == group) {
-            return peer;
-        }
-    }
-    return NULL;
-}
-
-static void
-send_far(peers_peers *peers, lv_time now)
-{
-    uint32_t own = peers_group_of(peers_place(peers), peers->group_count);
-    buf_buffer datagram;
-    uint32_t group;
-
-    if (peers->group_count <= 1 ||
-        lv_elapsed(now, peers->far_at) <
-            peers->settings.far_interval * (peers->group_count - 1)) {
-        return;
-    }
-    peers->far_at = now;
-    peers->far_next = (uint32_t)map_mix(peers->far_next + peers->incarnation);
-    buf_init(&datagram);
-    peers_write(peers, PEERS_FAR, now, &datagram);
-    for (group = 0; group < peers->group_count; group++) {
-        const peers_peer *peer =
-            group != own ? next_far(peers, group, now) : NULL;
-
-        if (peer != NULL && !datagram.has_failed) {
-            send_to(peers, &datagram, &peer->address);
-        }
-    }
-    buf_finish(&datagram);
-}
-
 static bool
 has_news(const peers_peers *peers)
 {
@@ -201,47 +182,79 @@
     }
 }
 
-static lv_time
-news_interval(const peers_peers *peers)
+/* To all, as long as the fleet is small. */
+static void
+tell_all(peers_peers *peers, peers_kind kind, lv_time now)
 {
-    uint32_t live = peers->live;
+    buf_buffer datagram;
 
-    if (live <= FULL_RATE_PEERS) {
-        return peers->settings.interval;
+    buf_init(&datagram);
+    peers_write(peers, kind, now, &datagram);
+    if (!datagram.has_failed) {
+        send_to_peers(peers, &datagram, now);
     }
-    return peers->settings.interval * live / FULL_RATE_PEERS;
+    buf_finish(&datagram);
 }
 
 static void
-on_timer(uv_timer_t *timer)
+tell_large_fleet(peers_peers *peers, bool is_full, lv_time now)
+{
+    if (is_full || has_news(peers)) {
+        peers_send_news(peers, is_full ? PEERS_FULL : PEERS_NEWS);
+    }
+    if (lv_elapsed(now, peers->state_at) >= news_interval(peers)) {
+        peers->state_at = now;
+        tell_all(peers, PEERS_STATE, now);
+    }
+}
+
+static void
+tell_small_fleet(peers_peers *peers, bool is_full, lv_time now)
 {
-    peers_peers *peers = timer->data;
-    lv_time now = io_now();
     lv_time passed = lv_elapsed(now, peers->sent_at);
-    bool is_full =
-        lv_elapsed(now, peers->full_at) >= peers->settings.full_interval;
-    buf_buffer datagram;
 
-    add_seeds(peers);
-    peers_expire(peers, now);
-    send_far(peers, now);
     if (passed < news_interval(peers) ||
         (!is_full && !has_news(peers) &&
          passed < peers->settings.idle_interval)) {
         return;
     }
-    buf_init(&datagram);
-    peers_write(peers, is_full ? PEERS_FULL : PEERS_NEWS, now, &datagram);
-    if (!datagram.has_failed) {
-        send_to_peers(peers, &datagram, now);
-    }
-    buf_finish(&datagram);
     peers->sent_at = now;
+    tell_all(peers, is_full ? PEERS_FULL : PEERS_NEWS, now);
     if (is_full) {
         peers->full_at = now;
     }
 }
 
+void
+peers_tell(peers_peers *peers, lv_time now)
+{
+    bool is_full =
+        lv_elapsed(now, peers->full_at) >= peers->settings.full_interval;
+
+    if (!peers_is_large(peers)) {
+        tell_small_fleet(peers, is_full, now);
+        return;
+    }
+    if (lv_elapsed(now, peers->sent_at) >= peers->settings.interval) {
+        peers->sent_at = now;
+        tell_large_fleet(peers, is_full, now);
+        if (is_full) {
+            peers->full_at = now;
+        }
+    }
+}
+
+static void
+on_timer(uv_timer_t *timer)
+{
+    peers_peers *peers = timer->data;
+    lv_time now = io_now();
+
+    add_seeds(peers);
+    peers_expire(peers, now);
+    peers_tell(peers, now);
+}
+
 static void
 allocate(uv_handle_t *handle, size_t size, uv_buf_t *buffer)
 {
@@ -282,7 +295,7 @@
     peers->endpoints = endpoints;
     peers->shares = shares;
     peers->incarnation = incarnation;
-    peers->group_count = 1;
+    peers->send = send_by_socket;
     uv_udp_init(loop, &peers->socket);
     uv_timer_init(loop, &peers->timer);
     peers->socket.data = peers;
--- /dev/null
+++ b/tests/gateway/test-keepers.c
@@ -0,0 +1,370 @@
+/*
+ * Keepers of endpoints and accounts in a large fleet, without a network: who
+ * is one, what it is told and asked, and what it tells.
+ */
+#include <criterion/criterion.h>
+
+#include <string.h>
+
+#include "lavender-gateway/peers.h"
+
+#define NODES 3
+#define NOW (50 * LV_SECOND)
+#define KEYS 100
+#define LARGE 100 /* instances, surely a large fleet */
+
+typedef struct node {
+    eng_table endpoints;
+    shr_shares shares;
+    peers_peers peers;
+    struct sockaddr_in address;
+    lv_handle row;
+    uint32_t answers;
+    peers_answer answer; /* the latest */
+    bool grants;
+} node;
+
+static node nodes[NODES];
+static lv_time now;
+
+static bool
+deliver(peers_peers *peers, const buf_buffer *datagram,
+        const struct sockaddr_in *address)
+{
+    for (int i = 0; i < NODES; i++) {
+        if (nodes[i].address.sin_port == address->sin_port) {
+            peers_take(&nodes[i].peers, &peers->settings.bind, datagram->data,
+                       datagram->size, now);
+        }
+    }
+    return true;
+}
+
+static void
+on_ask(void *owner, lv_handle endpoint, const peers_ask *ask,
+       peers_answer *answer)
+{
+    node *self = owner;
+
+    answer->is_granted = self->grants;
+    answer->uncached = ask->prompt.tokens;
+    answer->own = 3 * LV_MILLISECOND;
+    eng_summarize(&self->endpoints, endpoint, now, &answer->summary);
+}
+
+static void
+on_answer(void *owner, const peers_answer *answer)
+{
+    node *self = owner;
+
+    self->answers++;
+    self->answer = *answer;
+}
+
+static void
+start_node(node *self, int number)
+{
+    eng_settings settings;
+    eng_spec spec = {.id = 7, .service = 1, .slots = 8, .name = "e"};
+
+    memset(self, 0, sizeof *self);
+    eng_default_settings(&settings);
+    cr_assert(eng_init(&self->endpoints, &settings, NULL));
+    shr_init(&self->shares, 4 * LV_SECOND);
+    self->row = eng_publish(&self->endpoints, &spec);
+    eng_set_service(&self->endpoints, 1, true, 0);
+    uv_ip4_addr("127.0.0.1", 9000 + number, &self->address);
+    self->peers.settings.bind = self->address;
+    self->peers.settings.interval = 40 * LV_MILLISECOND;
+    self->peers.settings.silence = LV_SECOND;
+    self->peers.settings.forget = 30 * LV_SECOND;
+    self->peers.endpoints = &self->endpoints;
+    self->peers.shares = &self->shares;
+    self->peers.incarnation = (uint64_t)number + 100;
+    self->peers.most_live = LARGE;
+    self->peers.can_keep = true;
+    self->peers.send = deliver;
+    self->peers.on_ask = on_ask;
+    self->peers.on_answer = on_answer;
+    self->peers.owner = self;
+    self->grants = true;
+}
+
+/* A datagram of every kind that a node sends to all. */
+static void
+tell(node *from, peers_kind kind)
+{
+    buf_buffer datagram;
+
+    buf_init(&datagram);
+    peers_write(&from->peers, kind, now, &datagram);
+    for (int i = 0; i < NODES; i++) {
+        if (&nodes[i] != from) {
+            peers_take(&nodes[i].peers, &from->address, datagram.data,
+                       datagram.size, now);
+        }
+    }
+    buf_finish(&datagram);
+}
+
+static void
+tell_states(void)
+{
+    for (int i = 0; i < NODES; i++) {
+        tell(&nodes[i], PEERS_STATE);
+    }
+}
+
+static void
+start(void)
+{
+    now = NOW;
+    for (int i = 0; i < NODES; i++) {
+        start_node(&nodes[i], i);
+    }
+    tell_states();
+}
+
+static void
+stop(void)
+{
+    for (int i = 0; i < NODES; i++) {
+        peers_finish(&nodes[i].peers);
+        shr_finish(&nodes[i].shares);
+        eng_finish(&nodes[i].endpoints);
+    }
+}
+
+TestSuite(keepers, .init = start, .fini = stop);
+
+static node *
+keeper_of(lv_id key)
+{
+    node *found = NULL;
+
+    for (int i = 0; i < NODES; i++) {
+        if (peers_keeps(&nodes[i].peers, key)) {
+            cr_assert_null(found, "two keepers of %llu",
+                           (unsigned long long)key);
+            found = &nodes[i];
+        }
+    }
+    cr_assert_not_null(found, "no keeper of %llu", (unsigned long long)key);
+    return found;
+}
+
+/* A node that does not keep the endpoint. */
+static node *
+other_than(const node *keeper)
+{
+    return keeper == &nodes[0] ? &nodes[1] : &nodes[0];
+}
+
+static uint32_t
+in_flight_at(const node *self)
+{
+    return eng_in_flight(eng_at(&self->endpoints, self->row));
+}
+
+static lv_time
+wait_at(const node *self)
+{
+    eng_prompt prompt = {.tokens = 1, .home = LV_HANDLE_NONE};
+    eng_prediction prediction;
+
+    eng_predict(&self->endpoints, self->row, &prompt, now, &prediction);
+    return prediction.wait;
+}
+
+static bool
+ask(node *from, uint32_t number)
+{
+    peers_ask asked = {.number = number,
+                       .endpoint = 7,
+                       .aim = 400 * LV_MILLISECOND,
+                       .prompt = {.tokens = 3000, .home = LV_HANDLE_NONE}};
+
+    eng_add_part(&asked.prompt, 5, 3000);
+    return peers_send_ask(&from->peers, &asked, now);
+}
+
+static void
+begin_granted(node *self, eng_use *use)
+{
+    eng_prompt prompt = {.tokens = 3000, .home = LV_HANDLE_NONE};
+    eng_prediction prediction = {.uncached = self->answer.uncached};
+
+    eng_start_as(&self->endpoints, self->row, &prompt, &prediction, now, use);
+}
+
+static void
+send_news(node *self)
+{
+    now += 40 * LV_MILLISECOND;
+    peers_tell(&self->peers, now);
+}
+
+Test(keepers, every_key_has_one)
+{
+    uint32_t kept[NODES] = {0};
+
+    for (lv_id key = 1; key <= KEYS; key++) {
+        kept[keeper_of(map_mix(key)) - nodes]++;
+    }
+    for (int i = 0; i < NODES; i++) {
+        cr_expect_gt(kept[i], KEYS / NODES / 2, "node %d keeps %u", i,
+                     kept[i]);
+    }
+}
+
+Test(keepers, who_knows_no_endpoints_is_none)
+{
+    node *before = keeper_of(7);
+
+    before->peers.can_keep = false;
+    tell_states();
+    cr_expect_neq(keeper_of(7), before);
+}
+
+Test(keepers, in_a_small_fleet_nobody_is_asked)
+{
+    node *asker = other_than(keeper_of(7));
+
+    asker->peers.most_live = 5;
+    cr_expect_not(ask(asker, 1));
+}
+
+Test(keepers, a_granted_request_counts_once)
+{
+    node *keeper = keeper_of(7);
+    node *asker = other_than(keeper);
+    lv_time wait;
+    eng_use use;
+
+    cr_assert(ask(asker, 5));
+    cr_assert_eq(asker->answers, 1);
+    cr_expect_eq(asker->answer.number, 5);
+    cr_expect(asker->answer.is_granted);
+    cr_expect_eq(asker->answer.own, 3 * LV_MILLISECOND);
+    cr_expect_eq(in_flight_at(keeper), 1, "before its sender tells");
+    wait = wait_at(keeper);
+    cr_expect_eq(wait, 100 * LV_MILLISECOND, "%llu us",
+                 (unsigned long long)wait);
+    begin_granted(asker, &use);
+    send_news(asker);
+    cr_expect_eq(in_flight_at(keeper), 1);
+    cr_expect_eq(wait_at(keeper), wait - 40 * LV_MILLISECOND,
+                 "its prompt is not read twice");
+    eng_end(&asker->endpoints, &use, now);
+    send_news(asker);
+    cr_expect_eq(in_flight_at(keeper), 0);
+}
+
+Test(keepers, a_grant_that_is_not_used_is_forgotten)
+{
+    node *keeper = keeper_of(7);
+
+    cr_assert(ask(other_than(keeper), 1));
+    cr_expect_eq(in_flight_at(keeper), 1);
+    now += 4 * LV_SECOND;
+    tell_states();
+    peers_expire(&keeper->peers, now);
+    cr_expect_eq(in_flight_at(keeper), 0);
+}
+
+Test(keepers, a_denial_tells_the_queue)
+{
+    node *keeper = keeper_of(7);
+    node *asker = other_than(keeper);
+    eng_prompt prompt = {.tokens = 6000, .home = LV_HANDLE_NONE};
+    eng_use use;
+
+    keeper->grants = false;
+    eng_start(&keeper->endpoints, keeper->row, &prompt, now, &use);
+    cr_expect_eq(wait_at(asker), 0);
+    cr_assert(ask(asker, 1));
+    cr_expect_not(asker->answer.is_granted);
+    cr_expect_eq(in_flight_at(asker), 1);
+    cr_expect_eq(wait_at(asker), 200 * LV_MILLISECOND);
+    cr_expect_eq(in_flight_at(keeper), 1, "it is not counted");
+}
+
+Test(keepers, a_silent_keeper_is_passed_over_for_a_while)
+{
+    node *keeper = keeper_of(7);
+    node *asker = other_than(keeper);
+    bool is_asked;
+
+    peers_note_unanswered(&asker->peers, 7, now);
+    is_asked = ask(asker, 1);
+    cr_expect_eq(in_flight_at(keeper), 0);
+    cr_expect_eq(asker->answers, is_asked,
+                 "the next one is asked, unless it is the asker itself");
+    now += 2 * LV_SECOND;
+    tell_states();
+    cr_assert(ask(asker, 2));
+    cr_expect_eq(in_flight_at(keeper), 1);
+}
+
+Test(keepers, sums_are_told_to_all_and_forgotten_when_old)
+{
+    node *keeper = keeper_of(7);
+    node *other = other_than(keeper);
+    eng_prompt prompt = {.tokens = 9000, .home = LV_HANDLE_NONE};
+    eng_use use;
+
+    eng_start(&keeper->endpoints, keeper->row, &prompt, now, &use);
+    tell_states();
+    cr_expect_eq(in_flight_at(other), 1);
+    cr_expect_eq(wait_at(other), 300 * LV_MILLISECOND);
+    now += 100 * LV_MILLISECOND;
+    cr_expect_eq(wait_at(other), 300 * LV_MILLISECOND,
+                 "others go on sending there");
+    now += 3 * LV_SECOND;
+    peers_expire(&other->peers, now);
+    cr_expect_eq(in_flight_at(other), 0);
+    cr_expect_eq(wait_at(other), 0);
+}
+
+Test(keepers, accounts_are_summed_up)
+{
+    lv_id id = 55;
+    node *keeper = keeper_of(id);
+
+    for (int i = 0; i < NODES; i++) {
+        lv_handle account = shr_find(&nodes[i].shares, id);
+
+        send_news(&nodes[i]); /* the base that later totals count from */
+        shr_ask(&nodes[i].shares, account, 30, now);
+        shr_get(&nodes[i].shares, account, 20, now);
+        send_news(&nodes[i]);
+    }
+    tell(keeper, PEERS_STATE);
+    for (int i = 0; i < NODES; i++) {
+        lv_handle account = shr_find(&nodes[i].shares, id);
+
+        cr_expect_eq(
+            shr_got(&nodes[i].shares, account, now), NODES * 20,
+            "node %d: %llu", i,
+            (unsigned long long)shr_got(&nodes[i].shares, account, now));
+    }
+}
+
+/* A keeper takes totals of long ago for no work of now when it was another's
+ * turn in between. */
+Test(keepers, totals_after_a_pause_are_a_new_base)
+{
+    lv_id id = 55;
+    node *keeper = keeper_of(id);
+    node *other = other_than(keeper);
+    lv_handle account = shr_find(&other->shares, id);
+
+    shr_get(&other->shares, account, 20, now);
+    send_news(other);
+    now += 10 * LV_SECOND;
+    tell_states();
+    shr_get(&other->shares, account, 1000, now);
+    send_news(other);
+    cr_expect_eq(shr_got(&keeper->shares, shr_find(&keeper->shares, id), now),
+                 0);
+}
--- a/tests/gateway/test-peers.c
+++ b/tests/gateway/test-peers.c
@@ -39,7 +39,6 @@
     self->peers.settings.forget = 30 * LV_SECOND;
     self->peers.endpoints = &self->endpoints;
     self->peers.shares = &self->shares;
-    self->peers.group_count = 1;
     self->peers.incarnation = (uint64_t)number + 100;
 }
 
@@ -229,37 +228,6 @@
         60);
 }
 
-/* Two instances that fall into different groups, whichever those are. */
-Test(peers, other_groups_know_the_sums_of_a_group)
-{
-    lv_handle account = shr_find(&nodes[0].shares, 5);
-    uint32_t groups = 2;
-    buf_buffer datagram;
-    eng_use use;
-
-    while (peers_group_of(peers_place(&nodes[0].peers), groups) ==
-           peers_group_of(peers_place(&nodes[1].peers), groups)) {
-        groups++;
-    }
-    for (int i = 0; i < NODES; i++) {
-        peers_set_groups(&nodes[i].peers, groups, NOW);
-    }
-    begin_request(1000, &use);
-    shr_ask(&nodes[0].shares, account, 300, NOW);
-    shr_get(&nodes[0].shares, account, 100, NOW);
-    buf_init(&datagram);
-    peers_write(&nodes[0].peers, PEERS_FAR, NOW, &datagram);
-    cr_assert(peers_take(&nodes[1].peers, &nodes[0].address, datagram.data,
-                         datagram.size, NOW));
-    buf_finish(&datagram);
-    account = shr_find(&nodes[1].shares, 5);
-    cr_expect_eq(shr_got(&nodes[1].shares, account, NOW), 100);
-    cr_expect_eq(shr_got(&nodes[1].shares, account, NOW + 4 * LV_SECOND), 0,
-                 "a silent group's sums are not used on");
-    cr_expect_eq(seen_in_flight(), 1, "as the group's sum");
-    cr_expect_eq(nodes[1].peers.live, 0);
-}
-
 /* The receiver has just started and hears news of a peer with a long life:
  * its totals are no work to be done now. */
 Test(peers, totals_of_long_ago_are_no_work_for_a_new_instance)
