Add a fault soak of gateways as real processes, with planted mistakes

Real gateways between callers, endpoints, a store and a loopback proxy that live in one program; faults in series and overlapping from a seed; eleven promises judged while it runs and eleven mistakes planted to show that each is found (docs/TESTING.md).

Found by it: seeds with a blank after the comma were refused; they are read now (a case of gateway-test-settings).

--- a/packages/core/include/lavender/engine.h
+++ b/packages/core/include/lavender/engine.h
@@ -76,7 +76,8 @@
 typedef struct eng_prompt {
     uint32_t tokens; /* of the whole prompt; 0 for plain services */
     uint32_t output_tokens;
-    lv_handle home; /* keeps the shared parts, presumably; or none */
+    lv_handle home;   /* keeps the shared parts, presumably; or none */
+    lv_handle second; /* the same once the home has no room; or none */
     uint32_t part_count;
     struct {
         uint64_t chain; /* identity of this part after those before it */
@@ -154,9 +155,12 @@
 void eng_add_part(eng_prompt *prompt, uint64_t part, uint32_t tokens);
 
 /* Set the endpoint that all instances send a prompt's shared parts to when
- * they know of no other that keeps them. */
+ * they know of no other that keeps them; and the one after it. */
 void eng_find_home(const eng_table *table, lv_id service, eng_prompt *prompt);
 
+/* The prompt is to be looked at without any presumption. */
+void eng_forget_home(eng_prompt *prompt);
+
 /* Tokens at the front of a prompt that an endpoint still keeps. */
 uint32_t eng_cached_tokens(const eng_table *table, lv_handle endpoint,
                            const eng_prompt *prompt);
--- a/packages/core/source/admission.c
+++ b/packages/core/source/admission.c
@@ -6,6 +6,10 @@
  * bad as one with this wait. */
 #define FAILURE_COST (2 * LV_SECOND)
 
+/* A second copy of a prompt's parts is worth having only when there is a
+ * queue of this length at the first. */
+#define SECOND_HOME_COST (300 * LV_MILLISECOND)
+
 /* A step at the share keeps all near it; less than a step let accounts that
  * ask much stay above (core-test-admission-gap). */
 #define OVER_SHARE_PERCENT 30
@@ -49,7 +53,7 @@
 
 static uint64_t
 cost_of(const adm_settings *settings, const eng_endpoint *endpoint,
-        const eng_prediction *prediction, lv_time now)
+        const eng_prediction *prediction, bool is_second, lv_time now)
 {
     double failure = out_share(&endpoint->outlier, now);
     uint64_t cost = (uint64_t)(failure * (double)FAILURE_COST);
@@ -59,6 +63,9 @@
     }
     cost += prediction->wait + prediction->own;
     cost += prediction->own * settings->read_cost_percent / 100;
+    if (is_second) {
+        cost += SECOND_HOME_COST;
+    }
     /* Of two that are alike the one with fewer requests decodes faster. */
     cost += eng_in_flight(endpoint) * LV_MILLISECOND / 2;
     return cost;
@@ -187,7 +194,8 @@
         }
         count++;
         eng_predict(table, row, request->prompt, now, &one.prediction);
-        one.cost = cost_of(settings, endpoint, &one.prediction, now);
+        one.cost = cost_of(settings, endpoint, &one.prediction,
+                           row == request->prompt->second, now);
         one.may_start =
             may_start(settings, request, endpoint, &one.prediction, now);
         if (is_better(request, &one, best)) {
--- a/packages/core/source/engine-cache.c
+++ b/packages/core/source/engine-cache.c
@@ -28,35 +28,51 @@
     return map_mix(chain ^ table->endpoints[endpoint].spec.id) | 1;
 }
 
-/* The endpoint that a part is sent to while nobody knows of a better one:
- * the same one for all instances. */
-static lv_handle
-home_of(const eng_table *table, lv_id service, uint64_t chain)
+/* The endpoints that a part is sent to while nobody knows of better ones: the
+ * same for all instances. */
+static void
+find_homes(const eng_table *table, lv_id service, uint64_t chain,
+           eng_prompt *prompt)
 {
-    lv_handle home = LV_HANDLE_NONE;
     uint64_t best = 0;
+    uint64_t second = 0;
     lv_handle row;
 
     for (row = 0; row < table->capacity; row++) {
         const eng_endpoint *endpoint = &table->endpoints[row];
         uint64_t weight = hrw_weight(endpoint->spec.id, chain);
 
-        if (endpoint->is_used && endpoint->is_listed &&
-            endpoint->spec.service == service && weight >= best) {
+        if (!endpoint->is_used || !endpoint->is_listed ||
+            endpoint->spec.service != service) {
+            continue;
+        }
+        if (weight >= best) {
+            second = best;
+            prompt->second = prompt->home;
             best = weight;
-            home = row;
+            prompt->home = row;
+        }
+        else if (weight >= second) {
+            second = weight;
+            prompt->second = row;
         }
     }
-    return home;
 }
 
 void
-eng_find_home(const eng_table *table, lv_id service, eng_prompt *prompt)
+eng_forget_home(eng_prompt *prompt)
 {
     prompt->home = LV_HANDLE_NONE;
+    prompt->second = LV_HANDLE_NONE;
+}
+
+void
+eng_find_home(const eng_table *table, lv_id service, eng_prompt *prompt)
+{
+    eng_forget_home(prompt);
     if (prompt->part_count >= 2) {
-        prompt->home = home_of(table, service,
-                               prompt->parts[prompt->part_count - 2].chain);
+        find_homes(table, service, prompt->parts[prompt->part_count - 2].chain,
+                   prompt);
     }
 }
 
@@ -86,7 +102,8 @@
     uint32_t count = prompt->part_count;
     uint32_t presumed = 0;
 
-    if (endpoint == prompt->home && count > 0) {
+    if ((endpoint == prompt->home || endpoint == prompt->second) &&
+        count > 0) {
         presumed = count - 1;
     }
     while (count > presumed &&
--- a/packages/gateway/source/gate-ask.c
+++ b/packages/gateway/source/gate-ask.c
@@ -96,7 +96,7 @@
         .share = ask->share};
     eng_prediction prediction;
 
-    eng_find_home(&gate->endpoints, request.service, &prompt);
+    eng_forget_home(&prompt); /* the keeper knows what is kept there */
     answer->is_granted = adm_check(&gate->settings.admission, &gate->endpoints,
                                    &request, endpoint, now, &prediction);
     eng_summarize(&gate->endpoints, endpoint, now, &answer->summary);
--- a/packages/gateway/source/gate-request.c
+++ b/packages/gateway/source/gate-request.c
@@ -305,6 +305,10 @@
     adm_request admission;
 
     eng_find_home(&gate->endpoints, request->service, &request->wire.prompt);
+    if (!peers_is_large(&gate->peers)) {
+        /* All uses are known, so is whether a second one keeps it. */
+        request->wire.prompt.second = LV_HANDLE_NONE;
+    }
     fill_admission(request, now, &admission);
     adm_decide(&gate->settings.admission, &gate->endpoints, &admission, now,
                &request->decision);
--- a/packages/gateway/source/gate-settings.c
+++ b/packages/gateway/source/gate-settings.c
@@ -163,6 +163,8 @@
     settings->log.bytes_per_second = 48 * 1024;
 }
 
+#define SEED_SEPARATORS ", \t"
+
 bool
 gate_parse_seeds(const char *text, struct sockaddr_in *seeds, uint32_t *count,
                  err_error *error)
@@ -170,8 +172,9 @@
     char address[LV_ADDRESS_SIZE];
 
     *count = 0;
+    text += strspn(text, SEED_SEPARATORS);
     while (*text != '\0') {
-        size_t size = strcspn(text, ",");
+        size_t size = strcspn(text, SEED_SEPARATORS);
 
         if (size >= sizeof address || *count == PEERS_SEEDS_MAX) {
             return err_set(error, ERR_LIMIT, "name at most 8 addresses",
@@ -184,7 +187,7 @@
         }
         (*count)++;
         text += size;
-        text += *text == ',';
+        text += strspn(text, SEED_SEPARATORS);
     }
     return true;
 }
--- a/packages/gateway/source/peers-ask.c
+++ b/packages/gateway/source/peers-ask.c
@@ -34,7 +34,7 @@
     ask->share = (double)at[4].via.u64 / 100;
     ask->prompt.tokens = (uint32_t)at[5].via.u64;
     ask->prompt.output_tokens = (uint32_t)at[6].via.u64;
-    ask->prompt.home = LV_HANDLE_NONE;
+    eng_forget_home(&ask->prompt);
     return read_parts(at + PEERS_ASK_LEAST, values->size - PEERS_ASK_LEAST,
                       &ask->prompt);
 }
--- a/tests/core/emulator.c
+++ b/tests/core/emulator.c
@@ -198,9 +198,10 @@
                          .aim = request->aim};
     adm_decision decision;
 
-    request->prompt.home = LV_HANDLE_NONE;
+    eng_forget_home(&request->prompt);
     if (!load->has_no_homes) {
         eng_find_home(&self->engines, SERVICE, &request->prompt);
+        request->prompt.second = LV_HANDLE_NONE; /* all uses are known */
     }
     if (!load->has_no_shares) {
         asked.share = shr_ratio(&self->shares, request->account, now);
--- a/tests/core/test-engine.c
+++ b/tests/core/test-engine.c
@@ -50,7 +50,8 @@
 {
     eng_prompt prompt = {.tokens = shared_tokens + own_tokens,
                          .output_tokens = 100,
-                         .home = LV_HANDLE_NONE};
+                         .home = LV_HANDLE_NONE,
+                         .second = LV_HANDLE_NONE};
 
     eng_add_part(&prompt, shared, shared_tokens);
     eng_add_part(&prompt, own, own_tokens);
@@ -227,7 +228,7 @@
 {
     static const eng_load nothing;
     eng_load load = {.in_flight = 40};
-    eng_prompt prompt = {.home = LV_HANDLE_NONE};
+    eng_prompt prompt = {.home = LV_HANDLE_NONE, .second = LV_HANDLE_NONE};
     lv_handle row = publish("one", 6);
     eng_prediction prediction;
 
@@ -242,7 +243,8 @@
 Test(engine, a_part_that_is_kept_speaks_for_those_before_it)
 {
     lv_handle row = publish("one", 8);
-    eng_prompt prompt = {.tokens = 900, .home = LV_HANDLE_NONE};
+    eng_prompt prompt = {
+        .tokens = 900, .home = LV_HANDLE_NONE, .second = LV_HANDLE_NONE};
 
     eng_add_part(&prompt, 1, 100);
     eng_add_part(&prompt, 2, 300);
--- a/tests/gateway/test-keepers.c
+++ b/tests/gateway/test-keepers.c
@@ -169,7 +169,8 @@
 static lv_time
 wait_at(const node *self)
 {
-    eng_prompt prompt = {.tokens = 1, .home = LV_HANDLE_NONE};
+    eng_prompt prompt = {
+        .tokens = 1, .home = LV_HANDLE_NONE, .second = LV_HANDLE_NONE};
     eng_prediction prediction;
 
     eng_predict(&self->endpoints, self->row, &prompt, now, &prediction);
@@ -182,7 +183,9 @@
     peers_ask asked = {.number = number,
                        .endpoint = 7,
                        .aim = 400 * LV_MILLISECOND,
-                       .prompt = {.tokens = 3000, .home = LV_HANDLE_NONE}};
+                       .prompt = {.tokens = 3000,
+                                  .home = LV_HANDLE_NONE,
+                                  .second = LV_HANDLE_NONE}};
 
     eng_add_part(&asked.prompt, 5, 3000);
     return peers_send_ask(&from->peers, &asked, now);
@@ -191,7 +194,8 @@
 static void
 begin_granted(node *self, eng_use *use)
 {
-    eng_prompt prompt = {.tokens = 3000, .home = LV_HANDLE_NONE};
+    eng_prompt prompt = {
+        .tokens = 3000, .home = LV_HANDLE_NONE, .second = LV_HANDLE_NONE};
     eng_prediction prediction = {.uncached = self->answer.uncached};
 
     eng_start_as(&self->endpoints, self->row, &prompt, &prediction, now, use);
@@ -276,7 +280,8 @@
 {
     node *keeper = keeper_of(7);
     node *asker = other_than(keeper);
-    eng_prompt prompt = {.tokens = 6000, .home = LV_HANDLE_NONE};
+    eng_prompt prompt = {
+        .tokens = 6000, .home = LV_HANDLE_NONE, .second = LV_HANDLE_NONE};
     eng_use use;
 
     keeper->grants = false;
@@ -310,7 +315,8 @@
 {
     node *keeper = keeper_of(7);
     node *other = other_than(keeper);
-    eng_prompt prompt = {.tokens = 9000, .home = LV_HANDLE_NONE};
+    eng_prompt prompt = {
+        .tokens = 9000, .home = LV_HANDLE_NONE, .second = LV_HANDLE_NONE};
     eng_use use;
 
     eng_start(&keeper->endpoints, keeper->row, &prompt, now, &use);
--- a/tests/gateway/test-peers.c
+++ b/tests/gateway/test-peers.c
@@ -86,8 +86,10 @@
 static void
 begin_request(uint32_t tokens, eng_use *use)
 {
-    eng_prompt prompt = {
-        .tokens = tokens, .output_tokens = 10, .home = LV_HANDLE_NONE};
+    eng_prompt prompt = {.tokens = tokens,
+                         .output_tokens = 10,
+                         .home = LV_HANDLE_NONE,
+                         .second = LV_HANDLE_NONE};
 
     eng_start(&nodes[0].endpoints, nodes[0].endpoint, &prompt, NOW, use);
 }
@@ -218,7 +220,8 @@
 
 Test(peers, cached_parts_are_known_to_the_others)
 {
-    eng_prompt prompt = {.tokens = 100, .home = LV_HANDLE_NONE};
+    eng_prompt prompt = {
+        .tokens = 100, .home = LV_HANDLE_NONE, .second = LV_HANDLE_NONE};
 
     eng_add_part(&prompt, 1, 60);
     peers_note_use(&nodes[0].peers, nodes[0].endpoint, prompt.parts[0].chain);
--- a/tests/gateway/test-settings.c
+++ b/tests/gateway/test-settings.c
@@ -65,6 +65,8 @@
         {"", 4, "missing"},
         {GOOD "[nonsense]\n", 1, "nonsense"},
         {GOOD "[peers]\nseeds = here\n", 1, "here"},
+        {GOOD "[peers]\nseeds = 127.0.0.1:5, 127.0.0.1:6 ,127.0.0.1:7\n", 0,
+         NULL},
         {GOOD "[peers]\nsilence = 100ms\nidle_interval = 200ms\n", 1,
          "two heartbeats"},
         {GOOD "[shutdown]\ngrace = 2s\n", 1, "no time is left"},
--- /dev/null
+++ b/tests/soak/soak-endpoint.c
@@ -0,0 +1,288 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "soak.h"
+
+#define WORK_LEAST (5 * LV_MILLISECOND)
+#define WORK_MOST (40 * LV_MILLISECOND)
+#define WORK_SLOW (500 * LV_MILLISECOND)
+#define EVENTS 6
+#define EVENT_TIME (10 * LV_MILLISECOND)
+
+/* Requests that an endpoint in a bad mood treats badly, in percent. */
+#define BAD_PERCENT 50
+
+#define BODY_SIZE 256
+
+struct endpoint_work {
+    soak_endpoint *endpoint;
+    front_connection *connection; /* NULL: gone */
+    uint32_t call;
+    endpoint_mood mood;
+    bool is_stream;
+    bool has_begun;
+    uint32_t next_event;
+    lv_time due_at;
+    endpoint_work *next;
+};
+
+static const rt_limits limits = {.head_bytes = 16384,
+                                 .body_bytes = 4096,
+                                 .head_timeout = 10 * LV_SECOND,
+                                 .idle_timeout = 6 * LV_SECOND};
+
+static bool
+read_call(const soak_world *world, const http_head *head, uint32_t *call)
+{
+    const char *id = http_find(head, "Lavenderproxy-Attempt-Id");
+
+    if (id == NULL || id[0] != 'c') {
+        return false;
+    }
+    *call = (uint32_t)strtoul(id + 1, NULL, 10);
+    return *call < world->call_count;
+}
+
+static void
+write_headers(uint32_t call, const char *more, buf_buffer *to)
+{
+    buf_append_format(to,
+                      "Lavenderproxy-Attempt-Id: c%u\r\n"
+                      "Lavenderproxy-Runner-Seal: seal-%u\r\n%s",
+                      call, call, more);
+}
+
+static void
+shed(front_connection *connection, uint32_t call)
+{
+    buf_buffer headers;
+
+    buf_init(&headers);
+    write_headers(call, "Lavenderproxy-Not-Executed: 1\r\n", &headers);
+    front_refuse(connection, 503, &headers, "busy");
+    buf_finish(&headers);
+}
+
+static endpoint_mood
+choose_mood(soak_endpoint *endpoint)
+{
+    return soak_draw(endpoint->world, 100) < BAD_PERCENT ? endpoint->mood
+                                                         : ENDPOINT_GOOD;
+}
+
+static void
+on_request(front_server *server, front_connection *connection)
+{
+    soak_endpoint *endpoint = server->owner;
+    soak_world *world = endpoint->world;
+    endpoint_mood mood = choose_mood(endpoint);
+    endpoint_work *work;
+    uint32_t call;
+
+    if (!read_call(world, connection->head, &call)) {
+        judge_fault(world, "an endpoint got a request of nobody: %s",
+                    connection->head->target);
+        front_abort(connection);
+        return;
+    }
+    if (mood == ENDPOINT_SHEDS) {
+        shed(connection, call);
+        return;
+    }
+    judge_run(world, call, endpoint);
+    if (world->plant == SOAK_PLANT_TWICE) {
+        judge_run(world, call, endpoint);
+    }
+    work = calloc(1, sizeof *work);
+    work->endpoint = endpoint;
+    work->connection = connection;
+    work->call = call;
+    work->mood = mood;
+    work->is_stream = world->calls[call].kind == SOAK_STREAM;
+    work->due_at =
+        io_now() + (mood == ENDPOINT_SLOW
+                        ? WORK_SLOW
+                        : soak_draw_time(world, WORK_LEAST, WORK_MOST));
+    work->next = endpoint->works;
+    endpoint->works = work;
+    connection->request = work;
+}
+
+static void
+on_gone(front_server *server, front_connection *connection)
+{
+    const soak_endpoint *endpoint = server->owner;
+    endpoint_work *work = connection->request;
+
+    if (work != NULL) {
+        work->connection = NULL;
+        if (endpoint->world->plant != SOAK_PLANT_WORK) {
+            work->due_at = 0;
+        }
+    }
+}
+
+static void
+ignore_drain(front_server *server, front_connection *connection)
+{
+    (void)server;
+    (void)connection;
+}
+
+static void
+on_rejected(front_server *server, uint32_t status, const char *reason)
+{
+    soak_endpoint *endpoint = server->owner;
+
+    /* Connections that the proxy resets in the middle of a request. */
+    if (endpoint->link.fault == LINK_GOOD && endpoint->world->is_calm) {
+        judge_fault(endpoint->world, "an endpoint got a bad request: %u %s",
+                    status, reason);
+    }
+}
+
+static const front_ops server_ops = {.on_request = on_request,
+                                     .on_gone = on_gone,
+                                     .on_drain = ignore_drain,
+                                     .on_rejected = on_rejected};
+
+static void
+send_whole(endpoint_work *work, uint32_t status)
+{
+    const soak_world *world = work->endpoint->world;
+    bool is_swapped = world->plant == SOAK_PLANT_SWAP && work->call > 0;
+    char body[BODY_SIZE];
+    size_t size;
+    buf_buffer headers;
+
+    judge_write_body(is_swapped ? work->call - 1 : work->call, body,
+                     sizeof body);
+    size = strlen(body);
+    if (world->plant == SOAK_PLANT_CUT) {
+        size /= 2;
+    }
+    buf_init(&headers);
+    write_headers(work->call, "", &headers);
+    front_begin(work->connection, status, &headers, size);
+    if (work->mood == ENDPOINT_RESETS) {
+        front_body(work->connection, body, size / 2);
+        front_abort(work->connection);
+    }
+    else {
+        front_body(work->connection, body, size);
+        front_end(work->connection);
+    }
+    buf_finish(&headers);
+}
+
+static void
+begin_stream(endpoint_work *work)
+{
+    buf_buffer headers;
+
+    buf_init(&headers);
+    write_headers(work->call, "Content-Type: text/event-stream\r\n", &headers);
+    front_begin(work->connection, 200, &headers, FRONT_UNKNOWN);
+    buf_finish(&headers);
+    work->has_begun = true;
+}
+
+/* False: the stream goes on. */
+static bool
+send_event(endpoint_work *work, lv_time now)
+{
+    char event[128];
+
+    if (!work->has_begun) {
+        begin_stream(work);
+    }
+    if (work->next_event == EVENTS) {
+        front_end(work->connection);
+        return true;
+    }
+    if (work->mood == ENDPOINT_RESETS && work->next_event == EVENTS / 2) {
+        front_abort(work->connection);
+        return true;
+    }
+    snprintf(event, sizeof event, "id: %u\ndata: c%u %u\n\n", work->next_event,
+             work->call, work->next_event);
+    front_body(work->connection, event, strlen(event));
+    work->next_event++;
+    work->due_at = now + EVENT_TIME;
+    return false;
+}
+
+/* False: there is more to do. */
+static bool
+do_work(endpoint_work *work, lv_time now)
+{
+    if (work->connection == NULL) {
+        return work->due_at == 0 || now >= work->due_at + LV_SECOND * 10;
+    }
+    if (now < work->due_at || work->mood == ENDPOINT_MUTE ||
+        work->endpoint->world->plant == SOAK_PLANT_KEPT) {
+        return false;
+    }
+    if (work->mood == ENDPOINT_FAILS) {
+        send_whole(work, 500);
+        return true;
+    }
+    if (work->is_stream) {
+        return send_event(work, now);
+    }
+    send_whole(work, 200);
+    return true;
+}
+
+void
+endpoint_tick(soak_endpoint *endpoint, lv_time now)
+{
+    endpoint_work **at = &endpoint->works;
+
+    while (*at != NULL) {
+        endpoint_work *work = *at;
+
+        if (do_work(work, now)) {
+            if (work->connection != NULL) {
+                work->connection->request = NULL;
+            }
+            *at = work->next;
+            free(work);
+            continue;
+        }
+        judge_working(endpoint->world, work->call, endpoint, now);
+        at = &work->next;
+    }
+    link_tick(&endpoint->link, now);
+    front_tick(&endpoint->server, now);
+}
+
+void
+endpoint_start(soak_world *world, uint32_t number)
+{
+    soak_endpoint *endpoint = &world->endpoints[number];
+    struct sockaddr_in address;
+    int size = sizeof address;
+    char target[LV_ADDRESS_SIZE];
+
+    endpoint->world = world;
+    endpoint->number = number;
+    endpoint->is_listed = true;
+    io_parse_address("127.0.0.1:0", &address, NULL);
+    front_listen(&endpoint->server, &world->loop, &server_ops, &address, 2000,
+                 endpoint, NULL);
+    endpoint->server.limits = limits;
+    uv_tcp_getsockname(&endpoint->server.listener, (struct sockaddr *)&address,
+                       &size);
+    snprintf(target, sizeof target, "127.0.0.1:%u",
+             (unsigned)ntohs(address.sin_port));
+    link_start(&endpoint->link, world, target);
+}
+
+void
+endpoint_stop(soak_endpoint *endpoint)
+{
+    link_stop(&endpoint->link);
+    front_close_all(&endpoint->server);
+    front_stop_listening(&endpoint->server);
+}
--- /dev/null
+++ b/tests/soak/soak-fault.c
@@ -0,0 +1,304 @@
+#include "soak.h"
+
+#define GAP_LEAST (50 * LV_MILLISECOND)
+#define GAP_MOST (600 * LV_MILLISECOND)
+#define LENGTH_LEAST (200 * LV_MILLISECOND)
+#define LENGTH_MOST (2500 * LV_MILLISECOND)
+#define DOWN_MOST LV_SECOND
+#define DELAY_MOST (400 * LV_MILLISECOND)
+
+typedef enum fault_kind {
+    FAULT_NONE,
+    FAULT_PAUSE,
+    FAULT_KILL,
+    FAULT_HERD_KILL,
+    FAULT_TERMINATE,
+    FAULT_RELOAD,
+    FAULT_STORE_LINK,
+    FAULT_ENDPOINT_LINK,
+    FAULT_MOOD,
+    FAULT_LEAVE,
+    FAULT_STORE,
+    FAULT_VERSION,
+    FAULT_KINDS
+} fault_kind;
+
+static const char *const names[FAULT_KINDS] = {
+    "none",      "pause",  "kill",       "herd-kill",
+    "terminate", "reload", "store-link", "endpoint-link",
+    "mood",      "leave",  "store",      "version"};
+
+static link_fault
+draw_link_fault(soak_world *world)
+{
+    return LINK_DELAYED + soak_draw(world, LINK_REFUSES - LINK_DELAYED + 1);
+}
+
+static soak_daemon *
+running_daemon(soak_world *world, uint32_t target)
+{
+    soak_daemon *daemon = &world->daemons[target];
+
+    return daemon->state == DAEMON_RUNNING ? daemon : NULL;
+}
+
+static void
+kill_and_restart(soak_world *world, soak_daemon *daemon)
+{
+    daemon_kill(daemon);
+    daemon->start_at = io_now() + soak_draw_time(world, 0, DOWN_MOST);
+}
+
+static void
+kill_many(soak_world *world)
+{
+    for (uint32_t i = 0; i < world->daemon_count; i++) {
+        if (soak_draw(world, 2) == 0 && running_daemon(world, i) != NULL) {
+            kill_and_restart(world, &world->daemons[i]);
+        }
+    }
+}
+
+static void
+terminate(soak_daemon *daemon)
+{
+    daemon_terminate(daemon);
+    daemon->start_at = io_now(); /* as soon as it has ended */
+}
+
+static void
+show_version(soak_world *world)
+{
+    world->version++;
+    world->version_at[world->version % SOAK_VERSIONS_MAX] = io_now();
+    store_show(world);
+}
+
+static void
+set_listed(soak_endpoint *endpoint, bool is_listed)
+{
+    endpoint->is_listed = is_listed;
+    endpoint->births += is_listed;
+    endpoint->changed_at = io_now();
+    store_show(endpoint->world);
+}
+
+static void
+begin_on_daemon(soak_world *world, fault_kind kind, soak_daemon *daemon)
+{
+    switch (kind) {
+    case FAULT_PAUSE:
+        daemon_pause(daemon);
+        break;
+    case FAULT_KILL:
+        kill_and_restart(world, daemon);
+        break;
+    case FAULT_TERMINATE:
+        terminate(daemon);
+        break;
+    case FAULT_RELOAD:
+        daemon_reload(daemon);
+        break;
+    default:
+        link_set(&daemon->store, draw_link_fault(world),
+                 soak_draw_time(world, 0, DELAY_MOST));
+        break;
+    }
+}
+
+static void
+begin_fault(soak_world *world, soak_fault *fault)
+{
+    soak_endpoint *endpoint =
+        &world->endpoints[fault->target % SOAK_ENDPOINTS];
+    soak_daemon *daemon = running_daemon(world, fault->target);
+
+    soak_log(world, "fault %s at %u", names[fault->kind], fault->target);
+    switch ((fault_kind)fault->kind) {
+    case FAULT_NONE:
+    case FAULT_KINDS:
+        break;
+    case FAULT_HERD_KILL:
+        kill_many(world);
+        break;
+    case FAULT_ENDPOINT_LINK:
+        link_set(&endpoint->link, draw_link_fault(world),
+                 soak_draw_time(world, 0, DELAY_MOST));
+        break;
+    case FAULT_MOOD:
+        endpoint->mood = 1 + soak_draw(world, ENDPOINT_MOODS - 1);
+        break;
+    case FAULT_LEAVE:
+        set_listed(endpoint, false);
+        break;
+    case FAULT_STORE:
+        store_set(world, STORE_DOWN + soak_draw(world, 3));
+        break;
+    case FAULT_VERSION:
+        show_version(world);
+        break;
+    default:
+        if (daemon != NULL) {
+            begin_on_daemon(world, fault->kind, daemon);
+        }
+        else {
+            fault->kind = FAULT_NONE;
+        }
+        break;
+    }
+}
+
+static void
+end_fault(soak_world *world, soak_fault *fault)
+{
+    soak_endpoint *endpoint =
+        &world->endpoints[fault->target % SOAK_ENDPOINTS];
+    soak_daemon *daemon = &world->daemons[fault->target];
+
+    switch ((fault_kind)fault->kind) {
+    case FAULT_PAUSE:
+        daemon_go_on(daemon);
+        break;
+    case FAULT_STORE_LINK:
+        link_set(&daemon->store, LINK_GOOD, 0);
+        break;
+    case FAULT_ENDPOINT_LINK:
+        link_set(&endpoint->link, LINK_GOOD, 0);
+        break;
+    case FAULT_MOOD:
+        endpoint->mood = ENDPOINT_GOOD;
+        break;
+    case FAULT_LEAVE:
+        set_listed(endpoint, true);
+        break;
+    case FAULT_STORE:
+        store_set(world, STORE_GOOD);
+        break;
+    default:
+        break;
+    }
+    fault->kind = FAULT_NONE;
+}
+
+/* Faults of one kind do not overlap at one target. */
+static bool
+is_on(const soak_world *world, uint32_t kind, uint32_t target)
+{
+    for (int i = 0; i < SOAK_FAULTS_MAX; i++) {
+        const soak_fault *fault = &world->faults[i];
+        bool is_endpoint = kind == FAULT_ENDPOINT_LINK || kind == FAULT_MOOD ||
+                           kind == FAULT_LEAVE;
+        bool is_same = is_endpoint ? fault->target % SOAK_ENDPOINTS ==
+                                         target % SOAK_ENDPOINTS
+                                   : fault->target == target;
+
+        if (fault->kind == kind && (is_same || kind == FAULT_STORE)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+draw_fault(soak_world *world, lv_time now)
+{
+    uint32_t kind = 1 + soak_draw(world, FAULT_KINDS - 1);
+    uint32_t target = soak_draw(world, world->daemon_count);
+    lv_time length = soak_draw_time(world, LENGTH_LEAST, LENGTH_MOST);
+
+    for (int i = 0; i < SOAK_FAULTS_MAX && !is_on(world, kind, target); i++) {
+        soak_fault *fault = &world->faults[i];
+
+        if (fault->kind == FAULT_NONE) {
+            fault->kind = kind;
+            fault->target = target;
+            fault->until = now + length;
+            begin_fault(world, fault);
+            return;
+        }
+    }
+}
+
+static void
+plant_mistake(soak_world *world)
+{
+    soak_daemon *daemon = &world->daemons[0];
+
+    switch (world->plant) {
+    case SOAK_PLANT_LATE:
+        daemon_pause(daemon);
+        break;
+    case SOAK_PLANT_LEAVE:
+        for (uint32_t i = 0; i < SOAK_ENDPOINTS; i++) {
+            world->endpoints[i].is_listed = false;
+            world->endpoints[i].changed_at = io_now();
+        }
+        break;
+    case SOAK_PLANT_STALE:
+        world->store.mood = STORE_STALE;
+        show_version(world);
+        break;
+    case SOAK_PLANT_OLD:
+        world->store.version--;
+        world->store.revision++;
+        kill_and_restart(world, daemon);
+        break;
+    case SOAK_PLANT_BUDGET:
+        for (uint32_t i = 0; i < SOAK_ENDPOINTS; i++) {
+            world->endpoints[i].mood = ENDPOINT_FAILS;
+        }
+        break;
+    default:
+        break;
+    }
+}
+
+/* Before a mistake is planted: two versions that are in force. */
+#define PLANT_AT (4 * LV_SECOND)
+#define SECOND_VERSION_AT (2 * LV_SECOND)
+
+static void
+tick_plant(soak_world *world, lv_time now)
+{
+    lv_time passed = lv_elapsed(now, world->started_at);
+
+    if (world->next_fault_at == 0 && passed > SECOND_VERSION_AT) {
+        world->next_fault_at = world->started_at + PLANT_AT;
+        show_version(world);
+    }
+    else if (world->next_fault_at != 0 && now > world->next_fault_at) {
+        world->next_fault_at = LV_TIME_NEVER;
+        plant_mistake(world);
+    }
+}
+
+void
+faults_tick(soak_world *world, lv_time now)
+{
+    if (world->plant != SOAK_PLANT_NONE) {
+        tick_plant(world, now);
+        return;
+    }
+    for (int i = 0; i < SOAK_FAULTS_MAX; i++) {
+        if (world->faults[i].kind != FAULT_NONE &&
+            now >= world->faults[i].until) {
+            end_fault(world, &world->faults[i]);
+        }
+    }
+    if (now >= world->next_fault_at) {
+        draw_fault(world, now);
+        world->next_fault_at =
+            now + soak_draw_time(world, GAP_LEAST, GAP_MOST);
+    }
+}
+
+void
+faults_end(soak_world *world)
+{
+    for (int i = 0; i < SOAK_FAULTS_MAX; i++) {
+        if (world->faults[i].kind != FAULT_NONE) {
+            end_fault(world, &world->faults[i]);
+        }
+    }
+    soak_log(world, "the faults are over");
+}
--- /dev/null
+++ b/tests/soak/soak-store.c
@@ -0,0 +1,265 @@
+#include <openssl/evp.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "soak.h"
+
+#define SLOW_LEAST (300 * LV_MILLISECOND)
+#define SLOW_MOST (900 * LV_MILLISECOND)
+
+static const rt_limits limits = {.head_bytes = 16384,
+                                 .body_bytes = 1024,
+                                 .head_timeout = 10 * LV_SECOND,
+                                 .idle_timeout = 60 * LV_SECOND};
+
+static void
+append_value(buf_buffer *to, const char *key, const char *json)
+{
+    unsigned char encoded[16384];
+
+    EVP_EncodeBlock(encoded, (const unsigned char *)json, (int)strlen(json));
+    buf_append_format(to, "{\"key\":\"%s\",\"revision\":1,\"value\":\"", key);
+    buf_append_text(to, (const char *)encoded);
+    buf_append_text(to, "\"}");
+}
+
+static void
+append_route(buf_buffer *to, const char *prefix, const char *kind)
+{
+    buf_append_format(
+        to,
+        "{\"name\":\"%s\",\"host\":\"h\",\"prefix\":\"/%s/\",\"kind\":\"%s\","
+        "\"timeout_ms\":%u,\"target_latency_ms\":200,\"priority\":1,"
+        "\"service\":\"pool\",\"max_attempts\":%u,\"target_gap_ms\":100}",
+        prefix, prefix, kind, (unsigned)(SOAK_TIMEOUT / LV_MILLISECOND),
+        strcmp(kind, "idempotent") == 0 ? SOAK_ATTEMPTS : 1);
+}
+
+static void
+append_config(const soak_store *store, buf_buffer *to)
+{
+    char probe[32];
+    buf_buffer json;
+
+    buf_init(&json);
+    buf_append_format(&json, "{\"version\":%u,\"routes\":[", store->version);
+    append_route(&json, "once", "non_idempotent");
+    buf_append_text(&json, ",");
+    append_route(&json, "many", "idempotent");
+    buf_append_text(&json, ",");
+    append_route(&json, "stream", "stream");
+    buf_append_text(&json, ",");
+    snprintf(probe, sizeof probe, "probe-%u", store->version);
+    append_route(&json, probe, "idempotent");
+    buf_append_text(&json,
+                    "],\"services\":[{\"name\":\"pool\",\"max_conns\":500}],"
+                    "\"limits\":{\"max_header_bytes\":4096,"
+                    "\"max_body_bytes\":2048,\"header_timeout_ms\":4000,"
+                    "\"idle_timeout_ms\":60000},"
+                    "\"tenants\":[{\"name\":\"north\","
+                    "\"api_keys\":[\"k1\"]}]}");
+    buf_append(&json, "", 1);
+    append_value(to, "op/config", json.data);
+    buf_finish(&json);
+}
+
+static void
+append_endpoints(const soak_world *world, buf_buffer *to)
+{
+    const char *comma = "";
+
+    for (uint32_t i = 0; i < SOAK_ENDPOINTS; i++) {
+        const soak_endpoint *endpoint = &world->endpoints[i];
+        char key[64];
+        char value[512];
+
+        if (!world->store.is_shown[i]) {
+            continue;
+        }
+        snprintf(key, sizeof key, "servers/e-%u", i);
+        snprintf(value, sizeof value,
+                 "{\"service\":\"pool\",\"address\":\"%s\",\"zone\":\"z\","
+                 "\"version\":\"v1\",\"slots\":64,\"state\":\"ready\","
+                 "\"born\":%u,\"seq\":1}",
+                 endpoint->link.address, 1000 + endpoint->births);
+        buf_append_text(to, comma);
+        append_value(to, key, value);
+        comma = ",";
+    }
+}
+
+static void
+answer_list(soak_world *world, front_connection *connection, bool is_config)
+{
+    buf_buffer body;
+
+    buf_init(&body);
+    buf_append_text(&body, "{\"items\":[");
+    if (is_config) {
+        append_config(&world->store, &body);
+    }
+    else {
+        append_endpoints(world, &body);
+    }
+    buf_append_format(&body, "],\"has_more\":false,\"at\":%llu}",
+                      (unsigned long long)world->store.revision);
+    front_begin(connection, 200, NULL, body.size);
+    front_body(connection, body.data, body.size);
+    front_end(connection);
+    buf_finish(&body);
+}
+
+static void
+wait(soak_store *store, front_connection *connection, bool is_config,
+     lv_time due_at)
+{
+    for (int i = 0; i < STORE_WAITING_MAX; i++) {
+        if (store->waiting[i].connection == NULL) {
+            store->waiting[i].connection = connection;
+            store->waiting[i].is_config = is_config;
+            store->waiting[i].due_at = due_at;
+            return;
+        }
+    }
+    front_refuse(connection, 503, NULL, "too-many-watches");
+}
+
+static void
+on_request(front_server *server, front_connection *connection)
+{
+    soak_world *world = server->owner;
+    soak_store *store = &world->store;
+    const char *target = connection->head->target;
+    const char *after = strstr(target, "after=");
+    bool is_config = strstr(target, "op/config") != NULL;
+    bool is_watch = strncmp(target, "/v1/kv-watch", 12) == 0;
+
+    if (store->mood == STORE_DOWN) {
+        front_refuse(connection, 503, NULL, "down");
+    }
+    else if (is_watch && after != NULL &&
+             strtoull(after + 6, NULL, 10) < store->revision) {
+        front_refuse(connection, 410, NULL, "gone"); /* a short history */
+    }
+    else if (is_watch) {
+        wait(store, connection, is_config, 0);
+    }
+    else if (store->mood == STORE_SLOW) {
+        wait(store, connection, is_config,
+             io_now() + soak_draw_time(world, SLOW_LEAST, SLOW_MOST));
+    }
+    else {
+        answer_list(world, connection, is_config);
+    }
+}
+
+static void
+on_gone(front_server *server, front_connection *connection)
+{
+    soak_world *world = server->owner;
+
+    for (int i = 0; i < STORE_WAITING_MAX; i++) {
+        if (world->store.waiting[i].connection == connection) {
+            world->store.waiting[i].connection = NULL;
+        }
+    }
+}
+
+static void
+ignore_drain(front_server *server, front_connection *connection)
+{
+    (void)server;
+    (void)connection;
+}
+
+static void
+on_rejected(front_server *server, uint32_t status, const char *reason)
+{
+    judge_fault(server->owner, "the store got a bad request: %u %s", status,
+                reason);
+}
+
+static const front_ops server_ops = {.on_request = on_request,
+                                     .on_gone = on_gone,
+                                     .on_drain = ignore_drain,
+                                     .on_rejected = on_rejected};
+
+void
+store_start(soak_world *world)
+{
+    soak_store *store = &world->store;
+    struct sockaddr_in address;
+
+    store->revision = 100;
+    io_parse_address("127.0.0.1:0", &address, NULL);
+    front_listen(&store->server, &world->loop, &server_ops, &address,
+                 SOAK_DAEMONS_MAX * 8, world, NULL);
+    store->server.limits = limits;
+}
+
+static void
+end_watches(soak_store *store, uint32_t status)
+{
+    for (int i = 0; i < STORE_WAITING_MAX; i++) {
+        front_connection *connection = store->waiting[i].connection;
+
+        if (connection != NULL && store->waiting[i].due_at == 0) {
+            store->waiting[i].connection = NULL;
+            front_refuse(connection, status, NULL, "changed");
+        }
+    }
+}
+
+void
+store_show(soak_world *world)
+{
+    soak_store *store = &world->store;
+
+    if (store->mood == STORE_STALE) {
+        return;
+    }
+    store->revision++;
+    store->version = world->version;
+    for (uint32_t i = 0; i < SOAK_ENDPOINTS; i++) {
+        store->is_shown[i] = world->endpoints[i].is_listed;
+    }
+    end_watches(store, 410);
+}
+
+void
+store_set(soak_world *world, store_mood mood)
+{
+    soak_store *store = &world->store;
+
+    store->mood = mood;
+    store->good_since = io_now();
+    if (mood == STORE_DOWN) {
+        end_watches(store, 503);
+    }
+    else if (mood == STORE_GOOD) {
+        store_show(world);
+    }
+}
+
+void
+store_tick(soak_world *world, lv_time now)
+{
+    soak_store *store = &world->store;
+
+    for (int i = 0; i < STORE_WAITING_MAX; i++) {
+        front_connection *connection = store->waiting[i].connection;
+
+        if (connection != NULL && store->waiting[i].due_at != 0 &&
+            now >= store->waiting[i].due_at) {
+            store->waiting[i].connection = NULL;
+            answer_list(world, connection, store->waiting[i].is_config);
+        }
+    }
+}
+
+void
+store_stop(soak_world *world)
+{
+    front_close_all(&world->store.server);
+    front_stop_listening(&world->store.server);
+}
--- /dev/null
+++ b/tests/soak/soak.h
@@ -0,0 +1,284 @@
+/*
+ * Fault soak: real gateways as separate processes behind a loopback proxy,
+ * between callers, endpoints and a store that all live in this program. From
+ * a seed it makes faults in series and overlapping, and judges while it runs
+ * what callers and endpoints see. docs/TESTING.md lists what is judged.
+ */
+#ifndef SOAK_H
+#define SOAK_H
+
+#include <stdio.h>
+
+#include "common-process.h"
+#include "lavender-gateway/front.h"
+
+#define SOAK_DAEMONS_MAX 32
+#define SOAK_ENDPOINTS 4
+#define SOAK_CALLERS_MAX 256
+#define SOAK_FAULTS_MAX 8
+#define SOAK_VERSIONS_MAX 256
+#define SOAK_TICK_MS 5
+
+/* What the platform's configuration of the soak says. */
+#define SOAK_TIMEOUT (1500 * LV_MILLISECOND)
+#define SOAK_LEAVE_BOUND (2 * LV_SECOND)
+#define SOAK_CONFIG_BOUND (3 * LV_SECOND)
+#define SOAK_GRACE (8 * LV_SECOND)
+#define SOAK_ATTEMPTS 2 /* of requests that may be repeated */
+#define SOAK_BUDGET_PERCENT 20
+#define SOAK_BUDGET_SLACK 20
+
+/* Added to every bound: this program's own loop may be late on a machine that
+ * does other work too. */
+#define SOAK_MARGIN (1500 * LV_MILLISECOND)
+
+typedef struct soak_world soak_world;
+
+typedef enum soak_kind {
+    SOAK_ONCE,   /* must not run twice */
+    SOAK_MANY,   /* may be repeated */
+    SOAK_STREAM, /* events; must not run twice */
+    SOAK_PROBE   /* to a route that one version alone has */
+} soak_kind;
+
+/* A mistake that is made on purpose, to show that it is found. */
+typedef enum soak_plant {
+    SOAK_PLANT_NONE,
+    SOAK_PLANT_TWICE,  /* a request reaches its endpoint a second time */
+    SOAK_PLANT_SWAP,   /* an endpoint sends another request's answer */
+    SOAK_PLANT_CUT,    /* half of an answer, framed as whole */
+    SOAK_PLANT_LIE,    /* a request that ran is said not to have run */
+    SOAK_PLANT_LATE,   /* a gateway is paused, and nobody is told */
+    SOAK_PLANT_LEAVE,  /* an endpoint leaves, and the store does not say so */
+    SOAK_PLANT_OLD,    /* a gateway begins anew with an old configuration */
+    SOAK_PLANT_STALE,  /* the store holds a configuration back */
+    SOAK_PLANT_BUDGET, /* gateways have settings that allow more repeats */
+    SOAK_PLANT_WORK,   /* an endpoint works on after its caller has left */
+    SOAK_PLANT_KEPT,   /* a request is never answered and stays in hand */
+    SOAK_PLANT_COUNT
+} soak_plant;
+
+/* A request, from its sending on; kept until the end of the run. */
+typedef struct soak_call {
+    soak_kind kind;
+    uint32_t daemon;
+    uint32_t life;    /* of the daemon's process */
+    uint32_t version; /* that a probe asks for */
+    uint32_t runs;
+    lv_time sent_at;
+    lv_time left_at; /* its caller closed; 0: did not */
+    bool is_refused; /* said not to have run */
+    bool is_over;
+} soak_call;
+
+/* ---- soak-link.c: the loopback proxy ---- */
+
+typedef enum link_fault {
+    LINK_GOOD,
+    LINK_DELAYED,
+    LINK_HOLDS_FORWARD, /* bytes from the connecting side stay here */
+    LINK_HOLDS_BACK,
+    LINK_SILENT, /* both */
+    LINK_REFUSES /* open connections and new ones are reset */
+} link_fault;
+
+typedef struct link_pair link_pair;
+
+typedef struct link_link {
+    uv_tcp_t listener;
+    soak_world *world;
+    struct sockaddr_in target;
+    char address[LV_ADDRESS_SIZE]; /* that it listens on */
+    link_fault fault;
+    lv_time delay;
+    lv_time good_since;
+    link_pair *pairs;
+} link_link;
+
+void link_start(link_link *link, soak_world *world, const char *target);
+void link_set(link_link *link, link_fault fault, lv_time delay);
+void link_tick(link_link *link, lv_time now);
+void link_stop(link_link *link);
+
+/* ---- soak-store.c: the platform's store ---- */
+
+typedef enum store_mood {
+    STORE_GOOD,
+    STORE_DOWN,
+    STORE_SLOW,
+    STORE_STALE /* changes are not shown */
+} store_mood;
+
+#define STORE_WAITING_MAX 128
+
+typedef struct soak_store {
+    front_server server;
+    store_mood mood;
+    lv_time good_since;
+    uint64_t revision; /* shown; grows with each change */
+    uint32_t version;  /* of the configuration, shown */
+    bool is_shown[SOAK_ENDPOINTS];
+    struct {
+        front_connection *connection; /* NULL: free */
+        bool is_config;
+        lv_time due_at; /* a slow answer; 0: a watch */
+    } waiting[STORE_WAITING_MAX];
+} soak_store;
+
+void store_start(soak_world *world);
+void store_set(soak_world *world, store_mood mood);
+void store_show(soak_world *world); /* show what has changed */
+void store_tick(soak_world *world, lv_time now);
+void store_stop(soak_world *world);
+
+/* ---- soak-endpoint.c ---- */
+
+typedef enum endpoint_mood {
+    ENDPOINT_GOOD,
+    ENDPOINT_SHEDS,  /* not run */
+    ENDPOINT_FAILS,  /* 500 */
+    ENDPOINT_RESETS, /* in the middle of its answer */
+    ENDPOINT_MUTE,
+    ENDPOINT_SLOW,
+    ENDPOINT_MOODS
+} endpoint_mood;
+
+typedef struct endpoint_work endpoint_work;
+
+typedef struct soak_endpoint {
+    front_server server;
+    soak_world *world;
+    uint32_t number;
+    link_link link;
+    endpoint_mood mood;
+    bool is_listed;
+    lv_time changed_at; /* is_listed */
+    uint32_t births;
+    endpoint_work *works;
+} soak_endpoint;
+
+void endpoint_start(soak_world *world, uint32_t number);
+void endpoint_tick(soak_endpoint *endpoint, lv_time now);
+void endpoint_stop(soak_endpoint *endpoint);
+
+/* ---- soak-daemon.c: the gateways ---- */
+
+typedef enum daemon_state {
+    DAEMON_DOWN,
+    DAEMON_RUNNING,
+    DAEMON_PAUSED,
+    DAEMON_STOPPING /* after SIGTERM */
+} daemon_state;
+
+typedef struct soak_daemon {
+    soak_world *world;
+    uint32_t number;
+    proc_process process;
+    uv_pipe_t output;
+    bool has_output;
+    FILE *log;
+    link_link store;
+    char callers[LV_ADDRESS_SIZE];
+    char readiness[LV_ADDRESS_SIZE];
+    char peer[LV_ADDRESS_SIZE];
+    daemon_state state;
+    uint32_t life;
+    lv_time good_since; /* started, or went on after a pause */
+    lv_time stop_at;    /* SIGTERM was sent */
+    lv_time start_at;   /* it is to be started; 0: not */
+    uint32_t version;   /* the newest whose effect was seen in this life */
+    lv_time version_at;
+    uint32_t served_lately; /* since the faults ended */
+} soak_daemon;
+
+void daemon_init(soak_world *world, uint32_t number);
+void daemon_start(soak_daemon *daemon);
+void daemon_pause(soak_daemon *daemon);
+void daemon_go_on(soak_daemon *daemon);
+void daemon_kill(soak_daemon *daemon);
+void daemon_terminate(soak_daemon *daemon);
+void daemon_reload(soak_daemon *daemon);
+void daemon_tick(soak_daemon *daemon, lv_time now);
+
+/* The value of a metric; -1 when it cannot be read. */
+double daemon_metric(const soak_daemon *daemon, const char *name);
+
+/* Since when nothing was done to it that its promises make exceptions for. */
+lv_time daemon_calm_since(const soak_daemon *daemon);
+
+/* ---- soak-caller.c ---- */
+
+typedef struct soak_caller soak_caller;
+
+void callers_start(soak_world *world);
+void callers_tick(soak_world *world, lv_time now);
+void callers_stop(soak_world *world);
+
+/* ---- soak-fault.c ---- */
+
+typedef struct soak_fault {
+    uint32_t kind; /* 0: none */
+    uint32_t target;
+    lv_time until;
+} soak_fault;
+
+void faults_tick(soak_world *world, lv_time now);
+void faults_end(soak_world *world);
+
+/* ---- soak-judge.c ---- */
+
+uint32_t judge_send(soak_world *world, const soak_call *call);
+void judge_run(soak_world *world, uint32_t call, const soak_endpoint *at);
+void judge_refused(soak_world *world, uint32_t call);
+void judge_answer(soak_world *world, uint32_t call, uint32_t status,
+                  bool is_right);
+void judge_cut(soak_world *world, uint32_t call, bool has_begun);
+void judge_waiting(soak_world *world, uint32_t call, lv_time now);
+void judge_working(soak_world *world, uint32_t call,
+                   const soak_endpoint *endpoint, lv_time now);
+void judge_end(soak_world *world);
+void judge_fault(soak_world *world, const char *format, ...)
+    __attribute__((format(printf, 2, 3)));
+
+/* The bodies that an endpoint gives and a caller expects. */
+void judge_write_body(uint32_t call, char *text, size_t size);
+
+/* ---- soak-main.c ---- */
+
+struct soak_world {
+    uv_loop_t loop;
+    uv_timer_t timer;
+    uint64_t random;
+    uint64_t seed;
+    const char *folder; /* of settings and logs */
+    soak_plant plant;
+    lv_time started_at;
+    lv_time length; /* of the part with faults */
+    bool is_calm;   /* the faults are over */
+    lv_time calm_at;
+    bool is_ending;
+    uint32_t daemon_count;
+    soak_daemon daemons[SOAK_DAEMONS_MAX];
+    soak_endpoint endpoints[SOAK_ENDPOINTS];
+    soak_store store;
+    uint32_t version; /* newest configuration, shown or not */
+    lv_time version_at[SOAK_VERSIONS_MAX];
+    soak_caller *callers;
+    uint32_t caller_count;
+    soak_fault faults[SOAK_FAULTS_MAX];
+    lv_time next_fault_at;
+    soak_call *calls;
+    uint32_t call_count;
+    uint32_t call_capacity;
+    uint32_t repeats;
+    uint32_t answers;
+    uint32_t refusals;
+    uint32_t violations;
+};
+
+uint32_t soak_draw(soak_world *world, uint32_t below);
+lv_time soak_draw_time(soak_world *world, lv_time least, lv_time most);
+void soak_log(soak_world *world, const char *format, ...)
+    __attribute__((format(printf, 2, 3)));
+
+#endif
