Shed part of the requests when an instance gets too little processor

Change: two turns of the timer in a row that come 100 ms late say that there is more work than processor; one of two new requests is refused at once then, with the reason overloaded. Connections are looked at every 100 ms instead of 20, and log lines that the bound leaves out are not formatted.

--- a/packages/gateway/include/lavender-gateway/gate.h
+++ b/packages/gateway/include/lavender-gateway/gate.h
@@ -95,8 +95,10 @@
     struct gate_request *requests; /* all in hand, the oldest first */
     struct gate_request *last_request;
     uint32_t request_count;
-    bool has_news;   /* held requests may be decided anew */
-    lv_time held_at; /* they last were */
+    bool has_news;       /* held requests may be decided anew */
+    lv_time held_at;     /* they last were */
+    lv_time ticked_at;   /* the timer's last turn */
+    uint32_t late_ticks; /* turns in a row that came far too late */
     bool is_draining;
     lv_time drain_since;
     uint64_t random;
@@ -104,6 +106,7 @@
     uv_timer_t timer;
     uv_prepare_t prepare;
     uv_signal_t signals[3];
+    lv_time connections_checked_at;
     lv_time settings_checked_at;
     int64_t settings_changed; /* time of change of the file, in ns */
     met_histogram waits;      /* from receipt to the first piece */
--- a/packages/gateway/source/gate-imp.h
+++ b/packages/gateway/source/gate-imp.h
@@ -125,4 +125,8 @@
 gate_service *gate_find_service(gate_gate *gate, lv_id service);
 uint64_t gate_random(gate_gate *gate);
 
+/* Does the process get too little processor for what it is asked to do, and
+ * is this one of the requests to be refused for it? */
+bool gate_must_shed(gate_gate *gate);
+
 #endif
--- a/packages/gateway/source/gate-request.c
+++ b/packages/gateway/source/gate-request.c
@@ -222,6 +222,10 @@
         refuse(request, gate->settings.admission.retry_least, "draining");
         return;
     }
+    if (gate_must_shed(gate)) {
+        refuse(request, LV_SECOND, "overloaded");
+        return;
+    }
     gate_decide(request);
 }
 
--- a/packages/gateway/source/gate.c
+++ b/packages/gateway/source/gate.c
@@ -14,9 +14,22 @@
  * what is known is older than that anyway, and the timer's turns do. */
 #define HELD_INTERVAL (5 * LV_MILLISECOND)
 
+/* A turn of the timer this long after the one before is far too late: it is
+ * half of the shortest aims. */
+#define LATE_TICK (100 * LV_MILLISECOND)
+#define LATE_TICKS 2
+
+/* Of the requests that come meanwhile, all but one in so many are refused
+ * unseen: the callers of some accounts know no other instance. */
+#define SHED_PARTS 2
+
 /* Callers of the readiness address: the platform and whoever looks. */
 #define READINESS_CONNECTIONS 64
 
+/* Time-outs of connections are looked for this often: there are thousands, and
+ * the shortest is five times as long. */
+#define CONNECTIONS_INTERVAL (100 * LV_MILLISECOND)
+
 /* A settings file is looked at for changes this often. */
 #define SETTINGS_INTERVAL LV_SECOND
 
@@ -184,6 +197,37 @@
     }
 }
 
+/* One late turn is a pause of the process, after which all is well; several
+ * in a row are more work than there is processor for. */
+static void
+watch_lateness(gate_gate *gate, lv_time now)
+{
+    bool is_late =
+        gate->ticked_at != 0 && lv_elapsed(now, gate->ticked_at) >= LATE_TICK;
+
+    gate->late_ticks = is_late ? gate->late_ticks + 1 : 0;
+    gate->ticked_at = now;
+}
+
+bool
+gate_must_shed(gate_gate *gate)
+{
+    return gate->late_ticks >= LATE_TICKS &&
+           gate_random(gate) % SHED_PARTS != 0;
+}
+
+static void
+watch_connections(gate_gate *gate, lv_time now)
+{
+    if (lv_elapsed(now, gate->connections_checked_at) >=
+        CONNECTIONS_INTERVAL) {
+        gate->connections_checked_at = now;
+        front_tick(&gate->callers, now);
+        front_tick(&gate->readiness, now);
+        back_tick(&gate->back, now);
+    }
+}
+
 static void
 on_timer(uv_timer_t *timer)
 {
@@ -191,6 +235,7 @@
     lv_time now = io_now();
     int i;
 
+    watch_lateness(gate, now);
     follow_store(gate, now);
     for (i = 0; i < WIRE_SUBJECT_COUNT; i++) {
         store_feed_tick(&gate->feeds[i], now);
@@ -199,9 +244,7 @@
         log_event(LOG_LEVEL_NOTICE, now, "endpoint", "change=lapsed");
     }
     gate_watch_requests(gate, now);
-    front_tick(&gate->callers, now);
-    front_tick(&gate->readiness, now);
-    back_tick(&gate->back, now);
+    watch_connections(gate, now);
     watch_settings(gate, now);
     watch_drain(gate, now);
 }
--- a/packages/net/source/log.c
+++ b/packages/net/source/log.c
@@ -10,6 +10,9 @@
 #define LINE_SIZE 1024
 #define VALUE_SIZE 192
 #define LINE_FRAME 96 /* time, level, instance and event of a line */
+
+/* No line about a request is shorter, with its frame. */
+#define LINE_LEAST 128
 #define EVENTS 64
 
 typedef struct event_rate {
@@ -237,28 +240,32 @@
                        event, text[0] == '\0' ? "" : " ", text, repeats);
 }
 
-static bool
-take_bytes(log_weight weight, size_t size, lv_time now)
+static void
+refill(lv_time now)
 {
     double bound = logger.settings.bytes_per_second;
-    double least = weight == LOG_IMPORTANT ? 0 : bound / 2;
 
-    if (bound == 0) {
-        return true;
-    }
     logger.bytes_left +=
         bound * (double)lv_elapsed(now, logger.refilled) / (double)LV_SECOND;
     if (logger.bytes_left > bound) {
         logger.bytes_left = bound;
     }
     logger.refilled = now;
-    if (logger.bytes_left - (double)size < least) {
-        logger.left_out++;
-        logger.left_out_now++;
-        return false;
+}
+
+/* Is there room for a line of this size? Counts it as left out if not. */
+static bool
+has_bytes(log_weight weight, size_t size)
+{
+    double bound = logger.settings.bytes_per_second;
+    double least = weight == LOG_IMPORTANT ? 0 : bound / 2;
+
+    if (bound == 0 || logger.bytes_left - (double)size >= least) {
+        return true;
     }
-    logger.bytes_left -= (double)size;
-    return true;
+    logger.left_out++;
+    logger.left_out_now++;
+    return false;
 }
 
 void
@@ -273,12 +280,17 @@
     if (!log_is_on(level)) {
         return;
     }
+    refill(now);
+    if (!has_bytes(weight, LINE_LEAST)) {
+        return; /* writing the line would cost a busy process most */
+    }
     va_start(arguments, format);
     size = vsnprintf(text, sizeof text, format, arguments);
     va_end(arguments);
-    if (size < 0 || !take_bytes(weight, (size_t)size + LINE_FRAME, now)) {
+    if (size < 0 || !has_bytes(weight, (size_t)size + LINE_FRAME)) {
         return;
     }
+    logger.bytes_left -= (double)size + LINE_FRAME;
     if (logger.left_out_now > 0) {
         snprintf(left_out, sizeof left_out, " left_out=%llu",
                  (unsigned long long)logger.left_out_now);
