--- a/packages/core/include/lavender/routing.h
+++ b/packages/core/include/lavender/routing.h
@@ -20,9 +20,13 @@
 typedef enum rt_kind {
     RT_IDEMPOTENT,     /* may run more than once */
     RT_NON_IDEMPOTENT, /* runs at most once for each request */
-    RT_STREAM          /* an event stream; at most once unless resumable */
+    RT_STREAM,         /* an event stream; at most once unless resumable */
+    RT_KINDS
 } rt_kind;
 
+/* A word for logs and metrics. */
+const char *rt_kind_name(rt_kind kind);
+
 /* One service of a route and its share of the route's requests. */
 typedef struct rt_backend {
     lv_id service;
--- a/packages/core/source/routing.c
+++ b/packages/core/source/routing.c
@@ -277,3 +277,14 @@
     return route->kind == RT_IDEMPOTENT ||
            (route->kind == RT_STREAM && route->is_resumable);
 }
+
+const char *
+rt_kind_name(rt_kind kind)
+{
+    static const char *const names[RT_KINDS] = {[RT_IDEMPOTENT] = "idempotent",
+                                                [RT_NON_IDEMPOTENT] =
+                                                    "non-idempotent",
+                                                [RT_STREAM] = "stream"};
+
+    return kind < RT_KINDS ? names[kind] : "unknown";
+}
--- a/packages/gateway/include/lavender-gateway/gate.h
+++ b/packages/gateway/include/lavender-gateway/gate.h
@@ -16,6 +16,7 @@
 #include "lavender/admission.h"
 #include "lavender/budget.h"
 #include "lavender/metrics.h"
+#include "lavender/tally.h"
 
 typedef struct gate_settings {
     char instance[LV_NAME_SIZE];
@@ -108,9 +109,11 @@
     uv_signal_t signals[3];
     lv_time connections_checked_at;
     lv_time settings_checked_at;
-    int64_t settings_changed; /* time of change of the file, in ns */
-    met_histogram waits;      /* from receipt to the first piece */
-    met_histogram errors;     /* first piece later than predicted */
+    int64_t settings_changed;      /* time of change of the file, in ns */
+    met_histogram waits[RT_KINDS]; /* from receipt to the first piece */
+    met_histogram errors;          /* first piece later than predicted */
+    tal_tally ends;     /* of requests, by kind, outcome and reason */
+    tal_tally accounts; /* the same by account and outcome */
     gate_counts counts;
 };
 
--- a/packages/gateway/source/gate-attempt.c
+++ b/packages/gateway/source/gate-attempt.c
@@ -133,7 +133,8 @@
     lv_time now = io_now();
 
     if (!request->use.has_first) {
-        met_histogram_add(&gate->waits, lv_elapsed(now, request->received));
+        met_histogram_add(&gate->waits[request->route->kind],
+                          lv_elapsed(now, request->received));
         met_histogram_add(&gate->errors,
                           lv_elapsed(now, request->use.expected_first));
         eng_first(&gate->endpoints, &request->use, now);
--- a/packages/gateway/source/gate-report.c
+++ b/packages/gateway/source/gate-report.c
@@ -41,6 +41,7 @@
 write_metrics(const gate_gate *gate, met_writer *writer)
 {
     const gate_counts *counts = &gate->counts;
+    lv_time now = io_now();
     const named_value values[] = {
         {"lavender_requests_total", "counter", "requests routed",
          (double)counts->requests},
@@ -81,6 +82,14 @@
         {"lavender_log_left_out_total", "counter",
          "log lines that the bound or a slow reader cost",
          (double)log_left_out()},
+        {"lavender_endpoints_age_seconds", "gauge",
+         "since the list of endpoints was last asked for",
+         (double)lv_elapsed(now, gate->feeds[WIRE_ENDPOINTS].asked_at) /
+             (double)LV_SECOND},
+        {"lavender_store_lost", "gauge",
+         "feeds that the store does not answer",
+         (double)((gate->feeds[WIRE_CONFIG].lost_at != 0) +
+                  (gate->feeds[WIRE_ENDPOINTS].lost_at != 0))},
         {"lavender_config_version", "gauge", "configuration in force",
          gate->config != NULL ? (double)gate->config->version : 0},
     };
@@ -92,12 +101,20 @@
     }
     met_write_head(writer, "lavender_first_piece_seconds", "histogram",
                    "from receipt to the first piece of the answer");
-    met_write_histogram(writer, "lavender_first_piece_seconds", "",
-                        &gate->waits);
+    for (i = 0; i < RT_KINDS; i++) {
+        char labels[32];
+
+        snprintf(labels, sizeof labels, "kind=\"%s\"",
+                 rt_kind_name((rt_kind)i));
+        met_write_histogram(writer, "lavender_first_piece_seconds", labels,
+                            &gate->waits[i]);
+    }
     met_write_head(writer, "lavender_prediction_error_seconds", "histogram",
                    "first piece later than predicted");
     met_write_histogram(writer, "lavender_prediction_error_seconds", "",
                         &gate->errors);
+    tal_write(&gate->ends, writer);
+    tal_write(&gate->accounts, writer);
     write_endpoints(gate, writer);
 }
 
--- a/packages/gateway/source/gate-request.c
+++ b/packages/gateway/source/gate-request.c
@@ -27,6 +27,38 @@
     gate->request_count--;
 }
 
+/* Names come from the configuration and must not end a label. */
+static void
+copy_label(char *to, size_t size, const char *name)
+{
+    char *at;
+
+    lv_copy_name(to, size, name);
+    for (at = to; *at != '\0'; at++) {
+        if (*at == '"' || *at == '\\' || *at == '\n') {
+            *at = '_';
+        }
+    }
+}
+
+static void
+count_end(gate_request *request, const char *outcome, const char *reason)
+{
+    gate_gate *gate = request->gate;
+    char labels[TAL_LABELS_SIZE];
+    char account[LV_NAME_SIZE];
+
+    snprintf(labels, sizeof labels, "kind=\"%s\",outcome=\"%s\",reason=\"%s\"",
+             rt_kind_name(request->route->kind), outcome, reason);
+    tal_count(&gate->ends, labels);
+    if (request->account != NULL) {
+        copy_label(account, sizeof account, request->account->name);
+        snprintf(labels, sizeof labels, "account=\"%s\",outcome=\"%s\"",
+                 account, outcome);
+        tal_count(&gate->accounts, labels);
+    }
+}
+
 /* The connection is done with or given up by now. The memory lives until the
  * loop turns, since callers up the stack may still look at the state. */
 void
@@ -34,6 +66,7 @@
                  const char *reason)
 {
     gate_log_end(request, outcome, reason);
+    count_end(request, outcome, reason);
     gate_cancel_attempt(request);
     request->state = GATE_FINISHED;
     request->connection = NULL;
--- a/packages/gateway/source/gate.c
+++ b/packages/gateway/source/gate.c
@@ -30,6 +30,11 @@
  * the shortest is five times as long. */
 #define CONNECTIONS_INTERVAL (100 * LV_MILLISECOND)
 
+/* Series of the metrics: three kinds with all outcomes and their reasons, and
+ * the accounts that come first; thousands of series are no help to anybody. */
+#define ENDS_MOST 128
+#define ACCOUNTS_MOST 256
+
 /* A settings file is looked at for changes this often. */
 #define SETTINGS_INTERVAL LV_SECOND
 
@@ -395,7 +400,13 @@
     }
     shr_init(&gate->shares, settings->quota_window);
     reg_init(&gate->registry, &gate->endpoints, settings->lapse_grace);
-    met_histogram_init(&gate->waits);
+    for (i = 0; i < RT_KINDS; i++) {
+        met_histogram_init(&gate->waits[i]);
+    }
+    tal_init(&gate->ends, "lavender_ends_total",
+             "requests that ended, by kind, outcome and reason", ENDS_MOST);
+    tal_init(&gate->accounts, "lavender_account_ends_total",
+             "requests that ended, by account and outcome", ACCOUNTS_MOST);
     met_histogram_init(&gate->errors);
     back_init(&gate->back, loop, &settings->back, wire, &gate->endpoints);
     if (!io_parse_address(settings->store_address,
@@ -462,4 +473,6 @@
     eng_finish(&gate->endpoints);
     rt_release(gate->config);
     free(gate->services);
+    tal_finish(&gate->ends);
+    tal_finish(&gate->accounts);
 }
