--- a/packages/core/include/lavender/routing.h
+++ b/packages/core/include/lavender/routing.h
@@ -75,7 +75,6 @@
     uint64_t body_bytes;
     lv_time head_timeout;
     lv_time idle_timeout;
-    uint64_t tokens_per_second; /* of all engines together; 0: unknown */
 } rt_limits;
 
 typedef struct rt_table {
--- a/packages/gateway/include/lavender-gateway/wire.h
+++ b/packages/gateway/include/lavender-gateway/wire.h
@@ -18,7 +18,6 @@
     const char *id;   /* of this attempt of the caller; NULL: none */
     const char *key;  /* of the account; NULL: none */
     lv_time patience; /* how long the caller waits; 0: it does not say */
-    bool resumes;     /* goes on after an event it has already */
     eng_prompt prompt;
 } wire_request;
 
--- a/packages/gateway/source/peers-ask.c
+++ b/packages/gateway/source/peers-ask.c
@@ -5,7 +5,7 @@
 static bool
 read_parts(const msgpack_object *values, uint32_t count, eng_prompt *prompt)
 {
-    uint32_t i;
+    size_t i;
 
     if (count % 2 != 0 || count / 2 > ENG_PARTS_MAX) {
         return false;
