Grant no start at an endpoint that leaves, and match answers by endpoint too

Seen in the read-through: a keeper that knows by a rumour that an endpoint leaves granted starts there to those that do not know yet; and the numbers of questions begin anew with each process, so an answer for the one before could be taken. Test: gateway-test-asking (as a keeper).

--- a/packages/gateway/source/gate-ask.c
+++ b/packages/gateway/source/gate-ask.c
@@ -95,22 +95,34 @@
         .aim = ask->aim,
         .share = ask->share};
     eng_prediction prediction;
+    bool has_room;
 
     eng_forget_home(&prompt); /* the keeper knows what is kept there */
-    answer->is_granted = adm_check(&gate->settings.admission, &gate->endpoints,
-                                   &request, endpoint, now, &prediction);
+    has_room = adm_check(&gate->settings.admission, &gate->endpoints, &request,
+                         endpoint, now, &prediction);
+    answer->is_granted =
+        has_room && eng_at(&gate->endpoints, endpoint)->is_listed;
     eng_summarize(&gate->endpoints, endpoint, now, &answer->summary);
     answer->own = prediction.own;
     answer->uncached = prediction.uncached;
 }
 
+/* Numbers begin anew with each process: an answer may be for the one before.
+ */
+static bool
+is_answered_by(const gate_request *request, const peers_answer *answer)
+{
+    return request->state == GATE_ASKING &&
+           request->ask_number == answer->number &&
+           request->ask_endpoint == answer->endpoint;
+}
+
 static gate_request *
-find_asking(const gate_gate *gate, uint32_t number)
+find_asking(const gate_gate *gate, const peers_answer *answer)
 {
     gate_request *request = gate->requests;
 
-    while (request != NULL &&
-           (request->state != GATE_ASKING || request->ask_number != number)) {
+    while (request != NULL && !is_answered_by(request, answer)) {
         request = request->next;
     }
     return request;
@@ -120,7 +132,7 @@
 gate_take_answer(void *owner, const peers_answer *answer)
 {
     gate_gate *gate = owner;
-    gate_request *request = find_asking(gate, answer->number);
+    gate_request *request = find_asking(gate, answer);
     eng_prediction *prediction;
 
     if (request == NULL) {
--- a/tests/gateway/test-asking.c
+++ b/tests/gateway/test-asking.c
@@ -148,3 +148,35 @@
     cr_expect_eq(answer.status == 503, stage.endpoints[0].runs == 0);
     tear_down();
 }
+
+/* The gate itself as a keeper. */
+Test(asking, a_start_is_granted_where_there_is_room)
+{
+    static const struct {
+        bool is_listed;
+        lv_time queue;
+        bool is_granted;
+    } cases[] = {
+        {true, 0, true},
+        {true, 5 * LV_SECOND, false},
+        {false, 0, false}, /* it leaves, and the asker does not know yet */
+    };
+
+    for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+        peers_ask ask = {.aim = 400 * LV_MILLISECOND,
+                         .prompt = {.tokens = 1000}};
+        peers_answer answer = {0};
+        eng_endpoint *endpoint;
+
+        stage_start(&stage, 1);
+        endpoint = &stage.gate.endpoints.endpoints[0];
+        endpoint->is_engine = true;
+        endpoint->is_listed = cases[i].is_listed;
+        endpoint->prefill_until = io_now() + cases[i].queue;
+        eng_forget_home(&ask.prompt);
+        stage.gate.peers.on_ask(&stage.gate, 0, &ask, &answer);
+        cr_expect_eq(answer.is_granted, cases[i].is_granted, "case %zu", i);
+        cr_expect_eq(answer.uncached, 1000);
+        stage_stop(&stage);
+    }
+}
