Name other instances in few of the sums, and tell what soaks send

Cause: with 30 gateways the soak counted 16.5 KB of datagrams a second and gateway, 9 KB are the target. Sums go to every peer every 145 ms, and eight addresses were more than half of each.

Change: addresses go along for 3 s after somebody joined, else with one of 16. gateway-test-keepers failed first: 32 of 32 datagrams over the 45 bytes that 62 peers leave, now at most 4.

--- a/packages/gateway/include/lavender-gateway/peers.h
+++ b/packages/gateway/include/lavender-gateway/peers.h
@@ -147,10 +147,11 @@
     uint32_t use_count;
     peers_leaving leaving[PEERS_LEAVING_MAX];
     uint32_t leaving_count;
-    bool reads_store; /* the store answers this instance */
-    bool can_keep;    /* this instance knows the endpoints */
-    lv_time news_at;  /* keepers were last told what changed here */
-    lv_time state_at; /* the sums that this instance keeps were last told */
+    bool reads_store;  /* the store answers this instance */
+    bool can_keep;     /* this instance knows the endpoints */
+    lv_time news_at;   /* keepers were last told what changed here */
+    lv_time joined_at; /* a peer was heard of anew */
+    lv_time state_at;  /* the sums that this instance keeps were last told */
     void (*on_change)(void *owner, const char *what, const char *address);
 
     /* A peer has read in the store that an endpoint leaves. */
--- a/packages/gateway/source/peers-take.c
+++ b/packages/gateway/source/peers-take.c
@@ -321,6 +321,7 @@
         return;
     }
     peer->is_live = true;
+    peers->joined_at = peer->heard_at;
     peers->live++;
     if (peers->live > peers->most_live) {
         peers->most_live = peers->live;
--- a/packages/gateway/source/peers-write.c
+++ b/packages/gateway/source/peers-write.c
@@ -6,6 +6,11 @@
 /* Addresses in a datagram: few, since every datagram names others. */
 #define ADDRESSES_MAX 8
 
+/* Sums name others for so long after somebody joined, and else every so many
+ * datagrams. */
+#define JOIN_TIME (3 * LV_SECOND)
+#define ADDRESS_TURNS 16
+
 /* A datagram stays below the usual size of a packet; what finds no room is
  * said in a later one. */
 #define LOADS_MAX 256
@@ -257,6 +262,15 @@
     pack_nothing(4, &packer);
 }
 
+/* Addresses are most of a datagram of sums. They are needed by those that
+ * join, and now and then to find who was missed. */
+static bool
+names_others(const peers_peers *peers, lv_time now)
+{
+    return lv_elapsed(now, peers->joined_at) < JOIN_TIME ||
+           peers->sequence % ADDRESS_TURNS == 0;
+}
+
 static void
 write_state(peers_peers *peers, lv_time now, buf_buffer *to)
 {
@@ -265,7 +279,7 @@
     msgpack_packer_init(&packer, to, append);
     pack_head(peers, PEERS_STATE, &packer);
     pack_nothing(3, &packer);
-    pack_addresses(peers, true, &packer);
+    pack_addresses(peers, names_others(peers, now), &packer);
     pack_leaving(peers, &packer);
     pack_sums(peers, now, &packer);
     pack_summaries(peers, now, &packer);
--- a/tests/gateway/test-keepers.c
+++ b/tests/gateway/test-keepers.c
@@ -375,3 +375,41 @@
     cr_expect_eq(shr_got(&keeper->shares, shr_find(&keeper->shares, id), now),
                  0);
 }
+
+/* So many others that a datagram has no room to name all of them. */
+static void
+join_many(node *self)
+{
+    buf_buffer datagram;
+
+    buf_init(&datagram);
+    peers_write(&nodes[1].peers, PEERS_STATE, now, &datagram);
+    for (int i = 0; i < 20; i++) {
+        struct sockaddr_in address;
+
+        uv_ip4_addr("127.0.0.1", 9100 + i, &address);
+        cr_assert(peers_take(&self->peers, &address, datagram.data,
+                             datagram.size, now));
+    }
+    buf_finish(&datagram);
+}
+
+/* With 62 others, an instance has 9 KB a second for all it says: sums go to
+ * each every 310 ms, which leaves 45 bytes for most of them. */
+Test(keepers, sums_are_short_when_nobody_joins)
+{
+    uint32_t long_ones = 0;
+
+    join_many(&nodes[0]);
+    now += 10 * LV_SECOND;
+    for (int i = 0; i < 32; i++) {
+        buf_buffer datagram;
+
+        buf_init(&datagram);
+        peers_write(&nodes[0].peers, PEERS_STATE, now, &datagram);
+        long_ones += datagram.size > 45;
+        buf_finish(&datagram);
+    }
+    cr_expect_leq(long_ones, 4, "%u of 32 name others", long_ones);
+    cr_expect_geq(long_ones, 1, "who was missed is never found");
+}
--- a/tests/soak/soak-caller.c
+++ b/tests/soak/soak-caller.c
@@ -1,5 +1,6 @@
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 
 #include "soak.h"
 
@@ -27,6 +28,7 @@
     bool has_reader;
     uint32_t status;
     bool is_not_ours; /* the answer names another request */
+    bool is_last;     /* the answer says that the connection closes */
     char answer[ANSWER_SIZE];
     size_t answer_size;
     lv_time next_at;
@@ -38,10 +40,12 @@
 {
     soak_caller *self = reader->owner;
     const char *id = http_find(head, "Lavenderproxy-Attempt-Id");
+    const char *connection = http_find(head, "Connection");
     char wanted[32];
 
     snprintf(wanted, sizeof wanted, "c%u", self->call);
     self->status = head->status;
+    self->is_last = connection != NULL && strcasecmp(connection, "close") == 0;
     self->is_not_ours = id != NULL && strcmp(id, wanted) != 0;
     return true;
 }
@@ -110,6 +114,9 @@
         judge_answer(world, self->call, status, is_right(self));
     }
     rest(self, THINK_LEAST, THINK_MOST);
+    if (self->is_last) {
+        io_close(&self->stream);
+    }
 }
 
 static void
--- a/tests/soak/soak-daemon.c
+++ b/tests/soak/soak-daemon.c
@@ -139,7 +139,8 @@
     follow_output(daemon);
     daemon->start_at = 0;
     daemon->state = DAEMON_RUNNING;
-    daemon->good_since = io_now();
+    daemon->begun_at = io_now();
+    daemon->good_since = daemon->begun_at;
     if (daemon->world->plant != SOAK_PLANT_OLD || daemon->life == 0) {
         daemon->life++;
         daemon->version = 0;
--- a/tests/soak/soak-judge.c
+++ b/tests/soak/soak-judge.c
@@ -240,6 +240,11 @@
     for (uint32_t i = 0; i < world->daemon_count; i++) {
         soak_daemon *daemon = &world->daemons[i];
         double in_hand = daemon_metric(daemon, "lavender_in_hand");
+        double sent = daemon_metric(daemon, "lavender_peer_bytes_total");
+        double seconds =
+            (double)(io_now() - daemon->begun_at) / (double)LV_SECOND;
+
+        world->peer_rate += sent / seconds / world->daemon_count;
 
         if (in_hand != 0) {
             judge_fault(world, "router-%u has %.0f requests in hand", i,
--- a/tests/soak/soak-main.c
+++ b/tests/soak/soak-main.c
@@ -168,12 +168,13 @@
 report(void)
 {
     printf("seed %llu: %u gateways, %u requests, %u answers, %u refusals, "
-           "%u repeats, %u violations%s%s\n",
+           "%u repeats, %u violations%s%s, %.0f bytes/s of datagrams each\n",
            (unsigned long long)world.seed, world.daemon_count,
            world.call_count, world.answers, world.refusals, world.repeats,
            world.violations,
            world.plant != SOAK_PLANT_NONE ? ", planted " : "",
-           world.plant != SOAK_PLANT_NONE ? plant_names[world.plant] : "");
+           world.plant != SOAK_PLANT_NONE ? plant_names[world.plant] : "",
+           world.peer_rate);
     if (world.plant != SOAK_PLANT_NONE) {
         return world.violations > 0 ? 0 : 1;
     }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -183,6 +183,7 @@
     char peer[LV_ADDRESS_SIZE];
     daemon_state state;
     uint32_t life;
+    lv_time begun_at;   /* this life */
     lv_time good_since; /* started, or went on after a pause */
     lv_time stop_at;    /* SIGTERM was sent */
     lv_time start_at;   /* it is to be started; 0: not */
@@ -274,6 +275,7 @@
     uint32_t answers;
     uint32_t refusals;
     uint32_t violations;
+    double peer_rate; /* bytes of datagrams a second and gateway */
 };
 
 uint32_t soak_draw(soak_world *world, uint32_t below);
