--- a/packages/gateway/source/gate-imp.h
+++ b/packages/gateway/source/gate-imp.h
@@ -126,7 +126,8 @@
 uint64_t gate_random(gate_gate *gate);
 
 /* Does the process get too little processor for what it is asked to do, and
- * is this one of the requests to be refused for it? */
-bool gate_must_shed(gate_gate *gate);
+ * is this one of the requests to be refused for it? `share` is that of the
+ * account, as in adm_request. */
+bool gate_must_shed(gate_gate *gate, double share);
 
 #endif
--- a/packages/gateway/source/gate-request.c
+++ b/packages/gateway/source/gate-request.c
@@ -146,6 +146,15 @@
     }
 }
 
+/* What its account got, in parts of what it is due; 0: no account. */
+static double
+share_of(const gate_request *request, lv_time now)
+{
+    return request->share != LV_HANDLE_NONE
+               ? shr_ratio(&request->gate->shares, request->share, now)
+               : 0;
+}
+
 static bool may_repeat(gate_request *request);
 
 static const gate_steps steps = {.decide = gate_decide,
@@ -255,7 +264,7 @@
         refuse(request, gate->settings.admission.retry_least, "draining");
         return;
     }
-    if (gate_must_shed(gate)) {
+    if (gate_must_shed(gate, share_of(request, io_now()))) {
         refuse(request, LV_SECOND, "overloaded");
         return;
     }
@@ -299,9 +308,7 @@
     to->prompt = &request->wire.prompt;
     to->received = request->received;
     to->aim = request->route->aim;
-    if (request->share != LV_HANDLE_NONE) {
-        to->share = shr_ratio(&gate->shares, request->share, now);
-    }
+    to->share = share_of(request, now);
     to->first_row = (uint32_t)gate_random(gate);
     to->tried_count = request->tried_count;
     memcpy(to->tried, request->tried, sizeof to->tried);
--- a/packages/gateway/source/gate.c
+++ b/packages/gateway/source/gate.c
@@ -19,9 +19,13 @@
 #define LATE_TICK (100 * LV_MILLISECOND)
 #define LATE_TICKS 2
 
-/* Of the requests that come meanwhile, all but one in so many are refused
- * unseen: the callers of some accounts know no other instance. */
-#define SHED_PARTS 2
+/* Of the requests that come meanwhile, so many are refused unseen, in percent:
+ * fewer of accounts below this part of their share, whose callers may know no
+ * other instance, and more of the others. */
+#define SHED_PERCENT 50
+#define SHED_SHARE 0.75
+#define SHED_UNDER_PERCENT 25
+#define SHED_NEAR_PERCENT 75
 
 /* Callers of the readiness address: the platform and whoever looks. */
 #define READINESS_CONNECTIONS 64
@@ -215,10 +219,14 @@
 }
 
 bool
-gate_must_shed(gate_gate *gate)
+gate_must_shed(gate_gate *gate, double share)
 {
-    return gate->late_ticks >= LATE_TICKS &&
-           gate_random(gate) % SHED_PARTS != 0;
+    uint32_t percent = SHED_PERCENT;
+
+    if (share > 0) {
+        percent = share < SHED_SHARE ? SHED_UNDER_PERCENT : SHED_NEAR_PERCENT;
+    }
+    return gate->late_ticks >= LATE_TICKS && gate_random(gate) % 100 < percent;
 }
 
 static void
--- a/tests/gateway/test-overload.c
+++ b/tests/gateway/test-overload.c
@@ -34,17 +34,38 @@
     return refused;
 }
 
+/* What the callers' account and another one got, of 1,000 tokens asked. */
+static void
+set_shares(uint32_t own_got, uint32_t other_got)
+{
+    shr_shares *shares = &stage.gate.shares;
+    lv_handle own = shr_find(shares, lv_hash_name("north"));
+    lv_handle other = shr_find(shares, lv_hash_name("other"));
+    lv_time now = io_now();
+
+    if (other_got > 0) {
+        shr_ask(shares, own, 1000, now);
+        shr_ask(shares, other, 1000, now);
+        shr_get(shares, own, own_got, now);
+        shr_get(shares, other, other_got, now);
+    }
+}
+
 Test(overload, late_turns_in_a_row_shed_part_of_the_requests)
 {
     static const struct {
         uint32_t late_ticks;
+        uint32_t own_got;
+        uint32_t other_got;
         uint32_t least;
         uint32_t most;
     } cases[] = {
-        {0, 0, 0},
-        {1, 0, 0}, /* a pause of the process */
-        {2, ASKS / 8, ASKS - ASKS / 8},
-        {9, ASKS / 8, ASKS - ASKS / 8},
+        {0, 0, 0, 0, 0},
+        {1, 0, 0, 0, 0}, /* a pause of the process */
+        {2, 0, 0, ASKS / 8, ASKS - ASKS / 8},
+        {9, 0, 0, ASKS / 8, ASKS - ASKS / 8},
+        {2, 100, 900, 1, ASKS / 2 + 2}, /* far below its share */
+        {2, 700, 900, ASKS / 2 - 2, ASKS - 1},
     };
 
     for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
@@ -52,6 +73,8 @@
 
         stage_start(&stage, 1);
         uv_timer_stop(&stage.gate.timer); /* it would count anew */
+        stage.gate.random = 77;
+        set_shares(cases[i].own_got, cases[i].other_got);
         stage.gate.late_ticks = cases[i].late_ticks;
         refused = ask_many();
         cr_expect(refused >= cases[i].least && refused <= cases[i].most,
