Pass over the keeper that was silent, not the one that would be asked next

Seen in the read-through: when several requests waited for one paused keeper, each time-out marked the keeper that would be asked at that moment, so that the second one put a keeper to the side that nobody had asked, and so on. The question now remembers who was asked. Test: gateway-test-keepers (a silent keeper, three requests that waited for it).

--- a/packages/gateway/include/lavender-gateway/peers.h
+++ b/packages/gateway/include/lavender-gateway/peers.h
@@ -195,11 +195,13 @@
 
 /* Ask the endpoint's keeper; false when there is none to be asked: the fleet
  * is small, or this instance is the keeper. A keeper that did not answer
- * lately is passed over for the next one. */
-bool peers_send_ask(peers_peers *peers, const peers_ask *ask, lv_time now);
+ * lately is passed over for the next one. Writes who is asked. */
+bool peers_send_ask(peers_peers *peers, const peers_ask *ask, lv_time now,
+                    struct sockaddr_in *asked);
 
-/* The endpoint's keeper did not answer in time. */
-void peers_note_unanswered(peers_peers *peers, lv_id endpoint, lv_time now);
+/* Who was asked did not answer in time. */
+void peers_note_unanswered(peers_peers *peers,
+                           const struct sockaddr_in *keeper, lv_time now);
 
 /* Instances that share the retry budget: the most seen in this life, since
  * a peer that is silent may still be serving. */
--- a/packages/gateway/source/gate-ask.c
+++ b/packages/gateway/source/gate-ask.c
@@ -44,7 +44,7 @@
     }
     request->ask_number = ++gate->last_ask;
     fill_ask(request, now, &ask);
-    if (!peers_send_ask(&gate->peers, &ask, now)) {
+    if (!peers_send_ask(&gate->peers, &ask, now, &request->ask_keeper)) {
         return false;
     }
     request->state = GATE_ASKING;
@@ -77,7 +77,7 @@
     if (now < request->ask_until) {
         return;
     }
-    peers_note_unanswered(&request->gate->peers, request->ask_endpoint, now);
+    peers_note_unanswered(&request->gate->peers, &request->ask_keeper, now);
     start_or_decide(request, "keeper-silent");
 }
 
--- a/packages/gateway/source/gate-imp.h
+++ b/packages/gateway/source/gate-imp.h
@@ -52,6 +52,7 @@
     adm_decision decision;
     uint32_t ask_number; /* of the latest question to a keeper */
     lv_id ask_endpoint;
+    struct sockaddr_in ask_keeper; /* who was asked */
     lv_time ask_until;
     uint32_t asks;     /* questions that were not granted */
     bool is_told_held; /* the log has said that it waits */
--- a/packages/gateway/source/peers-keepers.c
+++ b/packages/gateway/source/peers-keepers.c
@@ -65,7 +65,8 @@
 }
 
 bool
-peers_send_ask(peers_peers *peers, const peers_ask *ask, lv_time now)
+peers_send_ask(peers_peers *peers, const peers_ask *ask, lv_time now,
+               struct sockaddr_in *asked)
 {
     const peers_peer *keeper;
     buf_buffer datagram;
@@ -82,18 +83,20 @@
     if (!datagram.has_failed) {
         peers_send(peers, &datagram, &keeper->address);
         peers->counts.asked++;
+        *asked = keeper->address;
     }
     buf_finish(&datagram);
     return !datagram.has_failed;
 }
 
 void
-peers_note_unanswered(peers_peers *peers, lv_id endpoint, lv_time now)
+peers_note_unanswered(peers_peers *peers, const struct sockaddr_in *keeper,
+                      lv_time now)
 {
-    peers_peer *keeper = find_best(peers, endpoint, true, now);
+    peers_peer *peer = peers_find(peers, keeper);
 
     peers->counts.unanswered++;
-    if (keeper != NULL) {
-        keeper->unanswered_at = now;
+    if (peer != NULL) {
+        peer->unanswered_at = now;
     }
 }
--- a/tests/gateway/test-keepers.c
+++ b/tests/gateway/test-keepers.c
@@ -178,6 +178,8 @@
     return prediction.wait;
 }
 
+static struct sockaddr_in asked_at; /* the latest question */
+
 static bool
 ask(node *from, uint32_t number)
 {
@@ -189,7 +191,13 @@
                                   .second = LV_HANDLE_NONE}};
 
     eng_add_part(&asked.prompt, 5, 3000);
-    return peers_send_ask(&from->peers, &asked, now);
+    return peers_send_ask(&from->peers, &asked, now, &asked_at);
+}
+
+static bool
+is_at(const struct sockaddr_in *address, const node *self)
+{
+    return address->sin_port == self->address.sin_port;
 }
 
 static void
@@ -301,8 +309,17 @@
     node *asker = other_than(keeper);
     bool is_asked;
 
-    peers_note_unanswered(&asker->peers, 7, now);
+    keeper->peers.on_ask = NULL; /* it is paused */
+    cr_assert(ask(asker, 1));
+    cr_assert(is_at(&asked_at, keeper));
+    for (int i = 0; i < 3; i++) { /* so many requests waited for it */
+        struct sockaddr_in silent = keeper->address;
+
+        peers_note_unanswered(&asker->peers, &silent, now);
+    }
+    keeper->peers.on_ask = on_ask;
     is_asked = ask(asker, 1);
+    cr_expect(!is_asked || !is_at(&asked_at, keeper));
     cr_expect_eq(in_flight_at(keeper), 0);
     cr_expect_eq(asker->answers, is_asked,
                  "the next one is asked, unless it is the asker itself");
