One sliding window, one writer of plain metrics, homes looked for once a list

No behaviour changes, no assertion of a test either.

- The retry budget and the shares slid windows by the same lines; window.h does it for both, with the steps that each had.
- Two tables of named values were written by the same loop; it is in metrics.h.
- The homes of a prompt were looked for at each decision of a held request, two passes over all endpoints; now once for each list.
The registry unlisted an endpoint behind the engine table's back; it goes through the table.
- Two tests of the peers set up their nodes by the same lines.

--- a/packages/core/include/lavender/budget.h
+++ b/packages/core/include/lavender/budget.h
@@ -6,9 +6,7 @@
 #ifndef LAVENDER_BUDGET_H
 #define LAVENDER_BUDGET_H
 
-#include "lavender/types.h"
-
-#define BUD_STEPS 10 /* steps that a window slides in */
+#include "lavender/window.h"
 
 typedef struct bud_settings {
     lv_time window;
@@ -18,9 +16,9 @@
 
 typedef struct bud_budget {
     bud_settings settings;
-    uint32_t requests[BUD_STEPS + 1];
-    uint32_t repeats[BUD_STEPS + 1];
-    uint64_t step; /* the step that the newest values belong to */
+    win_shape shape;
+    win_window requests;
+    win_window repeats;
 } bud_budget;
 
 void bud_init(bud_budget *budget, const bud_settings *settings);
--- a/packages/core/include/lavender/engine.h
+++ b/packages/core/include/lavender/engine.h
@@ -115,6 +115,7 @@
     eng_endpoint *endpoints;
     uint32_t capacity; /* rows, used or not */
     uint32_t last_serial;
+    uint64_t list_version; /* grows with each change of who is listed */
     map_map by_id;
     map_map cached; /* key of endpoint and part: index in uses */
     eng_cached *uses;
@@ -134,6 +135,9 @@
  * references. */
 void eng_withdraw(eng_table *table, lv_id id);
 
+/* The endpoint gets no new requests; what is published of it stays. */
+void eng_unlist(eng_table *table, lv_handle endpoint);
+
 /* The kind and memory of a service's endpoints, from its configuration. */
 void eng_set_service(eng_table *table, lv_id service, bool is_engine,
                      uint64_t kv_tokens);
--- a/packages/core/include/lavender/metrics.h
+++ b/packages/core/include/lavender/metrics.h
@@ -46,6 +46,17 @@
 /* labels is "" or like "account=\"a\",pool=\"p\"". */
 void met_write_value(met_writer *writer, const char *name, const char *labels,
                      double value);
+
+/* A metric with one value and no labels. */
+typedef struct met_named {
+    const char *name;
+    const char *type;
+    const char *help;
+    double value;
+} met_named;
+
+void met_write_named(met_writer *writer, const met_named *values,
+                     size_t count);
 void met_write_histogram(met_writer *writer, const char *name,
                          const char *labels, const met_histogram *histogram);
 
--- a/packages/core/include/lavender/shares.h
+++ b/packages/core/include/lavender/shares.h
@@ -10,8 +10,7 @@
 #define LAVENDER_SHARES_H
 
 #include "lavender/map.h"
-
-#define SHR_STEPS 8 /* steps that a window slides in */
+#include "lavender/window.h"
 
 /* What an account asked and got at one instance since its process began. */
 typedef struct shr_totals {
@@ -22,16 +21,15 @@
 typedef struct shr_account {
     lv_id id;
     shr_totals own;
-    uint32_t asked[SHR_STEPS + 1]; /* by all instances, a value per step */
-    uint32_t got[SHR_STEPS + 1];
-    uint64_t step;   /* the step that the newest values belong to */
+    win_window asked; /* by all instances */
+    win_window got;
     shr_totals told; /* sums of the window over all instances, as another
                         instance told them */
     lv_time told_at; /* 0: never */
 } shr_account;
 
 typedef struct shr_shares {
-    lv_time window;
+    win_shape shape;
     shr_account *accounts;
     uint32_t count;
     uint32_t capacity;
--- a/packages/core/source/engine.c
+++ b/packages/core/source/engine.c
@@ -111,6 +111,7 @@
     if (row != LV_HANDLE_NONE) {
         table->endpoints[row].spec = *spec;
         table->endpoints[row].is_listed = !spec->is_draining;
+        table->list_version++;
     }
     return row;
 }
@@ -127,13 +128,20 @@
     }
 }
 
+void
+eng_unlist(eng_table *table, lv_handle row)
+{
+    table->endpoints[row].is_listed = false;
+    table->list_version++;
+}
+
 void
 eng_withdraw(eng_table *table, lv_id id)
 {
     lv_handle row = eng_find(table, id);
 
     if (row != LV_HANDLE_NONE) {
-        table->endpoints[row].is_listed = false;
+        eng_unlist(table, row);
         table->endpoints[row].spec.is_draining = false;
         free_if_unused(table, row);
     }
--- a/packages/core/source/metrics.c
+++ b/packages/core/source/metrics.c
@@ -167,6 +167,17 @@
 }
 
 /* One line for each power of two keeps the text short; le is in seconds. */
+void
+met_write_named(met_writer *writer, const met_named *values, size_t count)
+{
+    size_t i;
+
+    for (i = 0; i < count; i++) {
+        met_write_head(writer, values[i].name, values[i].type, values[i].help);
+        met_write_value(writer, values[i].name, "", values[i].value);
+    }
+}
+
 void
 met_write_histogram(met_writer *writer, const char *name, const char *labels,
                     const met_histogram *histogram)
--- a/packages/core/source/shares.c
+++ b/packages/core/source/shares.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #define FIRST_ACCOUNTS 16
+#define STEPS 8 /* that the window slides in */
 
 /* How long a computed level is used: a step of the shortest window. */
 #define LEVEL_INTERVAL (200 * LV_MILLISECOND)
@@ -16,7 +17,8 @@
 shr_init(shr_shares *shares, lv_time window)
 {
     memset(shares, 0, sizeof *shares);
-    shares->window = window;
+    shares->shape.length = window;
+    shares->shape.steps = STEPS;
     map_init(&shares->by_id);
 }
 
@@ -69,52 +71,14 @@
     return shares->count++;
 }
 
-static uint64_t
-step_of(const shr_shares *shares, lv_time now)
-{
-    return now / (shares->window / SHR_STEPS);
-}
-
-/* Zero the steps that have begun since the account was last counted. */
-static void
-slide(const shr_shares *shares, shr_account *account, lv_time now)
-{
-    uint64_t step = step_of(shares, now);
-    uint64_t passed = step - account->step;
-
-    if (passed > SHR_STEPS) {
-        memset(account->asked, 0, sizeof account->asked);
-        memset(account->got, 0, sizeof account->got);
-        account->step = step;
-    }
-    while (account->step < step) {
-        account->step++;
-        account->asked[account->step % (SHR_STEPS + 1)] = 0;
-        account->got[account->step % (SHR_STEPS + 1)] = 0;
-    }
-}
-
-static uint64_t
-sum(const uint32_t *values)
-{
-    uint64_t total = 0;
-    int i;
-
-    for (i = 0; i <= SHR_STEPS; i++) {
-        total += values[i];
-    }
-    return total;
-}
-
 static void
 add(shr_shares *shares, lv_handle account, const shr_totals *added,
     lv_time now)
 {
     shr_account *row = &shares->accounts[account];
 
-    slide(shares, row, now);
-    row->asked[row->step % (SHR_STEPS + 1)] += added->asked;
-    row->got[row->step % (SHR_STEPS + 1)] += added->got;
+    win_add(&row->asked, &shares->shape, added->asked, now);
+    win_add(&row->got, &shares->shape, added->got, now);
 }
 
 void
@@ -163,9 +127,8 @@
 sum_all(const shr_shares *shares, shr_account *account, lv_time now,
         uint64_t *asked, uint64_t *got)
 {
-    slide(shares, account, now);
-    *asked = sum(account->asked);
-    *got = sum(account->got);
+    *asked = win_sum(&account->asked, &shares->shape, now);
+    *got = win_sum(&account->got, &shares->shape, now);
     if (account->told_at != 0 &&
         lv_elapsed(now, account->told_at) < SUMS_LIFE) {
         *asked = larger(*asked, account->told.asked);
@@ -178,9 +141,8 @@
 {
     shr_account *row = &shares->accounts[account];
 
-    slide(shares, row, now);
-    sums->asked = (uint32_t)sum(row->asked);
-    sums->got = (uint32_t)sum(row->got);
+    sums->asked = (uint32_t)win_sum(&row->asked, &shares->shape, now);
+    sums->got = (uint32_t)win_sum(&row->got, &shares->shape, now);
 }
 
 void
--- a/packages/gateway/source/gate-imp.h
+++ b/packages/gateway/source/gate-imp.h
@@ -40,6 +40,8 @@
     lv_handle share;           /* of the account; LV_HANDLE_NONE */
     lv_id service;
     wire_request wire;
+    uint64_t homes_version; /* of the list that the prompt's homes are from */
+    bool has_second_home;   /* they were looked for as in a large fleet */
     gate_state state;
     lv_time received;
     lv_time deadline;   /* of the caller */
--- a/packages/gateway/source/gate-report.c
+++ b/packages/gateway/source/gate-report.c
@@ -3,13 +3,6 @@
 
 #include "gate-imp.h"
 
-typedef struct named_value {
-    const char *name;
-    const char *type;
-    const char *help;
-    double value;
-} named_value;
-
 static bool
 is_ready(const gate_gate *gate)
 {
@@ -42,7 +35,7 @@
 {
     const gate_counts *counts = &gate->counts;
     lv_time now = io_now();
-    const named_value values[] = {
+    const met_named values[] = {
         {"lavender_requests_total", "counter", "requests routed",
          (double)counts->requests},
         {"lavender_served_total", "counter", "whole answers passed on",
@@ -95,10 +88,7 @@
     };
     uint32_t i;
 
-    for (i = 0; i < sizeof values / sizeof values[0]; i++) {
-        met_write_head(writer, values[i].name, values[i].type, values[i].help);
-        met_write_value(writer, values[i].name, "", values[i].value);
-    }
+    met_write_named(writer, values, sizeof values / sizeof values[0]);
     met_write_head(writer, "lavender_first_piece_seconds", "histogram",
                    "from receipt to the first piece of the answer");
     for (i = 0; i < RT_KINDS; i++) {
--- a/packages/gateway/source/gate-request.c
+++ b/packages/gateway/source/gate-request.c
@@ -346,6 +346,26 @@
     }
 }
 
+/* A held request is decided many times; its homes change with the list. */
+static void
+find_homes(gate_request *request)
+{
+    const eng_table *table = &request->gate->endpoints;
+    bool is_large = peers_is_large(&request->gate->peers);
+
+    if (request->homes_version == table->list_version &&
+        request->has_second_home == is_large) {
+        return;
+    }
+    eng_find_home(table, request->service, &request->wire.prompt);
+    if (!is_large) {
+        /* All uses are known, so is whether a second one keeps it. */
+        request->wire.prompt.second = LV_HANDLE_NONE;
+    }
+    request->homes_version = table->list_version;
+    request->has_second_home = is_large;
+}
+
 void
 gate_decide(gate_request *request)
 {
@@ -353,11 +373,7 @@
     lv_time now = io_now();
     adm_request admission;
 
-    eng_find_home(&gate->endpoints, request->service, &request->wire.prompt);
-    if (!peers_is_large(&gate->peers)) {
-        /* All uses are known, so is whether a second one keeps it. */
-        request->wire.prompt.second = LV_HANDLE_NONE;
-    }
+    find_homes(request);
     fill_admission(request, now, &admission);
     adm_decide(&gate->settings.admission, &gate->endpoints, &admission, now,
                &request->decision);
--- a/packages/gateway/source/registry.c
+++ b/packages/gateway/source/registry.c
@@ -143,7 +143,7 @@
             return false;
         }
     }
-    eng_at(registry->endpoints, row)->is_listed = false;
+    eng_unlist(registry->endpoints, row);
     return true;
 }
 
--- a/packages/net/source/operator-metrics.c
+++ b/packages/net/source/operator-metrics.c
@@ -3,30 +3,12 @@
 #include "lavender-net/log.h"
 #include "operator-imp.h"
 
-typedef struct plain_value {
-    const char *name;
-    const char *type;
-    const char *help;
-    double value;
-} plain_value;
-
-static void
-write_plain(met_writer *writer, const plain_value *values, size_t count)
-{
-    size_t i;
-
-    for (i = 0; i < count; i++) {
-        met_write_head(writer, values[i].name, values[i].type, values[i].help);
-        met_write_value(writer, values[i].name, "", values[i].value);
-    }
-}
-
 #define COUNT_OF(values) (sizeof(values) / sizeof(values)[0])
 
 static void
 write_callers(const call_counts *counts, met_writer *writer)
 {
-    const plain_value values[] = {
+    const met_named values[] = {
         {"lavender_connections_accepted_total", "counter",
          "callers' connections taken", (double)counts->connections_accepted},
         {"lavender_connections_refused_total", "counter",
@@ -64,7 +46,7 @@
          (double)counts->memory},
     };
 
-    write_plain(writer, values, COUNT_OF(values));
+    met_write_named(writer, values, COUNT_OF(values));
 }
 
 static void
@@ -105,9 +87,9 @@
     entry_counts counts;
 
     entry_read_counts(node_entry(view->node), &counts);
-    write_plain(
+    met_write_named(
         writer,
-        (const plain_value[]){
+        (const met_named[]){
             {"lavender_admitted_total", "counter", "requests admitted",
              (double)counts.admitted},
             {"lavender_attempts_total", "counter", "attempts at endpoints",
@@ -199,19 +181,20 @@
         met_write_value(writer, "lavender_messages_out_total", labels,
                         (double)counts->messages_out[kind]);
     }
-    write_plain(writer,
-                (const plain_value[]){
-                    {"lavender_messages_foreign_total", "counter",
-                     "messages of unknown senders, dropped",
-                     (double)counts->dropped_foreign},
-                    {"lavender_messages_old_total", "counter",
-                     "old messages, dropped", (double)counts->dropped_old},
-                    {"lavender_pauses_total", "counter",
-                     "pauses of this process", (double)counts->pauses},
-                    {"lavender_role_changes_total", "counter",
-                     "roles taken or given up", (double)counts->role_changes},
-                },
-                4);
+    met_write_named(
+        writer,
+        (const met_named[]){
+            {"lavender_messages_foreign_total", "counter",
+             "messages of unknown senders, dropped",
+             (double)counts->dropped_foreign},
+            {"lavender_messages_old_total", "counter", "old messages, dropped",
+             (double)counts->dropped_old},
+            {"lavender_pauses_total", "counter", "pauses of this process",
+             (double)counts->pauses},
+            {"lavender_role_changes_total", "counter",
+             "roles taken or given up", (double)counts->role_changes},
+        },
+        4);
 }
 
 static void
@@ -222,9 +205,9 @@
     load_counts load;
 
     load_read_counts(view->load, &load);
-    write_plain(
+    met_write_named(
         writer,
-        (const plain_value[]){
+        (const met_named[]){
             {"lavender_peer_bytes_out_total", "counter", "bytes sent to peers",
              (double)link->sent_bytes},
             {"lavender_peer_bytes_in_total", "counter",
--- a/tests/gateway/test-keepers.c
+++ b/tests/gateway/test-keepers.c
@@ -6,7 +6,7 @@
 
 #include <string.h>
 
-#include "lavender-gateway/peers.h"
+#include "peer-node.h"
 
 #define NODES 3
 #define NOW (50 * LV_SECOND)
@@ -15,11 +15,7 @@
 #define LARGE 100 /* instances, surely a large fleet */
 
 typedef struct node {
-    eng_table endpoints;
-    shr_shares shares;
-    peers_peers peers;
-    struct sockaddr_in address;
-    lv_handle row;
+    peer_node at;
     uint32_t answers;
     peers_answer answer; /* the latest */
     bool grants;
@@ -33,9 +29,9 @@
         const struct sockaddr_in *address)
 {
     for (int i = 0; i < NODES; i++) {
-        if (nodes[i].address.sin_port == address->sin_port) {
-            peers_take(&nodes[i].peers, &peers->settings.bind, datagram->data,
-                       datagram->size, now);
+        if (nodes[i].at.address.sin_port == address->sin_port) {
+            peers_take(&nodes[i].at.peers, &peers->settings.bind,
+                       datagram->data, datagram->size, now);
         }
     }
     return true;
@@ -50,7 +46,7 @@
     answer->is_granted = self->grants;
     answer->uncached = ask->prompt.tokens;
     answer->own = 3 * LV_MILLISECOND;
-    eng_summarize(&self->endpoints, endpoint, now, &answer->summary);
+    eng_summarize(&self->at.endpoints, endpoint, now, &answer->summary);
 }
 
 static void
@@ -65,29 +61,15 @@
 static void
 start_node(node *self, int number)
 {
-    eng_settings settings;
-    eng_spec spec = {.id = 7, .service = 1, .slots = 8, .name = "e"};
-
     memset(self, 0, sizeof *self);
-    eng_default_settings(&settings);
-    cr_assert(eng_init(&self->endpoints, &settings, NULL));
-    shr_init(&self->shares, 4 * LV_SECOND);
-    self->row = eng_publish(&self->endpoints, &spec);
-    eng_set_service(&self->endpoints, 1, true, 0);
-    uv_ip4_addr("127.0.0.1", 9000 + number, &self->address);
-    self->peers.settings.bind = self->address;
-    self->peers.settings.interval = 40 * LV_MILLISECOND;
-    self->peers.settings.silence = LV_SECOND;
-    self->peers.settings.forget = 30 * LV_SECOND;
-    self->peers.endpoints = &self->endpoints;
-    self->peers.shares = &self->shares;
-    self->peers.incarnation = (uint64_t)number + 100;
-    self->peers.most_live = LARGE;
-    self->peers.can_keep = true;
-    self->peers.send = deliver;
-    self->peers.on_ask = on_ask;
-    self->peers.on_answer = on_answer;
-    self->peers.owner = self;
+    peer_node_start(&self->at, number);
+    self->at.peers.settings.interval = 40 * LV_MILLISECOND;
+    self->at.peers.most_live = LARGE;
+    self->at.peers.can_keep = true;
+    self->at.peers.send = deliver;
+    self->at.peers.on_ask = on_ask;
+    self->at.peers.on_answer = on_answer;
+    self->at.peers.owner = self;
     self->grants = true;
 }
 
@@ -98,10 +80,10 @@
     buf_buffer datagram;
 
     buf_init(&datagram);
-    peers_write(&from->peers, kind, now, &datagram);
+    peers_write(&from->at.peers, kind, now, &datagram);
     for (int i = 0; i < NODES; i++) {
         if (&nodes[i] != from) {
-            peers_take(&nodes[i].peers, &from->address, datagram.data,
+            peers_take(&nodes[i].at.peers, &from->at.address, datagram.data,
                        datagram.size, now);
         }
     }
@@ -130,9 +112,7 @@
 stop(void)
 {
     for (int i = 0; i < NODES; i++) {
-        peers_finish(&nodes[i].peers);
-        shr_finish(&nodes[i].shares);
-        eng_finish(&nodes[i].endpoints);
+        peer_node_stop(&nodes[i].at);
     }
 }
 
@@ -144,7 +124,7 @@
     node *found = NULL;
 
     for (int i = 0; i < NODES; i++) {
-        if (peers_keeps(&nodes[i].peers, key)) {
+        if (peers_keeps(&nodes[i].at.peers, key)) {
             cr_assert_null(found, "two keepers of %llu",
                            (unsigned long long)key);
             found = &nodes[i];
@@ -164,7 +144,7 @@
 static uint32_t
 in_flight_at(const node *self)
 {
-    return eng_in_flight(eng_at(&self->endpoints, self->row));
+    return eng_in_flight(eng_at(&self->at.endpoints, self->at.endpoint));
 }
 
 static lv_time
@@ -174,7 +154,8 @@
         .tokens = 1, .home = LV_HANDLE_NONE, .second = LV_HANDLE_NONE};
     eng_prediction prediction;
 
-    eng_predict(&self->endpoints, self->row, &prompt, now, &prediction);
+    eng_predict(&self->at.endpoints, self->at.endpoint, &prompt, now,
+                &prediction);
     return prediction.wait;
 }
 
@@ -191,13 +172,13 @@
                                   .second = LV_HANDLE_NONE}};
 
     eng_add_part(&asked.prompt, 5, 3000);
-    return peers_send_ask(&from->peers, &asked, now, &asked_at);
+    return peers_send_ask(&from->at.peers, &asked, now, &asked_at);
 }
 
 static bool
 is_at(const struct sockaddr_in *address, const node *self)
 {
-    return address->sin_port == self->address.sin_port;
+    return address->sin_port == self->at.address.sin_port;
 }
 
 static void
@@ -207,14 +188,15 @@
         .tokens = 3000, .home = LV_HANDLE_NONE, .second = LV_HANDLE_NONE};
     eng_prediction prediction = {.uncached = self->answer.uncached};
 
-    eng_start_as(&self->endpoints, self->row, &prompt, &prediction, now, use);
+    eng_start_as(&self->at.endpoints, self->at.endpoint, &prompt, &prediction,
+                 now, use);
 }
 
 static void
 send_news(node *self)
 {
     now += NEWS_TIME;
-    peers_tell(&self->peers, now);
+    peers_tell(&self->at.peers, now);
 }
 
 Test(keepers, every_key_has_one)
@@ -234,7 +216,7 @@
 {
     node *before = keeper_of(7);
 
-    before->peers.can_keep = false;
+    before->at.peers.can_keep = false;
     tell_states();
     cr_expect_neq(keeper_of(7), before);
 }
@@ -243,7 +225,7 @@
 {
     node *asker = other_than(keeper_of(7));
 
-    asker->peers.most_live = 5;
+    asker->at.peers.most_live = 5;
     cr_expect_not(ask(asker, 1));
 }
 
@@ -268,7 +250,7 @@
     cr_expect_eq(in_flight_at(keeper), 1);
     cr_expect_eq(wait_at(keeper), wait - NEWS_TIME,
                  "its prompt is not read twice");
-    eng_end(&asker->endpoints, &use, now);
+    eng_end(&asker->at.endpoints, &use, now);
     send_news(asker);
     cr_expect_eq(in_flight_at(keeper), 0);
 }
@@ -281,7 +263,7 @@
     cr_expect_eq(in_flight_at(keeper), 1);
     now += 4 * LV_SECOND;
     tell_states();
-    peers_expire(&keeper->peers, now);
+    peers_expire(&keeper->at.peers, now);
     cr_expect_eq(in_flight_at(keeper), 0);
 }
 
@@ -294,7 +276,7 @@
     eng_use use;
 
     keeper->grants = false;
-    eng_start(&keeper->endpoints, keeper->row, &prompt, now, &use);
+    eng_start(&keeper->at.endpoints, keeper->at.endpoint, &prompt, now, &use);
     cr_expect_eq(wait_at(asker), 0);
     cr_assert(ask(asker, 1));
     cr_expect_not(asker->answer.is_granted);
@@ -309,15 +291,15 @@
     node *asker = other_than(keeper);
     bool is_asked;
 
-    keeper->peers.on_ask = NULL; /* it is paused */
+    keeper->at.peers.on_ask = NULL; /* it is paused */
     cr_assert(ask(asker, 1));
     cr_assert(is_at(&asked_at, keeper));
     for (int i = 0; i < 3; i++) { /* so many requests waited for it */
-        struct sockaddr_in silent = keeper->address;
+        struct sockaddr_in silent = keeper->at.address;
 
-        peers_note_unanswered(&asker->peers, &silent, now);
+        peers_note_unanswered(&asker->at.peers, &silent, now);
     }
-    keeper->peers.on_ask = on_ask;
+    keeper->at.peers.on_ask = on_ask;
     is_asked = ask(asker, 1);
     cr_expect(!is_asked || !is_at(&asked_at, keeper));
     cr_expect_eq(in_flight_at(keeper), 0);
@@ -337,7 +319,7 @@
         .tokens = 9000, .home = LV_HANDLE_NONE, .second = LV_HANDLE_NONE};
     eng_use use;
 
-    eng_start(&keeper->endpoints, keeper->row, &prompt, now, &use);
+    eng_start(&keeper->at.endpoints, keeper->at.endpoint, &prompt, now, &use);
     tell_states();
     cr_expect_eq(in_flight_at(other), 1);
     cr_expect_eq(wait_at(other), 300 * LV_MILLISECOND);
@@ -345,7 +327,7 @@
     cr_expect_eq(wait_at(other), 300 * LV_MILLISECOND,
                  "others go on sending there");
     now += 3 * LV_SECOND;
-    peers_expire(&other->peers, now);
+    peers_expire(&other->at.peers, now);
     cr_expect_eq(in_flight_at(other), 0);
     cr_expect_eq(wait_at(other), 0);
 }
@@ -356,21 +338,21 @@
     node *keeper = keeper_of(id);
 
     for (int i = 0; i < NODES; i++) {
-        lv_handle account = shr_find(&nodes[i].shares, id);
+        lv_handle account = shr_find(&nodes[i].at.shares, id);
 
         send_news(&nodes[i]); /* the base that later totals count from */
-        shr_ask(&nodes[i].shares, account, 30, now);
-        shr_get(&nodes[i].shares, account, 20, now);
+        shr_ask(&nodes[i].at.shares, account, 30, now);
+        shr_get(&nodes[i].at.shares, account, 20, now);
         send_news(&nodes[i]);
     }
     tell(keeper, PEERS_STATE);
     for (int i = 0; i < NODES; i++) {
-        lv_handle account = shr_find(&nodes[i].shares, id);
+        lv_handle account = shr_find(&nodes[i].at.shares, id);
 
         cr_expect_eq(
-            shr_got(&nodes[i].shares, account, now), NODES * 20,
+            shr_got(&nodes[i].at.shares, account, now), NODES * 20,
             "node %d: %llu", i,
-            (unsigned long long)shr_got(&nodes[i].shares, account, now));
+            (unsigned long long)shr_got(&nodes[i].at.shares, account, now));
     }
 }
 
@@ -381,16 +363,16 @@
     lv_id id = 55;
     node *keeper = keeper_of(id);
     node *other = other_than(keeper);
-    lv_handle account = shr_find(&other->shares, id);
+    lv_handle account = shr_find(&other->at.shares, id);
 
-    shr_get(&other->shares, account, 20, now);
+    shr_get(&other->at.shares, account, 20, now);
     send_news(other);
     now += 10 * LV_SECOND;
     tell_states();
-    shr_get(&other->shares, account, 1000, now);
+    shr_get(&other->at.shares, account, 1000, now);
     send_news(other);
-    cr_expect_eq(shr_got(&keeper->shares, shr_find(&keeper->shares, id), now),
-                 0);
+    cr_expect_eq(
+        shr_got(&keeper->at.shares, shr_find(&keeper->at.shares, id), now), 0);
 }
 
 /* So many others that a datagram has no room to name all of them. */
@@ -400,12 +382,12 @@
     buf_buffer datagram;
 
     buf_init(&datagram);
-    peers_write(&nodes[1].peers, PEERS_STATE, now, &datagram);
+    peers_write(&nodes[1].at.peers, PEERS_STATE, now, &datagram);
     for (int i = 0; i < 20; i++) {
         struct sockaddr_in address;
 
         uv_ip4_addr("127.0.0.1", 9100 + i, &address);
-        cr_assert(peers_take(&self->peers, &address, datagram.data,
+        cr_assert(peers_take(&self->at.peers, &address, datagram.data,
                              datagram.size, now));
     }
     buf_finish(&datagram);
@@ -423,7 +405,7 @@
         buf_buffer datagram;
 
         buf_init(&datagram);
-        peers_write(&nodes[0].peers, PEERS_STATE, now, &datagram);
+        peers_write(&nodes[0].at.peers, PEERS_STATE, now, &datagram);
         long_ones += datagram.size > 45;
         buf_finish(&datagram);
     }
--- a/tests/gateway/test-peers.c
+++ b/tests/gateway/test-peers.c
@@ -6,55 +6,18 @@
 
 #include <string.h>
 
-#include "lavender-gateway/peers.h"
+#include "peer-node.h"
 
 #define NODES 2
 #define NOW (50 * LV_SECOND)
 
-typedef struct node {
-    eng_table endpoints;
-    shr_shares shares;
-    peers_peers peers;
-    struct sockaddr_in address;
-    lv_handle endpoint;
-} node;
-
-static node nodes[NODES];
-
-static void
-start_node(node *self, int number)
-{
-    eng_settings settings;
-    eng_spec spec = {.id = 7, .service = 1, .slots = 8, .name = "e"};
-
-    memset(self, 0, sizeof *self);
-    eng_default_settings(&settings);
-    cr_assert(eng_init(&self->endpoints, &settings, NULL));
-    shr_init(&self->shares, 4 * LV_SECOND);
-    self->endpoint = eng_publish(&self->endpoints, &spec);
-    eng_set_service(&self->endpoints, 1, true, 0);
-    uv_ip4_addr("127.0.0.1", 9000 + number, &self->address);
-    self->peers.settings.bind = self->address;
-    self->peers.settings.silence = LV_SECOND;
-    self->peers.settings.forget = 30 * LV_SECOND;
-    self->peers.endpoints = &self->endpoints;
-    self->peers.shares = &self->shares;
-    self->peers.incarnation = (uint64_t)number + 100;
-}
-
-static void
-stop_node(node *self)
-{
-    peers_finish(&self->peers);
-    shr_finish(&self->shares);
-    eng_finish(&self->endpoints);
-}
+static peer_node nodes[NODES];
 
 static void
 start(void)
 {
     for (int i = 0; i < NODES; i++) {
-        start_node(&nodes[i], i);
+        peer_node_start(&nodes[i], i);
     }
 }
 
@@ -62,7 +25,7 @@
 stop(void)
 {
     for (int i = 0; i < NODES; i++) {
-        stop_node(&nodes[i]);
+        peer_node_stop(&nodes[i]);
     }
 }
 
@@ -150,8 +113,8 @@
 
     begin_request(1000, &use);
     tell(true, false, NOW);
-    stop_node(&nodes[0]);
-    start_node(&nodes[0], 0);
+    peer_node_stop(&nodes[0]);
+    peer_node_start(&nodes[0], 0);
     nodes[0].peers.incarnation = 999;
     tell(true, false, NOW);
     cr_expect_eq(seen_in_flight(), 0);
