Take settings with a fraction from the platform, and the ratio of the budget

Cause: deploy/settings.ini renders bounds as the platform publishes them; a small twin of the large deployment has slack = 35.83, where lavenderd took whole numbers only and ended with code 2. The ratio of the retry budget was written as 20 percent instead of the platform's own.

Change: the seven keys that the template fills take a fraction, rounded down (a smaller budget, an earlier bound); [budget] ratio replaces percent. Other keys stay whole numbers.

--- a/packages/core/include/lavender/config-keys.h
+++ b/packages/core/include/lavender/config-keys.h
@@ -22,6 +22,22 @@
         .name = (key), .type = CONF_COUNT32, .offset = FIELD(field),          \
         .min = (minimum), .max = (maximum)                                    \
     }
+/* The same for values that a platform may render with a fraction. */
+#define DECIMAL_TIME_KEY(key, field, minimum, maximum)                        \
+    {                                                                         \
+        .name = (key), .type = CONF_TIME, .offset = FIELD(field),             \
+        .min = (minimum), .max = (maximum), .takes_fraction = true            \
+    }
+#define DECIMAL_COUNT_KEY(key, field, minimum, maximum)                       \
+    {                                                                         \
+        .name = (key), .type = CONF_COUNT32, .offset = FIELD(field),          \
+        .min = (minimum), .max = (maximum), .takes_fraction = true            \
+    }
+#define RATIO_KEY(key, field, maximum)                                        \
+    {                                                                         \
+        .name = (key), .type = CONF_RATIO, .offset = FIELD(field),            \
+        .max = (maximum)                                                      \
+    }
 #define SIZE_KEY(key, field, minimum, maximum)                                \
     {                                                                         \
         .name = (key), .type = CONF_SIZE, .offset = FIELD(field),             \
--- a/packages/core/include/lavender/config.h
+++ b/packages/core/include/lavender/config.h
@@ -20,6 +20,7 @@
     CONF_COUNT64, /* uint64_t */
     CONF_TIME,    /* lv_time */
     CONF_SIZE,    /* uint64_t */
+    CONF_RATIO,   /* uint32_t, in thousandths, rounded down */
     CONF_BOOL,    /* bool */
     CONF_CHOICE,  /* an enum or uint32_t: index in choices */
     CONF_TEXT,    /* char[size] */
@@ -33,6 +34,7 @@
     conf_type type;
     size_t offset; /* of the field in the section's record, bytes */
     bool is_required;
+    bool takes_fraction;        /* CONF_COUNT32, CONF_TIME: rounded down */
     uint64_t min;               /* inclusive; numbers, times and sizes */
     uint64_t max;               /* inclusive */
     size_t size;                /* CONF_TEXT, CONF_HEX: of the field, bytes */
--- a/packages/core/include/lavender/value.h
+++ b/packages/core/include/lavender/value.h
@@ -22,6 +22,17 @@
 bool val_parse_duration(const char *text, lv_time min, lv_time max,
                         lv_time *value, err_error *error);
 
+/* Like the two above, but the number may have a decimal fraction; the value is
+ * rounded down, a duration to a microsecond. */
+bool val_parse_decimal_uint(const char *text, uint64_t min, uint64_t max,
+                            uint64_t *value, err_error *error);
+bool val_parse_decimal_duration(const char *text, lv_time min, lv_time max,
+                                lv_time *value, err_error *error);
+
+/* Parses a decimal number in 0..max as thousandths, rounded down. */
+bool val_parse_thousandths(const char *text, uint64_t max, uint64_t *value,
+                           err_error *error);
+
 /* Parses a size in min..max: an integer with a unit, B, KiB, MiB, GiB or TiB.
  * Stores bytes. */
 bool val_parse_size(const char *text, uint64_t min, uint64_t max,
--- a/packages/core/source/config.c
+++ b/packages/core/source/config.c
@@ -135,16 +135,22 @@
         number = 0;
     }
     else if (key->type == CONF_TIME) {
-        is_valid =
-            val_parse_duration(value, key->min, key->max, &number, error);
+        is_valid = (key->takes_fraction ? val_parse_decimal_duration
+                                        : val_parse_duration)(
+            value, key->min, key->max, &number, error);
+    }
+    else if (key->type == CONF_RATIO) {
+        is_valid = val_parse_thousandths(value, key->max, &number, error);
     }
     else if (key->type == CONF_SIZE) {
         is_valid = val_parse_size(value, key->min, key->max, &number, error);
     }
     else {
-        is_valid = val_parse_uint(value, key->min, key->max, &number, error);
+        is_valid =
+            (key->takes_fraction ? val_parse_decimal_uint : val_parse_uint)(
+                value, key->min, key->max, &number, error);
     }
-    if (is_valid && key->type == CONF_COUNT32) {
+    if (is_valid && (key->type == CONF_COUNT32 || key->type == CONF_RATIO)) {
         *(uint32_t *)field = (uint32_t)number;
     }
     else if (is_valid) {
@@ -200,6 +206,7 @@
     case CONF_COUNT64:
     case CONF_TIME:
     case CONF_SIZE:
+    case CONF_RATIO:
         return store_number(key, value, field, error);
     }
     return false;
--- a/packages/core/source/value.c
+++ b/packages/core/source/value.c
@@ -8,6 +8,7 @@
 #define DECIMAL_BASE 10
 #define HEX_BASE 16
 #define PORT_MAX 65535
+#define FRACTION_SCALE_MAX 1000000000
 
 typedef struct unit {
     const char *name;
@@ -77,6 +78,40 @@
     return err_set(error, ERR_BAD_VALUE, remedy, "found \"%.64s\"", text);
 }
 
+/* Parses a number that may have a decimal fraction and multiplies it by a
+ * factor, rounding down. Digits after the ninth of the fraction do not count.
+ * Returns the first character after it, or NULL when there is no number or the
+ * product exceeds 64 bits. */
+static const char *
+parse_decimal(const char *text, uint64_t factor, uint64_t *value)
+{
+    uint64_t whole = 0;
+    uint64_t fraction = 0;
+    uint64_t scale = 1;
+    const char *rest = parse_digits(text, &whole);
+
+    if (rest == NULL) {
+        return NULL;
+    }
+    if (*rest == '.') {
+        if (!is_digit(*++rest)) {
+            return NULL;
+        }
+        for (; is_digit(*rest); rest++) {
+            if (scale < FRACTION_SCALE_MAX) {
+                scale *= DECIMAL_BASE;
+                fraction = fraction * DECIMAL_BASE + (uint64_t)(*rest - '0');
+            }
+        }
+    }
+    if (factor > UINT64_MAX / FRACTION_SCALE_MAX ||
+        whole > UINT64_MAX / factor - 1) {
+        return NULL;
+    }
+    *value = whole * factor + fraction * factor / scale;
+    return rest;
+}
+
 static const unit *
 find_unit(const unit *units, const char *name)
 {
@@ -143,6 +178,61 @@
                            error);
 }
 
+bool
+val_parse_decimal_uint(const char *text, uint64_t min, uint64_t max,
+                       uint64_t *value, err_error *error)
+{
+    uint64_t number = 0;
+    const char *rest = parse_decimal(text, 1, &number);
+    char remedy[ERR_REMEDY_SIZE];
+
+    if (rest != NULL && *rest == '\0' && number >= min && number <= max) {
+        *value = number;
+        return true;
+    }
+    snprintf(remedy, sizeof remedy,
+             "write a number from %" PRIu64 " to %" PRIu64
+             "; a fraction is rounded down",
+             min, max);
+    return err_set(error, ERR_BAD_VALUE, remedy, "found \"%.64s\"", text);
+}
+
+bool
+val_parse_decimal_duration(const char *text, lv_time min, lv_time max,
+                           lv_time *value, err_error *error)
+{
+    const char *number_end = text + strspn(text, "0123456789.");
+    const unit *found = find_unit(time_units, number_end);
+    lv_time number = 0;
+
+    if (found == NULL ||
+        parse_decimal(text, found->factor, &number) != number_end ||
+        number < min || number > max) {
+        return parse_with_unit(text, time_units, min, max, value,
+                               "a number with a unit (us, ms, s, m, h)",
+                               error);
+    }
+    *value = number;
+    return true;
+}
+
+bool
+val_parse_thousandths(const char *text, uint64_t max, uint64_t *value,
+                      err_error *error)
+{
+    uint64_t number = 0;
+    const char *rest = parse_decimal(text, 1000, &number);
+    char remedy[ERR_REMEDY_SIZE];
+
+    if (rest != NULL && *rest == '\0' && number <= max * 1000) {
+        *value = number;
+        return true;
+    }
+    snprintf(remedy, sizeof remedy,
+             "write a number from 0 to %" PRIu64 ", such as 0.2", max);
+    return err_set(error, ERR_BAD_VALUE, remedy, "found \"%.64s\"", text);
+}
+
 bool
 val_parse_size(const char *text, uint64_t min, uint64_t max, uint64_t *value,
                err_error *error)
--- a/packages/gateway/include/lavender-gateway/gate.h
+++ b/packages/gateway/include/lavender-gateway/gate.h
@@ -40,10 +40,10 @@
     eng_settings engine;
     adm_settings admission;
     bud_settings budget;
-    uint32_t budget_percent;  /* the ratio of the budget, in percent */
-    lv_time quota_window;     /* over which account shares are computed */
-    uint32_t max_connections; /* of callers */
-    uint32_t max_descriptors; /* of the process; 0: unknown */
+    uint32_t budget_thousandths; /* the ratio of the budget */
+    lv_time quota_window;        /* over which account shares are computed */
+    uint32_t max_connections;    /* of callers */
+    uint32_t max_descriptors;    /* of the process; 0: unknown */
     lv_time shutdown_grace; /* the process must exit this long after SIGTERM */
     lv_time min_drain; /* callers are still served this long after SIGTERM */
     lv_time drain_reserve; /* the process exits this long before the end of the
--- a/packages/gateway/source/gate-settings.c
+++ b/packages/gateway/source/gate-settings.c
@@ -22,7 +22,7 @@
     ADDRESS_KEY("readiness", readiness_address, true),
     ADDRESS_KEY("peer", peer_address, true),
     COUNT_KEY("connections", max_connections, 1, 1000000),
-    COUNT_KEY("descriptors", max_descriptors, 0, 10000000),
+    DECIMAL_COUNT_KEY("descriptors", max_descriptors, 0, 10000000),
 };
 
 static const conf_key peers_keys[] = {
@@ -43,9 +43,10 @@
     TIME_KEY("backoff_max", store.backoff_max, MILLISECOND, 60 * SECOND),
     TIME_KEY("config_pace", store.min_watch_interval[WIRE_CONFIG], 0,
              60 * SECOND),
-    TIME_KEY("lost_answer_bound", max_watch_time, 100 * MILLISECOND,
-             60 * SECOND),
-    TIME_KEY("leave_bound", leave_limit, 100 * MILLISECOND, 60 * SECOND),
+    DECIMAL_TIME_KEY("lost_answer_bound", max_watch_time, 100 * MILLISECOND,
+                     60 * SECOND),
+    DECIMAL_TIME_KEY("leave_bound", leave_limit, 100 * MILLISECOND,
+                     60 * SECOND),
     TIME_KEY("lapse_grace", expiry_grace, 0, 60 * SECOND),
 };
 
@@ -70,17 +71,17 @@
     COUNT_KEY("read_cost_percent", admission.prefill_cost_percent, 0, 10000),
     TIME_KEY("retry_least", admission.min_retry_after, MILLISECOND,
              60 * SECOND),
-    TIME_KEY("quota_window", quota_window, 100 * MILLISECOND, HOUR),
+    DECIMAL_TIME_KEY("quota_window", quota_window, 100 * MILLISECOND, HOUR),
 };
 
 static const conf_key budget_keys[] = {
-    TIME_KEY("window", budget.window, 100 * MILLISECOND, HOUR),
-    COUNT_KEY("percent", budget_percent, 0, 1000),
-    COUNT_KEY("slack", budget.slack, 0, 1000000),
+    DECIMAL_TIME_KEY("window", budget.window, 100 * MILLISECOND, HOUR),
+    RATIO_KEY("ratio", budget_thousandths, 10),
+    DECIMAL_COUNT_KEY("slack", budget.slack, 0, 1000000),
 };
 
 static const conf_key shutdown_keys[] = {
-    TIME_KEY("grace", shutdown_grace, SECOND, 24 * HOUR),
+    DECIMAL_TIME_KEY("grace", shutdown_grace, SECOND, 24 * HOUR),
     TIME_KEY("least", min_drain, 0, HOUR),
     TIME_KEY("reserve", drain_reserve, 0, HOUR),
 };
@@ -158,7 +159,7 @@
     settings->expiry_grace = 2200 * LV_MILLISECOND;
     settings->budget.window = 10 * LV_SECOND;
     settings->budget.slack = 50;
-    settings->budget_percent = 20;
+    settings->budget_thousandths = 200;
     settings->quota_window = 4 * LV_SECOND;
     settings->max_connections = 6000;
     settings->shutdown_grace = 8 * LV_SECOND;
@@ -257,7 +258,7 @@
                      EXAMPLE_PATH, name, text, errors);
     check_consistency(settings, name, errors);
     limit_connections(settings);
-    settings->budget.ratio = settings->budget_percent / 100.0;
+    settings->budget.ratio = settings->budget_thousandths / 1000.0;
     settings->engine.prefill_tokens_per_ms = settings->prefill_rate;
     settings->log.writes_to_stdout = settings->log.file[0] == '\0';
     lv_copy_name(settings->log.instance, sizeof settings->log.instance,
--- a/tests/gateway/test-settings.c
+++ b/tests/gateway/test-settings.c
@@ -92,3 +92,131 @@
         cr_expect(is_found, "case %zu", i);
     }
 }
+
+/* What the deployments publish for the placeholders of deploy/settings.ini,
+ * and what is read from it. */
+typedef struct rendered_case {
+    const char *descriptors;
+    const char *contact_ms;
+    const char *drain_ms;
+    const char *quota_window_s;
+    const char *budget_window_s;
+    const char *ratio;
+    const char *slack;
+    const char *grace_s;
+    uint32_t slack_read;
+    lv_time quota_window_read;
+    lv_time grace_read;
+} rendered_case;
+
+static void
+render(const char *template, const rendered_case *values, char *to)
+{
+    const struct {
+        const char *name;
+        const char *value;
+    } fields[] = {
+        {"{{node_name}}", "front-a-1"},
+        {"{{zone}}", "a"},
+        {"{{listen.front}}", "10.1.0.8:8520"},
+        {"{{listen.readiness}}", "10.1.0.8:8524"},
+        {"{{listen.control}}", "10.1.0.8:8526"},
+        {"{{seed_nodes}}", "10.1.0.8:8526,10.2.0.20:8526"},
+        {"{{provider.address}}", "10.200.1.7:8527"},
+        {"{{limits.max_fds}}", values->descriptors},
+        {"{{bounds.contact_ms}}", values->contact_ms},
+        {"{{bounds.drain_ms}}", values->drain_ms},
+        {"{{bounds.quota_window_s}}", values->quota_window_s},
+        {"{{bounds.budget_window_s}}", values->budget_window_s},
+        {"{{bounds.retry_budget_ratio}}", values->ratio},
+        {"{{bounds.retry_budget_slack}}", values->slack},
+        {"{{bounds.grace_s}}", values->grace_s},
+    };
+
+    while (*template != '\0') {
+        size_t i = 0;
+
+        if (strncmp(template, "{{", 2) != 0) {
+            *to++ = *template ++;
+            continue;
+        }
+        while (i < sizeof fields / sizeof fields[0] &&
+               strncmp(template, fields[i].name, strlen(fields[i].name)) !=
+                   0) {
+            i++;
+        }
+        cr_assert_lt(i, sizeof fields / sizeof fields[0], "no value for %.40s",
+                     template);
+        template += strlen(fields[i].name);
+        to = stpcpy(to, fields[i].value);
+    }
+    *to = '\0';
+}
+
+Test(gate_settings, template_takes_the_values_of_every_deployment)
+{
+    static const rendered_case cases[] = {
+        {"4100", "3000", "2000", "4", "10", "0.2", "54", "8", 54,
+         4 * LV_SECOND, 8 * LV_SECOND},
+        {"8192", "4000", "3000", "4", "10", "0.2", "206", "8", 206,
+         4 * LV_SECOND, 8 * LV_SECOND},
+        {"8192", "5000", "4000", "4", "10", "0.2", "430", "8", 430,
+         4 * LV_SECOND, 8 * LV_SECOND},
+        /* a small twin of the large deployment */
+        {"4100", "5000", "4000", "4", "10", "0.2", "35.83", "8", 35,
+         4 * LV_SECOND, 8 * LV_SECOND},
+        {"4100.0", "3000.5", "2000.25", "4.5", "10.0", "0.25", "0.99", "8.9",
+         0, 4500 * LV_MILLISECOND, 8900 * LV_MILLISECOND},
+    };
+    char *template;
+
+    err_list_init(&errors);
+    template = conf_load_file("../deploy/settings.ini", &errors);
+    cr_assert_not_null(template);
+    for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+        char text[4096];
+
+        render(template, &cases[i], text);
+        err_list_init(&errors);
+        cr_expect(gate_read_settings_text(&settings, "case", text, &errors),
+                  "case %zu: %s", i,
+                  errors.count > 0 ? errors.items[0].error.message : "");
+        cr_expect_eq(settings.budget.slack, cases[i].slack_read, "case %zu",
+                     i);
+        cr_expect_float_eq(settings.budget.ratio, strtod(cases[i].ratio, NULL),
+                           1e-9, "case %zu", i);
+        cr_expect_eq(settings.quota_window, cases[i].quota_window_read,
+                     "case %zu", i);
+        cr_expect_eq(settings.shutdown_grace, cases[i].grace_read, "case %zu",
+                     i);
+    }
+    free(template);
+}
+
+Test(gate_settings, numbers_without_a_meaning_are_reported)
+{
+    static const char *const lines[] = {
+        "[budget]\nslack = 35.\n",
+        "[budget]\nslack = .5\n",
+        "[budget]\nslack = 3e1\n",
+        "[budget]\nslack = -1.5\n",
+        "[budget]\nratio = 11\n",
+        "[budget]\nratio = 20%\n",
+        "[budget]\nratio = -0.2\n",
+        "[budget]\nwindow = 1.5\n",
+        "[budget]\nwindow = 1.5.5s\n",
+        "[shutdown]\ngrace = 0.5s\n",
+        "[budget]\nslack = 99999999999999999999.5\n",
+    };
+
+    for (size_t i = 0; i < sizeof lines / sizeof lines[0]; i++) {
+        char text[1024];
+
+        snprintf(text, sizeof text, VALID "%s", lines[i]);
+        err_list_init(&errors);
+        cr_expect_not(
+            gate_read_settings_text(&settings, "test.ini", text, &errors),
+            "%s", lines[i]);
+        cr_expect_gt(errors.count, 0);
+    }
+}
--- a/tests/soak/soak-daemon.c
+++ b/tests/soak/soak-daemon.c
@@ -46,8 +46,8 @@
     fprintf(file, "lost_answer_bound = 1s\n");
     fprintf(file, "leave_bound = %ums\n",
             (unsigned)(SOAK_LEAVE_BOUND / LV_MILLISECOND));
-    fprintf(file, "[budget]\nwindow = 10s\npercent = %d\nslack = %d\n",
-            is_planted ? 1000 : SOAK_BUDGET_PERCENT,
+    fprintf(file, "[budget]\nwindow = 10s\nratio = %.2f\nslack = %d\n",
+            is_planted ? 10.0 : SOAK_BUDGET_PERCENT / 100.0,
             is_planted ? 100000 : SOAK_BUDGET_SLACK);
     fprintf(file, "[shutdown]\ngrace = %us\n",
             (unsigned)(SOAK_GRACE / LV_SECOND));
