Keep an instance with little CPU time fair: peers, shares, rotation, writes

At some 1,600 requests a second, returns included, turns of its loop took 100 to 380 ms. Then - all 81 peers counted as lost at once, since the timer ran before the datagrams that waited unread (libuv reads 32 in a turn): the instance took itself for the whole fleet, coordinator and share included; - grants that had arrived counted as unanswered after 25 ms; - what it sent counted as served at the start and was not taken back when the run did not begin: the account was refused as over its share; - each refusal took two writes, each event of a stream one, each accepted connection eight system calls; system calls were most of the time.

Change: a late tick reads all waiting datagrams first and counts as 100 ms of silence at most; tokens of runs that no endpoint began are taken back, in all instances' sums; what a callback writes is sent with one call for each stream; accepted connections inherit their options from the listener; idle connections to endpoints are found by endpoint; an instance that is late three times in a row is not ready until it was in time for 1.5 s, and its refusals close their connections, so that the platform sends its callers to others of the zone. The delay of the loop is a metric and a log line.

Ruled out: own code as the cost (20 % of the time of a refusal by perf, tests/gateway/bench-requests.c; the kernel's part is 70 %).

--- a/packages/core/include/lavender/shares.h
+++ b/packages/core/include/lavender/shares.h
@@ -17,7 +17,7 @@
  * since its process started, or sums of the window. */
 typedef struct shr_totals {
     uint32_t requested; /* wraps */
-    uint32_t served;    /* wraps */
+    uint32_t served;    /* wraps; less after shr_return_served */
 } shr_totals;
 
 typedef struct shr_account {
@@ -54,7 +54,12 @@
 void shr_add_served(shr_shares *shares, lv_handle account, uint32_t tokens,
                     lv_time now);
 
-/* Counts the increase of another instance's totals. */
+/* Takes back tokens that were counted as served when a request was sent, but
+ * whose run did not begin. */
+void shr_return_served(shr_shares *shares, lv_handle account, uint32_t tokens,
+                       lv_time now);
+
+/* Counts the change of another instance's totals. */
 void shr_add_peer(shr_shares *shares, lv_handle account,
                   const shr_totals *added, lv_time now);
 
--- a/packages/core/include/lavender/window.h
+++ b/packages/core/include/lavender/window.h
@@ -17,16 +17,18 @@
 
 /* A window with all fields zero is empty. */
 typedef struct win_window {
-    uint32_t sums[WIN_BUCKETS_MAX + 1]; /* a ring; the extra bucket is the one
-                                           that is partly out of the window */
+    int32_t sums[WIN_BUCKETS_MAX + 1]; /* a ring; the extra bucket is the one
+                                          that is partly out of the window */
     uint64_t newest; /* number of the newest bucket, counted from time 0 */
 } win_window;
 
-/* Adds an amount to the newest bucket. */
-void win_add(win_window *window, const win_shape *shape, uint32_t amount,
+/* Adds an amount to the newest bucket; a negative one takes back what an
+ * earlier call added. */
+void win_add(win_window *window, const win_shape *shape, int32_t amount,
              lv_time now);
 
-/* Returns the sum of the window and of the bucket that is partly out of it. */
+/* Returns the sum of the window and of the bucket that is partly out of it, or
+ * 0 when more was taken back than added in that time. */
 uint64_t win_sum(win_window *window, const win_shape *shape, lv_time now);
 
 #endif
--- a/packages/core/source/shares.c
+++ b/packages/core/source/shares.c
@@ -78,8 +78,9 @@
 {
     shr_account *row = &shares->accounts[account];
 
-    win_add(&row->requested_window, &shares->shape, added->requested, now);
-    win_add(&row->served_window, &shares->shape, added->served, now);
+    win_add(&row->requested_window, &shares->shape, (int32_t)added->requested,
+            now);
+    win_add(&row->served_window, &shares->shape, (int32_t)added->served, now);
 }
 
 void
@@ -102,6 +103,13 @@
     add_to_windows(shares, account, &added, now);
 }
 
+void
+shr_return_served(shr_shares *shares, lv_handle account, uint32_t tokens,
+                  lv_time now)
+{
+    shr_add_served(shares, account, 0 - tokens, now);
+}
+
 void
 shr_add_peer(shr_shares *shares, lv_handle account, const shr_totals *added,
              lv_time now)
--- a/packages/core/source/window.c
+++ b/packages/core/source/window.c
@@ -26,7 +26,7 @@
 }
 
 void
-win_add(win_window *window, const win_shape *shape, uint32_t amount,
+win_add(win_window *window, const win_shape *shape, int32_t amount,
         lv_time now)
 {
     advance(window, shape, now);
@@ -36,12 +36,12 @@
 uint64_t
 win_sum(win_window *window, const win_shape *shape, lv_time now)
 {
-    uint64_t total = 0;
+    int64_t total = 0;
     uint32_t i;
 
     advance(window, shape, now);
     for (i = 0; i <= shape->bucket_count; i++) {
         total += window->sums[i];
     }
-    return total;
+    return total > 0 ? (uint64_t)total : 0;
 }
--- a/packages/gateway/include/lavender-gateway/back.h
+++ b/packages/gateway/include/lavender-gateway/back.h
@@ -80,12 +80,20 @@
     uint64_t unmatched_responses;
 } back_counts;
 
+/* Idle connections to one endpoint. */
+typedef struct back_idle_list {
+    back_connection *first; /* the one that became idle last */
+    uint32_t count;
+} back_idle_list;
+
 struct back_pool {
     back_settings settings;
     uv_loop_t *loop;
     const wire_ops *wire;
     eng_table *endpoints;
     back_connection *connections; /* to all endpoints */
+    back_idle_list *idle;         /* by endpoint */
+    uint32_t idle_capacity;
     uint32_t connection_count;
     back_counts counts;
 };
@@ -112,7 +120,11 @@
  * second. */
 void back_tick(back_pool *pool, lv_time now);
 
-/* Closes all connections and cancels their exchanges. */
+/* Closes all connections and cancels their exchanges; run the loop before
+ * back_finish. */
 void back_close_all(back_pool *pool);
 
+/* Frees the memory. */
+void back_finish(back_pool *pool);
+
 #endif
--- a/packages/gateway/include/lavender-gateway/front.h
+++ b/packages/gateway/include/lavender-gateway/front.h
@@ -67,8 +67,9 @@
     uv_loop_t *loop;
     rt_limits limits; /* from the current configuration */
     front_connection *connections;
-    uint32_t connection_count; /* open connections */
-    uint32_t max_connections;  /* further connections are closed at once */
+    uint32_t connection_count;  /* open connections */
+    uint32_t max_connections;   /* further connections are closed at once */
+    bool has_inherited_options; /* see io_accept */
     bool is_draining; /* each connection closes after its current response */
     void *owner;
     front_counts counts;
--- a/packages/gateway/include/lavender-gateway/gate.h
+++ b/packages/gateway/include/lavender-gateway/gate.h
@@ -111,6 +111,10 @@
     lv_time queue_decided_at; /* last decision outside the timer */
     lv_time ticked_at;        /* last tick of the timer */
     uint32_t late_ticks;      /* consecutive ticks that came far too late */
+    lv_time late_at;          /* last such tick */
+    bool is_overloaded;       /* not ready, and refusals close connections */
+    lv_time worst_delay;      /* between ticks, since it was logged */
+    lv_time late_logged_at;
     bool is_draining;
     lv_time drain_since;
     uint64_t prng_state;        /* of gate_random */
@@ -127,6 +131,7 @@
     met_histogram first_output_times[RT_KINDS];
     met_histogram prediction_errors; /* delay of the first output after its
                                         predicted time */
+    met_histogram tick_delays;       /* of the timer, beyond its period */
     tal_counter ends_by_reason;      /* by kind, outcome and reason */
     tal_counter ends_by_account;     /* by account and outcome */
     gate_counts counts;
--- a/packages/gateway/include/lavender-gateway/io.h
+++ b/packages/gateway/include/lavender-gateway/io.h
@@ -2,12 +2,16 @@
  * Non-blocking TCP streams on a libuv loop. A write copies only the bytes that
  * the socket does not accept at once, all streams of the loop share one read
  * buffer, and one callback reports that a stream is closed and may be freed.
+ *
+ * What on_data and on_end write is sent when they return, with one system call
+ * for each stream: small writes otherwise cost most of a busy process's time.
  */
 #ifndef LAVENDER_GATEWAY_IO_H
 #define LAVENDER_GATEWAY_IO_H
 
 #include <uv.h>
 
+#include "lavender/buffer.h"
 #include "lavender/error.h"
 #include "lavender/types.h"
 
@@ -40,6 +44,9 @@
     bool is_closing;
     bool is_reading;
     bool is_connected;
+    bool is_batched;  /* in the list of streams to send */
+    buf_buffer batch; /* bytes to send when the callback returns */
+    io_stream *next_batched;
 };
 
 /* Parses an IPv4 "IP:PORT"; returns false with the error set when `text` is
@@ -58,9 +65,15 @@
                 lv_time silence_timeout);
 
 /* Accepts a pending connection of a listener; `silence_timeout` as for
- * io_connect. */
+ * io_connect. `are_inherited`, of a listener that io_prepare_listener
+ * prepared, is false at first and set once the kernel is seen to give its
+ * options to the connections: then setting them, most of the cost of a
+ * connection, is left out. NULL: they are always set. */
 bool io_accept(io_stream *stream, uv_stream_t *listener,
-               lv_time silence_timeout);
+               lv_time silence_timeout, bool *are_inherited);
+
+/* Sets the options of connections on their listener. */
+void io_prepare_listener(uv_tcp_t *listener, lv_time silence_timeout);
 
 void io_read_start(io_stream *stream);
 void io_read_stop(io_stream *stream);
@@ -87,6 +100,9 @@
 /* Closes the connection with a RST. */
 void io_reset(io_stream *stream);
 
+/* Returns how often bytes of any stream were handed to the kernel. */
+uint64_t io_count_writes(void);
+
 /* Returns the current time of the monotonic clock. */
 lv_time io_now(void);
 
--- a/packages/gateway/include/lavender-gateway/peers.h
+++ b/packages/gateway/include/lavender-gateway/peers.h
@@ -158,6 +158,7 @@
     lv_time last_updates_at; /* latest updates sent to coordinators */
     lv_time last_join_at;    /* a peer became live */
     lv_time last_sums_at;    /* latest broadcast of the coordinated sums */
+    lv_time expired_at;      /* latest call of peers_expire */
 
     /* A peer joined or was lost; `change` is "joined" or "lost". */
     void (*on_change)(void *owner, const char *change, const char *address);
@@ -185,6 +186,10 @@
                 const peers_settings *settings, eng_table *endpoints,
                 shr_shares *shares, uint64_t incarnation, err_error *error);
 
+/* Processes the datagrams that wait in the socket, for a loop that is late:
+ * libuv reads only a few in each turn. */
+void peers_drain(peers_state *peers);
+
 /* Closes the libuv handles; run the loop before peers_finish. */
 void peers_close(peers_state *peers);
 
--- a/packages/gateway/source/back-imp.h
+++ b/packages/gateway/source/back-imp.h
@@ -8,6 +8,9 @@
     back_pool *pool;
     back_connection *next;
     back_connection *previous;
+    back_connection *next_idle;
+    back_connection *previous_idle;
+    bool is_idle; /* in the list of its endpoint */
     lv_handle endpoint;
     back_exchange *exchange; /* NULL: idle or closing */
     http_reader reader;
--- a/packages/gateway/source/back-pool.c
+++ b/packages/gateway/source/back-pool.c
@@ -16,30 +16,75 @@
     pool->endpoints = endpoints;
 }
 
-/* Closes a connection without calling on_end of its exchange. */
+/* Returns the idle connections to an endpoint, or NULL when out of memory. */
+static back_idle_list *
+find_idle_list(back_pool *pool, lv_handle endpoint)
+{
+    if (endpoint >= pool->idle_capacity) {
+        uint32_t capacity = pool->endpoints->capacity;
+        back_idle_list *idle =
+            realloc(pool->idle, capacity * sizeof *pool->idle);
+
+        if (idle == NULL) {
+            return NULL;
+        }
+        memset(idle + pool->idle_capacity, 0,
+               (capacity - pool->idle_capacity) * sizeof *idle);
+        pool->idle = idle;
+        pool->idle_capacity = capacity;
+    }
+    return &pool->idle[endpoint];
+}
+
 static void
-close_connection(back_connection *connection)
+link_idle(back_connection *connection, back_idle_list *list)
 {
-    if (connection->exchange != NULL) {
-        connection->exchange->connection = NULL;
-        connection->exchange = NULL;
+    connection->is_idle = true;
+    connection->previous_idle = NULL;
+    connection->next_idle = list->first;
+    if (connection->next_idle != NULL) {
+        connection->next_idle->previous_idle = connection;
     }
-    io_close(&connection->stream);
+    list->first = connection;
+    list->count++;
 }
 
-static uint32_t
-count_idle(const back_pool *pool, lv_handle endpoint)
+static void
+unlink_idle(back_connection *connection)
 {
-    const back_connection *connection;
-    uint32_t count = 0;
+    back_idle_list *list = &connection->pool->idle[connection->endpoint];
 
-    for (connection = pool->connections; connection != NULL;
-         connection = connection->next) {
-        count += connection->endpoint == endpoint &&
-                 connection->exchange == NULL &&
-                 !connection->stream.is_closing;
+    connection->is_idle = false;
+    list->count--;
+    if (connection->next_idle != NULL) {
+        connection->next_idle->previous_idle = connection->previous_idle;
+    }
+    if (connection->previous_idle != NULL) {
+        connection->previous_idle->next_idle = connection->next_idle;
+    }
+    else {
+        list->first = connection->next_idle;
     }
-    return count;
+}
+
+static void
+close_idle(back_connection *connection)
+{
+    if (connection->is_idle) {
+        unlink_idle(connection);
+    }
+    io_close(&connection->stream);
+}
+
+/* Closes a connection without calling on_end of its exchange. */
+static void
+close_connection(back_connection *connection)
+{
+    if (connection->exchange != NULL) {
+        connection->exchange->connection = NULL;
+        connection->exchange = NULL;
+    }
+    close_idle(connection);
 }
 
 /* Ends an exchange and keeps its connection for reuse or closes it. */
@@ -49,15 +94,17 @@
 {
     back_exchange *exchange = connection->exchange;
     back_pool *pool = connection->pool;
+    back_idle_list *idle = find_idle_list(pool, connection->endpoint);
     bool is_reusable = connection->is_keep_alive && outcome == BACK_COMPLETE &&
                        io_write_queue_size(&connection->stream) == 0 &&
-                       count_idle(pool, connection->endpoint) <
-                           pool->settings.max_idle_connections;
+                       idle != NULL &&
+                       idle->count < pool->settings.max_idle_connections;
 
     connection->exchange = NULL;
     exchange->connection = NULL;
     if (is_reusable) {
         connection->state_since = io_now();
+        link_idle(connection, idle);
         io_read_start(&connection->stream);
     }
     else {
@@ -104,7 +151,7 @@
 
     if (connection->exchange == NULL) {
         connection->pool->counts.unmatched_responses++;
-        io_close(stream); /* data without a request */
+        close_idle(connection); /* data without a request */
         return;
     }
     if (back_receive(connection, data, size, &result)) {
@@ -119,7 +166,7 @@
     back_result result;
 
     if (connection->exchange == NULL) {
-        io_close(stream);
+        close_idle(connection);
         return;
     }
     back_receive_end(connection, is_error, &result);
@@ -160,26 +207,19 @@
                                          .on_drain = on_drain,
                                          .on_close = on_close};
 
-/* Finds the connection to an endpoint that became idle last and less than
+/* Takes the connection to an endpoint that became idle last and less than
  * `max_idle` ago; NULL: none. */
 static back_connection *
-find_idle(back_pool *pool, lv_handle endpoint, lv_time max_idle)
+take_idle(back_pool *pool, lv_handle endpoint, lv_time max_idle)
 {
-    back_connection *latest = NULL;
-    back_connection *connection;
-    lv_time now = io_now();
+    const back_idle_list *list = find_idle_list(pool, endpoint);
+    back_connection *latest = list != NULL ? list->first : NULL;
 
-    for (connection = pool->connections; connection != NULL;
-         connection = connection->next) {
-        if (connection->endpoint != endpoint || connection->exchange != NULL ||
-            connection->stream.is_closing ||
-            lv_elapsed(now, connection->state_since) >= max_idle) {
-            continue;
-        }
-        if (latest == NULL || connection->state_since > latest->state_since) {
-            latest = connection;
-        }
+    if (latest == NULL ||
+        lv_elapsed(io_now(), latest->state_since) >= max_idle) {
+        return NULL;
     }
+    unlink_idle(latest);
     return latest;
 }
 
@@ -229,7 +269,7 @@
     lv_time max_idle = exchange->is_non_repeatable
                            ? pool->settings.max_idle_non_repeatable
                            : pool->settings.max_idle;
-    back_connection *connection = find_idle(pool, endpoint, max_idle);
+    back_connection *connection = take_idle(pool, endpoint, max_idle);
     bool is_reused = connection != NULL;
 
     if (!is_reused) {
@@ -293,7 +333,7 @@
         }
         if (connection->exchange == NULL) {
             if (age >= connection->max_idle) {
-                io_close(&connection->stream);
+                close_idle(connection);
             }
         }
         else if (!connection->stream.is_connected &&
@@ -314,3 +354,11 @@
         close_connection(connection);
     }
 }
+
+void
+back_finish(back_pool *pool)
+{
+    free(pool->idle);
+    pool->idle = NULL;
+    pool->idle_capacity = 0;
+}
--- a/packages/gateway/source/front-connection.c
+++ b/packages/gateway/source/front-connection.c
@@ -277,7 +277,7 @@
                      server->limits.head_bytes);
     front_set_phase(connection, FRONT_IDLE);
     if (!io_accept(&connection->stream, (uv_stream_t *)&server->listener,
-                   FRONT_SILENCE_TIMEOUT) ||
+                   FRONT_SILENCE_TIMEOUT, &server->has_inherited_options) ||
         server->connection_count > server->max_connections) {
         io_close(&connection->stream);
         return;
--- a/packages/gateway/source/front-server.c
+++ b/packages/gateway/source/front-server.c
@@ -45,6 +45,7 @@
                        "configure an IP:PORT of this host that is not in use",
                        "cannot open the listening socket");
     }
+    io_prepare_listener(&server->listener, FRONT_SILENCE_TIMEOUT);
     return true;
 }
 
--- a/packages/gateway/source/gate-attempt.c
+++ b/packages/gateway/source/gate-attempt.c
@@ -139,6 +139,7 @@
     gate_server *gate = request->gate;
     lv_time now = io_now();
 
+    request->has_begun = true;
     if (!request->attempt.has_first_token) {
         met_histogram_add(&gate->first_output_times[request->route->kind],
                           lv_elapsed(now, request->received_at));
--- a/packages/gateway/source/gate-imp.h
+++ b/packages/gateway/source/gate-imp.h
@@ -3,6 +3,9 @@
 
 #include "lavender-gateway/gate.h"
 
+/* Period of the timer, which checks timeouts and decides queued requests. */
+#define GATE_TICK (20 * LV_MILLISECOND)
+
 /* Maximum number of times that one request is sent, counting the attempts that
  * endpoints rejected without running it. */
 #define GATE_MAX_SENDS 3
@@ -41,6 +44,8 @@
     const rt_route *route;
     const rt_account *account; /* NULL: public route, or no accounts */
     lv_handle share_row;       /* of the account; or LV_HANDLE_NONE */
+    bool is_counted_served;    /* in the account's share */
+    bool has_begun;            /* an endpoint sent the first output */
     lv_id service;
     wire_request decoded;        /* texts point into the head */
     uint64_t affinity_version;   /* of the list that the prompt's affinity
@@ -114,6 +119,30 @@
 void gate_reroute_request(gate_request *request);
 void gate_free_finished_requests(gate_server *gate);
 
+/* gate-share.c: the tokens of requests in the shares of their accounts */
+
+/* A request counts as served from its first start, so that all instances see
+ * it at once. At its end it is taken back if no endpoint began to run it, as
+ * far as this instance has seen. */
+void gate_count_requested(gate_request *request);
+void gate_count_served(gate_request *request);
+void gate_return_unserved(gate_request *request);
+
+/* Returns what the account got, relative to its due share; 0 without an
+ * account. */
+double gate_share_ratio(const gate_request *request, lv_time now);
+
+/* gate-load.c: a process that gets too little CPU time for its load */
+
+/* Records how late a tick of the timer is. A loop that is late reads the
+ * datagrams that wait in its socket first, since grants are among them. */
+void gate_record_tick(gate_server *gate, lv_time now);
+
+/* Returns whether this new request must be refused because the process gets
+ * too little CPU time for its load. `share` is that of its account, as in
+ * adm_request. */
+bool gate_should_shed(gate_server *gate, double share);
+
 /* gate-attempt.c: one attempt at an endpoint */
 
 /* Returns false when nothing was sent. */
@@ -190,9 +219,4 @@
 /* Returns the next pseudo-random number. */
 uint64_t gate_random(gate_server *gate);
 
-/* Returns whether this new request must be refused because the process gets
- * too little CPU time for its load. `share` is that of its account, as in
- * adm_request. */
-bool gate_should_shed(gate_server *gate, double share);
-
 #endif
--- a/packages/gateway/source/gate-monitoring.c
+++ b/packages/gateway/source/gate-monitoring.c
@@ -7,6 +7,7 @@
 is_ready(const gate_server *gate)
 {
     return gate->config != NULL && !gate->is_draining &&
+           !gate->is_overloaded &&
            gate->feeds[WIRE_ENDPOINTS].counts.lists_read > 0;
 }
 
@@ -70,6 +71,11 @@
         {"lavender_connections_opened_total", "counter",
          "connections to endpoints",
          (double)gate->endpoint_pool.counts.opened},
+        {"lavender_writes_total", "counter",
+         "writes to callers, endpoints and the store",
+         (double)io_count_writes()},
+        {"lavender_overloaded", "gauge",
+         "out of the rotation for lack of CPU time", gate->is_overloaded},
         {"lavender_stray_answers_total", "counter",
          "answers that belonged to no request",
          (double)gate->endpoint_pool.counts.unmatched_responses},
@@ -104,6 +110,10 @@
                      "first piece later than predicted");
     met_write_histogram(writer, "lavender_prediction_error_seconds", "",
                         &gate->prediction_errors);
+    met_write_header(writer, "lavender_loop_delay_seconds", "histogram",
+                     "ticks of the timer later than due");
+    met_write_histogram(writer, "lavender_loop_delay_seconds", "",
+                        &gate->tick_delays);
     tal_write(&gate->ends_by_reason, writer);
     tal_write(&gate->ends_by_account, writer);
     write_endpoint_metrics(gate, writer);
@@ -141,7 +151,9 @@
     }
     else {
         front_send_error(connection, 503, NULL,
-                         gate->is_draining ? "draining" : "no-configuration");
+                         gate->is_draining     ? "draining"
+                         : gate->is_overloaded ? "overloaded"
+                                               : "no-configuration");
     }
 }
 
--- a/packages/gateway/source/gate-request.c
+++ b/packages/gateway/source/gate-request.c
@@ -69,6 +69,7 @@
     gate_log_end(request, outcome, reason);
     count_end(request, outcome, reason);
     gate_cancel_attempt(request);
+    gate_return_unserved(request);
     request->state = GATE_FINISHED;
     request->connection = NULL;
     request->gate->has_pending_updates = true;
@@ -122,13 +123,6 @@
     }
 }
 
-/* Tokens that the request counts for in the account shares. */
-static uint32_t
-share_tokens(const eng_prompt *prompt)
-{
-    return prompt->tokens + 2 * prompt->output_tokens;
-}
-
 static void
 count_arrival(gate_request *request)
 {
@@ -139,26 +133,7 @@
     if (budget != NULL) {
         bud_count_request(&budget->budget, request->received_at);
     }
-    request->share_row = LV_HANDLE_NONE;
-    if (request->account != NULL) {
-        request->share_row =
-            shr_find_or_add(&gate->shares, request->account->id);
-    }
-    if (request->share_row != LV_HANDLE_NONE) {
-        shr_add_requested(&gate->shares, request->share_row,
-                          share_tokens(&request->decoded.prompt),
-                          request->received_at);
-    }
-}
-
-/* What the account got, relative to its due share; 0 without an account. */
-static double
-share_ratio(const gate_request *request, lv_time now)
-{
-    return request->share_row != LV_HANDLE_NONE
-               ? shr_ratio(&request->gate->shares, request->share_row,
-                           share_tokens(&request->decoded.prompt), now)
-               : 0;
+    gate_count_requested(request);
 }
 
 static bool take_retry(gate_request *request);
@@ -208,6 +183,9 @@
     buf_init(&headers);
     gate->wire->write_retry_after(&headers, retry_after);
     gate->counts.refused++;
+    if (gate->is_overloaded) {
+        request->connection->is_keep_alive = false;
+    }
     front_send_error(request->connection, 503, &headers, reason);
     buf_finish(&headers);
     gate_end_request(request, "refused", reason);
@@ -272,7 +250,7 @@
                        "draining");
         return;
     }
-    if (gate_should_shed(gate, share_ratio(request, io_now()))) {
+    if (gate_should_shed(gate, gate_share_ratio(request, io_now()))) {
         refuse_request(request, LV_SECOND, "overloaded");
         return;
     }
@@ -316,7 +294,7 @@
     to->prompt = &request->decoded.prompt;
     to->received = request->received_at;
     to->target = request->route->target;
-    to->share_ratio = share_ratio(request, now);
+    to->share_ratio = gate_share_ratio(request, now);
     to->first_row = (uint32_t)gate_random(gate);
     to->tried_count = request->tried_count;
     memcpy(to->tried, request->tried, sizeof to->tried);
@@ -336,18 +314,13 @@
 void
 gate_start_request(gate_request *request, const char *reason)
 {
-    gate_server *gate = request->gate;
-
     if (io_is_closed_remotely(&request->connection->stream)) {
         request->connection->request = NULL;
         gate_abandon_request(request);
         return;
     }
     gate_log_step(request, "start", reason);
-    if (request->sends == 0 && request->share_row != LV_HANDLE_NONE) {
-        shr_add_served(&gate->shares, request->share_row,
-                       share_tokens(&request->decoded.prompt), io_now());
-    }
+    gate_count_served(request);
     if (!gate_start_attempt(request)) {
         gate_fail_request(request, 502, "no-connection");
     }
--- a/packages/gateway/source/gate.c
+++ b/packages/gateway/source/gate.c
@@ -6,30 +6,12 @@
 
 #include "gate-imp.h"
 
-/* Period of the timer, which checks timeouts and decides queued requests. */
-#define TICK_MS 20
-
 /* Minimum time between decisions on the queue outside the timer: a busy
  * instance has updates all the time, and each decision weighs all endpoints.
  * In a large fleet only the timer decides the queue, since most of the known
  * state is older than this anyway. */
 #define MIN_DECISION_INTERVAL (5 * LV_MILLISECOND)
 
-/* A tick this long after the previous one is far too late: it is half of the
- * shortest latency targets. Requests are shed after MIN_LATE_TICKS of them in
- * a row. */
-#define LATE_TICK_INTERVAL (100 * LV_MILLISECOND)
-#define MIN_LATE_TICKS 2
-
-/* Percentages of new requests that are refused at once while the process is
- * overloaded. The default applies without an account and while no account is
- * short of its share. An account that got less than LOW_SHARE of its share
- * loses fewer, as its callers may know no other instance; one above, more. */
-#define SHED_DEFAULT_PERCENT 50
-#define LOW_SHARE 0.75
-#define SHED_LOW_SHARE_PERCENT 25
-#define SHED_HIGH_SHARE_PERCENT 75
-
 /* From the platform's probes and from readers of the metrics. */
 #define MAX_READINESS_CONNECTIONS 64
 
@@ -213,31 +195,6 @@
     }
 }
 
-/* A single late tick is a pause of the process, which is over; several in a
- * row are more work than the process has CPU time for. */
-static void
-check_tick_delay(gate_server *gate, lv_time now)
-{
-    bool is_late = gate->ticked_at != 0 &&
-                   lv_elapsed(now, gate->ticked_at) >= LATE_TICK_INTERVAL;
-
-    gate->late_ticks = is_late ? gate->late_ticks + 1 : 0;
-    gate->ticked_at = now;
-}
-
-bool
-gate_should_shed(gate_server *gate, double share)
-{
-    uint32_t percent = SHED_DEFAULT_PERCENT;
-
-    if (share > 0) {
-        percent = share < LOW_SHARE ? SHED_LOW_SHARE_PERCENT
-                                    : SHED_HIGH_SHARE_PERCENT;
-    }
-    return gate->late_ticks >= MIN_LATE_TICKS &&
-           gate_random(gate) % 100 < percent;
-}
-
 static void
 check_connections(gate_server *gate, lv_time now)
 {
@@ -257,7 +214,7 @@
     lv_time now = io_now();
     int i;
 
-    check_tick_delay(gate, now);
+    gate_record_tick(gate, now);
     update_store_state(gate, now);
     for (i = 0; i < WIRE_SUBJECT_COUNT; i++) {
         store_feed_tick(&gate->feeds[i], now);
@@ -325,7 +282,7 @@
 
     uv_timer_init(gate->loop, &gate->timer);
     gate->timer.data = gate;
-    uv_timer_start(&gate->timer, on_timer, 0, TICK_MS);
+    uv_timer_start(&gate->timer, on_timer, 0, GATE_TICK / LV_MILLISECOND);
     uv_prepare_init(gate->loop, &gate->prepare);
     gate->prepare.data = gate;
     uv_prepare_start(&gate->prepare, on_prepare);
@@ -429,6 +386,7 @@
              "requests that ended, by account and outcome",
              MAX_ACCOUNT_SERIES);
     met_histogram_init(&gate->prediction_errors);
+    met_histogram_init(&gate->tick_delays);
     back_init(&gate->endpoint_pool, loop, &settings->endpoint_connections,
               wire, &gate->endpoints);
     if (!io_parse_address(settings->store_address,
@@ -490,6 +448,7 @@
     }
     uv_run(gate->loop, UV_RUN_DEFAULT);
     peers_finish(&gate->peers);
+    back_finish(&gate->endpoint_pool);
     reg_finish(&gate->registry);
     shr_finish(&gate->shares);
     eng_finish(&gate->endpoints);
--- a/packages/gateway/source/io.c
+++ b/packages/gateway/source/io.c
@@ -24,6 +24,11 @@
  * stream's data before the next read. */
 static char read_buffer[READ_BUFFER_BYTES];
 
+/* While a callback of a stream runs, what it writes is collected. */
+static bool is_batching;
+static io_stream *batched_streams;
+static uint64_t write_count;
+
 lv_time
 io_now(void)
 {
@@ -70,7 +75,7 @@
 }
 
 static void
-set_socket_options(io_stream *stream, lv_time silence_timeout)
+set_socket_options(uv_tcp_t *tcp, lv_time silence_timeout)
 {
     unsigned int timeout_ms = (unsigned int)(silence_timeout / LV_MILLISECOND);
     uv_os_fd_t socket;
@@ -78,9 +83,9 @@
     static const int interval = KEEPALIVE_INTERVAL_S;
     static const int probes = KEEPALIVE_PROBES;
 
-    uv_tcp_nodelay(&stream->tcp, 1);
-    uv_tcp_keepalive(&stream->tcp, 1, KEEPALIVE_IDLE_S);
-    if (uv_fileno((uv_handle_t *)&stream->tcp, &socket) != 0) {
+    uv_tcp_nodelay(tcp, 1);
+    uv_tcp_keepalive(tcp, 1, KEEPALIVE_IDLE_S);
+    if (uv_fileno((uv_handle_t *)tcp, &socket) != 0) {
         return;
     }
     setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof interval);
@@ -116,18 +121,50 @@
                        (const struct sockaddr *)address, on_connected) != 0) {
         return false;
     }
-    set_socket_options(stream, silence_timeout);
+    set_socket_options(&stream->tcp, silence_timeout);
     return true;
 }
 
+void
+io_prepare_listener(uv_tcp_t *listener, lv_time silence_timeout)
+{
+    set_socket_options(listener, silence_timeout);
+}
+
+/* Did the kernel give a connection the options of set_socket_options? */
+static bool
+has_socket_options(const uv_tcp_t *tcp, lv_time silence_timeout)
+{
+    unsigned int timeout_ms = 0;
+    int probes = 0;
+    int no_delay = 0;
+    socklen_t size = sizeof(int);
+    uv_os_fd_t socket;
+
+    return uv_fileno((const uv_handle_t *)tcp, &socket) == 0 &&
+           getsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &no_delay, &size) ==
+               0 &&
+           getsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &probes, &size) == 0 &&
+           getsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
+                      &size) == 0 &&
+           no_delay != 0 && probes == KEEPALIVE_PROBES &&
+           timeout_ms == silence_timeout / LV_MILLISECOND;
+}
+
 bool
-io_accept(io_stream *stream, uv_stream_t *listener, lv_time silence_timeout)
+io_accept(io_stream *stream, uv_stream_t *listener, lv_time silence_timeout,
+          bool *are_inherited)
 {
     if (uv_accept(listener, (uv_stream_t *)&stream->tcp) != 0) {
         return false;
     }
     stream->is_connected = true;
-    set_socket_options(stream, silence_timeout);
+    if (are_inherited != NULL && !*are_inherited) {
+        *are_inherited = has_socket_options(&stream->tcp, silence_timeout);
+    }
+    if (are_inherited == NULL || !*are_inherited) {
+        set_socket_options(&stream->tcp, silence_timeout);
+    }
     return true;
 }
 
@@ -139,6 +176,57 @@
     *buffer = uv_buf_init(read_buffer, READ_BUFFER_BYTES);
 }
 
+static bool write_now(io_stream *stream, const void *data, size_t size);
+
+/* Sends the collected bytes of a stream. */
+static bool
+send_batch(io_stream *stream)
+{
+    buf_buffer batch = stream->batch;
+    bool is_sent;
+
+    buf_init(&stream->batch);
+    is_sent = !batch.has_failed &&
+              (batch.size == 0 || write_now(stream, batch.data, batch.size));
+    buf_finish(&batch);
+    return is_sent;
+}
+
+/* Sends what callbacks wrote since the batch began. The callback of a stream
+ * that cannot be sent may write to others, so that the list is taken again
+ * until it is empty. */
+static void
+send_batched_streams(void)
+{
+    while (batched_streams != NULL) {
+        io_stream *stream = batched_streams;
+
+        batched_streams = stream->next_batched;
+        stream->is_batched = false;
+        if (!stream->is_closing && !send_batch(stream) &&
+            !stream->is_closing) {
+            io_read_stop(stream);
+            stream->ops->on_end(stream, true);
+        }
+    }
+}
+
+static void
+begin_batch(bool *was_batching)
+{
+    *was_batching = is_batching;
+    is_batching = true;
+}
+
+static void
+end_batch(bool was_batching)
+{
+    if (!was_batching) {
+        send_batched_streams();
+        is_batching = false;
+    }
+}
+
 /* libuv reports a hang-up after a short read as UV_EOF even when the
  * connection was reset; the socket's SO_ERROR still holds the reset. */
 static bool
@@ -157,7 +245,9 @@
 on_read(uv_stream_t *handle, ssize_t size, const uv_buf_t *buffer)
 {
     io_stream *stream = handle->data;
+    bool was_batching;
 
+    begin_batch(&was_batching);
     if (size > 0) {
         stream->ops->on_data(stream, buffer->base, (size_t)size);
     }
@@ -166,6 +256,7 @@
         stream->ops->on_end(stream,
                             size != UV_EOF || has_socket_error(stream));
     }
+    end_batch(was_batching);
 }
 
 void
@@ -205,14 +296,16 @@
     }
 }
 
-bool
-io_write(io_stream *stream, const void *data, size_t size)
+static bool
+write_now(io_stream *stream, const void *data, size_t size)
 {
     uv_stream_t *handle = (uv_stream_t *)&stream->tcp;
     uv_buf_t buffer = uv_buf_init((char *)data, (unsigned int)size);
     io_write_request *request;
     int sent = uv_try_write(handle, &buffer, 1);
 
+    write_count++;
+
     if (sent == (int)size) {
         return true;
     }
@@ -233,6 +326,21 @@
     return true;
 }
 
+bool
+io_write(io_stream *stream, const void *data, size_t size)
+{
+    if (!is_batching || stream->is_closing) {
+        return write_now(stream, data, size);
+    }
+    if (!stream->is_batched) {
+        stream->is_batched = true;
+        stream->next_batched = batched_streams;
+        batched_streams = stream;
+    }
+    buf_append(&stream->batch, data, size);
+    return !stream->batch.has_failed;
+}
+
 bool
 io_is_closed_remotely(const io_stream *stream)
 {
@@ -248,10 +356,17 @@
            (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
+uint64_t
+io_count_writes(void)
+{
+    return write_count;
+}
+
 size_t
 io_write_queue_size(const io_stream *stream)
 {
-    return uv_stream_get_write_queue_size((const uv_stream_t *)&stream->tcp);
+    return stream->batch.size +
+           uv_stream_get_write_queue_size((const uv_stream_t *)&stream->tcp);
 }
 
 static void
@@ -266,6 +381,7 @@
 {
     uv_shutdown_t *request = malloc(sizeof *request);
 
+    send_batch(stream);
     if (request == NULL) {
         return;
     }
@@ -279,6 +395,7 @@
 {
     io_stream *stream = handle->data;
 
+    buf_finish(&stream->batch);
     stream->ops->on_close(stream);
 }
 
@@ -286,6 +403,7 @@
 io_close(io_stream *stream)
 {
     if (!stream->is_closing) {
+        send_batch(stream);
         stream->is_closing = true;
         uv_close((uv_handle_t *)&stream->tcp, on_closed);
     }
@@ -295,6 +413,7 @@
 io_reset(io_stream *stream)
 {
     if (!stream->is_closing) {
+        send_batch(stream);
         stream->is_closing = true;
         if (uv_tcp_close_reset(&stream->tcp, on_closed) != 0) {
             uv_close((uv_handle_t *)&stream->tcp, on_closed);
--- a/packages/gateway/source/peers-imp.h
+++ b/packages/gateway/source/peers-imp.h
@@ -51,6 +51,10 @@
  * coordinator. */
 #define PEERS_ROW_EXPIRY (3 * LV_SECOND)
 
+/* A timer tick this long after the one before means that the loop was late or
+ * that the process was paused. */
+#define PEERS_LATE_TICK (100 * LV_MILLISECOND)
+
 /* Returns the peer with an address; NULL when there is none. */
 peers_peer *peers_find(peers_state *peers, const struct sockaddr_in *address);
 
--- a/packages/gateway/source/peers.c
+++ b/packages/gateway/source/peers.c
@@ -2,6 +2,7 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "lavender-gateway/io.h"
 #include "peers-imp.h"
@@ -21,6 +22,10 @@
  * fewer may be packet loss. */
 #define MISSED_HEARTBEATS 4
 
+/* Bounds the time for datagrams in a turn of the loop; several seconds of them
+ * in a fleet of 300. */
+#define DRAINED_DATAGRAMS_MAX 4096
+
 static char receive_buffer[RECEIVE_BUFFER_SIZE];
 
 static void
@@ -61,11 +66,35 @@
                : peers->settings.silence_timeout;
 }
 
+/* A late tick counts as PEERS_LATE_TICK of silence, however late it is: what
+ * the peers sent meanwhile may have been dropped by a full socket. */
+static void
+excuse_silence(peers_state *peers, lv_time now)
+{
+    lv_time elapsed = lv_elapsed(now, peers->expired_at);
+    uint32_t i;
+
+    if (peers->expired_at != 0 && elapsed >= PEERS_LATE_TICK) {
+        for (i = 0; i < peers->count; i++) {
+            peers_peer *peer = &peers->peers[i];
+
+            if (peer->received_at != 0 && peer->received_at < now) {
+                peer->received_at += elapsed - PEERS_LATE_TICK;
+                if (peer->received_at > now) {
+                    peer->received_at = now;
+                }
+            }
+        }
+    }
+    peers->expired_at = now;
+}
+
 void
 peers_expire(peers_state *peers, lv_time now)
 {
     uint32_t i;
 
+    excuse_silence(peers, now);
     eng_expire_summaries(peers->endpoints, now);
     for (i = peers->count; i > 0; i--) {
         peers_peer *peer = &peers->peers[i - 1];
@@ -260,17 +289,6 @@
     }
 }
 
-static void
-on_timer(uv_timer_t *timer)
-{
-    peers_state *peers = timer->data;
-    lv_time now = io_now();
-
-    add_seeds(peers);
-    peers_expire(peers, now);
-    peers_send_due(peers, now);
-}
-
 static void
 allocate(uv_handle_t *handle, size_t size, uv_buf_t *buffer)
 {
@@ -301,6 +319,45 @@
     }
 }
 
+void
+peers_drain(peers_state *peers)
+{
+    uv_buf_t buffer = uv_buf_init(receive_buffer, RECEIVE_BUFFER_SIZE);
+    struct sockaddr_in from;
+    uv_os_fd_t descriptor;
+    uint32_t i;
+
+    if (uv_fileno((uv_handle_t *)&peers->socket, &descriptor) != 0) {
+        return;
+    }
+    for (i = 0; i < DRAINED_DATAGRAMS_MAX; i++) {
+        socklen_t from_size = sizeof from;
+        ssize_t size =
+            recvfrom(descriptor, receive_buffer, RECEIVE_BUFFER_SIZE,
+                     MSG_DONTWAIT, (struct sockaddr *)&from, &from_size);
+
+        if (size < 0) {
+            return;
+        }
+        on_receive(&peers->socket, size, &buffer,
+                   (const struct sockaddr *)&from, 0);
+    }
+}
+
+static void
+on_timer(uv_timer_t *timer)
+{
+    peers_state *peers = timer->data;
+    lv_time now = io_now();
+
+    add_seeds(peers);
+    if (lv_elapsed(now, peers->expired_at) >= PEERS_LATE_TICK) {
+        peers_drain(peers);
+    }
+    peers_expire(peers, now);
+    peers_send_due(peers, now);
+}
+
 bool
 peers_init(peers_state *peers, uv_loop_t *loop, const peers_settings *settings,
            eng_table *endpoints, shr_shares *shares, uint64_t incarnation,
--- a/tests/core/test-shares.c
+++ b/tests/core/test-shares.c
@@ -145,3 +145,32 @@
     shr_add_served(&shares, accounts[0], 10000, LV_SECOND);
     cr_expect_leq(shr_ratio(&shares, accounts[0], 10000, LV_SECOND), 1);
 }
+
+Test(shares, returned_tokens_leave_the_sums_of_all_instances)
+{
+    static const struct {
+        lv_time returned_at;
+        uint64_t here;
+    } cases[] = {{LV_SECOND, 40}, {3 * LV_SECOND, 40}, {6 * LV_SECOND, 0}};
+
+    for (size_t c = 0; c < sizeof cases / sizeof cases[0]; c++) {
+        lv_time now = cases[c].returned_at;
+        shr_totals before;
+        shr_totals added;
+
+        stop();
+        start();
+        shr_add_served(&shares, accounts[0], 100, LV_SECOND);
+        before = shares.accounts[accounts[0]].local;
+        shr_add_peer(&shares, accounts[1], &before, LV_SECOND);
+        shr_return_served(&shares, accounts[0], 60, now);
+        cr_expect_eq(shr_served(&shares, accounts[0], now), cases[c].here,
+                     "case %zu", c);
+        added.requested = 0;
+        added.served =
+            shares.accounts[accounts[0]].local.served - before.served;
+        shr_add_peer(&shares, accounts[1], &added, now);
+        cr_expect_eq(shr_served(&shares, accounts[1], now), cases[c].here,
+                     "case %zu", c);
+    }
+}
--- a/tests/gateway/stage-endpoint.c
+++ b/tests/gateway/stage-endpoint.c
@@ -297,7 +297,7 @@
     uv_timer_init(listener->loop, &self->timer);
     self->timer.data = self;
     http_reader_init(&self->reader, &reader_ops, self, true, 65536);
-    cr_assert(io_accept(&self->stream, listener, 0));
+    cr_assert(io_accept(&self->stream, listener, 0, NULL));
     endpoint->connections++;
     io_read_start(&self->stream);
 }
--- a/tests/gateway/stage.c
+++ b/tests/gateway/stage.c
@@ -216,6 +216,12 @@
     snprintf(text, LV_ADDRESS_SIZE, "127.0.0.1:%u", ntohs(address.sin_port));
 }
 
+void
+stage_format_store_address(const stage_fixture *stage, char *text)
+{
+    stage_format_address(&stage->store.listener, text);
+}
+
 static void
 on_timeout(uv_timer_t *timer)
 {
--- a/tests/gateway/stage.h
+++ b/tests/gateway/stage.h
@@ -82,6 +82,9 @@
 void stage_start_gateway(stage_fixture *stage);
 void stage_stop(stage_fixture *stage);
 
+/* Write the address of the fake store to text, of LV_ADDRESS_SIZE bytes. */
+void stage_format_store_address(const stage_fixture *stage, char *text);
+
 /* Stop listening: connections to this endpoint are refused from now on. */
 void stage_refuse_connections(stage_endpoint *endpoint);
 
--- a/tests/gateway/test-overload.c
+++ b/tests/gateway/test-overload.c
@@ -6,6 +6,7 @@
 
 #include <string.h>
 
+#include "gate-imp.h"
 #include "stage.h"
 
 #define REQUEST_COUNT 40
@@ -84,3 +85,68 @@
         stage_stop(&stage);
     }
 }
+
+/* Ticks of the timer, `interval` apart. */
+static void
+tick(uint32_t count, lv_time interval, lv_time *now)
+{
+    for (uint32_t i = 0; i < count; i++) {
+        *now += interval;
+        gate_record_tick(&stage.gate, *now);
+    }
+}
+
+/* The platform then sends new connections to other instances of the zone, and
+ * callers whose requests are refused open new ones. */
+Test(overload, overloaded_instance_leaves_the_rotation)
+{
+    static const struct {
+        uint32_t late_ticks;
+        lv_time timely; /* after them */
+        bool is_ready;
+    } cases[] = {
+        {0, 0, true},
+        {1, 0, true}, /* a single pause of the process */
+        {2, 0, true},
+        {3, 0, false},
+        {9, 0, false},
+        {3, LV_SECOND, false},
+        {3, 2 * LV_SECOND, true},
+    };
+
+    for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+        lv_time now;
+        stage_response answer;
+
+        stage_start(&stage, 1);
+        uv_timer_stop(&stage.gate.timer);
+        now = stage.gate.ticked_at;
+        tick(cases[i].late_ticks, 150 * LV_MILLISECOND, &now);
+        tick((uint32_t)(cases[i].timely / GATE_TICK), GATE_TICK, &now);
+        stage_probe(&stage, &answer);
+        cr_expect_eq(answer.status, cases[i].is_ready ? 200 : 503,
+                     "case %zu: %u", i, answer.status);
+        stage.is_unlisted[0] = true;
+        eng_unlist(&stage.gate.endpoints, 0);
+        stage_exchange(&stage, "/many/1", "", &answer);
+        cr_expect_eq(answer.status, 503);
+        cr_expect_eq(strstr(answer.head, "Connection: close") == NULL,
+                     cases[i].is_ready, "case %zu: %s", i, answer.head);
+        stage_stop(&stage);
+    }
+}
+
+/* System calls are most of the cost of a refusal. */
+Test(overload, refusal_is_one_write)
+{
+    stage_response answer;
+    uint64_t writes;
+
+    stage_start(&stage, 1);
+    eng_unlist(&stage.gate.endpoints, 0);
+    writes = io_count_writes();
+    stage_exchange(&stage, "/many/1", "", &answer);
+    cr_expect_eq(answer.status, 503);
+    cr_expect_eq(io_count_writes() - writes, 2, "the request and its refusal");
+    stage_stop(&stage);
+}
--- a/tests/gateway/test-peers.c
+++ b/tests/gateway/test-peers.c
@@ -250,3 +250,40 @@
                      cases[i].is_unreachable, "case %zu", i);
     }
 }
+
+/* A loop that is late finds the datagrams of its peers unread, so their
+ * silence is its own. */
+Test(peers, silence_while_the_loop_is_late_does_not_count)
+{
+    static const struct {
+        lv_time tick;   /* interval between ticks */
+        uint32_t ticks; /* without a datagram */
+        bool is_lost;
+    } cases[] = {
+        {20 * LV_MILLISECOND, 30, false}, {20 * LV_MILLISECOND, 60, true},
+        {150 * LV_MILLISECOND, 8, false}, {150 * LV_MILLISECOND, 20, true},
+        {700 * LV_MILLISECOND, 8, false}, {700 * LV_MILLISECOND, 20, true},
+        {5 * LV_SECOND, 1, false},
+    };
+
+    for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+        lv_time now = NOW;
+
+        stop();
+        start();
+        peers_expire(&nodes[1].peers, now);
+        send_datagram(true, false, now);
+        for (uint32_t k = 0; k < cases[i].ticks; k++) {
+            now += cases[i].tick;
+            peers_expire(&nodes[1].peers, now);
+        }
+        cr_expect_eq(nodes[1].peers.live_count, cases[i].is_lost ? 0 : 1,
+                     "case %zu", i);
+        /* once it runs in time again, silence counts */
+        for (uint32_t k = 0; k < 60; k++) {
+            now += 20 * LV_MILLISECOND;
+            peers_expire(&nodes[1].peers, now);
+        }
+        cr_expect_eq(nodes[1].peers.live_count, 0, "case %zu", i);
+    }
+}
--- a/tests/soak/soak-link.c
+++ b/tests/soak/soak-link.c
@@ -147,7 +147,7 @@
     link->pairs = pair;
     init_side(pair, 0);
     init_side(pair, 1);
-    io_accept(&pair->sides[0].stream, listener, 0);
+    io_accept(&pair->sides[0].stream, listener, 0, NULL);
     if (link->fault == LINK_REFUSES) {
         reset_pair(pair);
         return;
