--- a/packages/gateway/include/lavender-gateway/gate.h
+++ b/packages/gateway/include/lavender-gateway/gate.h
@@ -16,6 +16,7 @@
 #include "lavender/admission.h"
 #include "lavender/budget.h"
 #include "lavender/metrics.h"
+#include "lavender/overload.h"
 #include "lavender/tally.h"
 
 /* The settings file. Addresses are IP:PORT. */
@@ -109,12 +110,10 @@
     uint32_t request_count;
     bool has_pending_updates; /* queued requests must be decided again */
     lv_time queue_decided_at; /* last decision outside the timer */
-    lv_time ticked_at;        /* last tick of the timer */
-    uint32_t late_ticks;      /* consecutive ticks that came far too late */
-    lv_time late_at;          /* last such tick */
-    bool is_overloaded;       /* not ready, and refusals close connections */
-    lv_time worst_delay;      /* between ticks, since it was logged */
-    lv_time late_logged_at;
+    ovl_detector overload;    /* overloaded: not ready, and refusals close
+                                 connections */
+    lv_time worst_delay;      /* of the timer, since it was logged */
+    lv_time delay_logged_at;
     bool is_draining;
     lv_time drain_since;
     uint64_t prng_state;        /* of gate_random */
--- a/packages/gateway/source/gate-imp.h
+++ b/packages/gateway/source/gate-imp.h
@@ -138,11 +138,6 @@
  * datagrams that wait in its socket first, since grants are among them. */
 void gate_record_tick(gate_server *gate, lv_time now);
 
-/* Returns whether this new request must be refused because the process gets
- * too little CPU time for its load. `share` is that of its account, as in
- * adm_request. */
-bool gate_should_shed(gate_server *gate, double share);
-
 /* gate-attempt.c: one attempt at an endpoint */
 
 /* Returns false when nothing was sent. */
--- a/packages/gateway/source/gate-monitoring.c
+++ b/packages/gateway/source/gate-monitoring.c
@@ -7,7 +7,7 @@
 is_ready(const gate_server *gate)
 {
     return gate->config != NULL && !gate->is_draining &&
-           !gate->is_overloaded &&
+           !gate->overload.is_overloaded &&
            gate->feeds[WIRE_ENDPOINTS].counts.lists_read > 0;
 }
 
@@ -75,7 +75,8 @@
          "writes to callers, endpoints and the store",
          (double)io_count_writes()},
         {"lavender_overloaded", "gauge",
-         "out of the rotation for lack of CPU time", gate->is_overloaded},
+         "out of the rotation for lack of CPU time",
+         gate->overload.is_overloaded},
         {"lavender_stray_answers_total", "counter",
          "answers that belonged to no request",
          (double)gate->endpoint_pool.counts.unmatched_responses},
@@ -151,9 +152,9 @@
     }
     else {
         front_send_error(connection, 503, NULL,
-                         gate->is_draining     ? "draining"
-                         : gate->is_overloaded ? "overloaded"
-                                               : "no-configuration");
+                         gate->is_draining              ? "draining"
+                         : gate->overload.is_overloaded ? "overloaded"
+                                                        : "no-configuration");
     }
 }
 
--- a/packages/gateway/source/gate-request.c
+++ b/packages/gateway/source/gate-request.c
@@ -183,7 +183,7 @@
     buf_init(&headers);
     gate->wire->write_retry_after(&headers, retry_after);
     gate->counts.refused++;
-    if (gate->is_overloaded) {
+    if (gate->overload.is_overloaded) {
         request->connection->is_keep_alive = false;
     }
     front_send_error(request->connection, 503, &headers, reason);
@@ -250,7 +250,8 @@
                        "draining");
         return;
     }
-    if (gate_should_shed(gate, gate_share_ratio(request, io_now()))) {
+    if (ovl_should_shed(&gate->overload, gate_share_ratio(request, io_now()),
+                        gate_random(gate))) {
         refuse_request(request, LV_SECOND, "overloaded");
         return;
     }
--- a/packages/gateway/source/gate.c
+++ b/packages/gateway/source/gate.c
@@ -387,6 +387,7 @@
              MAX_ACCOUNT_SERIES);
     met_histogram_init(&gate->prediction_errors);
     met_histogram_init(&gate->tick_delays);
+    ovl_init(&gate->overload, GATE_TICK);
     back_init(&gate->endpoint_pool, loop, &settings->endpoint_connections,
               wire, &gate->endpoints);
     if (!io_parse_address(settings->store_address,
--- a/tests/gateway/test-overload.c
+++ b/tests/gateway/test-overload.c
@@ -77,7 +77,7 @@
         uv_timer_stop(&stage.gate.timer); /* it would reset late_ticks */
         stage.gate.prng_state = 77;
         set_shares(cases[i].own_served, cases[i].other_served);
-        stage.gate.late_ticks = cases[i].late_ticks;
+        stage.gate.overload.late_ticks = cases[i].late_ticks;
         rejected = send_requests();
         cr_expect(rejected >= cases[i].min_rejected &&
                       rejected <= cases[i].max_rejected,
@@ -120,7 +120,7 @@
 
         stage_start(&stage, 1);
         uv_timer_stop(&stage.gate.timer);
-        now = stage.gate.ticked_at;
+        now = stage.gate.overload.ticked_at;
         tick(cases[i].late_ticks, 150 * LV_MILLISECOND, &now);
         tick((uint32_t)(cases[i].timely / GATE_TICK), GATE_TICK, &now);
         stage_probe(&stage, &answer);
