Follow the store into a new era, and believe its older copy where it is safe

Cause: a store that comes back from a copy some seconds old gives revisions out again. A watch from a revision that it has passed again misses all between, without a 410; entries and reports compared by revision alone.

Change: the era in the head of the store's answers is part of each position; a new one, from an answer or a peer's datagram (format 8), lists both subjects again.

--- a/packages/gateway/include/lavender-gateway/gate.h
+++ b/packages/gateway/include/lavender-gateway/gate.h
@@ -102,6 +102,9 @@
     front_server readiness;
     back_pool endpoint_pool; /* connections to endpoints */
     rt_table *config;        /* in force; NULL until one was read */
+    uint64_t config_era;     /* of the store, when it was read */
+    lv_time copy_expires_at; /* older copies are believed then; 0: none seen */
+    bool has_relisted_copy;  /* since then */
     gate_service_budget *service_budgets;
     uint32_t service_budget_count;
     struct gate_request *requests; /* unfinished ones, and finished ones that
--- a/packages/gateway/include/lavender-gateway/peers.h
+++ b/packages/gateway/include/lavender-gateway/peers.h
@@ -99,7 +99,8 @@
 /* An endpoint that accepts no new requests. */
 typedef struct peers_unlisted {
     lv_id endpoint;
-    uint64_t revision;    /* of the store, at which it was unlisted */
+    uint64_t era;         /* of the store, when it was unlisted */
+    uint64_t revision;    /* of the store, then */
     lv_time report_until; /* datagrams name it until then */
 } peers_unlisted;
 
@@ -154,6 +155,7 @@
     peers_unlisted unlisted[PEERS_UNLISTED_MAX];
     uint32_t unlisted_count;
     bool is_store_reachable; /* from this instance */
+    uint64_t store_era;      /* latest known, set by the owner; 0: none */
     bool can_coordinate;     /* this instance can be a coordinator */
     lv_time last_updates_at; /* latest updates sent to coordinators */
     lv_time last_join_at;    /* a peer became live */
@@ -163,8 +165,13 @@
     /* A peer joined or was lost; `change` is "joined" or "lost". */
     void (*on_change)(void *owner, const char *change, const char *address);
 
-    /* A peer reports that the store unlisted an endpoint at `revision`. */
-    void (*on_unlisted)(void *owner, lv_id endpoint, uint64_t revision);
+    /* A peer reports that the store unlisted an endpoint at this point. */
+    void (*on_unlisted)(void *owner, lv_id endpoint, uint64_t era,
+                        uint64_t revision);
+
+    /* A peer has seen a later era of the store than store_era, which the
+     * callback sets. */
+    void (*on_store_era)(void *owner, uint64_t era);
 
     /* A peer requests a start grant at an endpoint that this instance
      * coordinates. Fills in the reply except number and endpoint. NULL: start
@@ -205,8 +212,8 @@
 void peers_report_block_use(peers_state *peers, lv_handle endpoint,
                             uint64_t prefix_hash);
 
-/* Reports to the peers that the store unlisted an endpoint at `revision`. */
-void peers_report_unlisted(peers_state *peers, lv_id endpoint,
+/* Reports to the peers that the store unlisted an endpoint at this point. */
+void peers_report_unlisted(peers_state *peers, lv_id endpoint, uint64_t era,
                            uint64_t revision, lv_time now);
 
 /* Is the store unreachable from at least half of the live instances, this one
--- a/packages/gateway/include/lavender-gateway/registry.h
+++ b/packages/gateway/include/lavender-gateway/registry.h
@@ -2,6 +2,10 @@
  * The endpoints that the platform's store lists, by their keys in the store.
  * Entries that expired during an outage of the store stay in use for a grace
  * period, in which their endpoints can publish themselves again.
+ *
+ * In a new era the store shows an older copy. An endpoint that was known to
+ * drain, or was removed, is not taken from it again until the endpoint has
+ * written there since, or until the copy would have expired.
  */
 #ifndef LAVENDER_GATEWAY_REGISTRY_H
 #define LAVENDER_GATEWAY_REGISTRY_H
@@ -13,9 +17,20 @@
     lv_id endpoint;     /* id in the table of endpoints */
     bool is_in_list;    /* seen since reg_begin_list */
     lv_time expires_at; /* end of its grace period; 0: it is in the store */
-    uint64_t revision;  /* of the item that it was read from */
+    wire_position position; /* of the item that it was read from */
+    uint64_t sequence;      /* of the endpoint's writes, as in that item */
 } reg_entry;
 
+/* An endpoint that left, by what the store said in an era. */
+typedef struct reg_departure {
+    lv_id endpoint;
+    uint64_t era;
+    uint64_t sequence;      /* highest seen; a later one is a new write */
+    lv_time believed_until; /* once seen in a later era; 0: not seen there */
+} reg_departure;
+
+#define REG_DEPARTURES_MAX 128
+
 typedef struct reg_registry {
     eng_table *endpoints;
     lv_time grace; /* for entries that expired during an outage */
@@ -23,6 +38,8 @@
     reg_entry *entries;
     uint32_t count;
     uint32_t capacity;
+    reg_departure departures[REG_DEPARTURES_MAX]; /* a ring */
+    uint32_t departure_count;                     /* since the start */
 } reg_registry;
 
 /* Keeps a pointer to `endpoints`, which must outlive the registry. */
@@ -35,6 +52,9 @@
  * changes. */
 reg_entry *reg_find(reg_registry *registry, const char *key);
 
+/* The change of an entry that is older than what is known here. */
+extern const char REG_OLDER_COPY[];
+
 /* Applies an item of the store to the registry and to the table of endpoints.
  * Returns the kind of change as a stable word for the log, or NULL when
  * nothing changed. */
@@ -42,11 +62,15 @@
                            lv_time now);
 
 /* Applies the report of another instance that the store unlisted an endpoint
- * at `revision`. Unless this instance has read a newer entry, the endpoint
+ * at `position`. Unless this instance has read a newer entry, the endpoint
  * gets no new requests until it is published again. Returns whether that
  * changed. */
 bool reg_apply_unlisted(reg_registry *registry, lv_id endpoint,
-                        uint64_t revision);
+                        wire_position position);
+
+/* How long the departure of an endpoint outweighs an older copy of its entry:
+ * the store drops the entry of an endpoint that writes no more before. */
+#define REG_COPY_EXPIRY (5 * LV_SECOND)
 
 /* Bracket the items of a full list. Entries that the list lacks are removed,
  * or expire with the grace period. */
--- a/packages/gateway/include/lavender-gateway/store.h
+++ b/packages/gateway/include/lavender-gateway/store.h
@@ -1,8 +1,8 @@
 /*
  * Client of the platform's store. A feed lists one subject page by page, then
  * follows it with long-polling watches. It lists the subject again when the
- * store no longer has the history since the last revision. Each feed has its
- * own connection.
+ * store no longer has the history since the last revision, and when the store
+ * begins a new era. Each feed has its own connection.
  */
 #ifndef LAVENDER_GATEWAY_STORE_H
 #define LAVENDER_GATEWAY_STORE_H
@@ -38,6 +38,11 @@
     /* The store became unreachable, or replies again after `outage`. */
     void (*on_lost)(store_feed *feed, const char *reason);
     void (*on_regained)(store_feed *feed, lv_time outage);
+
+    /* The store named its era for the first time, or came back from an older
+     * copy in a new era, which is feed->position.era; the feed then lists the
+     * subject again. */
+    void (*on_new_era)(store_feed *feed);
 } store_ops;
 
 typedef enum store_phase {
@@ -70,7 +75,8 @@
     bool is_listing;               /* a list is in progress */
     uint64_t list_revision;        /* of the first page */
     char after_key[WIRE_KEY_SIZE]; /* last key of the previous page */
-    uint64_t revision;             /* after which the next watch starts */
+    wire_position position;        /* after which the next watch starts */
+    uint64_t noted_era;            /* highest that others have seen */
     lv_time next_request_at;
     lv_time last_request_at;
     lv_time deadline; /* of the connection attempt or pending reply */
@@ -90,6 +96,13 @@
  * times a second. */
 void store_feed_tick(store_feed *feed, lv_time now);
 
+/* Lists the subject again at once. */
+void store_feed_relist(store_feed *feed);
+
+/* Notes an era that another feed or instance has seen. If it is newer, the
+ * feed's position means nothing any more, and it lists the subject again. */
+void store_feed_note_era(store_feed *feed, uint64_t era);
+
 /* Stops the feed and closes its connection, which is freed by the loop. */
 void store_feed_close(store_feed *feed);
 
--- a/packages/gateway/include/lavender-gateway/wire.h
+++ b/packages/gateway/include/lavender-gateway/wire.h
@@ -51,10 +51,24 @@
     WIRE_SUBJECT_COUNT
 } wire_subject;
 
+/* A point in the history of the store. When the store comes back from an older
+ * copy, its era rises and its revisions are given out again. */
+typedef struct wire_position {
+    uint64_t era; /* 0: the store names none */
+    uint64_t revision;
+} wire_position;
+
+static inline bool
+wire_is_after(wire_position one, wire_position other)
+{
+    return one.era != other.era ? one.era > other.era
+                                : one.revision > other.revision;
+}
+
 /* A decoded item of the store. */
 typedef struct wire_item {
     char key[WIRE_KEY_SIZE];
-    uint64_t revision;
+    wire_position position;
     bool is_removed; /* the key was deleted */
 
     /* WIRE_CONFIG: the receiver calls rt_unref. NULL: deleted or invalid. */
@@ -62,6 +76,7 @@
     bool has_endpoint; /* WIRE_ENDPOINTS: `endpoint` is valid */
     eng_spec endpoint;
     uint64_t started_at; /* of the endpoint's process; 0: not given */
+    uint64_t sequence;   /* of the endpoint's writes; 0: not given */
     err_error error;     /* why the value is invalid */
 } wire_item;
 
@@ -103,6 +118,9 @@
     void (*write_watch_target)(buf_buffer *to, wire_subject subject,
                                uint64_t revision, lv_time wait);
 
+    /* Returns the store's era from the head of a reply; 0: not named. */
+    uint64_t (*read_store_era)(const http_head *head);
+
     /* Decodes the body of a store's reply and calls `on_item` for each item of
      * the subject. Returns false with the error set when it is malformed. An
      * item with an invalid value is passed on with its error. */
--- a/packages/gateway/source/gate-imp.h
+++ b/packages/gateway/source/gate-imp.h
@@ -192,6 +192,14 @@
 /* gate-store.c: updates from the store */
 extern const store_ops gate_store_ops;
 
+/* Notes the era that the store names. A new one means that it came back from
+ * an older copy: both feeds list again, and entries that the copy lacks are
+ * kept for a grace. Callback of peers too. */
+void gate_begin_store_era(void *owner, uint64_t era);
+
+/* Lists again what an older copy of the store was not believed about. */
+void gate_relist_after_copy(gate_server *gate, lv_time now);
+
 /* Updates the endpoints and the retry budgets from the services of the
  * configuration; does nothing without one. */
 void gate_apply_services(gate_server *gate);
--- a/packages/gateway/source/gate-store.c
+++ b/packages/gateway/source/gate-store.c
@@ -2,6 +2,10 @@
 
 #include "gate-imp.h"
 
+/* From the expiry of an older copy to the list that it is judged by: entries
+ * of the copy were first seen within this time. */
+#define COPY_RELIST_DELAY LV_SECOND
+
 static const char *
 subject_name(const store_feed *feed)
 {
@@ -57,6 +61,38 @@
     }
 }
 
+/* Something in the store is older than what is known here. It is listed again
+ * when the copy would have expired, or was written again. */
+static void
+expect_expiry_of_copy(gate_server *gate, lv_time now)
+{
+    if (gate->copy_expires_at == 0) {
+        gate->copy_expires_at = now + REG_COPY_EXPIRY;
+        gate->has_relisted_copy = false;
+    }
+}
+
+/* Versions never go back within an era of the store. In a new era the
+ * operator writes the newest version again; until then an older one is a copy,
+ * which is taken only if it stays. */
+static bool
+is_older_version(gate_server *gate, const wire_item *item, lv_time now)
+{
+    uint64_t version = item->config->version;
+
+    if (gate->config == NULL || version > gate->config->version) {
+        return false;
+    }
+    if (item->position.era <= gate->config_era) {
+        return true;
+    }
+    if (version == gate->config->version) {
+        return false;
+    }
+    expect_expiry_of_copy(gate, now);
+    return now < gate->copy_expires_at;
+}
+
 static void
 apply_config(gate_server *gate, wire_item *item)
 {
@@ -65,11 +101,13 @@
 
     if (config == NULL) {
         log_event(LOG_LEVEL_WARNING, now, "config-unreadable",
-                  "key=%s revision=%llu error=\"%s\"", item->key,
-                  (unsigned long long)item->revision, item->error.message);
+                  "key=%s era=%llu revision=%llu error=\"%s\"", item->key,
+                  (unsigned long long)item->position.era,
+                  (unsigned long long)item->position.revision,
+                  item->error.message);
         return;
     }
-    if (gate->config != NULL && config->version <= gate->config->version) {
+    if (is_older_version(gate, item, now)) {
         log_event(LOG_LEVEL_INFO, now, "config-kept",
                   "version=%llu offered=%llu",
                   (unsigned long long)gate->config->version,
@@ -79,27 +117,31 @@
     }
     rt_unref(gate->config);
     gate->config = config;
+    gate->config_era = item->position.era;
     gate->callers.limits = config->limits;
     gate_apply_services(gate);
     gate->has_pending_updates = true;
     log_event(LOG_LEVEL_NOTICE, now, "config",
-              "version=%llu revision=%llu routes=%u services=%u accounts=%u",
+              "version=%llu era=%llu revision=%llu routes=%u services=%u "
+              "accounts=%u",
               (unsigned long long)config->version,
-              (unsigned long long)item->revision, config->route_count,
+              (unsigned long long)item->position.era,
+              (unsigned long long)item->position.revision, config->route_count,
               config->service_count, config->account_count);
 }
 
 /* Reports to the peers that an endpoint gets no new requests, if it was
  * withdrawn or drains. */
 static void
-report_leaving(gate_server *gate, lv_id endpoint, uint64_t revision,
+report_leaving(gate_server *gate, lv_id endpoint, wire_position position,
                lv_time now)
 {
     lv_handle row = eng_find(&gate->endpoints, endpoint);
 
     if (endpoint != LV_ID_NONE &&
         (row == LV_HANDLE_NONE || !eng_at(&gate->endpoints, row)->is_listed)) {
-        peers_report_unlisted(&gate->peers, endpoint, revision, now);
+        peers_report_unlisted(&gate->peers, endpoint, position.era,
+                              position.revision, now);
     }
 }
 
@@ -115,13 +157,17 @@
         log_event(LOG_LEVEL_WARNING, now, "endpoint-unreadable",
                   "key=%s error=\"%s\"", item->key, item->error.message);
     }
+    if (change == REG_OLDER_COPY) {
+        expect_expiry_of_copy(gate, now);
+    }
     if (change != NULL) {
         log_event(LOG_LEVEL_NOTICE, now, "endpoint",
-                  "key=%s change=%s revision=%llu", item->key, change,
-                  (unsigned long long)item->revision);
+                  "key=%s change=%s era=%llu revision=%llu", item->key, change,
+                  (unsigned long long)item->position.era,
+                  (unsigned long long)item->position.revision);
         gate_apply_services(gate);
         gate->has_pending_updates = true;
-        report_leaving(gate, previous, item->revision, now);
+        report_leaving(gate, previous, item->position, now);
     }
 }
 
@@ -158,7 +204,52 @@
     }
     log_event(LOG_LEVEL_NOTICE, io_now(), "store-listed",
               "subject=%s revision=%llu", subject_name(feed),
-              (unsigned long long)feed->revision);
+              (unsigned long long)feed->position.revision);
+}
+
+void
+gate_begin_store_era(void *owner, uint64_t era)
+{
+    gate_server *gate = owner;
+    lv_time now = io_now();
+    bool is_first = gate->peers.store_era == 0;
+    int i;
+
+    if (era <= gate->peers.store_era) {
+        return; /* the other feed has seen it */
+    }
+    gate->peers.store_era = era;
+    log_event(LOG_LEVEL_NOTICE, now, "store-era", "era=%llu",
+              (unsigned long long)era);
+    if (is_first) {
+        return;
+    }
+    gate->copy_expires_at = 0;
+    reg_start_grace(&gate->registry, now);
+    for (i = 0; i < WIRE_SUBJECT_COUNT; i++) {
+        store_feed_note_era(&gate->feeds[i], era);
+    }
+}
+
+void
+gate_relist_after_copy(gate_server *gate, lv_time now)
+{
+    int i;
+
+    if (gate->copy_expires_at == 0 || gate->has_relisted_copy ||
+        lv_elapsed(now, gate->copy_expires_at) < COPY_RELIST_DELAY) {
+        return;
+    }
+    gate->has_relisted_copy = true;
+    for (i = 0; i < WIRE_SUBJECT_COUNT; i++) {
+        store_feed_relist(&gate->feeds[i]);
+    }
+}
+
+static void
+on_new_era(store_feed *feed)
+{
+    gate_begin_store_era(feed->owner, feed->position.era);
 }
 
 static void
@@ -180,4 +271,5 @@
                                   .on_list_begin = on_list_begin,
                                   .on_list_end = on_list_end,
                                   .on_lost = on_store_lost,
-                                  .on_regained = on_store_regained};
+                                  .on_regained = on_store_regained,
+                                  .on_new_era = on_new_era};
--- a/packages/gateway/source/gate.c
+++ b/packages/gateway/source/gate.c
@@ -84,11 +84,12 @@
 }
 
 static void
-on_endpoint_leaving(void *owner, lv_id id, uint64_t revision)
+on_endpoint_leaving(void *owner, lv_id id, uint64_t era, uint64_t revision)
 {
     gate_server *gate = owner;
+    wire_position position = {.era = era, .revision = revision};
 
-    if (reg_apply_unlisted(&gate->registry, id, revision)) {
+    if (reg_apply_unlisted(&gate->registry, id, position)) {
         log_event(LOG_LEVEL_NOTICE, io_now(), "endpoint",
                   "key=%s change=leaving revision=%llu source=peer",
                   eng_at(&gate->endpoints, eng_find(&gate->endpoints, id))
@@ -219,6 +220,7 @@
     for (i = 0; i < WIRE_SUBJECT_COUNT; i++) {
         store_feed_tick(&gate->feeds[i], now);
     }
+    gate_relist_after_copy(gate, now);
     if (reg_remove_expired(&gate->registry, now) > 0) {
         log_event(LOG_LEVEL_NOTICE, now, "endpoint", "change=lapsed");
     }
@@ -322,6 +324,7 @@
     }
     gate->peers.on_change = on_peer_change;
     gate->peers.on_unlisted = on_endpoint_leaving;
+    gate->peers.on_store_era = gate_begin_store_era;
     gate->peers.on_start_request = gate_handle_grant_request;
     gate->peers.on_start_reply = gate_handle_grant_answer;
     gate->peers.owner = gate;
--- a/packages/gateway/source/peers-imp.h
+++ b/packages/gateway/source/peers-imp.h
@@ -13,12 +13,13 @@
     PEERS_FIELD_SEQUENCE,
     PEERS_FIELD_KIND,
     PEERS_FIELD_FLAGS,
+    PEERS_FIELD_STORE_ERA,
     PEERS_FIELD_LOADS,      /* endpoint, requests in flight, prefill total, KV
                                tokens */
     PEERS_FIELD_ACCOUNTS,   /* account, requested and served total */
     PEERS_FIELD_BLOCK_USES, /* endpoint, prefix hash of a block */
     PEERS_FIELD_ADDRESSES,  /* address of another instance, packed */
-    PEERS_FIELD_UNLISTED,   /* endpoint, store revision */
+    PEERS_FIELD_UNLISTED,   /* endpoint, store era and revision */
     PEERS_FIELD_ACCOUNT_SUMS, /* account, requested and served in the last
                                  window */
 
@@ -36,7 +37,7 @@
     PEERS_FIELD_COUNT
 };
 
-#define PEERS_FORMAT_VERSION 7
+#define PEERS_FORMAT_VERSION 8
 
 enum {
     PEERS_FLAG_STORE_REACHABLE = 1,
--- a/packages/gateway/source/peers-receive.c
+++ b/packages/gateway/source/peers-receive.c
@@ -44,11 +44,12 @@
            is_number(&fields[PEERS_FIELD_SEQUENCE]) &&
            is_number(&fields[PEERS_FIELD_KIND]) &&
            is_number(&fields[PEERS_FIELD_FLAGS]) &&
+           is_number(&fields[PEERS_FIELD_STORE_ERA]) &&
            is_number_list(&fields[PEERS_FIELD_LOADS], 4) &&
            is_number_list(&fields[PEERS_FIELD_ACCOUNTS], 3) &&
            is_number_list(&fields[PEERS_FIELD_BLOCK_USES], 2) &&
            is_number_list(&fields[PEERS_FIELD_ADDRESSES], 1) &&
-           is_number_list(&fields[PEERS_FIELD_UNLISTED], 2) &&
+           is_number_list(&fields[PEERS_FIELD_UNLISTED], 3) &&
            is_number_list(&fields[PEERS_FIELD_ACCOUNT_SUMS], 3) &&
            is_number_list(&fields[PEERS_FIELD_ENDPOINT_SUMMARIES], 4) &&
            is_number_list(&fields[PEERS_FIELD_START_REQUEST], 1) &&
@@ -322,9 +323,10 @@
     for (i = 0; i < uses->size; i += 2) {
         apply_block_use(peers, uses->ptr + i);
     }
-    for (i = 0; i < unlisted->size && peers->on_unlisted != NULL; i += 2) {
+    for (i = 0; i < unlisted->size && peers->on_unlisted != NULL; i += 3) {
         peers->on_unlisted(peers->owner, unlisted->ptr[i].via.u64,
-                           unlisted->ptr[i + 1].via.u64);
+                           unlisted->ptr[i + 1].via.u64,
+                           unlisted->ptr[i + 2].via.u64);
     }
     add_addresses(peers, addresses);
 }
@@ -344,6 +346,14 @@
     peers->last_full_at = 0; /* the new peer needs a full report */
 }
 
+static void
+note_store_era(peers_state *peers, uint64_t era)
+{
+    if (era > peers->store_era && peers->on_store_era != NULL) {
+        peers->on_store_era(peers->owner, era);
+    }
+}
+
 static bool
 receive_fields(peers_state *peers, const struct sockaddr_in *from,
                const msgpack_object *fields, lv_time now)
@@ -375,6 +385,7 @@
     peer->received_at = now;
     mark_live(peers, peer);
     index = (uint32_t)(peer - peers->peers);
+    note_store_era(peers, fields[PEERS_FIELD_STORE_ERA].via.u64);
     apply_lists(peers, index, fields, now);
     if (fields[PEERS_FIELD_KIND].via.u64 == PEERS_FULL) {
         peers->peers[index].has_reported_all = true;
--- a/packages/gateway/source/peers-store.c
+++ b/packages/gateway/source/peers-store.c
@@ -5,8 +5,8 @@
 #define UNLISTED_REPORT_TIME (3 * LV_SECOND)
 
 void
-peers_report_unlisted(peers_state *peers, lv_id endpoint, uint64_t revision,
-                      lv_time now)
+peers_report_unlisted(peers_state *peers, lv_id endpoint, uint64_t era,
+                      uint64_t revision, lv_time now)
 {
     uint32_t i;
 
@@ -18,6 +18,7 @@
     }
     if (peers->unlisted_count < PEERS_UNLISTED_MAX) {
         peers->unlisted[peers->unlisted_count].endpoint = endpoint;
+        peers->unlisted[peers->unlisted_count].era = era;
         peers->unlisted[peers->unlisted_count].revision = revision;
         peers->unlisted[peers->unlisted_count].report_until =
             now + UNLISTED_REPORT_TIME;
--- a/packages/gateway/source/peers-write.c
+++ b/packages/gateway/source/peers-write.c
@@ -153,9 +153,10 @@
 {
     uint32_t i;
 
-    msgpack_pack_array(packer, (size_t)peers->unlisted_count * 2);
+    msgpack_pack_array(packer, (size_t)peers->unlisted_count * 3);
     for (i = 0; i < peers->unlisted_count; i++) {
         msgpack_pack_uint64(packer, peers->unlisted[i].endpoint);
+        msgpack_pack_uint64(packer, peers->unlisted[i].era);
         msgpack_pack_uint64(packer, peers->unlisted[i].revision);
     }
 }
@@ -241,6 +242,7 @@
     msgpack_pack_uint32(packer, ++peers->sequence);
     msgpack_pack_uint32(packer, kind);
     msgpack_pack_uint32(packer, flags);
+    msgpack_pack_uint64(packer, peers->store_era);
 }
 
 static void
--- a/packages/gateway/source/registry.c
+++ b/packages/gateway/source/registry.c
@@ -5,6 +5,8 @@
 
 #define INITIAL_CAPACITY 32
 
+const char REG_OLDER_COPY[] = "older-copy";
+
 void
 reg_init(reg_registry *registry, eng_table *endpoints, lv_time grace)
 {
@@ -55,20 +57,89 @@
     return entry;
 }
 
+static reg_departure *
+find_departure(reg_registry *registry, lv_id endpoint)
+{
+    uint32_t i;
+
+    for (i = 0; i < REG_DEPARTURES_MAX; i++) {
+        if (registry->departures[i].endpoint == endpoint) {
+            return &registry->departures[i];
+        }
+    }
+    return NULL;
+}
+
+/* Remembers that an endpoint drains or is gone. */
+static void
+add_departure(reg_registry *registry, const reg_entry *entry)
+{
+    reg_departure *departure = find_departure(registry, entry->endpoint);
+
+    if (departure == NULL) {
+        departure = &registry->departures[registry->departure_count++ %
+                                          REG_DEPARTURES_MAX];
+    }
+    departure->endpoint = entry->endpoint;
+    departure->era = entry->position.era;
+    departure->sequence = entry->sequence;
+    departure->believed_until = 0;
+}
+
+static void
+forget_departure(reg_registry *registry, lv_id endpoint)
+{
+    reg_departure *departure = find_departure(registry, endpoint);
+
+    if (departure != NULL) {
+        memset(departure, 0, sizeof *departure);
+    }
+}
+
+/* Does the item show an endpoint that has left as it was before, because the
+ * store came back from an older copy? */
+static bool
+is_older_copy(reg_registry *registry, const wire_item *item, lv_time now)
+{
+    reg_departure *departure = find_departure(registry, item->endpoint.id);
+
+    if (departure == NULL || item->position.era <= departure->era ||
+        item->endpoint.is_draining) {
+        return false;
+    }
+    if (departure->believed_until == 0) {
+        departure->believed_until = now + REG_COPY_EXPIRY;
+        if (item->sequence > departure->sequence) {
+            departure->sequence = item->sequence;
+        }
+        return true;
+    }
+    return item->sequence <= departure->sequence &&
+           now < departure->believed_until;
+}
+
 static void
 remove_entry(reg_registry *registry, reg_entry *entry)
 {
+    add_departure(registry, entry);
     eng_withdraw(registry->endpoints, entry->endpoint);
     *entry = registry->entries[--registry->count];
 }
 
 static const char *
-apply_endpoint(reg_registry *registry, reg_entry *entry, const wire_item *item)
+apply_endpoint(reg_registry *registry, reg_entry *entry, const wire_item *item,
+               lv_time now)
 {
     const eng_spec *spec = &item->endpoint;
     lv_handle row = eng_find(registry->endpoints, spec->id);
     const char *change = "added";
 
+    if (is_older_copy(registry, item, now)) {
+        if (entry != NULL && entry->endpoint == spec->id) {
+            entry->is_in_list = true; /* it drains on */
+        }
+        return REG_OLDER_COPY;
+    }
     if (entry == NULL) {
         entry = add_entry(registry, item->key);
         if (entry == NULL) {
@@ -76,6 +147,7 @@
         }
     }
     else if (entry->endpoint != spec->id) {
+        add_departure(registry, entry);
         eng_withdraw(registry->endpoints, entry->endpoint);
         change = "reborn";
     }
@@ -89,7 +161,14 @@
     entry->endpoint = spec->id;
     entry->is_in_list = true;
     entry->expires_at = 0;
-    entry->revision = item->revision;
+    entry->position = item->position;
+    entry->sequence = item->sequence;
+    if (spec->is_draining) {
+        add_departure(registry, entry);
+    }
+    else {
+        forget_departure(registry, spec->id);
+    }
     if (eng_publish(registry->endpoints, spec) == LV_HANDLE_NONE) {
         return "no-memory";
     }
@@ -115,7 +194,7 @@
     reg_entry *entry = reg_find(registry, item->key);
 
     if (item->has_endpoint) {
-        return apply_endpoint(registry, entry, item);
+        return apply_endpoint(registry, entry, item, now);
     }
     if (entry == NULL) {
         return NULL;
@@ -129,7 +208,8 @@
 }
 
 bool
-reg_apply_unlisted(reg_registry *registry, lv_id endpoint, uint64_t revision)
+reg_apply_unlisted(reg_registry *registry, lv_id endpoint,
+                   wire_position position)
 {
     lv_handle row = eng_find(registry->endpoints, endpoint);
     uint32_t i;
@@ -140,7 +220,7 @@
     }
     for (i = 0; i < registry->count; i++) {
         if (registry->entries[i].endpoint == endpoint &&
-            registry->entries[i].revision >= revision) {
+            !wire_is_after(position, registry->entries[i].position)) {
             return false;
         }
     }
--- a/packages/gateway/source/store.c
+++ b/packages/gateway/source/store.c
@@ -18,6 +18,7 @@
     http_reader reader;
     buf_buffer body;
     uint32_t status;
+    uint64_t era; /* of the reply; 0: not named */
     bool is_keep_alive;
 };
 
@@ -31,6 +32,15 @@
     }
 }
 
+/* After a lost connection the store may be in a new era. A watch from a
+ * revision that it has reached again would tell only at its end, so the next
+ * request is a list. */
+static void
+expect_new_era(store_feed *feed)
+{
+    feed->has_list = feed->has_list && feed->position.era == 0;
+}
+
 /* Drops the connection and schedules the next attempt. */
 static void
 fail_feed(store_feed *feed, const char *reason)
@@ -39,6 +49,7 @@
 
     abandon_connection(feed);
     feed->counts.failures++;
+    expect_new_era(feed);
     feed->phase = STORE_IDLE;
     feed->is_listing = false;
     feed->next_request_at = now + feed->backoff;
@@ -78,6 +89,7 @@
 {
     store_feed *feed = context;
 
+    item->position.era = feed->position.era;
     feed->ops->on_item(feed, item);
 }
 
@@ -102,22 +114,61 @@
     feed->counts.lists_read++;
     /* The pages are no snapshot. Watching from the first page's revision also
      * reports what changed while later pages were read. */
-    feed->revision = feed->list_revision;
+    feed->position.revision = feed->list_revision;
     feed->ops->on_list_end(feed);
     schedule_next_request(feed);
 }
 
+/* Drops the position, so that the next request is a list. */
 static void
-handle_reply(store_feed *feed, uint32_t status, const buf_buffer *body)
+forget_position(store_feed *feed)
+{
+    feed->has_list = false;
+    feed->is_listing = false;
+    feed->phase = STORE_IDLE;
+    feed->next_request_at = 0;
+}
+
+/* Compares the era of a reply with the feed's. Returns whether the reply may
+ * be used: one of a newer era only if it is the first page of a list. */
+static bool
+check_era(store_feed *feed, uint64_t era)
+{
+    bool is_first_page = feed->is_listing && feed->after_key[0] == '\0';
+    bool is_first_era = feed->position.era == 0;
+
+    if (era == 0 || era == feed->position.era) {
+        return true;
+    }
+    if (era < feed->position.era) {
+        fail_feed(feed, "reply-of-an-older-era");
+        return false;
+    }
+    feed->position.era = era;
+    feed->ops->on_new_era(feed);
+    if (is_first_era) {
+        return true;
+    }
+    if (!is_first_page) {
+        forget_position(feed);
+    }
+    return is_first_page;
+}
+
+static void
+handle_reply(store_feed *feed, uint32_t status, uint64_t era,
+             const buf_buffer *body)
 {
     wire_store_reply reply;
     err_error error;
 
+    if (!check_era(feed, era)) {
+        return;
+    }
+
     if (status == STATUS_GONE && !feed->is_listing) {
         mark_reachable(feed, io_now());
-        feed->has_list = false;
-        feed->phase = STORE_IDLE;
-        feed->next_request_at = 0;
+        forget_position(feed);
         return;
     }
     if (status != STATUS_OK) {
@@ -135,8 +186,8 @@
         apply_page(feed, &reply);
         return;
     }
-    if (reply.revision > feed->revision) {
-        feed->revision = reply.revision;
+    if (reply.revision > feed->position.revision) {
+        feed->position.revision = reply.revision;
     }
     schedule_next_request(feed);
 }
@@ -147,6 +198,7 @@
     store_connection *connection = reader->owner;
 
     connection->status = head->status;
+    connection->era = connection->feed->wire->read_store_era(head);
     connection->is_keep_alive = head->is_keep_alive;
     return true;
 }
@@ -170,7 +222,7 @@
     if (!connection->is_keep_alive) {
         abandon_connection(feed);
     }
-    handle_reply(feed, connection->status, &connection->body);
+    handle_reply(feed, connection->status, connection->era, &connection->body);
     return true;
 }
 
@@ -209,6 +261,7 @@
     }
     if (feed->phase == STORE_IDLE) {
         abandon_connection(feed); /* the store may close an idle connection */
+        expect_new_era(feed);
         return;
     }
     if (!is_error && feed->phase == STORE_AWAITING_REPLY &&
@@ -228,7 +281,8 @@
     buf_init(&request);
     buf_append_text(&request, "GET ");
     if (is_watch) {
-        feed->wire->write_watch_target(&request, feed->subject, feed->revision,
+        feed->wire->write_watch_target(&request, feed->subject,
+                                       feed->position.revision,
                                        settings->watch_wait);
     }
     else {
@@ -356,6 +410,24 @@
     }
 }
 
+void
+store_feed_relist(store_feed *feed)
+{
+    if (!feed->is_closing) {
+        abandon_connection(feed);
+        forget_position(feed);
+    }
+}
+
+void
+store_feed_note_era(store_feed *feed, uint64_t era)
+{
+    if (era > feed->position.era && era > feed->noted_era) {
+        feed->noted_era = era;
+        store_feed_relist(feed);
+    }
+}
+
 void
 store_feed_close(store_feed *feed)
 {
--- a/tests/gateway/stage.c
+++ b/tests/gateway/stage.c
@@ -94,23 +94,47 @@
     buf_finish(&json);
 }
 
+static void
+append_era(const stage_fixture *stage, buf_buffer *headers)
+{
+    if (stage->era != 0) {
+        buf_append_format(headers, "Store-Era: %llu\r\n",
+                          (unsigned long long)stage->era);
+    }
+}
+
 static void
 send_store_list(stage_fixture *stage, front_connection *connection,
                 bool is_config, const char *list)
 {
     buf_buffer body;
+    buf_buffer headers;
 
+    buf_init(&headers);
     buf_init(&body);
     buf_append_format(&body, "{\"%s\":[", list);
     append_list_items(stage, is_config, &body);
     buf_append_format(&body, "],\"has_more\":false,\"at\":%llu}",
                       (unsigned long long)stage->revision);
-    front_begin_response(connection, 200, NULL, body.size);
+    append_era(stage, &headers);
+    front_begin_response(connection, 200, &headers, body.size);
+    buf_finish(&headers);
     front_send_body(connection, body.data, body.size);
     front_end_response(connection);
     buf_finish(&body);
 }
 
+static void
+send_gone(const stage_fixture *stage, front_connection *connection)
+{
+    buf_buffer headers;
+
+    buf_init(&headers);
+    append_era(stage, &headers);
+    front_send_error(connection, 410, &headers, "gone");
+    buf_finish(&headers);
+}
+
 static void
 send_store_garbage(front_connection *connection)
 {
@@ -145,9 +169,9 @@
         send_store_list(stage, connection, is_config, "items");
         return;
     }
-    if (strtoull(after + 6, NULL, 10) < stage->revision) {
+    if (strtoull(after + 6, NULL, 10) != stage->revision) {
         /* The fake store keeps no history: the client must list again. */
-        front_send_error(connection, 410, NULL, "gone");
+        send_gone(stage, connection);
         return;
     }
     for (int i = 0; i < STAGE_WATCHES; i++) {
@@ -201,7 +225,7 @@
 
         stage->watches[i] = NULL;
         if (connection != NULL) {
-            front_send_error(connection, 410, NULL, "gone");
+            send_gone(stage, connection);
         }
     }
 }
@@ -216,6 +240,15 @@
     snprintf(text, LV_ADDRESS_SIZE, "127.0.0.1:%u", ntohs(address.sin_port));
 }
 
+void
+stage_begin_era(stage_fixture *stage, uint64_t revision)
+{
+    stage->era++;
+    stage->revision = revision;
+    memset(stage->watches, 0, sizeof stage->watches);
+    front_close_all(&stage->store);
+}
+
 void
 stage_format_store_address(const stage_fixture *stage, char *text)
 {
--- a/tests/gateway/stage.h
+++ b/tests/gateway/stage.h
@@ -55,6 +55,7 @@
     char
         watch_subjects[STAGE_WATCHES]; /* 'c': configuration, 'e': endpoints */
     uint64_t revision;
+    uint64_t era; /* of the store, in all its responses; 0: not named */
     uint32_t config_version;
     const char *config_extra; /* more routes, JSON; may be NULL */
     bool is_store_down;       /* the store responds 503 to all requests */
@@ -92,6 +93,10 @@
  * gateway lists the configuration and the endpoints again. */
 void stage_advance_revision(stage_fixture *stage);
 
+/* The store was away and comes back from an older copy: a new era begins at
+ * another revision, and all connections to it end. */
+void stage_begin_era(stage_fixture *stage, uint64_t revision);
+
 /* Run the loop until the condition holds or the time has passed; return
  * whether the condition holds. */
 typedef bool stage_condition(stage_fixture *stage, void *context);
--- a/tests/gateway/test-peers.c
+++ b/tests/gateway/test-peers.c
@@ -287,3 +287,34 @@
         cr_expect_eq(nodes[1].peers.live_count, 0, "case %zu", i);
     }
 }
+
+static uint64_t heard_era;
+
+static void
+hear_era(void *owner, uint64_t store_era)
+{
+    peers_state *peers = owner;
+
+    heard_era = store_era;
+    peers->store_era = store_era;
+}
+
+/* An instance that the store turns away follows the era that others name. */
+Test(peers, datagrams_name_the_era_of_the_store)
+{
+    static const struct {
+        uint64_t known;
+        uint64_t named;
+        uint64_t heard; /* 0: nothing new */
+    } cases[] = {{0, 0, 0}, {0, 3, 3}, {3, 3, 0}, {3, 4, 4}, {4, 3, 0}};
+
+    nodes[1].peers.owner = &nodes[1].peers;
+    nodes[1].peers.on_store_era = hear_era;
+    for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+        heard_era = 0;
+        nodes[0].peers.store_era = cases[i].named;
+        nodes[1].peers.store_era = cases[i].known;
+        send_datagram(true, false, NOW);
+        cr_expect_eq(heard_era, cases[i].heard, "case %zu", i);
+    }
+}
--- a/tests/gateway/test-store.c
+++ b/tests/gateway/test-store.c
@@ -6,6 +6,7 @@
 
 #include <string.h>
 
+#include "gate-imp.h"
 #include "stage.h"
 
 static stage_fixture stage;
@@ -211,3 +212,103 @@
     cr_expect(stage_run_until(&stage, is_regained, NULL, 3000));
     stage_stop(&stage);
 }
+
+static bool
+is_in_era(stage_fixture *self, void *context)
+{
+    const store_feed *feeds = self->gate.feeds;
+    uint64_t era = *(const uint64_t *)context;
+
+    return feeds[WIRE_CONFIG].position.era == era &&
+           feeds[WIRE_ENDPOINTS].position.era == era &&
+           feeds[WIRE_CONFIG].has_list && feeds[WIRE_ENDPOINTS].has_list;
+}
+
+/* Revisions go back and are given out again: watches go on from the new ones,
+ * and what is written again counts. */
+Test(store, new_era_lists_both_subjects_again)
+{
+    static const uint64_t revisions[] = {40, 99, 100, 101, 500};
+
+    for (size_t i = 0; i < sizeof revisions / sizeof revisions[0]; i++) {
+        uint64_t wanted_era = 8;
+        uint64_t wanted = 9;
+
+        stage_prepare(&stage, 1);
+        stage.era = 7;
+        stage_start_gateway(&stage);
+        wanted_era = 7;
+        cr_assert(stage_run_until(&stage, is_in_era, &wanted_era, 3000));
+        stage_begin_era(&stage, revisions[i]);
+        wanted_era = 8;
+        cr_assert(stage_run_until(&stage, is_in_era, &wanted_era, 3000),
+                  "case %zu", i);
+        cr_expect_eq(stage.gate.feeds[WIRE_CONFIG].position.revision,
+                     revisions[i]);
+        stage.config_version = 9;
+        stage_advance_revision(&stage);
+        cr_expect(stage_run_until(&stage, has_version, &wanted, 2000),
+                  "case %zu", i);
+        stage_stop(&stage);
+    }
+}
+
+/* A peer has seen the new era, and the connection to the store is silent. */
+Test(store, era_that_a_peer_names_lists_again)
+{
+    uint64_t wanted_era = 7;
+
+    stage_prepare(&stage, 1);
+    stage.era = 7;
+    stage_start_gateway(&stage);
+    cr_assert(stage_run_until(&stage, is_in_era, &wanted_era, 3000));
+    stage.era = 8;
+    stage.revision = 50;
+    gate_begin_store_era(&stage.gate, 8);
+    wanted_era = 8;
+    cr_expect(stage_run_until(&stage, is_in_era, &wanted_era, 1000));
+    cr_expect_eq(count_listed(&stage), 1);
+    stage_stop(&stage);
+}
+
+/* A wrong word of a peer must not shut out the store. */
+Test(store, era_that_the_store_does_not_confirm_does_no_harm)
+{
+    uint64_t wanted_era = 7;
+    uint64_t wanted = 9;
+
+    stage_prepare(&stage, 1);
+    stage.era = 7;
+    stage_start_gateway(&stage);
+    cr_assert(stage_run_until(&stage, is_in_era, &wanted_era, 3000));
+    gate_begin_store_era(&stage.gate, 1000);
+    cr_expect(stage_run_until(&stage, is_in_era, &wanted_era, 1000));
+    stage.config_version = 9;
+    stage_advance_revision(&stage);
+    cr_expect(stage_run_until(&stage, has_version, &wanted, 2000));
+    stage_stop(&stage);
+}
+
+/* The operator writes its newest version again; an older one in the copy is
+ * taken only if it stays. */
+Test(store, older_version_of_a_copy_is_taken_only_if_it_stays)
+{
+    uint64_t wanted_era = 8;
+    uint64_t wanted = 3;
+
+    stage_prepare(&stage, 1);
+    stage.era = 7;
+    stage_start_gateway(&stage);
+    wanted = 5;
+    wanted_era = 7;
+    cr_assert(stage_run_until(&stage, is_in_era, &wanted_era, 3000));
+    stage.config_version = 3;
+    stage_begin_era(&stage, 50);
+    wanted_era = 8;
+    cr_assert(stage_run_until(&stage, is_in_era, &wanted_era, 3000));
+    wanted = 3;
+    cr_expect_not(stage_run_until(&stage, has_version, &wanted, 2000),
+                  "the operator may write the newest one again");
+    cr_expect(stage_run_until(&stage, has_version, &wanted, 6000));
+    stage_stop(&stage);
+}
--- a/tests/gateway/test-wire-store.c
+++ b/tests/gateway/test-wire-store.c
@@ -107,7 +107,7 @@
                      cases[i].is_read, "case %zu", i);
         if (cases[i].is_read) {
             cr_expect_eq(reply.revision, 5, "case %zu", i);
-            cr_expect_eq(last_item.revision, 0, "case %zu", i);
+            cr_expect_eq(last_item.position.revision, 0, "case %zu", i);
         }
     }
 }
