Read the store at two instances of each zone, and pass it on from there

Datagrams name the zone and the latest change of each subject, so that a frozen relay or a lost answer is noticed within 0.4 s of a change that peers know.

Ruled out: the catalogue path's document exchange as it is: it orders whole documents by revision and digest and knows the catalogue's parts; the feeds need items, removals and a waiting call, which the store's own calls give.

--- a/packages/gateway/include/lavender-gateway/gate.h
+++ b/packages/gateway/include/lavender-gateway/gate.h
@@ -11,6 +11,7 @@
 #include "lavender-gateway/front.h"
 #include "lavender-gateway/peers.h"
 #include "lavender-gateway/registry.h"
+#include "lavender-gateway/relay.h"
 #include "lavender-gateway/store.h"
 #include "lavender-net/log.h"
 #include "lavender/admission.h"
@@ -98,6 +99,11 @@
     peers_state peers;
     reg_registry registry;
     store_feed feeds[WIRE_SUBJECT_COUNT];
+    rly_relay relay; /* of the feeds, for instances of this zone */
+    lv_time behind_since[WIRE_SUBJECT_COUNT]; /* peers name a later change;
+                                                 0: they do not */
+    uint64_t renewed_for[WIRE_SUBJECT_COUNT]; /* the change that the pending
+                                                 request was renewed for */
     front_server callers;
     front_server readiness;
     back_pool endpoint_pool; /* connections to endpoints */
--- a/packages/gateway/include/lavender-gateway/peers.h
+++ b/packages/gateway/include/lavender-gateway/peers.h
@@ -25,6 +25,7 @@
 
 typedef struct peers_settings {
     struct sockaddr_in bind;
+    lv_id zone; /* of this instance */
     struct sockaddr_in seeds[PEERS_SEEDS_MAX];
     uint32_t seed_count;
     lv_time interval;        /* between datagrams while updates are pending */
@@ -71,6 +72,8 @@
     lv_time unanswered_at; /* latest start request without a reply; 0: none */
     bool is_live;
     bool is_store_reachable; /* from this peer */
+    lv_id zone;
+    lv_time relay_failed_at; /* it did not serve as a relay; 0: never */
     bool can_coordinate;     /* it has a full list of the endpoints */
     bool has_reported_all;   /* a full report of this incarnation arrived */
     peers_loads loads;
@@ -106,6 +109,9 @@
 
 #define PEERS_UNLISTED_MAX 64
 
+/* Subjects of the store whose changes datagrams name. */
+#define PEERS_SUBJECTS 2
+
 /* A request to the coordinator of an endpoint for a start grant. */
 typedef struct peers_start_request {
     uint32_t number; /* chosen by the sender; the reply repeats it */
@@ -156,6 +162,11 @@
     uint32_t unlisted_count;
     bool is_store_reachable; /* from this instance */
     uint64_t store_era;      /* latest known, set by the owner; 0: none */
+
+    /* Latest change of each subject of the store, of this instance and as
+     * named by peers in the same era. */
+    uint64_t own_changes[PEERS_SUBJECTS];
+    uint64_t named_changes[PEERS_SUBJECTS];
     bool can_coordinate;     /* this instance can be a coordinator */
     lv_time last_updates_at; /* latest updates sent to coordinators */
     lv_time last_join_at;    /* a peer became live */
@@ -224,6 +235,23 @@
  * enough, this stays true while the process runs. */
 bool peers_is_large_fleet(const peers_state *peers);
 
+/* Who reads the store for an instance. */
+typedef enum peers_reader {
+    PEERS_READS_ITSELF, /* it is a reader, or the fleet is small */
+    PEERS_READS_RELAY,  /* another instance of its zone is */
+    PEERS_HAS_NO_READER /* all readers failed: it reads for itself */
+} peers_reader;
+
+/* Chooses the reader. Two live instances of each zone read the store, by
+ * rendezvous hashing; the others are spread over them. Writes the address of
+ * the relay. */
+peers_reader peers_choose_reader(const peers_state *peers, lv_time now,
+                                 struct sockaddr_in *relay);
+
+/* Records that a relay failed; it is passed over for a while. */
+void peers_note_relay_failed(peers_state *peers,
+                             const struct sockaddr_in *relay, lv_time now);
+
 /* Returns whether this instance is the coordinator of an endpoint or
  * account. */
 bool peers_is_coordinator(const peers_state *peers, lv_id key);
--- a/packages/gateway/include/lavender-gateway/store.h
+++ b/packages/gateway/include/lavender-gateway/store.h
@@ -17,6 +17,7 @@
     /* Maximum duration of a watch. It also limits how long a connection that
      * became silent goes unnoticed. */
     lv_time watch_wait;
+    lv_time relay_wait;  /* the same for watches at a relay */
     lv_time timeout;     /* of a list, and of a watch beyond its duration */
     lv_time backoff;     /* after the first failure; doubles with each */
     lv_time backoff_max; /* well below the deadline of a new configuration */
@@ -39,6 +40,13 @@
     void (*on_lost)(store_feed *feed, const char *reason);
     void (*on_regained)(store_feed *feed, lv_time outage);
 
+    /* All items of a reply are applied; feed->position is up to date. */
+    void (*on_applied)(store_feed *feed);
+
+    /* The relay that the feed reads from did not reply; the feed waits for
+     * another source. */
+    void (*on_relay_failed)(store_feed *feed, const char *reason);
+
     /* The store named its era for the first time, or came back from an older
      * copy in a new era, which is feed->position.era; the feed then lists the
      * subject again. */
@@ -52,7 +60,8 @@
 } store_phase;
 
 typedef struct store_counts {
-    uint64_t requests; /* sent */
+    uint64_t requests;       /* sent to the store */
+    uint64_t relay_requests; /* sent to relays */
     uint64_t failures;
     uint64_t lists;      /* begun */
     uint64_t lists_read; /* completed */
@@ -76,7 +85,10 @@
     uint64_t list_revision;        /* of the first page */
     char after_key[WIRE_KEY_SIZE]; /* last key of the previous page */
     wire_position position;        /* after which the next watch starts */
-    uint64_t noted_era;            /* highest that others have seen */
+    uint64_t last_change;          /* highest revision of an item */
+    struct sockaddr_in source;     /* of the store, or of a relay */
+    bool is_relayed;
+    uint64_t noted_era; /* highest that others have seen */
     lv_time next_request_at;
     lv_time last_request_at;
     lv_time deadline; /* of the connection attempt or pending reply */
@@ -96,6 +108,14 @@
  * times a second. */
 void store_feed_tick(store_feed *feed, lv_time now);
 
+/* Reads from another instance's relay from now on, or from the store again
+ * with NULL. The position stays: relays name the store's. */
+void store_feed_set_relay(store_feed *feed, const struct sockaddr_in *relay);
+
+/* Sends the pending request again, on a new connection: its reply may be
+ * lost. */
+void store_feed_renew(store_feed *feed);
+
 /* Lists the subject again at once. */
 void store_feed_relist(store_feed *feed);
 
--- a/packages/gateway/include/lavender-gateway/wire.h
+++ b/packages/gateway/include/lavender-gateway/wire.h
@@ -71,6 +71,10 @@
     wire_position position;
     bool is_removed; /* the key was deleted */
 
+    /* The item as in the store's reply, valid only during the callback; NULL:
+     * out of memory. */
+    const char *text;
+
     /* WIRE_CONFIG: the receiver calls rt_unref. NULL: deleted or invalid. */
     rt_table *config;
     bool has_endpoint; /* WIRE_ENDPOINTS: `endpoint` is valid */
@@ -89,6 +93,14 @@
     char last_key[WIRE_KEY_SIZE];
 } wire_store_reply;
 
+/* A call of the store that another instance makes here. */
+typedef struct wire_store_request {
+    wire_subject subject;
+    bool is_watch;  /* or a list */
+    uint64_t after; /* of a watch: the revision that it starts after */
+    lv_time wait;   /* of a watch */
+} wire_store_request;
+
 typedef struct wire_ops {
     /* Decodes the headers of a caller's request; false with the error set when
      * a header is malformed. */
@@ -121,6 +133,16 @@
     /* Returns the store's era from the head of a reply; 0: not named. */
     uint64_t (*read_store_era)(const http_head *head);
 
+    /* The other side of the store's calls, for the relay. The reader decodes a
+     * request target; false when it is not a call that a feed makes. A reply
+     * is begun, followed by the texts of its items, separated by commas, and
+     * ended. */
+    bool (*read_store_request)(const char *target,
+                               wire_store_request *request);
+    void (*write_store_era)(buf_buffer *headers, uint64_t era);
+    void (*begin_store_reply)(buf_buffer *to, bool is_watch);
+    void (*end_store_reply)(buf_buffer *to, uint64_t revision);
+
     /* Decodes the body of a store's reply and calls `on_item` for each item of
      * the subject. Returns false with the error set when it is malformed. An
      * item with an invalid value is passed on with its error. */
--- a/packages/gateway/source/gate-imp.h
+++ b/packages/gateway/source/gate-imp.h
@@ -200,6 +200,16 @@
 /* Lists again what an older copy of the store was not believed about. */
 void gate_relist_after_copy(gate_server *gate, lv_time now);
 
+/* gate-reader.c: who reads the store */
+
+/* Chooses the source of the feeds, and another one when peers name a change
+ * that did not arrive here. Call it at every tick of the timer. */
+void gate_update_readers(gate_server *gate, lv_time now);
+
+/* Callbacks of the feeds. */
+void gate_handle_applied(store_feed *feed);
+void gate_handle_relay_failed(store_feed *feed, const char *reason);
+
 /* Updates the endpoints and the retry budgets from the services of the
  * configuration; does nothing without one. */
 void gate_apply_services(gate_server *gate);
--- a/packages/gateway/source/gate-monitoring.c
+++ b/packages/gateway/source/gate-monitoring.c
@@ -68,6 +68,16 @@
         {"lavender_store_calls_total", "counter", "calls of the store",
          (double)(gate->feeds[WIRE_CONFIG].counts.requests +
                   gate->feeds[WIRE_ENDPOINTS].counts.requests)},
+        {"lavender_relay_calls_total", "counter",
+         "calls of the store made at another instance's relay",
+         (double)(gate->feeds[WIRE_CONFIG].counts.relay_requests +
+                  gate->feeds[WIRE_ENDPOINTS].counts.relay_requests)},
+        {"lavender_relay_served_total", "counter",
+         "such calls that this instance's relay received",
+         (double)gate->relay.counts.requests},
+        {"lavender_relay_refused_total", "counter",
+         "of these, refused out of touch with the store",
+         (double)gate->relay.counts.refused},
         {"lavender_connections_opened_total", "counter",
          "connections to endpoints",
          (double)gate->endpoint_pool.counts.opened},
--- /dev/null
+++ b/packages/gateway/source/gate-reader.c
@@ -0,0 +1,132 @@
+#include "gate-imp.h"
+
+/* A change that peers name should arrive here within this time; later, its
+ * reply is taken for lost. */
+#define CHANGE_TIMEOUT (400 * LV_MILLISECOND)
+
+/* Longest wait of a watch at a relay. Peers name changes, so that a silent
+ * relay is noticed sooner. */
+#define RELAY_WAIT (4 * LV_SECOND)
+
+/* While the list of endpoints changes, it is read this many times within the
+ * leave limit. */
+#define LIST_READS_PER_LEAVE_LIMIT 3
+
+/* The wait of a watch grows by its base value for every so many live peers,
+ * when all of them watch: together they still notice soon that the store is
+ * silent. */
+#define PEERS_PER_BASE_WAIT 8
+
+static void
+set_pace(gate_server *gate, peers_reader reader)
+{
+    store_settings *store = &gate->settings.store;
+
+    store->relay_wait = RELAY_WAIT;
+    store->min_watch_interval[WIRE_ENDPOINTS] =
+        gate->settings.leave_limit / LIST_READS_PER_LEAVE_LIMIT;
+    store->watch_wait = gate->base_watch_wait;
+    if (reader == PEERS_HAS_NO_READER) {
+        store->watch_wait *= 1 + gate->peers.live_count / PEERS_PER_BASE_WAIT;
+    }
+    if (store->watch_wait > gate->settings.max_watch_time) {
+        store->watch_wait = gate->settings.max_watch_time;
+    }
+}
+
+/* Instances join their zone's readers once they have read the store for
+ * themselves. */
+static void
+choose_sources(gate_server *gate, lv_time now)
+{
+    struct sockaddr_in relay;
+    peers_reader reader = peers_choose_reader(&gate->peers, now, &relay);
+    int i;
+
+    set_pace(gate, reader);
+    for (i = 0; i < WIRE_SUBJECT_COUNT; i++) {
+        store_feed *feed = &gate->feeds[i];
+
+        if (reader != PEERS_READS_RELAY) {
+            store_feed_set_relay(feed, NULL);
+        }
+        else if (feed->has_list) {
+            store_feed_set_relay(feed, &relay);
+        }
+    }
+}
+
+static void
+fail_relay(gate_server *gate, const store_feed *feed, const char *reason,
+           lv_time now)
+{
+    peers_note_relay_failed(&gate->peers, &feed->source, now);
+    log_event(LOG_LEVEL_NOTICE, now, "relay-failed",
+              "subject=%s reason=\"%s\"",
+              feed->subject == WIRE_CONFIG ? "config" : "endpoints", reason);
+}
+
+void
+gate_handle_relay_failed(store_feed *feed, const char *reason)
+{
+    fail_relay(feed->owner, feed, reason, io_now());
+}
+
+/* Looks for a change that peers name and that did not arrive here. */
+static void
+check_changes(gate_server *gate, wire_subject subject, lv_time now)
+{
+    store_feed *feed = &gate->feeds[subject];
+    uint64_t named = gate->peers.named_changes[subject];
+
+    gate->peers.own_changes[subject] = feed->last_change;
+    if (named <= feed->position.revision || !feed->has_list) {
+        gate->behind_since[subject] = 0;
+        return;
+    }
+    if (gate->behind_since[subject] == 0) {
+        gate->behind_since[subject] = now;
+    }
+    if (lv_elapsed(now, gate->behind_since[subject]) < CHANGE_TIMEOUT ||
+        gate->renewed_for[subject] == named) {
+        return;
+    }
+    gate->renewed_for[subject] = named;
+    if (feed->is_relayed) {
+        fail_relay(gate, feed, "behind", now);
+    }
+    store_feed_renew(feed);
+}
+
+static void
+update_serving(gate_server *gate, wire_subject subject)
+{
+    const store_feed *feed = &gate->feeds[subject];
+
+    rly_set_serving(&gate->relay, subject,
+                    !feed->is_relayed && feed->lost_at == 0 &&
+                        feed->counts.lists_read > 0 && !gate->is_draining &&
+                        !gate->overload.is_overloaded);
+}
+
+void
+gate_handle_applied(store_feed *feed)
+{
+    gate_server *gate = feed->owner;
+
+    gate->peers.own_changes[feed->subject] = feed->last_change;
+    rly_publish(&gate->relay, feed->subject, feed->position);
+}
+
+void
+gate_update_readers(gate_server *gate, lv_time now)
+{
+    int i;
+
+    choose_sources(gate, now);
+    for (i = 0; i < WIRE_SUBJECT_COUNT; i++) {
+        check_changes(gate, (wire_subject)i, now);
+        update_serving(gate, (wire_subject)i);
+    }
+    rly_tick(&gate->relay, now);
+}
--- a/packages/gateway/source/gate-store.c
+++ b/packages/gateway/source/gate-store.c
@@ -176,6 +176,7 @@
 {
     gate_server *gate = feed->owner;
 
+    rly_apply_item(&gate->relay, feed->subject, item);
     if (feed->subject == WIRE_CONFIG) {
         apply_config(gate, item);
     }
@@ -189,6 +190,7 @@
 {
     gate_server *gate = feed->owner;
 
+    rly_begin_list(&gate->relay, feed->subject);
     if (feed->subject == WIRE_ENDPOINTS) {
         reg_begin_list(&gate->registry);
     }
@@ -199,6 +201,7 @@
 {
     gate_server *gate = feed->owner;
 
+    rly_end_list(&gate->relay, feed->subject);
     if (feed->subject == WIRE_ENDPOINTS) {
         reg_end_list(&gate->registry, io_now());
     }
@@ -225,6 +228,9 @@
         return;
     }
     gate->copy_expires_at = 0;
+    for (i = 0; i < PEERS_SUBJECTS; i++) {
+        gate->peers.named_changes[i] = 0;
+    }
     reg_start_grace(&gate->registry, now);
     for (i = 0; i < WIRE_SUBJECT_COUNT; i++) {
         store_feed_note_era(&gate->feeds[i], era);
@@ -270,6 +276,8 @@
 const store_ops gate_store_ops = {.on_item = on_item,
                                   .on_list_begin = on_list_begin,
                                   .on_list_end = on_list_end,
+                                  .on_applied = gate_handle_applied,
+                                  .on_relay_failed = gate_handle_relay_failed,
                                   .on_lost = on_store_lost,
                                   .on_regained = on_store_regained,
                                   .on_new_era = on_new_era};
--- a/packages/gateway/source/gate.c
+++ b/packages/gateway/source/gate.c
@@ -15,6 +15,9 @@
 /* From the platform's probes and from readers of the metrics. */
 #define MAX_READINESS_CONNECTIONS 64
 
+/* Two feeds of each instance of a zone, and old connections. */
+#define MAX_RELAY_CONNECTIONS 1024
+
 /* Timeouts of connections are checked this often: there are thousands of
  * connections, and the shortest timeout is five times as long. */
 #define CONNECTION_CHECK_INTERVAL (100 * LV_MILLISECOND)
@@ -166,28 +169,11 @@
     }
 }
 
-/* While the list of endpoints changes, it is read this many times within the
- * leave limit. */
-#define LIST_READS_PER_LEAVE_LIMIT 3
-
-/* The wait of a watch grows by its base value for every so many live peers:
- * together the instances still notice soon that the store is silent. */
-#define PEERS_PER_BASE_WAIT 8
-
-/* Sets the pace of the store's feeds, reports to the peers whether the store
- * answers, and keeps expired entries after an outage. */
+/* Reports to the peers whether the store answers, and keeps expired entries
+ * after an outage. */
 static void
 update_store_state(gate_server *gate, lv_time now)
 {
-    store_settings *store = &gate->settings.store;
-
-    store->min_watch_interval[WIRE_ENDPOINTS] =
-        gate->settings.leave_limit / LIST_READS_PER_LEAVE_LIMIT;
-    store->watch_wait = gate->base_watch_wait *
-                        (1 + gate->peers.live_count / PEERS_PER_BASE_WAIT);
-    if (store->watch_wait > gate->settings.max_watch_time) {
-        store->watch_wait = gate->settings.max_watch_time;
-    }
     gate->peers.is_store_reachable = gate->feeds[WIRE_ENDPOINTS].lost_at == 0;
     gate->peers.can_coordinate =
         gate->peers.can_coordinate || gate->feeds[WIRE_ENDPOINTS].has_list;
@@ -216,6 +202,7 @@
     int i;
 
     gate_record_tick(gate, now);
+    gate_update_readers(gate, now);
     update_store_state(gate, now);
     for (i = 0; i < WIRE_SUBJECT_COUNT; i++) {
         store_feed_tick(&gate->feeds[i], now);
@@ -314,12 +301,15 @@
 {
     peers_settings *settings = &gate->settings.peers;
 
+    settings->zone = lv_hash_name(gate->settings.zone);
     if (!io_parse_address(gate->settings.peer_address, &settings->bind,
                           error) ||
         !gate_parse_seeds(gate->settings.seeds, settings->seeds,
                           &settings->seed_count, error) ||
         !peers_init(&gate->peers, gate->loop, settings, &gate->endpoints,
-                    &gate->shares, incarnation, error)) {
+                    &gate->shares, incarnation, error) ||
+        !rly_init(&gate->relay, gate->loop, gate->wire, &settings->bind,
+                  MAX_RELAY_CONNECTIONS, error)) {
         return false;
     }
     gate->peers.on_change = on_peer_change;
@@ -444,6 +434,7 @@
     front_close_all(&gate->readiness);
     front_stop_listening(&gate->callers);
     front_stop_listening(&gate->readiness);
+    rly_close(&gate->relay);
     peers_close(&gate->peers);
     uv_close((uv_handle_t *)&gate->timer, NULL);
     uv_close((uv_handle_t *)&gate->prepare, NULL);
@@ -452,6 +443,7 @@
     }
     uv_run(gate->loop, UV_RUN_DEFAULT);
     peers_finish(&gate->peers);
+    rly_finish(&gate->relay);
     back_finish(&gate->endpoint_pool);
     reg_finish(&gate->registry);
     shr_finish(&gate->shares);
--- a/packages/gateway/source/peers-imp.h
+++ b/packages/gateway/source/peers-imp.h
@@ -14,6 +14,8 @@
     PEERS_FIELD_KIND,
     PEERS_FIELD_FLAGS,
     PEERS_FIELD_STORE_ERA,
+    PEERS_FIELD_ZONE,
+    PEERS_FIELD_CHANGES,    /* latest change of each subject of the store */
     PEERS_FIELD_LOADS,      /* endpoint, requests in flight, prefill total, KV
                                tokens */
     PEERS_FIELD_ACCOUNTS,   /* account, requested and served total */
--- /dev/null
+++ b/packages/gateway/source/peers-reader.c
@@ -0,0 +1,110 @@
+#include <string.h>
+
+#include "lavender/hash.h"
+#include "peers-imp.h"
+
+/* Readers of the store in each zone: one may be killed, cut off or late. */
+#define READERS_PER_ZONE 2
+
+/* A relay that failed is passed over for this long. */
+#define RELAY_BACKOFF (3 * LV_SECOND)
+
+/* The key of the rendezvous hash that elects the readers. */
+#define READER_KEY ((lv_id)0x72656164)
+
+/* The readers of this instance's zone, in the order of their weights; NULL
+ * stands for this instance. */
+typedef struct reader_list {
+    const peers_peer *readers[READERS_PER_ZONE];
+    uint64_t weights[READERS_PER_ZONE];
+    uint32_t count;
+} reader_list;
+
+static void
+insert_reader(reader_list *list, const peers_peer *peer, uint64_t weight)
+{
+    uint32_t place = list->count;
+
+    while (place > 0 && list->weights[place - 1] < weight) {
+        place--;
+    }
+    if (place == READERS_PER_ZONE) {
+        return;
+    }
+    if (list->count < READERS_PER_ZONE) {
+        list->count++;
+    }
+    memmove(&list->readers[place + 1], &list->readers[place],
+            (list->count - 1 - place) * sizeof *list->readers);
+    memmove(&list->weights[place + 1], &list->weights[place],
+            (list->count - 1 - place) * sizeof *list->weights);
+    list->readers[place] = peer;
+    list->weights[place] = weight;
+}
+
+static void
+find_readers(const peers_state *peers, reader_list *list)
+{
+    uint32_t i;
+
+    memset(list, 0, sizeof *list);
+    insert_reader(
+        list, NULL,
+        hrw_weight(peers_pack_address(&peers->settings.bind), READER_KEY));
+    for (i = 0; i < peers->count; i++) {
+        const peers_peer *peer = &peers->peers[i];
+
+        if (peer->is_live && peer->zone == peers->settings.zone) {
+            insert_reader(
+                list, peer,
+                hrw_weight(peers_pack_address(&peer->address), READER_KEY));
+        }
+    }
+}
+
+static bool
+is_passed_over(const peers_peer *peer, lv_time now)
+{
+    return peer->relay_failed_at != 0 &&
+           lv_elapsed(now, peer->relay_failed_at) < RELAY_BACKOFF;
+}
+
+peers_reader
+peers_choose_reader(const peers_state *peers, lv_time now,
+                    struct sockaddr_in *relay)
+{
+    reader_list list;
+    uint32_t first;
+    uint32_t i;
+
+    if (!peers_is_large_fleet(peers)) {
+        return PEERS_READS_ITSELF;
+    }
+    find_readers(peers, &list);
+    for (i = 0; i < list.count; i++) {
+        if (list.readers[i] == NULL) {
+            return PEERS_READS_ITSELF;
+        }
+    }
+    first = (uint32_t)map_mix(peers_pack_address(&peers->settings.bind));
+    for (i = 0; i < list.count; i++) {
+        const peers_peer *reader = list.readers[(first + i) % list.count];
+
+        if (!is_passed_over(reader, now)) {
+            *relay = reader->address;
+            return PEERS_READS_RELAY;
+        }
+    }
+    return PEERS_HAS_NO_READER;
+}
+
+void
+peers_note_relay_failed(peers_state *peers, const struct sockaddr_in *relay,
+                        lv_time now)
+{
+    peers_peer *peer = peers_find(peers, relay);
+
+    if (peer != NULL) {
+        peer->relay_failed_at = now;
+    }
+}
--- a/packages/gateway/source/peers-receive.c
+++ b/packages/gateway/source/peers-receive.c
@@ -45,6 +45,9 @@
            is_number(&fields[PEERS_FIELD_KIND]) &&
            is_number(&fields[PEERS_FIELD_FLAGS]) &&
            is_number(&fields[PEERS_FIELD_STORE_ERA]) &&
+           is_number(&fields[PEERS_FIELD_ZONE]) &&
+           is_number_list(&fields[PEERS_FIELD_CHANGES], PEERS_SUBJECTS) &&
+           fields[PEERS_FIELD_CHANGES].via.array.size == PEERS_SUBJECTS &&
            is_number_list(&fields[PEERS_FIELD_LOADS], 4) &&
            is_number_list(&fields[PEERS_FIELD_ACCOUNTS], 3) &&
            is_number_list(&fields[PEERS_FIELD_BLOCK_USES], 2) &&
@@ -354,6 +357,22 @@
     }
 }
 
+static void
+note_changes(peers_state *peers, const msgpack_object *fields)
+{
+    const msgpack_object_array *changes =
+        &fields[PEERS_FIELD_CHANGES].via.array;
+    int i;
+
+    for (i = 0; i < PEERS_SUBJECTS &&
+                fields[PEERS_FIELD_STORE_ERA].via.u64 == peers->store_era;
+         i++) {
+        if (changes->ptr[i].via.u64 > peers->named_changes[i]) {
+            peers->named_changes[i] = changes->ptr[i].via.u64;
+        }
+    }
+}
+
 static bool
 receive_fields(peers_state *peers, const struct sockaddr_in *from,
                const msgpack_object *fields, lv_time now)
@@ -385,7 +404,9 @@
     peer->received_at = now;
     mark_live(peers, peer);
     index = (uint32_t)(peer - peers->peers);
+    peer->zone = fields[PEERS_FIELD_ZONE].via.u64;
     note_store_era(peers, fields[PEERS_FIELD_STORE_ERA].via.u64);
+    note_changes(peers, fields);
     apply_lists(peers, index, fields, now);
     if (fields[PEERS_FIELD_KIND].via.u64 == PEERS_FULL) {
         peers->peers[index].has_reported_all = true;
--- a/packages/gateway/source/peers-write.c
+++ b/packages/gateway/source/peers-write.c
@@ -235,6 +235,7 @@
     uint32_t flags =
         (peers->is_store_reachable ? PEERS_FLAG_STORE_REACHABLE : 0) |
         (peers->can_coordinate ? PEERS_FLAG_CAN_COORDINATE : 0);
+    int i;
 
     msgpack_pack_array(packer, PEERS_FIELD_COUNT);
     msgpack_pack_uint32(packer, PEERS_FORMAT_VERSION);
@@ -243,6 +244,11 @@
     msgpack_pack_uint32(packer, kind);
     msgpack_pack_uint32(packer, flags);
     msgpack_pack_uint64(packer, peers->store_era);
+    msgpack_pack_uint64(packer, peers->settings.zone);
+    msgpack_pack_array(packer, PEERS_SUBJECTS);
+    for (i = 0; i < PEERS_SUBJECTS; i++) {
+        msgpack_pack_uint64(packer, peers->own_changes[i]);
+    }
 }
 
 static void
--- a/packages/gateway/source/store.c
+++ b/packages/gateway/source/store.c
@@ -9,6 +9,12 @@
  * unacknowledged for this long. */
 #define STORE_SILENCE_TIMEOUT (2 * LV_SECOND)
 
+/* Time for the owner to choose another source. */
+#define RELAY_FAILURE_PAUSE (100 * LV_MILLISECOND)
+
+/* Minimum time between two watches at a relay. */
+#define RELAY_WATCH_INTERVAL (100 * LV_MILLISECOND)
+
 #define STATUS_OK 200
 #define STATUS_GONE 410 /* the history since the revision is gone */
 
@@ -49,6 +55,13 @@
 
     abandon_connection(feed);
     feed->counts.failures++;
+    if (feed->is_relayed) {
+        feed->phase = STORE_IDLE;
+        feed->is_listing = false;
+        feed->next_request_at = now + RELAY_FAILURE_PAUSE;
+        feed->ops->on_relay_failed(feed, reason);
+        return;
+    }
     expect_new_era(feed);
     feed->phase = STORE_IDLE;
     feed->is_listing = false;
@@ -78,7 +91,9 @@
 static void
 schedule_next_request(store_feed *feed)
 {
-    lv_time interval = feed->settings->min_watch_interval[feed->subject];
+    lv_time interval = feed->is_relayed
+                           ? RELAY_WATCH_INTERVAL
+                           : feed->settings->min_watch_interval[feed->subject];
 
     feed->phase = STORE_IDLE;
     feed->next_request_at = feed->last_request_at + interval;
@@ -90,6 +105,9 @@
     store_feed *feed = context;
 
     item->position.era = feed->position.era;
+    if (item->position.revision > feed->last_change) {
+        feed->last_change = item->position.revision;
+    }
     feed->ops->on_item(feed, item);
 }
 
@@ -116,6 +134,7 @@
      * reports what changed while later pages were read. */
     feed->position.revision = feed->list_revision;
     feed->ops->on_list_end(feed);
+    feed->ops->on_applied(feed);
     schedule_next_request(feed);
 }
 
@@ -145,6 +164,7 @@
         return false;
     }
     feed->position.era = era;
+    feed->last_change = 0;
     feed->ops->on_new_era(feed);
     if (is_first_era) {
         return true;
@@ -189,6 +209,7 @@
     if (reply.revision > feed->position.revision) {
         feed->position.revision = reply.revision;
     }
+    feed->ops->on_applied(feed);
     schedule_next_request(feed);
 }
 
@@ -261,7 +282,9 @@
     }
     if (feed->phase == STORE_IDLE) {
         abandon_connection(feed); /* the store may close an idle connection */
-        expect_new_era(feed);
+        if (!feed->is_relayed) {
+            expect_new_era(feed);
+        }
         return;
     }
     if (!is_error && feed->phase == STORE_AWAITING_REPLY &&
@@ -275,6 +298,8 @@
 send_request(store_feed *feed)
 {
     const store_settings *settings = feed->settings;
+    lv_time wait =
+        feed->is_relayed ? settings->relay_wait : settings->watch_wait;
     buf_buffer request;
     bool is_watch = feed->has_list && !feed->is_listing;
 
@@ -282,8 +307,7 @@
     buf_append_text(&request, "GET ");
     if (is_watch) {
         feed->wire->write_watch_target(&request, feed->subject,
-                                       feed->position.revision,
-                                       settings->watch_wait);
+                                       feed->position.revision, wait);
     }
     else {
         if (!feed->is_listing) {
@@ -300,9 +324,10 @@
                       settings->host);
     feed->phase = STORE_AWAITING_REPLY;
     feed->last_request_at = io_now();
-    feed->deadline = feed->last_request_at + settings->timeout +
-                     (is_watch ? settings->watch_wait : 0);
-    feed->counts.requests++;
+    feed->deadline =
+        feed->last_request_at + settings->timeout + (is_watch ? wait : 0);
+    feed->counts.requests += !feed->is_relayed;
+    feed->counts.relay_requests += feed->is_relayed;
     http_reader_restart(&feed->connection->reader);
     buf_clear(&feed->connection->body);
     if (request.has_failed ||
@@ -366,7 +391,7 @@
     feed->connection = connection;
     feed->phase = STORE_CONNECTING;
     feed->deadline = io_now() + feed->settings->timeout;
-    if (!io_connect(&connection->stream, &feed->settings->address,
+    if (!io_connect(&connection->stream, &feed->source,
                     STORE_SILENCE_TIMEOUT)) {
         fail_feed(feed, "connect-failed");
     }
@@ -385,6 +410,7 @@
     feed->subject = subject;
     feed->owner = owner;
     feed->backoff = settings->backoff;
+    feed->source = settings->address;
 }
 
 void
@@ -411,12 +437,37 @@
 }
 
 void
-store_feed_relist(store_feed *feed)
+store_feed_renew(store_feed *feed)
 {
     if (!feed->is_closing) {
         abandon_connection(feed);
-        forget_position(feed);
+        feed->phase = STORE_IDLE;
+        feed->is_listing = false;
+        feed->next_request_at = 0;
+    }
+}
+
+void
+store_feed_set_relay(store_feed *feed, const struct sockaddr_in *relay)
+{
+    const struct sockaddr_in *source =
+        relay != NULL ? relay : &feed->settings->address;
+
+    if (feed->is_relayed == (relay != NULL) &&
+        feed->source.sin_port == source->sin_port &&
+        feed->source.sin_addr.s_addr == source->sin_addr.s_addr) {
+        return;
     }
+    feed->source = *source;
+    feed->is_relayed = relay != NULL;
+    store_feed_renew(feed);
+}
+
+void
+store_feed_relist(store_feed *feed)
+{
+    store_feed_renew(feed);
+    feed->has_list = false;
 }
 
 void
--- a/tests/gateway/bench-requests.c
+++ b/tests/gateway/bench-requests.c
@@ -219,7 +219,7 @@
     find_address(stage.readiness);
     find_address(readiness);
     lv_copy_name(stage.callers, sizeof stage.callers, "");
-    stage_format_store_address(&stage, stage.callers);
+    stage_format_address(&stage.store.listener, stage.callers);
     gateway = fork();
     if (gateway == 0) {
         run_gateway(stage.readiness, readiness);
--- a/tests/gateway/stage-client.c
+++ b/tests/gateway/stage-client.c
@@ -195,7 +195,15 @@
 void
 stage_probe(stage_fixture *stage, stage_response *answer)
 {
-    static const char request[] = "GET /v1/ready HTTP/1.1\r\nHost: h\r\n\r\n";
+    stage_get(stage, "/v1/ready", answer);
+}
+
+void
+stage_get(stage_fixture *stage, const char *target, stage_response *answer)
+{
+    char request[512];
+    int size = snprintf(request, sizeof request,
+                        "GET %s HTTP/1.1\r\nHost: h\r\n\r\n", target);
 
-    exchange_at(stage, stage->readiness, request, sizeof request - 1, answer);
+    exchange_at(stage, stage->readiness, request, (size_t)size, answer);
 }
--- a/tests/gateway/stage-imp.h
+++ b/tests/gateway/stage-imp.h
@@ -7,7 +7,5 @@
 void stage_start_endpoint(stage_fixture *stage, stage_endpoint *endpoint,
                           uint32_t number);
 void stage_stop_endpoint(stage_endpoint *endpoint);
-/* Write the listener's "address:port" to text, of LV_ADDRESS_SIZE bytes. */
-void stage_format_address(const uv_tcp_t *listener, char *text);
 
 #endif
--- a/tests/gateway/stage.c
+++ b/tests/gateway/stage.c
@@ -240,6 +240,23 @@
     snprintf(text, LV_ADDRESS_SIZE, "127.0.0.1:%u", ntohs(address.sin_port));
 }
 
+void
+stage_write_config_item(const stage_fixture *stage, uint64_t revision,
+                        char *text, size_t size)
+{
+    unsigned char encoded[8192];
+    buf_buffer json;
+
+    buf_init(&json);
+    write_config(stage, &json);
+    EVP_EncodeBlock(encoded, (const unsigned char *)json.data,
+                    (int)strlen(json.data));
+    snprintf(text, size,
+             "{\"key\":\"op/config\",\"revision\":%llu,\"value\":\"%s\"}",
+             (unsigned long long)revision, (const char *)encoded);
+    buf_finish(&json);
+}
+
 void
 stage_begin_era(stage_fixture *stage, uint64_t revision)
 {
@@ -249,12 +266,6 @@
     front_close_all(&stage->store);
 }
 
-void
-stage_format_store_address(const stage_fixture *stage, char *text)
-{
-    stage_format_address(&stage->store.listener, text);
-}
-
 static void
 on_timeout(uv_timer_t *timer)
 {
--- a/tests/gateway/stage.h
+++ b/tests/gateway/stage.h
@@ -83,8 +83,12 @@
 void stage_start_gateway(stage_fixture *stage);
 void stage_stop(stage_fixture *stage);
 
-/* Write the address of the fake store to text, of LV_ADDRESS_SIZE bytes. */
-void stage_format_store_address(const stage_fixture *stage, char *text);
+/* Write the configuration as an item of the store. */
+void stage_write_config_item(const stage_fixture *stage, uint64_t revision,
+                             char *text, size_t size);
+
+/* Write the listener's "address:port" to text, of LV_ADDRESS_SIZE bytes. */
+void stage_format_address(const uv_tcp_t *listener, char *text);
 
 /* Stop listening: connections to this endpoint are refused from now on. */
 void stage_refuse_connections(stage_endpoint *endpoint);
@@ -137,7 +141,10 @@
 void stage_exchange(stage_fixture *stage, const char *path,
                     const char *headers, stage_response *answer);
 
-/* Send a GET request to the readiness listener. */
+/* Send a GET request to the readiness listener, or to whatever
+ * stage->readiness names. */
 void stage_probe(stage_fixture *stage, stage_response *answer);
+void stage_get(stage_fixture *stage, const char *target,
+               stage_response *answer);
 
 #endif
--- /dev/null
+++ b/tests/gateway/test-relay.c
@@ -0,0 +1,271 @@
+/*
+ * Readers of the store in a large fleet: who they are, what their relays send
+ * to the feeds of other instances, and what instances do whose relay fails,
+ * is silent or falls behind.
+ */
+#include <criterion/criterion.h>
+
+#include <stdio.h>
+#include <string.h>
+
+#include "gate-imp.h"
+#include "peer-node.h"
+#include "peers-imp.h"
+#include "stage.h"
+
+#define ZONE 7
+#define OTHER_ZONE 8
+#define NOW (50 * LV_SECOND)
+
+static stage_fixture stage;
+
+/* A peer that is live for the whole test. */
+static void
+add_peer(peers_state *peers, const struct sockaddr_in *address, lv_id zone)
+{
+    peers_peer *peer = peers_add(peers, address);
+
+    peer->is_live = true;
+    peer->zone = zone;
+    peer->received_at = LV_TIME_NEVER / 2;
+    peer->is_store_reachable = true;
+    peers->live_count++;
+}
+
+static void
+set_address(struct sockaddr_in *address, int number)
+{
+    uv_ip4_addr("127.0.0.1", 9000 + number, address);
+}
+
+Test(relay, each_zone_has_two_readers)
+{
+    static const struct {
+        int zone_size; /* with the instance itself */
+        int others;
+        bool is_large;
+        int readers;
+    } cases[] = {
+        {1, 29, true, 1},  {2, 28, true, 2}, {3, 27, true, 2},
+        {20, 10, true, 2}, {30, 0, true, 2}, {10, 0, false, 10},
+    };
+
+    for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+        int readers = 0;
+
+        for (int self = 0; self < cases[i].zone_size; self++) {
+            static peer_node node;
+            struct sockaddr_in address;
+            struct sockaddr_in relay;
+
+            peer_node_start(&node, self);
+            node.peers.settings.zone = ZONE;
+            for (int k = 0; k < cases[i].zone_size + cases[i].others; k++) {
+                if (k != self) {
+                    set_address(&address, k);
+                    add_peer(&node.peers, &address,
+                             k < cases[i].zone_size ? ZONE : OTHER_ZONE);
+                }
+            }
+            node.peers.max_live_count = cases[i].is_large ? 29 : 9;
+            readers += peers_choose_reader(&node.peers, NOW, &relay) ==
+                       PEERS_READS_ITSELF;
+            peer_node_stop(&node);
+        }
+        cr_expect_eq(readers, cases[i].readers, "case %zu: %d", i, readers);
+    }
+}
+
+Test(relay, failed_readers_are_passed_over_for_a_while)
+{
+    static peer_node node;
+    struct sockaddr_in address;
+    struct sockaddr_in first;
+    struct sockaddr_in second;
+    int self = -1;
+
+    /* An instance that is no reader. */
+    do {
+        if (self >= 0) {
+            peer_node_stop(&node);
+        }
+        peer_node_start(&node, ++self);
+        node.peers.settings.zone = ZONE;
+        node.peers.max_live_count = 29;
+        for (int k = 0; k < 30; k++) {
+            set_address(&address, k);
+            if (k != self) {
+                add_peer(&node.peers, &address, ZONE);
+            }
+        }
+    } while (peers_choose_reader(&node.peers, NOW, &first) !=
+             PEERS_READS_RELAY);
+    peers_note_relay_failed(&node.peers, &first, NOW);
+    cr_expect_eq(peers_choose_reader(&node.peers, NOW, &second),
+                 PEERS_READS_RELAY);
+    cr_expect_neq(first.sin_port, second.sin_port);
+    peers_note_relay_failed(&node.peers, &second, NOW);
+    cr_expect_eq(peers_choose_reader(&node.peers, NOW, &address),
+                 PEERS_HAS_NO_READER);
+    cr_expect_eq(
+        peers_choose_reader(&node.peers, NOW + 4 * LV_SECOND, &address),
+        PEERS_READS_RELAY);
+    cr_expect_eq(address.sin_port, first.sin_port);
+    peer_node_stop(&node);
+}
+
+/* Two peers of the stage's zone that are the readers: one relay at a time is
+ * played by the test, the other address is closed. */
+static rly_relay relay;
+
+static void
+set_relay_config(uint32_t version, uint64_t revision)
+{
+    static char text[8192];
+    static wire_item item;
+
+    stage.config_version = version;
+    stage_write_config_item(&stage, revision, text, sizeof text);
+    memset(&item, 0, sizeof item);
+    lv_copy_name(item.key, sizeof item.key, "op/config");
+    item.position.revision = revision;
+    item.text = text;
+    rly_apply_item(&relay, WIRE_CONFIG, &item);
+    rly_publish(&relay, WIRE_CONFIG, (wire_position){.revision = revision});
+}
+
+static bool
+is_relayed(stage_fixture *self, void *context)
+{
+    const bool *wanted = context;
+
+    return self->gate.feeds[WIRE_CONFIG].is_relayed == *wanted &&
+           self->gate.feeds[WIRE_ENDPOINTS].is_relayed == *wanted;
+}
+
+static bool
+has_version(stage_fixture *self, void *context)
+{
+    return self->gate.config->version == *(const uint64_t *)context;
+}
+
+/* Starts the stage as an instance whose zone has two readers: the relay of the
+ * test, which it reads from first, and an address where nobody listens. */
+static void
+start_relayed(void)
+{
+    peers_state *peers = &stage.gate.peers;
+    struct sockaddr_in address;
+    struct sockaddr_in closed;
+    struct sockaddr_in chosen;
+    char text[LV_ADDRESS_SIZE];
+    bool wanted = true;
+    uint16_t port = 0;
+
+    stage_start(&stage, 1);
+    io_parse_address("127.0.0.1:0", &address, NULL);
+    cr_assert(
+        rly_init(&relay, &stage.loop, stage.gate.wire, &address, 64, NULL));
+    stage_format_address(&relay.server.listener, text);
+    io_parse_address(text, &address, NULL);
+    for (int i = 0; i < WIRE_SUBJECT_COUNT; i++) {
+        rly_publish(&relay, (wire_subject)i,
+                    (wire_position){.revision = stage.revision});
+        rly_set_serving(&relay, (wire_subject)i, true);
+    }
+    uv_ip4_addr("127.0.0.1", 1, &closed);
+    add_peer(peers, &address, peers->settings.zone);
+    add_peer(peers, &closed, peers->settings.zone);
+    peers->max_live_count = 29;
+    /* The instance's own address decides whether it is a reader. */
+    do {
+        peers->settings.bind.sin_port = htons(++port);
+    } while (peers_choose_reader(peers, io_now(), &chosen) !=
+                 PEERS_READS_RELAY ||
+             chosen.sin_port != address.sin_port);
+    cr_assert(stage_run_until(&stage, is_relayed, &wanted, 1000));
+}
+
+static void
+stop_relayed(void)
+{
+    rly_close(&relay);
+    stage_stop(&stage);
+    rly_finish(&relay);
+}
+
+Test(relay, change_arrives_without_a_call_of_the_store)
+{
+    uint64_t wanted = 9;
+    uint32_t calls;
+
+    start_relayed();
+    stage_run_for(&stage, 300);
+    calls = stage.store_calls;
+    set_relay_config(9, stage.revision + 1);
+    cr_expect(stage_run_until(&stage, has_version, &wanted, 500));
+    stage_run_for(&stage, 500);
+    cr_expect_eq(stage.store_calls, calls);
+    stop_relayed();
+}
+
+Test(relay, store_is_read_when_the_relay_refuses)
+{
+    bool wanted = false;
+    uint64_t version = 9;
+
+    start_relayed();
+    stage_run_for(&stage, 300);
+    rly_set_serving(&relay, WIRE_CONFIG, false);
+    rly_set_serving(&relay, WIRE_ENDPOINTS, false);
+    cr_expect(stage_run_until(&stage, is_relayed, &wanted, 1500));
+    cr_expect_eq(stage.gate.feeds[WIRE_CONFIG].lost_at, 0,
+                 "a relay is not the store");
+    stage.config_version = 9;
+    stage_advance_revision(&stage);
+    cr_expect(stage_run_until(&stage, has_version, &version, 1500));
+    stop_relayed();
+}
+
+/* The relay holds the connection and says nothing, as when it is frozen; peers
+ * of other zones name the change. */
+Test(relay, silent_relay_is_left_when_peers_name_a_change)
+{
+    uint64_t version = 9;
+
+    start_relayed();
+    stage_run_for(&stage, 300);
+    stage.config_version = 9;
+    stage_advance_revision(&stage);
+    stage.gate.peers.named_changes[WIRE_CONFIG] = stage.revision;
+    cr_expect(stage_run_until(&stage, has_version, &version, 2000));
+    stop_relayed();
+}
+
+Test(relay, old_positions_and_unknown_calls_are_refused)
+{
+    static const struct {
+        const char *target;
+        uint32_t status;
+    } cases[] = {
+        {"/v1/kv-range?prefix=op/config", 200},
+        {"/v1/kv-watch?prefix=servers/&after=1&wait_ms=10", 410},
+        {"/v1/kv-watch?prefix=servers/&after=100&wait_ms=10", 200},
+        {"/v1/kv-watch?prefix=servers/&after=500&wait_ms=10", 200},
+        {"/v1/kv-range?prefix=secret/", 404},
+        {"/v1/kv-key?key=op/config", 404},
+        {"/", 404},
+    };
+
+    stage_start(&stage, 1);
+    stage_run_for(&stage, 100);
+    stage_format_address(&stage.gate.relay.server.listener, stage.readiness);
+    for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+        stage_response answer;
+
+        stage_get(&stage, cases[i].target, &answer);
+        cr_expect_eq(answer.status, cases[i].status, "%s: %u", cases[i].target,
+                     answer.status);
+    }
+    stage_stop(&stage);
+}
