Turn to a zone's readers once they are the same for a while

Changes that peers named came from lists, where revisions rise with heartbeats of which no watch tells, so that relays counted as behind (134 of them).

Change: an instance turns to a reader that it has elected for 1.5 s; only changes that a watch told are named, and the time for them to arrive includes the pace of the watches.

--- a/packages/gateway/include/lavender-gateway/gate.h
+++ b/packages/gateway/include/lavender-gateway/gate.h
@@ -100,6 +100,8 @@
     reg_registry registry;
     store_feed feeds[WIRE_SUBJECT_COUNT];
     rly_relay relay; /* of the feeds, for instances of this zone */
+    struct sockaddr_in elected_relay; /* the reader that was chosen last */
+    lv_time elected_at;               /* since then the same one */
     lv_time behind_since[WIRE_SUBJECT_COUNT]; /* peers name a later change;
                                                  0: they do not */
     uint64_t renewed_for[WIRE_SUBJECT_COUNT]; /* the change that the pending
--- a/packages/gateway/source/gate-reader.c
+++ b/packages/gateway/source/gate-reader.c
@@ -1,9 +1,12 @@
 #include "gate-imp.h"
 
-/* A change that peers name should arrive here within this time; later, its
- * reply is taken for lost. */
+/* A change that peers name should arrive here within this time and the pace of
+ * the watches; later, its reply is taken for lost. */
 #define CHANGE_TIMEOUT (400 * LV_MILLISECOND)
 
+/* Time with the same reader elected. */
+#define SETTLE_TIME (1500 * LV_MILLISECOND)
+
 /* Longest wait of a watch at a relay. Peers name changes, so that a silent
  * relay is noticed sooner. */
 #define RELAY_WAIT (4 * LV_SECOND)
@@ -26,7 +29,7 @@
     store->min_watch_interval[WIRE_ENDPOINTS] =
         gate->settings.leave_limit / LIST_READS_PER_LEAVE_LIMIT;
     store->watch_wait = gate->base_watch_wait;
-    if (reader == PEERS_HAS_NO_READER) {
+    if (reader != PEERS_READS_ITSELF) {
         store->watch_wait *= 1 + gate->peers.live_count / PEERS_PER_BASE_WAIT;
     }
     if (store->watch_wait > gate->settings.max_watch_time) {
@@ -34,13 +37,27 @@
     }
 }
 
-/* Instances join their zone's readers once they have read the store for
- * themselves. */
+/* An instance turns to a reader once it has read the store for itself and has
+ * found the same one for a while: after a start in common the instances know
+ * only some of each other, and elect readers that do not know it. */
+static bool
+is_settled(gate_server *gate, const struct sockaddr_in *relay, lv_time now)
+{
+    if (gate->elected_relay.sin_port != relay->sin_port ||
+        gate->elected_relay.sin_addr.s_addr != relay->sin_addr.s_addr) {
+        gate->elected_relay = *relay;
+        gate->elected_at = now;
+    }
+    return lv_elapsed(now, gate->elected_at) >= SETTLE_TIME;
+}
+
 static void
 choose_sources(gate_server *gate, lv_time now)
 {
     struct sockaddr_in relay;
     peers_reader reader = peers_choose_reader(&gate->peers, now, &relay);
+    bool may_join =
+        reader == PEERS_READS_RELAY && is_settled(gate, &relay, now);
     int i;
 
     set_pace(gate, reader);
@@ -50,7 +67,7 @@
         if (reader != PEERS_READS_RELAY) {
             store_feed_set_relay(feed, NULL);
         }
-        else if (feed->has_list) {
+        else if (feed->has_list && (feed->is_relayed || may_join)) {
             store_feed_set_relay(feed, &relay);
         }
     }
@@ -78,6 +95,8 @@
 {
     store_feed *feed = &gate->feeds[subject];
     uint64_t named = gate->peers.named_changes[subject];
+    lv_time timeout =
+        CHANGE_TIMEOUT + gate->settings.store.min_watch_interval[subject];
 
     gate->peers.own_changes[subject] = feed->last_change;
     if (named <= feed->position.revision || !feed->has_list) {
@@ -87,7 +106,7 @@
     if (gate->behind_since[subject] == 0) {
         gate->behind_since[subject] = now;
     }
-    if (lv_elapsed(now, gate->behind_since[subject]) < CHANGE_TIMEOUT ||
+    if (lv_elapsed(now, gate->behind_since[subject]) < timeout ||
         gate->renewed_for[subject] == named) {
         return;
     }
--- a/packages/gateway/source/store.c
+++ b/packages/gateway/source/store.c
@@ -105,7 +105,9 @@
     store_feed *feed = context;
 
     item->position.era = feed->position.era;
-    if (item->position.revision > feed->last_change) {
+    /* Not from lists: there the revisions of endpoints rise with heartbeats,
+     * of which no watch tells. */
+    if (!feed->is_listing && item->position.revision > feed->last_change) {
         feed->last_change = item->position.revision;
     }
     feed->ops->on_item(feed, item);
