--- a/packages/gateway/include/lavender-gateway/registry.h
+++ b/packages/gateway/include/lavender-gateway/registry.h
@@ -53,7 +53,7 @@
 reg_entry *reg_find(reg_registry *registry, const char *key);
 
 /* The change of an entry that is older than what is known here. */
-extern const char REG_OLDER_COPY[];
+extern const char reg_older_copy[];
 
 /* Applies an item of the store to the registry and to the table of endpoints.
  * Returns the kind of change as a stable word for the log, or NULL when
--- a/packages/gateway/source/gate-monitoring.c
+++ b/packages/gateway/source/gate-monitoring.c
@@ -31,11 +31,41 @@
     }
 }
 
+static void
+write_store_metrics(const gate_server *gate, met_writer *writer)
+{
+    lv_time now = io_now();
+    const met_scalar values[] = {
+        {"lavender_store_calls_total", "counter", "calls of the store",
+         (double)(gate->feeds[WIRE_CONFIG].counts.requests +
+                  gate->feeds[WIRE_ENDPOINTS].counts.requests)},
+        {"lavender_relay_calls_total", "counter",
+         "calls of the store made at another instance's relay",
+         (double)(gate->feeds[WIRE_CONFIG].counts.relay_requests +
+                  gate->feeds[WIRE_ENDPOINTS].counts.relay_requests)},
+        {"lavender_relay_served_total", "counter",
+         "such calls that this instance's relay received",
+         (double)gate->relay.counts.requests},
+        {"lavender_relay_refused_total", "counter",
+         "of these, refused out of touch with the store",
+         (double)gate->relay.counts.refused},
+        {"lavender_endpoints_age_seconds", "gauge",
+         "since the list of endpoints was last asked for",
+         (double)lv_elapsed(now, gate->feeds[WIRE_ENDPOINTS].last_request_at) /
+             (double)LV_SECOND},
+        {"lavender_store_lost", "gauge",
+         "feeds that the store does not answer",
+         (double)((gate->feeds[WIRE_CONFIG].lost_at != 0) +
+                  (gate->feeds[WIRE_ENDPOINTS].lost_at != 0))},
+    };
+
+    met_write_scalars(writer, values, sizeof values / sizeof values[0]);
+}
+
 static void
 write_metrics(const gate_server *gate, met_writer *writer)
 {
     const gate_counts *counts = &gate->counts;
-    lv_time now = io_now();
     const met_scalar values[] = {
         {"lavender_requests_total", "counter", "requests routed",
          (double)counts->requests},
@@ -65,19 +95,6 @@
          (double)gate->peers.counts.starts_granted},
         {"lavender_keeper_denied_total", "counter", "starts that it denied",
          (double)gate->peers.counts.starts_denied},
-        {"lavender_store_calls_total", "counter", "calls of the store",
-         (double)(gate->feeds[WIRE_CONFIG].counts.requests +
-                  gate->feeds[WIRE_ENDPOINTS].counts.requests)},
-        {"lavender_relay_calls_total", "counter",
-         "calls of the store made at another instance's relay",
-         (double)(gate->feeds[WIRE_CONFIG].counts.relay_requests +
-                  gate->feeds[WIRE_ENDPOINTS].counts.relay_requests)},
-        {"lavender_relay_served_total", "counter",
-         "such calls that this instance's relay received",
-         (double)gate->relay.counts.requests},
-        {"lavender_relay_refused_total", "counter",
-         "of these, refused out of touch with the store",
-         (double)gate->relay.counts.refused},
         {"lavender_connections_opened_total", "counter",
          "connections to endpoints",
          (double)gate->endpoint_pool.counts.opened},
@@ -93,20 +110,13 @@
         {"lavender_log_left_out_total", "counter",
          "log lines that the bound or a slow reader cost",
          (double)log_dropped_lines()},
-        {"lavender_endpoints_age_seconds", "gauge",
-         "since the list of endpoints was last asked for",
-         (double)lv_elapsed(now, gate->feeds[WIRE_ENDPOINTS].last_request_at) /
-             (double)LV_SECOND},
-        {"lavender_store_lost", "gauge",
-         "feeds that the store does not answer",
-         (double)((gate->feeds[WIRE_CONFIG].lost_at != 0) +
-                  (gate->feeds[WIRE_ENDPOINTS].lost_at != 0))},
         {"lavender_config_version", "gauge", "configuration in force",
          gate->config != NULL ? (double)gate->config->version : 0},
     };
     uint32_t i;
 
     met_write_scalars(writer, values, sizeof values / sizeof values[0]);
+    write_store_metrics(gate, writer);
     met_write_header(writer, "lavender_first_piece_seconds", "histogram",
                      "from receipt to the first piece of the answer");
     for (i = 0; i < RT_KINDS; i++) {
--- a/packages/gateway/source/gate-store.c
+++ b/packages/gateway/source/gate-store.c
@@ -157,7 +157,7 @@
         log_event(LOG_LEVEL_WARNING, now, "endpoint-unreadable",
                   "key=%s error=\"%s\"", item->key, item->error.message);
     }
-    if (change == REG_OLDER_COPY) {
+    if (change == reg_older_copy) {
         expect_expiry_of_copy(gate, now);
     }
     if (change != NULL) {
--- a/packages/gateway/source/registry.c
+++ b/packages/gateway/source/registry.c
@@ -5,7 +5,7 @@
 
 #define INITIAL_CAPACITY 32
 
-const char REG_OLDER_COPY[] = "older-copy";
+const char reg_older_copy[] = "older-copy";
 
 void
 reg_init(reg_registry *registry, eng_table *endpoints, lv_time grace)
@@ -138,7 +138,7 @@
         if (entry != NULL && entry->endpoint == spec->id) {
             entry->is_in_list = true; /* it drains on */
         }
-        return REG_OLDER_COPY;
+        return reg_older_copy;
     }
     if (entry == NULL) {
         entry = add_entry(registry, item->key);
