--- a/packages/daemon/source/main.c
+++ b/packages/daemon/source/main.c
@@ -149,6 +149,8 @@
 {
     static gate_settings settings;
 
+    /* Asks to read the settings again, which is about to happen. */
+    signal(SIGHUP, SIG_IGN);
     if (!gate_read_settings(&settings, parsed->settings_path, errors)) {
         print_errors(errors);
         return EXIT_SETTINGS;
--- a/packages/gateway/include/lavender-gateway/back.h
+++ b/packages/gateway/include/lavender-gateway/back.h
@@ -108,6 +108,10 @@
 bool back_start_exchange(back_pool *pool, back_exchange *exchange,
                          lv_handle endpoint, const buf_buffer *message);
 
+/* Returns whether a byte of the request may have left: not while the
+ * connection is being opened. */
+bool back_was_sent(const back_exchange *exchange);
+
 /* Closes the connection, which tells the endpoint to stop its work; on_end is
  * not called. */
 void back_cancel_exchange(back_exchange *exchange);
--- a/packages/gateway/source/back-pool.c
+++ b/packages/gateway/source/back-pool.c
@@ -294,6 +294,12 @@
     return true;
 }
 
+bool
+back_was_sent(const back_exchange *exchange)
+{
+    return exchange->connection != NULL && exchange->connection->has_sent;
+}
+
 void
 back_cancel_exchange(back_exchange *exchange)
 {
--- a/packages/gateway/source/gate-attempt.c
+++ b/packages/gateway/source/gate-attempt.c
@@ -112,8 +112,11 @@
 gate_cancel_attempt(gate_request *request)
 {
     if (request->exchange.connection != NULL) {
-        request->may_have_run = request->may_have_run || !request->was_not_run;
-        request->runs += !request->was_not_run;
+        bool may_run =
+            back_was_sent(&request->exchange) && !request->was_not_run;
+
+        request->may_have_run = request->may_have_run || may_run;
+        request->runs += may_run;
         back_cancel_exchange(&request->exchange);
     }
     end_attempt(request);
--- a/packages/gateway/source/gate.c
+++ b/packages/gateway/source/gate.c
@@ -307,11 +307,17 @@
         !gate_parse_seeds(gate->settings.seeds, settings->seeds,
                           &settings->seed_count, error) ||
         !peers_init(&gate->peers, gate->loop, settings, &gate->endpoints,
-                    &gate->shares, incarnation, error) ||
-        !rly_init(&gate->relay, gate->loop, gate->wire, &settings->bind,
-                  MAX_RELAY_CONNECTIONS, error)) {
+                    &gate->shares, incarnation, error)) {
         return false;
     }
+    if (!rly_init(&gate->relay, gate->loop, gate->wire, &settings->bind,
+                  MAX_RELAY_CONNECTIONS, error)) {
+        /* Others then read from another relay, or from the store. */
+        log_event(LOG_LEVEL_WARNING, io_now(), "relay-closed",
+                  "address=%s error=\"%s\"", gate->settings.peer_address,
+                  error->message);
+        err_clear(error);
+    }
     gate->peers.on_change = on_peer_change;
     gate->peers.on_unlisted = on_endpoint_leaving;
     gate->peers.on_store_era = gate_begin_store_era;
--- a/tests/gateway/stage.h
+++ b/tests/gateway/stage.h
@@ -67,6 +67,7 @@
     bool is_unlisted[STAGE_ENDPOINTS];
     char callers[LV_ADDRESS_SIZE];
     char readiness[LV_ADDRESS_SIZE];
+    char peer[LV_ADDRESS_SIZE]; /* of the gateway; empty: any free port */
     bool has_timed_out;
 } stage_fixture;
 
--- a/tests/gateway/test-relay.c
+++ b/tests/gateway/test-relay.c
@@ -269,3 +269,20 @@
     }
     stage_stop(&stage);
 }
+
+static bool
+has_config(stage_fixture *self, void *context)
+{
+    (void)context;
+    return self->gate.config != NULL;
+}
+
+/* Another program has the TCP port of the peers' address. */
+Test(relay, instance_works_without_its_relay)
+{
+    stage_prepare(&stage, 1);
+    lv_copy_name(stage.peer, sizeof stage.peer, stage.endpoints[0].address);
+    stage_start_gateway(&stage);
+    cr_expect(stage_run_until(&stage, has_config, NULL, 2000));
+    stage_stop(&stage);
+}
--- a/tests/soak/soak-daemon.c
+++ b/tests/soak/soak-daemon.c
@@ -97,6 +97,7 @@
     soak_daemon *daemon = stream->data;
 
     if (size > 0) {
+        daemon->has_logged = true;
         fwrite(buffer->base, 1, (size_t)size, daemon->log);
     }
     else if (size < 0) {
@@ -138,6 +139,7 @@
     }
     follow_output(daemon);
     daemon->start_at = 0;
+    daemon->has_logged = false;
     daemon->state = DAEMON_RUNNING;
     daemon->begun_at = io_now();
     daemon->good_since = daemon->begun_at;
@@ -207,7 +209,10 @@
 daemon_reload(soak_daemon *daemon)
 {
     write_settings(daemon);
-    proc_signal(&daemon->process, SIGHUP);
+    /* Before a program begins, the signal ends it, whatever the program is. */
+    if (daemon->has_logged) {
+        proc_signal(&daemon->process, SIGHUP);
+    }
 }
 
 static void
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -176,6 +176,7 @@
     proc_process process;
     uv_pipe_t output;
     bool has_output;
+    bool has_logged; /* since its start, so that it handles signals */
     FILE *log;
     link_transport store;
     char callers[LV_ADDRESS_SIZE];
