Log how long the endpoint was silent when a request ends

It now has silent_ms, the time since the endpoint last sent something, also shown by lavenderctl explain.

No decision is changed.

--- a/packages/ctl/source/ctl-explain.c
+++ b/packages/ctl/source/ctl-explain.c
@@ -150,11 +150,12 @@
 print_event(const log_line *line, double start_time)
 {
     static const char *const printed_keys[] = {
-        "reason",  "status",        "endpoint", "account",     "route",
-        "late_ms", "share_percent", "target",   "age_ms",      "took_ms",
-        "wait_ms", "own_ms",        "uncached", "in_flight",   "candidates",
-        "sends",   "runs",          "begun",    "retry_ms",    "may_have_run",
-        "config",  "peers",         "left_out", "list_age_ms", "store_lost"};
+        "reason",   "status",        "endpoint", "account",     "route",
+        "late_ms",  "share_percent", "target",   "age_ms",      "took_ms",
+        "wait_ms",  "own_ms",        "uncached", "in_flight",   "candidates",
+        "sends",    "runs",          "begun",    "retry_ms",    "may_have_run",
+        "config",   "peers",         "left_out", "list_age_ms", "store_lost",
+        "silent_ms"};
     char event[64] = "";
     char instance[128] = "-";
     char value[256];
--- a/packages/gateway/source/gate-log.c
+++ b/packages/gateway/source/gate-log.c
@@ -29,6 +29,14 @@
     return (unsigned)(request->decision.share_ratio * 100);
 }
 
+/* Time since the endpoint of the last attempt sent something, or since it was
+ * sent the request. */
+static lv_time
+silence(const gate_request *request, lv_time now)
+{
+    return request->sends > 0 ? lv_elapsed(now, request->last_data_at) : 0;
+}
+
 /* Time since the list of endpoints was last requested from the store. */
 static lv_time
 list_age(const gate_server *gate, lv_time now)
@@ -79,7 +87,7 @@
         "request=%s reason=%s account=%s host=%s route=%s status=%u "
         "endpoint=%s took_ms=%llu wait_ms=%llu late_ms=%llu own_ms=%llu "
         "share_percent=%u sends=%u runs=%u may_have_run=%d begun=%d "
-        "retry_ms=%llu config=%llu "
+        "silent_ms=%llu retry_ms=%llu config=%llu "
         "list_age_ms=%llu store_lost=%d peers=%u",
         request_id(request), reason,
         request->account != NULL ? request->account->name : "-",
@@ -91,6 +99,7 @@
         to_ms(request->decision.prediction.service_time),
         share_percent(request), request->sends, request->runs,
         request->may_have_run, request->has_answer_begun,
+        to_ms(silence(request, now)),
         to_ms(request->decision.verdict == ADM_REFUSE
                   ? request->decision.retry_after
                   : 0),
