--- a/tests/gateway/stage-endpoint.c
+++ b/tests/gateway/stage-endpoint.c
@@ -18,6 +18,7 @@
     char id[128];
     uint32_t next_event;
     bool is_busy;
+    bool has_paused;
     uint32_t handles; /* open handles; freed when 0 */
 } endpoint_connection;
 
@@ -62,8 +63,15 @@
         uv_timer_stop(timer);
         return;
     }
+    if (mode == STAGE_STREAM_PAUSE && self->next_event >= 3 &&
+        !self->has_paused) {
+        self->has_paused = true;
+        uv_timer_start(timer, on_timer, STAGE_PAUSE_MS, EVENT_INTERVAL_MS);
+        return;
+    }
     if (self->next_event < EVENT_COUNT &&
-        (mode == STAGE_STREAM || self->next_event < 3)) {
+        (mode == STAGE_STREAM || mode == STAGE_STREAM_PAUSE ||
+         self->next_event < 3)) {
         send_event(self, false);
         return;
     }
@@ -97,11 +105,24 @@
                    EVENT_INTERVAL_MS);
 }
 
+static const char sealed_length_headers[] =
+    SEAL_HEADER "Content-Length: 4\r\n";
+
+static void
+respond_late(uv_timer_t *timer)
+{
+    endpoint_connection *self = timer->data;
+
+    if (!self->stream.is_closing) {
+        send_head(self, self->id, "200 OK", sealed_length_headers);
+        send_text(self, "body");
+        self->is_busy = false;
+    }
+}
+
 static void
 respond(endpoint_connection *self, const http_head *head)
 {
-    static const char sealed_length_headers[] =
-        SEAL_HEADER "Content-Length: 4\r\n";
 
     self->is_busy = false;
     switch (self->endpoint->mode) {
@@ -159,9 +180,14 @@
     case STAGE_NO_RESPONSE:
         self->is_busy = true;
         break;
+    case STAGE_RESPOND_LATE:
+        self->is_busy = true;
+        uv_timer_start(&self->timer, respond_late, STAGE_PAUSE_MS, 0);
+        break;
     case STAGE_STREAM:
     case STAGE_STREAM_TRUNCATED:
     case STAGE_STREAM_STALL:
+    case STAGE_STREAM_PAUSE:
         self->is_busy = true;
         start_stream(self, head);
         break;
--- a/tests/gateway/stage.h
+++ b/tests/gateway/stage.h
@@ -11,12 +11,19 @@
 #define STAGE_ENDPOINTS 10
 #define STAGE_WATCHES 8
 
+/* The pause of an endpoint that falls silent and goes on: longer than the
+ * gateway waits before it tries another endpoint, and well within the routes'
+ * timeout. */
+#define STAGE_PAUSE_MS 800
+
 /* How a fake endpoint responds to a request. */
 typedef enum stage_mode {
     STAGE_RESPOND,               /* a complete response with a seal */
     STAGE_STREAM,                /* six events, 5 ms apart */
     STAGE_STREAM_TRUNCATED,      /* three and a half events, then closes */
     STAGE_STREAM_STALL,          /* three events, then stays idle */
+    STAGE_STREAM_PAUSE,          /* three events, a pause, the other three */
+    STAGE_RESPOND_LATE,          /* a complete response after a pause */
     STAGE_SHED,                  /* 503, marked as not executed */
     STAGE_ERROR,                 /* 500 from the endpoint, with a seal */
     STAGE_RESET,                 /* executes it and resets the connection */
--- a/tests/gateway/test-start-grants.c
+++ b/tests/gateway/test-start-grants.c
@@ -74,8 +74,10 @@
     peers_finish(&coordinator);
 }
 
+/* Starts a gateway with this many endpoints, of which the last is an engine
+ * that another instance coordinates. */
 static void
-set_up(coordinator_mode behaviour)
+set_up_with(coordinator_mode behaviour, uint32_t endpoint_count)
 {
     eng_settings settings;
     eng_endpoint *endpoint;
@@ -83,8 +85,8 @@
 
     mode = behaviour;
     start_request_count = 0;
-    stage_start(&stage, 1);
-    endpoint = &stage.gate.endpoints.endpoints[0];
+    stage_start(&stage, endpoint_count);
+    endpoint = &stage.gate.endpoints.endpoints[endpoint_count - 1];
     endpoint->is_engine = true;
     eng_default_settings(&settings);
     cr_assert(eng_init(&table, &settings, NULL));
@@ -98,6 +100,12 @@
     stage.gate.peers.max_live_count = LARGE_FLEET_INSTANCES;
 }
 
+static void
+set_up(coordinator_mode behaviour)
+{
+    set_up_with(behaviour, 1);
+}
+
 static void
 tear_down(void)
 {
@@ -153,6 +161,33 @@
     tear_down();
 }
 
+/* Guards against a stream that is cut because its endpoint paused and the
+ * coordinator of the only other one denied the start. */
+Test(start_grants, a_denied_replacement_does_not_end_a_silent_answer)
+{
+    static const coordinator_mode modes[] = {COORDINATOR_DENIES,
+                                             COORDINATOR_IS_SILENT};
+
+    for (size_t i = 0; i < sizeof modes / sizeof modes[0]; i++) {
+        stage_response answer;
+
+        set_up_with(modes[i], 2);
+        stage.endpoints[0].mode = STAGE_STREAM_PAUSE;
+        stage.endpoints[1].mode = STAGE_STREAM;
+        out_record_failure(&stage.gate.endpoints.endpoints[1].outlier, true,
+                           io_now());
+        stage_exchange(&stage, "/resume/1", "", &answer);
+        cr_expect_eq(answer.status, 200, "case %zu: %u", i, answer.status);
+        cr_expect(answer.is_complete, "case %zu", i);
+        cr_expect_not_null(strstr(answer.body, "piece-5"), "case %zu", i);
+        if (modes[i] == COORDINATOR_DENIES) {
+            cr_expect_geq(start_request_count, 1);
+            cr_expect_eq(stage.endpoints[1].runs, 0);
+        }
+        tear_down();
+    }
+}
+
 /* The gateway itself as the coordinator. */
 Test(start_grants, a_start_is_granted_to_a_listed_endpoint_without_a_queue)
 {
