Keep a silent endpoint's answer until another one has begun

Callers saw streams that had begun cut, and other requests fail with 502, while the endpoint was sound and only silent for a second or so.

Cause: a request whose endpoint was silent for two latency targets, or three gaps of a stream, had its attempt cancelled before it was known whether another one may start. When the budget, the coordinator, the share or the queue then refused the replacement, the answer was lost, though its endpoint would have gone on. The class: something that works is given up before its replacement does.

Change: the attempt is set aside, with its connection, and a second one is decided and sent beside it. Whose head or data comes first goes on, the other is cancelled; whatever refuses or fails the second attempt returns the request to the first. What one try at an endpoint holds is now a gate_attempt, of which a request has two. The budget is asked before the attempt is set aside.

Silence of a sound endpoint no longer ends an answer before the deadline.

--- a/packages/gateway/include/lavender-gateway/gate.h
+++ b/packages/gateway/include/lavender-gateway/gate.h
@@ -86,6 +86,10 @@
     uint64_t failed;
     uint64_t caller_disconnects; /* callers that disconnected before the end */
     uint64_t retries;
+    uint64_t stalls;         /* attempts set aside because their endpoint was
+                                silent */
+    uint64_t stalls_resumed; /* of these, continued because no other endpoint
+                                answered first */
 } gate_counts;
 
 struct gate_server {
--- a/packages/gateway/source/gate-attempt.c
+++ b/packages/gateway/source/gate-attempt.c
@@ -40,7 +40,7 @@
 }
 
 static void
-report_prompt_block(gate_request *request)
+report_prompt_block(const gate_request *request)
 {
     const eng_prompt *prompt = &request->decoded.prompt;
 
@@ -51,20 +51,31 @@
         uint32_t last_shared = prompt->block_count - 2;
 
         peers_report_block_use(&request->gate->peers,
-                               request->attempt.endpoint,
+                               request->attempt->reservation.endpoint,
                                prompt->blocks[last_shared].prefix_hash);
     }
 }
 
-bool
-gate_start_attempt(gate_request *request)
+static void
+end_attempt(gate_attempt *attempt)
 {
-    gate_server *gate = request->gate;
-    back_exchange *exchange = &request->exchange;
-    lv_handle endpoint = request->decision.endpoint;
-    buf_buffer message;
-    bool is_started;
+    gate_request *request = attempt->request;
+
+    if (!attempt->is_running) {
+        return;
+    }
+    attempt->is_running = false;
+    eng_end_request(&request->gate->endpoints, &attempt->reservation,
+                    io_now());
+    request->gate->has_pending_updates = true;
+    if (attempt == request->attempt) {
+        request->state = GATE_QUEUED;
+    }
+}
 
+static void
+prepare_exchange(gate_request *request, back_exchange *exchange)
+{
     exchange->ops = &exchange_ops;
     exchange->is_non_repeatable = !rt_may_retry(request->route);
     exchange->is_head_request =
@@ -72,61 +83,79 @@
     snprintf(exchange->id, sizeof exchange->id, "%s",
              request->decoded.attempt_id != NULL ? request->decoded.attempt_id
                                                  : "");
+}
+
+bool
+gate_start_attempt(gate_request *request)
+{
+    gate_server *gate = request->gate;
+    gate_attempt *attempt = request->attempt;
+    lv_handle endpoint = request->decision.endpoint;
+    buf_buffer message;
+    bool is_started;
+
+    prepare_exchange(request, &attempt->exchange);
     buf_init(&message);
     write_request_message(request, &message);
-    buf_clear(&request->headers);
-    buf_clear(&request->body);
-    buf_clear(&request->partial_event);
-    request->was_not_run = false;
-    request->is_answer_dropped = false;
+    buf_clear(&attempt->headers);
+    buf_clear(&attempt->body);
+    buf_clear(&attempt->partial_event);
+    attempt->request = request;
+    attempt->is_running = true;
+    attempt->is_counted_run = false;
+    attempt->was_not_run = false;
+    attempt->is_answer_dropped = false;
+    attempt->last_data_at = io_now();
     request->state = GATE_RUNNING;
     request->sends++;
-    request->last_data_at = io_now();
     eng_start_predicted(&gate->endpoints, endpoint, &request->decoded.prompt,
                         &request->decision.prediction, io_now(),
-                        &request->attempt);
+                        &attempt->reservation);
     report_prompt_block(request);
     is_started = !message.has_failed &&
-                 back_start_exchange(&gate->endpoint_pool, exchange, endpoint,
-                                     &message);
+                 back_start_exchange(&gate->endpoint_pool, &attempt->exchange,
+                                     endpoint, &message);
     buf_finish(&message);
     if (!is_started) {
-        eng_end_request(&gate->endpoints, &request->attempt, io_now());
-        request->state = GATE_QUEUED;
+        end_attempt(attempt);
     }
     return is_started;
 }
 
 static void
-end_attempt(gate_request *request)
+count_run(gate_attempt *attempt)
 {
-    if (request->state == GATE_RUNNING) {
-        eng_end_request(&request->gate->endpoints, &request->attempt,
-                        io_now());
-        request->state = GATE_QUEUED;
-        request->gate->has_pending_updates = true;
-    }
+    gate_request *request = attempt->request;
+
+    request->may_have_run = true;
+    request->runs += !attempt->is_counted_run;
+    attempt->is_counted_run = true;
 }
 
 void
-gate_cancel_attempt(gate_request *request)
+gate_count_possible_run(gate_attempt *attempt)
 {
-    if (request->exchange.connection != NULL) {
-        bool may_run =
-            back_was_sent(&request->exchange) && !request->was_not_run;
+    if (back_was_sent(&attempt->exchange) && !attempt->was_not_run) {
+        count_run(attempt);
+    }
+}
 
-        request->may_have_run = request->may_have_run || may_run;
-        request->runs += may_run;
-        back_cancel_exchange(&request->exchange);
+void
+gate_cancel_attempt(gate_attempt *attempt)
+{
+    if (attempt->exchange.connection != NULL) {
+        gate_count_possible_run(attempt);
+        back_cancel_exchange(&attempt->exchange);
     }
-    end_attempt(request);
+    end_attempt(attempt);
 }
 
 static void
-record_outcome(gate_request *request, bool has_succeeded, bool is_unreachable)
+record_outcome(const gate_attempt *attempt, bool has_succeeded,
+               bool is_unreachable)
 {
-    eng_endpoint *endpoint =
-        eng_at(&request->gate->endpoints, request->attempt.endpoint);
+    eng_endpoint *endpoint = eng_at(&attempt->request->gate->endpoints,
+                                    attempt->reservation.endpoint);
 
     if (has_succeeded) {
         out_record_success(&endpoint->outlier, io_now());
@@ -137,74 +166,111 @@
 }
 
 static void
-record_first_output(gate_request *request)
+record_first_output(gate_attempt *attempt)
 {
+    gate_request *request = attempt->request;
     gate_server *gate = request->gate;
+    eng_reservation *reservation = &attempt->reservation;
     lv_time now = io_now();
 
     request->has_begun = true;
-    if (!request->attempt.has_first_token) {
+    if (!reservation->has_first_token) {
         met_histogram_add(&gate->first_output_times[request->route->kind],
                           lv_elapsed(now, request->received_at));
         met_histogram_add(&gate->prediction_errors,
-                          lv_elapsed(now, request->attempt.first_token_due));
-        eng_record_first_token(&gate->endpoints, &request->attempt, now);
+                          lv_elapsed(now, reservation->first_token_due));
+        eng_record_first_token(&gate->endpoints, reservation, now);
         gate->has_pending_updates = true;
     }
 }
 
 static void
-begin_answer(gate_request *request)
+begin_answer(gate_attempt *attempt)
 {
+    gate_request *request = attempt->request;
+
     if (!request->has_answer_begun) {
         request->has_answer_begun = true;
-        request->is_close_delimited = request->is_unframed;
-        front_begin_response(request->connection, request->status,
-                             &request->headers,
-                             request->is_unframed ? FRONT_SIZE_UNTIL_CLOSE
+        request->is_close_delimited = attempt->is_unframed;
+        front_begin_response(request->connection, attempt->status,
+                             &attempt->headers,
+                             attempt->is_unframed ? FRONT_SIZE_UNTIL_CLOSE
                                                   : FRONT_SIZE_UNKNOWN);
     }
 }
 
 static bool
-is_success(const gate_request *request)
+is_success(const gate_attempt *attempt)
 {
-    return request->status / 100 == 2;
+    return attempt->status / 100 == 2;
+}
+
+static bool
+is_failure(const gate_attempt *attempt)
+{
+    return attempt->status >= 500 || attempt->status == 0;
+}
+
+/* Is the answer of no use to the caller? A failure is not, while another
+ * attempt may still succeed, nor where the answer has begun. */
+static bool
+must_drop_answer(const gate_attempt *attempt)
+{
+    const gate_request *request = attempt->request;
+
+    return attempt->was_not_run ||
+           (request->has_answer_begun && !is_success(attempt)) ||
+           (request->stalled != NULL && is_failure(attempt));
+}
+
+/* Of two attempts, the one that is answered first goes on. */
+static void
+cancel_other_attempt(gate_attempt *attempt)
+{
+    gate_request *request = attempt->request;
+
+    if (attempt == request->stalled) {
+        gate_resume_stalled_attempt(request, "answered");
+    }
+    else if (request->stalled != NULL) {
+        gate_cancel_attempt(request->stalled);
+        request->stalled = NULL;
+    }
 }
 
 static void
 on_head(back_exchange *exchange, const http_head *head,
         const wire_response *answer)
 {
-    gate_request *request = (gate_request *)exchange;
+    gate_attempt *attempt = (gate_attempt *)exchange;
+    gate_request *request = attempt->request;
 
-    request->status = head->status;
-    request->is_unframed = head->framing == HTTP_UNTIL_CLOSE;
-    request->was_not_run = answer->was_not_executed && head->status / 100 != 2;
-    request->is_answer_dropped = request->was_not_run;
-    if (request->is_answer_dropped) {
-        return;
-    }
-    if (is_success(request) && !answer->is_sealed) {
+    attempt->status = head->status;
+    attempt->is_unframed = head->framing == HTTP_UNTIL_CLOSE;
+    attempt->was_not_run = answer->was_not_executed && head->status / 100 != 2;
+    if (is_success(attempt) && !answer->is_sealed) {
         /* Without a seal it is not the endpoint's own answer. */
-        request->is_answer_dropped = true;
-        request->status = 0;
+        attempt->is_answer_dropped = true;
+        attempt->status = 0;
         return;
     }
-    if (request->has_answer_begun && !is_success(request)) {
-        request->is_answer_dropped = true; /* cannot continue the stream */
+    attempt->is_answer_dropped = must_drop_answer(attempt);
+    if (attempt->is_answer_dropped) {
         return;
     }
-    request->gate->wire->write_response(&request->headers, head);
+    cancel_other_attempt(attempt);
+    request->gate->wire->write_response(&attempt->headers, head);
     if (!request->is_stream) {
-        record_first_output(request);
+        record_first_output(attempt);
     }
 }
 
 static void
-forward_stream_data(gate_request *request, const char *data, size_t size)
+forward_stream_data(gate_attempt *attempt, const char *data, size_t size)
 {
-    begin_answer(request);
+    gate_request *request = attempt->request;
+
+    begin_answer(attempt);
     if (request->route->is_resumable) {
         if (!gate_forward_events(request, data, size)) {
             request->ops->fail(request, 502, "no-memory");
@@ -217,66 +283,69 @@
     if (request->state == GATE_RUNNING &&
         io_write_queue_size(&request->connection->stream) > MAX_UNREAD_BYTES) {
         request->is_paused = true;
-        back_pause_exchange(&request->exchange);
+        back_pause_exchange(&attempt->exchange);
     }
 }
 
 static void
 on_body(back_exchange *exchange, const char *data, size_t size)
 {
-    gate_request *request = (gate_request *)exchange;
+    gate_attempt *attempt = (gate_attempt *)exchange;
+    gate_request *request = attempt->request;
 
-    if (request->is_answer_dropped) {
+    if (attempt->is_answer_dropped) {
         return;
     }
-    request->last_data_at = io_now();
-    record_first_output(request);
-    if (request->is_stream && is_success(request)) {
-        forward_stream_data(request, data, size);
+    cancel_other_attempt(attempt);
+    attempt->last_data_at = io_now();
+    record_first_output(attempt);
+    if (request->is_stream && is_success(attempt)) {
+        forward_stream_data(attempt, data, size);
         return;
     }
     if (request->has_answer_begun) {
         front_send_body(request->connection, data, size);
         return;
     }
-    buf_append(&request->body, data, size);
-    if (request->body.size > MAX_BUFFERED_ANSWER) {
-        begin_answer(request);
-        front_send_body(request->connection, request->body.data,
-                        request->body.size);
-        buf_clear(&request->body);
+    buf_append(&attempt->body, data, size);
+    if (attempt->body.size > MAX_BUFFERED_ANSWER) {
+        begin_answer(attempt);
+        front_send_body(request->connection, attempt->body.data,
+                        attempt->body.size);
+        buf_clear(&attempt->body);
     }
 }
 
 /* Ends the answer to the caller. An answer that ends with its connection may
  * have been cut, so it must not be framed as if it were complete. */
 static void
-finish_answer(gate_request *request)
+finish_answer(gate_attempt *attempt)
 {
+    gate_request *request = attempt->request;
     gate_server *gate = request->gate;
-    bool is_served = request->status < 500;
+    bool is_served = attempt->status < 500;
 
-    if (request->is_unframed) {
-        begin_answer(request);
+    if (attempt->is_unframed) {
+        begin_answer(attempt);
         if (!request->is_close_delimited) {
             request->ops->fail(request, 502, "no-frame");
             return;
         }
-        front_send_body(request->connection, request->body.data,
-                        request->body.size);
+        front_send_body(request->connection, attempt->body.data,
+                        attempt->body.size);
     }
     if (request->has_answer_begun) {
-        if (request->partial_event.size > 0) {
-            front_send_body(request->connection, request->partial_event.data,
-                            request->partial_event.size);
+        if (attempt->partial_event.size > 0) {
+            front_send_body(request->connection, attempt->partial_event.data,
+                            attempt->partial_event.size);
         }
         front_end_response(request->connection);
     }
     else {
-        front_begin_response(request->connection, request->status,
-                             &request->headers, request->body.size);
-        front_send_body(request->connection, request->body.data,
-                        request->body.size);
+        front_begin_response(request->connection, attempt->status,
+                             &attempt->headers, attempt->body.size);
+        front_send_body(request->connection, attempt->body.data,
+                        attempt->body.size);
         front_end_response(request->connection);
     }
     if (is_served) {
@@ -292,8 +361,16 @@
 void
 gate_exclude_endpoint(gate_request *request)
 {
+    lv_handle endpoint = request->attempt->reservation.endpoint;
+    uint32_t i;
+
+    for (i = 0; i < request->tried_count; i++) {
+        if (request->tried[i] == endpoint) {
+            return;
+        }
+    }
     if (request->tried_count < ADM_TRIED_MAX) {
-        request->tried[request->tried_count++] = request->attempt.endpoint;
+        request->tried[request->tried_count++] = endpoint;
     }
 }
 
@@ -306,66 +383,92 @@
 
 /* Forwards a whole answer, or retries a request that was not run or failed. */
 static void
-handle_whole_answer(gate_request *request)
+handle_whole_answer(gate_attempt *attempt)
 {
-    bool is_failure = request->status >= 500 || request->status == 0;
+    gate_request *request = attempt->request;
 
-    if (request->was_not_run) {
+    if (attempt->was_not_run) {
         /* The endpoint accepts no work now, or its address belongs to another
          * one by now. */
-        record_outcome(request, false, false);
+        record_outcome(attempt, false, false);
         retry_elsewhere(request, "not-run");
         return;
     }
-    request->runs++;
-    request->may_have_run = true;
-    record_outcome(request, !is_failure, false);
-    if (request->is_answer_dropped) {
-        retry_elsewhere(request, "not-the-endpoints-answer");
+    count_run(attempt);
+    record_outcome(attempt, !is_failure(attempt), false);
+    if (attempt->is_answer_dropped) {
+        retry_elsewhere(request, attempt->status >= 500
+                                     ? "endpoint-error"
+                                     : "not-the-endpoints-answer");
         return;
     }
-    if (is_failure && request->ops->take_retry(request)) {
+    if (is_failure(attempt) && request->ops->take_retry(request)) {
         gate_exclude_endpoint(request);
         request->ops->decide(request);
         return;
     }
-    finish_answer(request);
+    finish_answer(attempt);
 }
 
 /* Nothing was sent, so the request goes to another endpoint without using the
  * retry budget, and still counts as not run. */
 static void
-handle_unreached(gate_request *request, const char *reason)
+handle_unreached(gate_attempt *attempt, const char *reason)
 {
-    record_outcome(request, false, true);
+    gate_request *request = attempt->request;
+
+    record_outcome(attempt, false, true);
     request->sends--;
     gate_exclude_endpoint(request);
     if (request->tried_count == ADM_TRIED_MAX) {
-        request->ops->fail(request, 502, reason);
+        request->ops->give_up(request, 502, reason);
         return;
     }
     request->ops->decide(request);
 }
 
+/* The current attempt, or the decision on it, goes on. */
+static void
+drop_stalled_attempt(gate_attempt *attempt, back_outcome outcome)
+{
+    gate_request *request = attempt->request;
+
+    request->stalled = NULL;
+    if (outcome == BACK_NOT_SENT) {
+        request->sends--;
+    }
+    else if (!attempt->was_not_run) {
+        count_run(attempt);
+    }
+    record_outcome(attempt, false, outcome == BACK_NOT_SENT);
+}
+
 static void
 on_end(back_exchange *exchange, back_outcome outcome, const char *reason)
 {
-    gate_request *request = (gate_request *)exchange;
+    gate_attempt *attempt = (gate_attempt *)exchange;
 
-    end_attempt(request);
+    end_attempt(attempt);
+    if (attempt == attempt->request->stalled) {
+        if (outcome != BACK_COMPLETE || attempt->is_answer_dropped ||
+            is_failure(attempt)) {
+            drop_stalled_attempt(attempt, outcome);
+            return;
+        }
+        gate_resume_stalled_attempt(attempt->request, "answered");
+    }
     switch (outcome) {
     case BACK_COMPLETE:
-        handle_whole_answer(request);
+        handle_whole_answer(attempt);
         break;
     case BACK_NOT_SENT:
-        handle_unreached(request, reason);
+        handle_unreached(attempt, reason);
         break;
     case BACK_NO_RESPONSE:
     case BACK_TRUNCATED:
-        request->runs++;
-        request->may_have_run = true;
-        record_outcome(request, false, false);
-        retry_elsewhere(request, reason);
+        count_run(attempt);
+        record_outcome(attempt, false, false);
+        retry_elsewhere(attempt->request, reason);
         break;
     }
 }
--- a/packages/gateway/source/gate-imp.h
+++ b/packages/gateway/source/gate-imp.h
@@ -19,6 +19,24 @@
 
 typedef struct gate_request gate_request;
 
+/* One try at one endpoint, from the sending of the request to the end of the
+ * answer. */
+typedef struct gate_attempt {
+    back_exchange exchange; /* first member */
+    gate_request *request;
+    bool is_running;             /* holds its reservation */
+    bool is_counted_run;         /* in `runs` of the request */
+    eng_reservation reservation; /* the current or last one */
+    bool was_not_run;            /* according to the answer */
+    bool is_unframed;            /* the answer ends with its connection */
+    bool is_answer_dropped;      /* the answer is not forwarded */
+    uint32_t status;             /* of the answer; 0: not the endpoint's */
+    lv_time last_data_at;
+    buf_buffer headers;       /* for the caller */
+    buf_buffer body;          /* buffered until the answer is whole */
+    buf_buffer partial_event; /* at the end of a resumable stream's data */
+} gate_attempt;
+
 /* What gate-attempt.c calls when an attempt ends; set by gate-request.c. */
 typedef struct gate_request_ops {
     void (*decide)(gate_request *request);
@@ -27,14 +45,18 @@
      * again. */
     bool (*take_retry)(gate_request *request);
     void (*retry)(gate_request *request, const char *reason);
+
+    /* Ends the request; give_up waits for a stalled attempt instead, if there
+     * is one. */
     void (*fail)(gate_request *request, uint32_t status, const char *reason);
+    void (*give_up)(gate_request *request, uint32_t status,
+                    const char *reason);
     void (*end)(gate_request *request, const char *outcome,
                 const char *reason);
 } gate_request_ops;
 
 /* A caller's request, from its last byte to the end of its answer. */
 struct gate_request {
-    back_exchange exchange; /* first member */
     const gate_request_ops *ops;
     gate_server *gate;
     struct gate_request *next;
@@ -60,7 +82,14 @@
     uint32_t runs;           /* attempts that an endpoint may have run */
     uint32_t tried_count;
     lv_handle tried[ADM_TRIED_MAX]; /* endpoints that are not used again */
-    eng_reservation attempt;        /* the current or last one */
+    gate_attempt attempts[2];
+    gate_attempt *attempt; /* the current or last one */
+    gate_attempt *stalled; /* an earlier one whose endpoint is silent; it is
+                              cancelled once the current one is answered, and
+                              becomes the current one again if its endpoint
+                              goes on first; NULL: none */
+    lv_time reroute_after; /* earliest time of the next attempt beside a
+                              silent one */
     adm_decision decision;
     uint32_t grant_number; /* of the latest grant request */
     lv_id grant_endpoint;
@@ -69,20 +98,12 @@
     uint32_t grant_denials;
     bool has_logged_queueing;
     bool may_have_run;
-    bool was_not_run; /* according to the current answer */
     bool is_stream;
-    bool is_unframed;        /* the current answer ends with its connection */
     bool is_close_delimited; /* the answer to the caller ends with its
                                 connection */
     bool has_answer_begun;   /* the caller was sent the head */
     bool is_paused;          /* the caller reads too slowly */
-    bool is_answer_dropped;  /* the current answer is not forwarded */
-    uint32_t status;         /* of the current answer; 0: not the endpoint's */
-    lv_time last_data_at;
-    buf_buffer headers;       /* for the caller */
-    buf_buffer body;          /* buffered until the answer is whole */
-    buf_buffer partial_event; /* at the end of a resumable stream's data */
-    char last_event_id[64];   /* of the last event sent to the caller */
+    char last_event_id[64];  /* of the last event sent to the caller */
 };
 
 /* gate-request.c: from the receipt of a request to its end */
@@ -90,7 +111,12 @@
 /* Routes, authenticates and decides a request that was received whole. */
 void gate_receive_request(gate_server *gate, front_connection *connection);
 
-/* Starts, queues or refuses a request that has no attempt in progress. */
+/* Fills in the admission request of the next attempt. */
+void gate_fill_admission(const gate_request *request, lv_time now,
+                         adm_request *to);
+
+/* Starts, queues or refuses a request that has no attempt in progress besides
+ * a stalled one. */
 void gate_decide_request(gate_request *request);
 
 /* Sends the request to the endpoint of its decision. `reason` is logged. */
@@ -99,24 +125,27 @@
 /* Ends a request whose caller disconnected. */
 void gate_abandon_request(gate_request *request);
 
-/* Cancels the attempt and ends the request with an error: a refusal when it
+/* Cancels the attempts and ends the request with an error: a refusal when it
  * cannot have run, `status` when it may have, and a broken connection when its
  * answer has begun. */
 void gate_fail_request(gate_request *request, uint32_t status,
                        const char *reason);
 
-/* Logs and counts the end of a request and cancels its attempt. Its caller has
+/* Goes on waiting for the stalled attempt if there is one, else fails the
+ * request. */
+void gate_give_up_request(gate_request *request, uint32_t status,
+                          const char *reason);
+
+/* Logs and counts the end of a request and cancels its attempts. Its caller
+ * has
  * been answered or is disconnected, or the process exits. */
 void gate_end_request(gate_request *request, const char *outcome,
                       const char *reason);
 
 /* Cancels the attempt; decides the request again if it may be retried, and
- * otherwise fails it. */
+ * otherwise gives it up. */
 void gate_retry_request(gate_request *request, const char *reason);
 
-/* Retries a request whose endpoint has stalled, if another endpoint may start
- * it at once. */
-void gate_reroute_request(gate_request *request);
 void gate_free_finished_requests(gate_server *gate);
 
 /* gate-share.c: the tokens of requests in the shares of their accounts */
@@ -142,12 +171,26 @@
 
 /* Returns false when nothing was sent. */
 bool gate_start_attempt(gate_request *request);
-void gate_cancel_attempt(gate_request *request);
+void gate_cancel_attempt(gate_attempt *attempt);
+
+/* Counts an attempt in progress as a run if its endpoint may run it. */
+void gate_count_possible_run(gate_attempt *attempt);
 
 /* Excludes the endpoint of the last attempt from further ones. A request that
  * has excluded ADM_TRIED_MAX endpoints is not retried. */
 void gate_exclude_endpoint(gate_request *request);
 
+/* gate-stall.c: attempts whose endpoints are silent */
+
+/* Starts a second attempt beside the current one, whose endpoint is silent, if
+ * another endpoint may start the request at once and the retry budget allows
+ * it. */
+void gate_reroute_request(gate_request *request);
+
+/* Makes the stalled attempt the current one again, and cancels the one that
+ * was to replace it. `reason` is logged. */
+void gate_resume_stalled_attempt(gate_request *request, const char *reason);
+
 /* gate-grant.c: start grants by the coordinators of endpoints */
 
 /* Requests a grant from the coordinator of the decision's endpoint. Returns
--- a/packages/gateway/source/gate-log.c
+++ b/packages/gateway/source/gate-log.c
@@ -34,7 +34,8 @@
 static lv_time
 silence(const gate_request *request, lv_time now)
 {
-    return request->sends > 0 ? lv_elapsed(now, request->last_data_at) : 0;
+    return request->sends > 0 ? lv_elapsed(now, request->attempt->last_data_at)
+                              : 0;
 }
 
 /* Time since the list of endpoints was last requested from the store. */
@@ -78,9 +79,10 @@
 {
     const gate_server *gate = request->gate;
     lv_time now = io_now();
-    bool is_served = request->status / 100 == 2 && outcome[0] == 's';
-    lv_handle endpoint = request->sends > 0 ? request->attempt.endpoint
-                                            : request->decision.endpoint;
+    bool is_served = request->attempt->status / 100 == 2 && outcome[0] == 's';
+    lv_handle endpoint = request->sends > 0
+                             ? request->attempt->reservation.endpoint
+                             : request->decision.endpoint;
 
     log_request(
         LOG_LEVEL_INFO, is_served ? LOG_ORDINARY : LOG_IMPORTANT, now, outcome,
@@ -91,7 +93,7 @@
         "list_age_ms=%llu store_lost=%d peers=%u",
         request_id(request), reason,
         request->account != NULL ? request->account->name : "-",
-        request->route->host, request->route->prefix, request->status,
+        request->route->host, request->route->prefix, request->attempt->status,
         endpoint_name(request, endpoint),
         to_ms(lv_elapsed(now, request->received_at)),
         to_ms(request->decision.prediction.wait),
--- a/packages/gateway/source/gate-monitoring.c
+++ b/packages/gateway/source/gate-monitoring.c
@@ -63,7 +63,7 @@
 }
 
 static void
-write_metrics(const gate_server *gate, met_writer *writer)
+write_request_metrics(const gate_server *gate, met_writer *writer)
 {
     const gate_counts *counts = &gate->counts;
     const met_scalar values[] = {
@@ -79,7 +79,23 @@
          (double)counts->caller_disconnects},
         {"lavender_repeats_total", "counter", "attempts after the first",
          (double)counts->retries},
+        {"lavender_stalls_total", "counter",
+         "attempts beside which another was tried, as their endpoint was "
+         "silent",
+         (double)counts->stalls},
+        {"lavender_stalls_resumed_total", "counter",
+         "of these, gone on with, as no other endpoint answered first",
+         (double)counts->stalls_resumed},
         {"lavender_in_hand", "gauge", "requests in hand", gate->request_count},
+    };
+
+    met_write_scalars(writer, values, sizeof values / sizeof values[0]);
+}
+
+static void
+write_metrics(const gate_server *gate, met_writer *writer)
+{
+    const met_scalar values[] = {
         {"lavender_peers", "gauge", "other instances heard from",
          gate->peers.live_count},
         {"lavender_peer_bytes_total", "counter", "bytes sent to peers",
@@ -115,6 +131,7 @@
     };
     uint32_t i;
 
+    write_request_metrics(gate, writer);
     met_write_scalars(writer, values, sizeof values / sizeof values[0]);
     write_store_metrics(gate, writer);
     met_write_header(writer, "lavender_first_piece_seconds", "histogram",
--- a/packages/gateway/source/gate-request.c
+++ b/packages/gateway/source/gate-request.c
@@ -60,6 +60,16 @@
     }
 }
 
+static void
+cancel_attempts(gate_request *request)
+{
+    gate_cancel_attempt(request->attempt);
+    if (request->stalled != NULL) {
+        gate_cancel_attempt(request->stalled);
+        request->stalled = NULL;
+    }
+}
+
 /* The memory is kept until on_prepare frees it, since functions up the stack
  * may still read the state. */
 void
@@ -68,7 +78,7 @@
 {
     gate_log_end(request, outcome, reason);
     count_end(request, outcome, reason);
-    gate_cancel_attempt(request);
+    cancel_attempts(request);
     gate_return_unserved(request);
     request->state = GATE_FINISHED;
     request->connection = NULL;
@@ -142,6 +152,7 @@
                                              .take_retry = take_retry,
                                              .retry = gate_retry_request,
                                              .fail = gate_fail_request,
+                                             .give_up = gate_give_up_request,
                                              .end = gate_end_request};
 
 static gate_request *
@@ -155,6 +166,9 @@
     }
     request->gate = gate;
     request->ops = &request_ops;
+    request->attempts[0].request = request;
+    request->attempts[1].request = request;
+    request->attempt = &request->attempts[0];
     request->connection = connection;
     request->config = rt_ref(gate->config);
     request->route = route;
@@ -261,7 +275,7 @@
 void
 gate_fail_request(gate_request *request, uint32_t status, const char *reason)
 {
-    gate_cancel_attempt(request);
+    cancel_attempts(request);
     if (request->has_answer_begun) {
         request->gate->counts.failed++;
         front_abort_response(request->connection);
@@ -278,6 +292,18 @@
     gate_end_request(request, "failed", reason);
 }
 
+void
+gate_give_up_request(gate_request *request, uint32_t status,
+                     const char *reason)
+{
+    if (request->stalled != NULL) {
+        gate_resume_stalled_attempt(request, reason);
+    }
+    else {
+        gate_fail_request(request, status, reason);
+    }
+}
+
 void
 gate_abandon_request(gate_request *request)
 {
@@ -285,8 +311,8 @@
     gate_end_request(request, "gone", "caller-left");
 }
 
-static void
-fill_admission(const gate_request *request, lv_time now, adm_request *to)
+void
+gate_fill_admission(const gate_request *request, lv_time now, adm_request *to)
 {
     gate_server *gate = request->gate;
 
@@ -304,8 +330,9 @@
 static void
 refuse_or_fail(gate_request *request, lv_time retry_after, const char *reason)
 {
-    if (request->may_have_run || request->has_answer_begun) {
-        gate_fail_request(request, 502, reason);
+    if (request->stalled != NULL || request->may_have_run ||
+        request->has_answer_begun) {
+        gate_give_up_request(request, 502, reason);
     }
     else {
         refuse_request(request, retry_after, reason);
@@ -323,7 +350,7 @@
     gate_log_step(request, "start", reason);
     gate_count_served(request);
     if (!gate_start_attempt(request)) {
-        gate_fail_request(request, 502, "no-connection");
+        gate_give_up_request(request, 502, "no-connection");
     }
 }
 
@@ -357,7 +384,7 @@
     adm_request admission;
 
     find_affinity(request);
-    fill_admission(request, now, &admission);
+    gate_fill_admission(request, now, &admission);
     adm_decide(&gate->settings.admission, &gate->endpoints, &admission, now,
                &request->decision);
     switch (request->decision.verdict) {
@@ -414,37 +441,21 @@
 void
 gate_retry_request(gate_request *request, const char *reason)
 {
-    gate_cancel_attempt(request);
+    gate_cancel_attempt(request->attempt);
     if (!take_retry(request)) {
-        gate_fail_request(request, 502, reason);
+        gate_give_up_request(request, 502, reason);
         return;
     }
     gate_log_step(request, "again", reason);
     gate_decide_request(request);
 }
 
-/* The stalled endpoint may still answer, so its attempt is cancelled only when
- * another endpoint may start the request at once. */
-void
-gate_reroute_request(gate_request *request)
+static void
+finish_attempt(gate_attempt *attempt)
 {
-    gate_server *gate = request->gate;
-    lv_time now = io_now();
-    adm_request admission;
-    adm_decision decision;
-
-    fill_admission(request, now, &admission);
-    admission.tried[admission.tried_count++] = request->attempt.endpoint;
-    adm_decide(&gate->settings.admission, &gate->endpoints, &admission, now,
-               &decision);
-    if (decision.verdict != ADM_START) {
-        return;
-    }
-    out_record_failure(
-        &eng_at(&gate->endpoints, request->attempt.endpoint)->outlier, false,
-        now);
-    gate_exclude_endpoint(request);
-    gate_retry_request(request, "silent");
+    buf_finish(&attempt->headers);
+    buf_finish(&attempt->body);
+    buf_finish(&attempt->partial_event);
 }
 
 void
@@ -458,9 +469,8 @@
         if (request->state == GATE_FINISHED) {
             unlink_request(request);
             rt_unref(request->config);
-            buf_finish(&request->headers);
-            buf_finish(&request->body);
-            buf_finish(&request->partial_event);
+            finish_attempt(&request->attempts[0]);
+            finish_attempt(&request->attempts[1]);
             free(request);
         }
         request = next;
--- a/packages/gateway/source/gate-stream.c
+++ b/packages/gateway/source/gate-stream.c
@@ -59,7 +59,7 @@
 bool
 gate_forward_events(gate_request *request, const char *data, size_t size)
 {
-    buf_buffer *partial = &request->partial_event;
+    buf_buffer *partial = &request->attempt->partial_event;
     size_t whole;
 
     buf_append(partial, data, size);
--- a/packages/gateway/source/gate-tick.c
+++ b/packages/gateway/source/gate-tick.c
@@ -13,38 +13,39 @@
 is_stalled(const gate_request *request, lv_time now)
 {
     const rt_route *route = request->route;
+    const gate_attempt *attempt = request->attempt;
+    uint32_t runs = request->runs + !attempt->is_counted_run;
 
-    if (!rt_may_retry(route) || request->runs + 1 >= route->max_attempts ||
+    if (!rt_may_retry(route) || runs >= route->max_attempts ||
+        request->stalled != NULL ||
         request->tried_count + 1 >= ADM_TRIED_MAX) {
         return false;
     }
-    if (!request->attempt.has_first_token) {
-        return now > request->attempt.first_token_due +
+    if (!attempt->reservation.has_first_token) {
+        return now > attempt->reservation.first_token_due +
                          route->target * OVERDUE_PERCENT / 100;
     }
     return request->is_stream && !request->is_paused &&
            route->gap_target > 0 &&
-           lv_elapsed(now, request->last_data_at) >
+           lv_elapsed(now, attempt->last_data_at) >
                route->gap_target * STREAM_GAP_PERCENT / 100;
 }
 
 static void
-check_running(gate_request *request, lv_time now)
+record_overdue(const gate_attempt *attempt, lv_time now)
 {
-    gate_server *gate = request->gate;
-    eng_endpoint *endpoint =
-        eng_at(&gate->endpoints, request->attempt.endpoint);
+    const eng_reservation *reservation = &attempt->reservation;
+    eng_endpoint *endpoint;
+    lv_time late;
 
-    if (is_stalled(request, now)) {
-        gate_reroute_request(request);
+    if (!attempt->is_running || reservation->has_first_token) {
         return;
     }
-    if (!request->attempt.has_first_token) {
-        lv_time late = lv_elapsed(now, request->attempt.first_token_due);
-
-        if (late > endpoint->overdue) {
-            endpoint->overdue = late;
-        }
+    endpoint =
+        eng_at(&attempt->request->gate->endpoints, reservation->endpoint);
+    late = lv_elapsed(now, reservation->first_token_due);
+    if (late > endpoint->overdue) {
+        endpoint->overdue = late;
     }
 }
 
@@ -71,11 +72,13 @@
             request = next;
             continue;
         }
+        record_overdue(&request->attempts[0], now);
+        record_overdue(&request->attempts[1], now);
         if (now >= request->answer_deadline) {
             gate_fail_request(request, 504, "time-is-up");
         }
-        else if (request->state == GATE_RUNNING) {
-            check_running(request, now);
+        else if (request->state == GATE_RUNNING && is_stalled(request, now)) {
+            gate_reroute_request(request);
         }
         else if (request->state == GATE_AWAITING_GRANT) {
             gate_check_grant_deadline(request, now);
--- a/packages/gateway/source/gate.c
+++ b/packages/gateway/source/gate.c
@@ -60,8 +60,8 @@
     (void)server;
     if (request != NULL && request->is_paused) {
         request->is_paused = false;
-        request->last_data_at = io_now();
-        back_resume_exchange(&request->exchange);
+        request->attempt->last_data_at = io_now();
+        back_resume_exchange(&request->attempt->exchange);
     }
 }
 
--- a/tests/gateway/test-start-grants.c
+++ b/tests/gateway/test-start-grants.c
@@ -98,6 +98,9 @@
     }
     cr_assert_leq(attempts, MAX_PORT_ATTEMPTS);
     stage.gate.peers.max_live_count = LARGE_FLEET_INSTANCES;
+    /* Ten retries for this instance. */
+    stage.gate.service_budgets[0].budget.settings.slack =
+        10 * LARGE_FLEET_INSTANCES;
 }
 
 static void
