Let an interrupted stream wait for an endpoint instead of cutting it

Callers lost streams that had begun when their endpoint broke off and the next one was busy, its coordinator denied the start, or the account was over its share at that moment.

Cause: the second attempt of a begun answer was weighed as a new request that had waited since its receipt: no time left in the queue, two denials at most, and a share in which its own tokens count already. Same class as the silent endpoints: something accepted is given up because its replacement is not possible at once.

Change: once an answer has begun, the wait counts from the last data, the share does not apply, and a refusal queues the request for another try each 100 ms, until the deadline or until the caller leaves. Where no endpoint is left to try, it ends as before.

Before: gateway-test-resumption cut the stream with queues of 300 and 800 ms at the other endpoint, gateway-test-start-grants after two denials. Now all pass.

--- a/packages/gateway/source/gate-grant.c
+++ b/packages/gateway/source/gate-grant.c
@@ -22,7 +22,7 @@
     ask->number = request->grant_number;
     ask->endpoint = endpoint->spec.id;
     ask->target = request->route->target;
-    ask->waited = lv_elapsed(now, request->received_at);
+    ask->waited = lv_elapsed(now, gate_waiting_since(request));
     ask->share = request->decision.share_ratio;
     ask->prompt = request->decoded.prompt;
 }
--- a/packages/gateway/source/gate-imp.h
+++ b/packages/gateway/source/gate-imp.h
@@ -88,8 +88,8 @@
                               cancelled once the current one is answered, and
                               becomes the current one again if its endpoint
                               goes on first; NULL: none */
-    lv_time reroute_after; /* earliest time of the next attempt beside a
-                              silent one */
+    lv_time next_attempt_after; /* of one beside a silent one, or for an
+                                   answer that was interrupted */
     adm_decision decision;
     uint32_t grant_number; /* of the latest grant request */
     lv_id grant_endpoint;
@@ -111,7 +111,8 @@
 /* Routes, authenticates and decides a request that was received whole. */
 void gate_receive_request(gate_server *gate, front_connection *connection);
 
-/* Fills in the admission request of the next attempt. */
+/* Fills in the admission request of the next attempt. An answer that has begun
+ * was admitted, and its tokens count in the share already. */
 void gate_fill_admission(const gate_request *request, lv_time now,
                          adm_request *to);
 
@@ -180,7 +181,8 @@
  * has excluded ADM_TRIED_MAX endpoints is not retried. */
 void gate_exclude_endpoint(gate_request *request);
 
-/* gate-stall.c: attempts whose endpoints are silent */
+/* gate-stall.c: attempts whose endpoints are silent, and answers that were
+ * interrupted */
 
 /* Starts a second attempt beside the current one, whose endpoint is silent, if
  * another endpoint may start the request at once and the retry budget allows
@@ -191,6 +193,14 @@
  * was to replace it. `reason` is logged. */
 void gate_resume_stalled_attempt(gate_request *request, const char *reason);
 
+/* Queues a request whose answer was interrupted and that may not start now;
+ * `reason` is logged. */
+void gate_wait_to_resume(gate_request *request, const char *reason);
+
+/* Returns since when the caller waits for the answer or, once it has begun,
+ * for more of it. */
+lv_time gate_waiting_since(const gate_request *request);
+
 /* gate-grant.c: start grants by the coordinators of endpoints */
 
 /* Requests a grant from the coordinator of the decision's endpoint. Returns
--- a/packages/gateway/source/gate-request.c
+++ b/packages/gateway/source/gate-request.c
@@ -319,9 +319,10 @@
     memset(to, 0, sizeof *to);
     to->service = request->service;
     to->prompt = &request->decoded.prompt;
-    to->received = request->received_at;
+    to->received = gate_waiting_since(request);
     to->target = request->route->target;
-    to->share_ratio = gate_share_ratio(request, now);
+    to->share_ratio =
+        request->has_answer_begun ? 0 : gate_share_ratio(request, now);
     to->first_row = (uint32_t)gate_random(gate);
     to->tried_count = request->tried_count;
     memcpy(to->tried, request->tried, sizeof to->tried);
@@ -330,8 +331,12 @@
 static void
 refuse_or_fail(gate_request *request, lv_time retry_after, const char *reason)
 {
-    if (request->stalled != NULL || request->may_have_run ||
-        request->has_answer_begun) {
+    if (request->stalled == NULL && request->has_answer_begun &&
+        request->decision.endpoint != LV_HANDLE_NONE) {
+        gate_wait_to_resume(request, reason);
+    }
+    else if (request->stalled != NULL || request->may_have_run ||
+             request->has_answer_begun) {
         gate_give_up_request(request, 502, reason);
     }
     else {
@@ -383,6 +388,10 @@
     lv_time now = io_now();
     adm_request admission;
 
+    if (request->has_answer_begun && now < request->next_attempt_after) {
+        request->state = GATE_QUEUED;
+        return;
+    }
     find_affinity(request);
     gate_fill_admission(request, now, &admission);
     adm_decide(&gate->settings.admission, &gate->endpoints, &admission, now,
--- a/packages/gateway/source/gate-stall.c
+++ b/packages/gateway/source/gate-stall.c
@@ -1,8 +1,7 @@
 #include "gate-imp.h"
 
-/* From an attempt beside a silent one that could not start, or failed, to the
- * next. */
-#define REROUTE_INTERVAL (100 * LV_MILLISECOND)
+/* From an attempt that could not start, or failed, to the next. */
+#define ATTEMPT_INTERVAL (100 * LV_MILLISECOND)
 
 static gate_attempt *
 other_attempt(gate_request *request)
@@ -41,15 +40,15 @@
     adm_request admission;
     adm_decision decision;
 
-    if (now < request->reroute_after) {
+    if (now < request->next_attempt_after) {
         return;
     }
-    request->reroute_after = now + REROUTE_INTERVAL;
     gate_fill_admission(request, now, &admission);
     admission.tried[admission.tried_count++] = endpoint;
     adm_decide(&gate->settings.admission, &gate->endpoints, &admission, now,
                &decision);
     if (decision.verdict != ADM_START || !request->ops->take_retry(request)) {
+        request->next_attempt_after = now + ATTEMPT_INTERVAL;
         return;
     }
     out_record_failure(&eng_at(&gate->endpoints, endpoint)->outlier, false,
@@ -68,7 +67,23 @@
     request->stalled = NULL;
     request->state = GATE_RUNNING;
     request->decision.endpoint = request->attempt->reservation.endpoint;
-    request->reroute_after = io_now() + REROUTE_INTERVAL;
+    request->next_attempt_after = io_now() + ATTEMPT_INTERVAL;
     request->gate->counts.stalls_resumed++;
     gate_log_step(request, "resume", reason);
 }
+
+void
+gate_wait_to_resume(gate_request *request, const char *reason)
+{
+    request->state = GATE_QUEUED;
+    request->grant_denials = 0;
+    request->next_attempt_after = io_now() + ATTEMPT_INTERVAL;
+    gate_log_step(request, "hold", reason);
+}
+
+lv_time
+gate_waiting_since(const gate_request *request)
+{
+    return request->has_answer_begun ? request->attempt->last_data_at
+                                     : request->received_at;
+}
--- a/tests/gateway/test-start-grants.c
+++ b/tests/gateway/test-start-grants.c
@@ -10,10 +10,12 @@
 
 #define LARGE_FLEET_INSTANCES 100 /* above the large-fleet threshold */
 #define MAX_PORT_ATTEMPTS 64
+#define DENIALS 5
 
 typedef enum coordinator_mode {
     COORDINATOR_GRANTS,
     COORDINATOR_DENIES,
+    COORDINATOR_GRANTS_LATER, /* after DENIALS denials */
     COORDINATOR_IS_SILENT
 } coordinator_mode;
 
@@ -32,7 +34,9 @@
     (void)endpoint;
     (void)request;
     start_request_count++;
-    reply->is_granted = mode == COORDINATOR_GRANTS;
+    reply->is_granted =
+        mode == COORDINATOR_GRANTS ||
+        (mode == COORDINATOR_GRANTS_LATER && start_request_count > DENIALS);
 }
 
 static struct sockaddr_in
@@ -191,6 +195,25 @@
     }
 }
 
+/* Guards against a stream that is cut because its endpoint broke off and the
+ * coordinator of the other one denied the start at first. */
+Test(start_grants, an_interrupted_stream_waits_for_a_grant)
+{
+    stage_response answer;
+
+    set_up_with(COORDINATOR_GRANTS_LATER, 2);
+    stage.endpoints[0].mode = STAGE_STREAM_TRUNCATED;
+    stage.endpoints[1].mode = STAGE_STREAM;
+    out_record_failure(&stage.gate.endpoints.endpoints[1].outlier, true,
+                       io_now());
+    stage_exchange(&stage, "/resume/1", "", &answer);
+    cr_expect_eq(answer.status, 200);
+    cr_expect(answer.is_complete);
+    cr_expect_not_null(strstr(answer.body, "piece-5"));
+    cr_expect_eq(start_request_count, DENIALS + 1);
+    tear_down();
+}
+
 /* The gateway itself as the coordinator. */
 Test(start_grants, a_start_is_granted_to_a_listed_endpoint_without_a_queue)
 {
