Let the first useful output choose between two attempts

A silent attempt was cancelled as soon as another endpoint sent the head of a success; when that one then sent nothing more, closed, or answered in a form that cannot continue the caller's, both were lost. A failure that the silent endpoint had begun displaced a sound second attempt. With two silent endpoints no third one was tried. And the whole failure of an endpoint was given up before its replacement was admitted, so that the caller got a 502 of the gateway's own.

Change: a request has as many attempts as it may be sent; all but the current one are set aside. An attempt is chosen by its first whole event, by an answer too large to buffer, or by a whole answer that is no failure; then the others are cancelled. A whole failure is kept and is the answer when nothing better comes, at the latest at the deadline.

Two attempts overlap until the first whole event of the second.

--- a/packages/gateway/source/gate-attempt.c
+++ b/packages/gateway/source/gate-attempt.c
@@ -100,8 +100,8 @@
     buf_clear(&attempt->headers);
     buf_clear(&attempt->body);
     buf_clear(&attempt->partial_event);
-    attempt->request = request;
     attempt->is_running = true;
+    attempt->is_whole = false;
     attempt->is_counted_run = false;
     attempt->was_not_run = false;
     attempt->is_answer_dropped = false;
@@ -184,11 +184,12 @@
     }
 }
 
-static void
-begin_answer(gate_attempt *attempt)
+void
+gate_begin_answer(gate_attempt *attempt)
 {
     gate_request *request = attempt->request;
 
+    gate_choose_attempt(attempt);
     if (!request->has_answer_begun) {
         request->has_answer_begun = true;
         request->is_close_delimited = attempt->is_unframed;
@@ -211,31 +212,19 @@
     return attempt->status >= 500 || attempt->status == 0;
 }
 
-/* Is the answer of no use to the caller? A failure is not, while another
- * attempt may still succeed, nor where the answer has begun. */
-static bool
-must_drop_answer(const gate_attempt *attempt)
+bool
+gate_must_drop_answer(const gate_attempt *attempt)
 {
     const gate_request *request = attempt->request;
+    const gate_attempt *other = gate_find_set_aside(request);
 
-    return attempt->was_not_run ||
-           (request->has_answer_begun && !is_success(attempt)) ||
-           (request->stalled != NULL && is_failure(attempt));
-}
-
-/* Of two attempts, the one that is answered first goes on. */
-static void
-cancel_other_attempt(gate_attempt *attempt)
-{
-    gate_request *request = attempt->request;
-
-    if (attempt == request->stalled) {
-        gate_resume_stalled_attempt(request, "answered");
-    }
-    else if (request->stalled != NULL) {
-        gate_cancel_attempt(request->stalled);
-        request->stalled = NULL;
+    if (request->has_answer_begun &&
+        (!is_success(attempt) ||
+         (attempt->is_unframed && !request->is_close_delimited))) {
+        return true;
     }
+    return attempt->was_not_run ||
+           (is_failure(attempt) && (attempt->is_set_aside || other != NULL));
 }
 
 static void
@@ -254,11 +243,10 @@
         attempt->status = 0;
         return;
     }
-    attempt->is_answer_dropped = must_drop_answer(attempt);
+    attempt->is_answer_dropped = gate_must_drop_answer(attempt);
     if (attempt->is_answer_dropped) {
         return;
     }
-    cancel_other_attempt(attempt);
     request->gate->wire->write_response(&attempt->headers, head);
     if (!request->is_stream) {
         record_first_output(attempt);
@@ -270,14 +258,14 @@
 {
     gate_request *request = attempt->request;
 
-    begin_answer(attempt);
     if (request->route->is_resumable) {
-        if (!gate_forward_events(request, data, size)) {
+        if (!gate_forward_events(attempt, data, size)) {
             request->ops->fail(request, 502, "no-memory");
             return;
         }
     }
     else {
+        gate_begin_answer(attempt);
         front_send_body(request->connection, data, size);
     }
     if (request->state == GATE_RUNNING &&
@@ -296,7 +284,6 @@
     if (attempt->is_answer_dropped) {
         return;
     }
-    cancel_other_attempt(attempt);
     attempt->last_data_at = io_now();
     record_first_output(attempt);
     if (request->is_stream && is_success(attempt)) {
@@ -309,7 +296,7 @@
     }
     buf_append(&attempt->body, data, size);
     if (attempt->body.size > MAX_BUFFERED_ANSWER) {
-        begin_answer(attempt);
+        gate_begin_answer(attempt);
         front_send_body(request->connection, attempt->body.data,
                         attempt->body.size);
         buf_clear(&attempt->body);
@@ -318,15 +305,18 @@
 
 /* Ends the answer to the caller. An answer that ends with its connection may
  * have been cut, so it must not be framed as if it were complete. */
-static void
-finish_answer(gate_attempt *attempt)
+void
+gate_finish_answer(gate_attempt *attempt)
 {
     gate_request *request = attempt->request;
     gate_server *gate = request->gate;
     bool is_served = attempt->status < 500;
 
+    gate_choose_attempt(attempt);
+    if (attempt->is_unframed || attempt->partial_event.size > 0) {
+        gate_begin_answer(attempt);
+    }
     if (attempt->is_unframed) {
-        begin_answer(attempt);
         if (!request->is_close_delimited) {
             request->ops->fail(request, 502, "no-frame");
             return;
@@ -404,10 +394,12 @@
     }
     if (is_failure(attempt) && request->ops->take_retry(request)) {
         gate_exclude_endpoint(request);
+        attempt->is_whole = true;
+        gate_set_attempt_aside(request);
         request->ops->decide(request);
         return;
     }
-    finish_answer(attempt);
+    gate_finish_answer(attempt);
 }
 
 /* Nothing was sent, so the request goes to another endpoint without using the
@@ -429,11 +421,11 @@
 
 /* The current attempt, or the decision on it, goes on. */
 static void
-drop_stalled_attempt(gate_attempt *attempt, back_outcome outcome)
+drop_set_aside(gate_attempt *attempt, back_outcome outcome)
 {
     gate_request *request = attempt->request;
 
-    request->stalled = NULL;
+    attempt->is_set_aside = false;
     if (outcome == BACK_NOT_SENT) {
         request->sends--;
     }
@@ -449,13 +441,10 @@
     gate_attempt *attempt = (gate_attempt *)exchange;
 
     end_attempt(attempt);
-    if (attempt == attempt->request->stalled) {
-        if (outcome != BACK_COMPLETE || attempt->is_answer_dropped ||
-            is_failure(attempt)) {
-            drop_stalled_attempt(attempt, outcome);
-            return;
-        }
-        gate_resume_stalled_attempt(attempt->request, "answered");
+    if (attempt->is_set_aside &&
+        (outcome != BACK_COMPLETE || attempt->is_answer_dropped)) {
+        drop_set_aside(attempt, outcome);
+        return;
     }
     switch (outcome) {
     case BACK_COMPLETE:
--- a/packages/gateway/source/gate-imp.h
+++ b/packages/gateway/source/gate-imp.h
@@ -25,6 +25,9 @@
     back_exchange exchange; /* first member */
     gate_request *request;
     bool is_running;             /* holds its reservation */
+    bool is_set_aside;           /* another one is tried beside it */
+    bool is_whole;               /* a failure that is kept in case no other
+                                    endpoint answers */
     bool is_counted_run;         /* in `runs` of the request */
     eng_reservation reservation; /* the current or last one */
     bool was_not_run;            /* according to the answer */
@@ -46,8 +49,8 @@
     bool (*take_retry)(gate_request *request);
     void (*retry)(gate_request *request, const char *reason);
 
-    /* Ends the request; give_up waits for a stalled attempt instead, if there
-     * is one. */
+    /* Ends the request; give_up goes on with an attempt that was set aside
+     * instead, if there is one. */
     void (*fail)(gate_request *request, uint32_t status, const char *reason);
     void (*give_up)(gate_request *request, uint32_t status,
                     const char *reason);
@@ -82,12 +85,8 @@
     uint32_t runs;           /* attempts that an endpoint may have run */
     uint32_t tried_count;
     lv_handle tried[ADM_TRIED_MAX]; /* endpoints that are not used again */
-    gate_attempt attempts[2];
-    gate_attempt *attempt; /* the current or last one */
-    gate_attempt *stalled; /* an earlier one whose endpoint is silent; it is
-                              cancelled once the current one is answered, and
-                              becomes the current one again if its endpoint
-                              goes on first; NULL: none */
+    gate_attempt attempts[GATE_MAX_SENDS];
+    gate_attempt *attempt;      /* the current or last one */
     lv_time next_attempt_after; /* of one beside a silent one, or for an
                                    answer that was interrupted */
     adm_decision decision;
@@ -116,8 +115,8 @@
 void gate_fill_admission(const gate_request *request, lv_time now,
                          adm_request *to);
 
-/* Starts, queues or refuses a request that has no attempt in progress besides
- * a stalled one. */
+/* Starts, queues or refuses a request that has no attempt in progress, other
+ * than those set aside. */
 void gate_decide_request(gate_request *request);
 
 /* Sends the request to the endpoint of its decision. `reason` is logged. */
@@ -132,7 +131,7 @@
 void gate_fail_request(gate_request *request, uint32_t status,
                        const char *reason);
 
-/* Goes on waiting for the stalled attempt if there is one, else fails the
+/* Goes on with an attempt that was set aside if there is one, else fails the
  * request. */
 void gate_give_up_request(gate_request *request, uint32_t status,
                           const char *reason);
@@ -177,21 +176,43 @@
 /* Counts an attempt in progress as a run if its endpoint may run it. */
 void gate_count_possible_run(gate_attempt *attempt);
 
+/* May the answer of an attempt not go to the caller? A failure may not, while
+ * another attempt may still succeed, nor after an answer has begun. */
+bool gate_must_drop_answer(const gate_attempt *attempt);
+
+/* Chooses the attempt, and begins the answer to the caller if it has not
+ * begun. */
+void gate_begin_answer(gate_attempt *attempt);
+
+/* Ends the answer to the caller with that of an attempt, which is whole. */
+void gate_finish_answer(gate_attempt *attempt);
+
 /* Excludes the endpoint of the last attempt from further ones. A request that
  * has excluded ADM_TRIED_MAX endpoints is not retried. */
 void gate_exclude_endpoint(gate_request *request);
 
-/* gate-stall.c: attempts whose endpoints are silent, and answers that were
- * interrupted */
+/* gate-stall.c: attempts that are set aside while others are tried, because
+ * their endpoints are silent or their answers are failures, and answers that
+ * were interrupted */
 
 /* Starts a second attempt beside the current one, whose endpoint is silent, if
  * another endpoint may start the request at once and the retry budget allows
  * it. */
 void gate_reroute_request(gate_request *request);
 
-/* Makes the stalled attempt the current one again, and cancels the one that
- * was to replace it. `reason` is logged. */
-void gate_resume_stalled_attempt(gate_request *request, const char *reason);
+/* Sets the current attempt aside, so that another one can be decided. */
+void gate_set_attempt_aside(gate_request *request);
+
+/* Returns an attempt that was set aside: preferably one whose endpoint may
+ * still answer; NULL: none. */
+gate_attempt *gate_find_set_aside(const gate_request *request);
+
+/* Cancels the current attempt and makes one that was set aside the current one
+ * again; a whole failure is then the answer. `reason` is logged. */
+void gate_go_on_with(gate_attempt *attempt, const char *reason);
+
+/* The answer of an attempt goes to the caller, so the others are cancelled. */
+void gate_choose_attempt(gate_attempt *attempt);
 
 /* Queues a request whose answer was interrupted and that may not start now;
  * `reason` is logged. */
@@ -218,9 +239,10 @@
 
 /* gate-stream.c: resumable event streams */
 
-/* Forwards the events that are whole and buffers the rest. Returns false when
- * out of memory. */
-bool gate_forward_events(gate_request *request, const char *data, size_t size);
+/* Forwards the events that are whole and buffers the rest. Of two attempts the
+ * one that has the first whole event is chosen. Returns false when out of
+ * memory. */
+bool gate_forward_events(gate_attempt *attempt, const char *data, size_t size);
 
 /* gate-log.c: log lines of requests */
 
--- a/packages/gateway/source/gate-request.c
+++ b/packages/gateway/source/gate-request.c
@@ -63,10 +63,11 @@
 static void
 cancel_attempts(gate_request *request)
 {
-    gate_cancel_attempt(request->attempt);
-    if (request->stalled != NULL) {
-        gate_cancel_attempt(request->stalled);
-        request->stalled = NULL;
+    int i;
+
+    for (i = 0; i < GATE_MAX_SENDS; i++) {
+        gate_cancel_attempt(&request->attempts[i]);
+        request->attempts[i].is_set_aside = false;
     }
 }
 
@@ -160,14 +161,16 @@
                const rt_route *route, const rt_account *account)
 {
     gate_request *request = calloc(1, sizeof *request);
+    int i;
 
     if (request == NULL) {
         return NULL;
     }
     request->gate = gate;
     request->ops = &request_ops;
-    request->attempts[0].request = request;
-    request->attempts[1].request = request;
+    for (i = 0; i < GATE_MAX_SENDS; i++) {
+        request->attempts[i].request = request;
+    }
     request->attempt = &request->attempts[0];
     request->connection = connection;
     request->config = rt_ref(gate->config);
@@ -296,8 +299,10 @@
 gate_give_up_request(gate_request *request, uint32_t status,
                      const char *reason)
 {
-    if (request->stalled != NULL) {
-        gate_resume_stalled_attempt(request, reason);
+    gate_attempt *other = gate_find_set_aside(request);
+
+    if (other != NULL) {
+        gate_go_on_with(other, reason);
     }
     else {
         gate_fail_request(request, status, reason);
@@ -331,12 +336,13 @@
 static void
 refuse_or_fail(gate_request *request, lv_time retry_after, const char *reason)
 {
-    if (request->stalled == NULL && request->has_answer_begun &&
+    bool has_other = gate_find_set_aside(request) != NULL;
+
+    if (!has_other && request->has_answer_begun &&
         request->decision.endpoint != LV_HANDLE_NONE) {
         gate_wait_to_resume(request, reason);
     }
-    else if (request->stalled != NULL || request->may_have_run ||
-             request->has_answer_begun) {
+    else if (has_other || request->may_have_run || request->has_answer_begun) {
         gate_give_up_request(request, 502, reason);
     }
     else {
@@ -460,11 +466,15 @@
 }
 
 static void
-finish_attempt(gate_attempt *attempt)
+finish_attempts(gate_request *request)
 {
-    buf_finish(&attempt->headers);
-    buf_finish(&attempt->body);
-    buf_finish(&attempt->partial_event);
+    int i;
+
+    for (i = 0; i < GATE_MAX_SENDS; i++) {
+        buf_finish(&request->attempts[i].headers);
+        buf_finish(&request->attempts[i].body);
+        buf_finish(&request->attempts[i].partial_event);
+    }
 }
 
 void
@@ -478,8 +488,7 @@
         if (request->state == GATE_FINISHED) {
             unlink_request(request);
             rt_unref(request->config);
-            finish_attempt(&request->attempts[0]);
-            finish_attempt(&request->attempts[1]);
+            finish_attempts(request);
             free(request);
         }
         request = next;
--- a/packages/gateway/source/gate-stall.c
+++ b/packages/gateway/source/gate-stall.c
@@ -3,30 +3,56 @@
 /* From an attempt that could not start, or failed, to the next. */
 #define ATTEMPT_INTERVAL (100 * LV_MILLISECOND)
 
+/* An attempt set aside is one that was sent, and so few are sent that one is
+ * left. */
 static gate_attempt *
-other_attempt(gate_request *request)
+find_free_attempt(gate_request *request)
 {
-    return request->attempt == &request->attempts[0] ? &request->attempts[1]
-                                                     : &request->attempts[0];
+    gate_attempt *attempt = request->attempts;
+
+    while (attempt->is_set_aside) {
+        attempt++;
+    }
+    return attempt;
 }
 
-/* The next attempt names the endpoint of the stalled one in the log until it
- * is started. */
-static void
-set_attempt_aside(gate_request *request)
+/* The next attempt names the endpoint of this one in the log until it is
+ * started. */
+void
+gate_set_attempt_aside(gate_request *request)
 {
-    gate_attempt *stalled = request->attempt;
-    gate_attempt *next = other_attempt(request);
-
-    gate_count_possible_run(stalled);
-    next->reservation = stalled->reservation;
-    next->status = stalled->status;
-    next->last_data_at = stalled->last_data_at;
-    request->stalled = stalled;
+    gate_attempt *attempt = request->attempt;
+    gate_attempt *next;
+
+    gate_count_possible_run(attempt);
+    attempt->is_set_aside = true;
+    if (attempt->exchange.has_response_head && !attempt->is_whole) {
+        attempt->is_answer_dropped =
+            attempt->is_answer_dropped || gate_must_drop_answer(attempt);
+    }
+    next = find_free_attempt(request);
+    next->reservation = attempt->reservation;
+    next->status = attempt->status;
+    next->last_data_at = attempt->last_data_at;
     request->attempt = next;
     request->state = GATE_QUEUED;
     request->grant_denials = 0;
-    request->gate->counts.stalls++;
+}
+
+gate_attempt *
+gate_find_set_aside(const gate_request *request)
+{
+    const gate_attempt *found = NULL;
+    int i;
+
+    for (i = 0; i < GATE_MAX_SENDS; i++) {
+        const gate_attempt *attempt = &request->attempts[i];
+
+        if (attempt->is_set_aside && (found == NULL || found->is_whole)) {
+            found = attempt;
+        }
+    }
+    return (gate_attempt *)found;
 }
 
 /* Also an endpoint that is sound may be silent for a while, so its attempt is
@@ -54,22 +80,46 @@
     out_record_failure(&eng_at(&gate->endpoints, endpoint)->outlier, false,
                        now);
     gate_exclude_endpoint(request);
-    set_attempt_aside(request);
+    gate->counts.stalls++;
+    gate_set_attempt_aside(request);
     gate_log_step(request, "again", "silent");
     gate_decide_request(request);
 }
 
 void
-gate_resume_stalled_attempt(gate_request *request, const char *reason)
+gate_go_on_with(gate_attempt *attempt, const char *reason)
 {
+    gate_request *request = attempt->request;
+
     gate_cancel_attempt(request->attempt);
-    request->attempt = request->stalled;
-    request->stalled = NULL;
+    attempt->is_set_aside = false;
+    request->attempt = attempt;
     request->state = GATE_RUNNING;
-    request->decision.endpoint = request->attempt->reservation.endpoint;
+    request->decision.endpoint = attempt->reservation.endpoint;
+    request->grant_denials = 0;
     request->next_attempt_after = io_now() + ATTEMPT_INTERVAL;
-    request->gate->counts.stalls_resumed++;
     gate_log_step(request, "resume", reason);
+    if (attempt->is_whole) {
+        gate_finish_answer(attempt);
+    }
+    else {
+        request->gate->counts.stalls_resumed++;
+    }
+}
+
+void
+gate_choose_attempt(gate_attempt *attempt)
+{
+    gate_request *request = attempt->request;
+    gate_attempt *other;
+
+    if (attempt->is_set_aside) {
+        gate_go_on_with(attempt, "answered");
+    }
+    while ((other = gate_find_set_aside(request)) != NULL) {
+        gate_cancel_attempt(other);
+        other->is_set_aside = false;
+    }
 }
 
 void
--- a/packages/gateway/source/gate-stream.c
+++ b/packages/gateway/source/gate-stream.c
@@ -57,9 +57,10 @@
 /* The caller gets whole events only, since another endpoint may have to resume
  * the stream after the last one. */
 bool
-gate_forward_events(gate_request *request, const char *data, size_t size)
+gate_forward_events(gate_attempt *attempt, const char *data, size_t size)
 {
-    buf_buffer *partial = &request->attempt->partial_event;
+    gate_request *request = attempt->request;
+    buf_buffer *partial = &attempt->partial_event;
     size_t whole;
 
     buf_append(partial, data, size);
@@ -68,6 +69,7 @@
     }
     whole = whole_events_size(partial->data, partial->size);
     if (whole > 0) {
+        gate_begin_answer(attempt);
         save_last_event_id(request, partial->data, whole);
         front_send_body(request->connection, partial->data, whole);
         buf_consume(partial, whole);
--- a/packages/gateway/source/gate-tick.c
+++ b/packages/gateway/source/gate-tick.c
@@ -17,7 +17,7 @@
     uint32_t runs = request->runs + !attempt->is_counted_run;
 
     if (!rt_may_retry(route) || runs >= route->max_attempts ||
-        request->stalled != NULL ||
+        !back_was_sent(&attempt->exchange) ||
         request->tried_count + 1 >= ADM_TRIED_MAX) {
         return false;
     }
@@ -49,6 +49,20 @@
     }
 }
 
+/* A failure that was kept is the answer then. */
+static void
+end_at_deadline(gate_request *request)
+{
+    gate_attempt *other = gate_find_set_aside(request);
+
+    if (other != NULL && other->is_whole) {
+        gate_go_on_with(other, "time-is-up");
+    }
+    else {
+        gate_fail_request(request, 504, "time-is-up");
+    }
+}
+
 static void
 clear_overdue(eng_table *table)
 {
@@ -63,6 +77,7 @@
 gate_tick_requests(gate_server *gate, lv_time now)
 {
     gate_request *request = gate->requests;
+    int i;
 
     clear_overdue(&gate->endpoints);
     while (request != NULL) {
@@ -72,10 +87,11 @@
             request = next;
             continue;
         }
-        record_overdue(&request->attempts[0], now);
-        record_overdue(&request->attempts[1], now);
+        for (i = 0; i < GATE_MAX_SENDS; i++) {
+            record_overdue(&request->attempts[i], now);
+        }
         if (now >= request->answer_deadline) {
-            gate_fail_request(request, 504, "time-is-up");
+            end_at_deadline(request);
         }
         else if (request->state == GATE_RUNNING && is_stalled(request, now)) {
             gate_reroute_request(request);
--- a/tests/gateway/stage-endpoint.c
+++ b/tests/gateway/stage-endpoint.c
@@ -53,6 +53,10 @@
     self->next_event++;
 }
 
+static const char stream_headers[] =
+    SEAL_HEADER "Content-Type: text/event-stream\r\n"
+                "Transfer-Encoding: chunked\r\n";
+
 static void
 on_timer(uv_timer_t *timer)
 {
@@ -63,6 +67,10 @@
         uv_timer_stop(timer);
         return;
     }
+    if (mode == STAGE_STREAM_LATE && !self->has_paused) {
+        self->has_paused = true;
+        send_head(self, self->id, "200 OK", stream_headers);
+    }
     if (mode == STAGE_STREAM_PAUSE && self->next_event >= 3 &&
         !self->has_paused) {
         self->has_paused = true;
@@ -70,8 +78,8 @@
         return;
     }
     if (self->next_event < EVENT_COUNT &&
-        (mode == STAGE_STREAM || mode == STAGE_STREAM_PAUSE ||
-         self->next_event < 3)) {
+        (mode == STAGE_STREAM || mode == STAGE_STREAM_LATE ||
+         mode == STAGE_STREAM_PAUSE || self->next_event < 3)) {
         send_event(self, false);
         return;
     }
@@ -98,9 +106,12 @@
 
     self->next_event =
         last_event_id != NULL ? (uint32_t)atoi(last_event_id) + 1 : 0;
-    send_head(self, self->id, "200 OK",
-              SEAL_HEADER "Content-Type: text/event-stream\r\n"
-                          "Transfer-Encoding: chunked\r\n");
+    if (self->endpoint->mode == STAGE_STREAM_LATE) {
+        uv_timer_start(&self->timer, on_timer, STAGE_PAUSE_MS,
+                       EVENT_INTERVAL_MS);
+        return;
+    }
+    send_head(self, self->id, "200 OK", stream_headers);
     uv_timer_start(&self->timer, on_timer, EVENT_INTERVAL_MS,
                    EVENT_INTERVAL_MS);
 }
@@ -108,6 +119,17 @@
 static const char sealed_length_headers[] =
     SEAL_HEADER "Content-Length: 4\r\n";
 
+static void
+send_late_body(uv_timer_t *timer)
+{
+    endpoint_connection *self = timer->data;
+
+    if (!self->stream.is_closing) {
+        send_text(self, "fail");
+        self->is_busy = false;
+    }
+}
+
 static void
 respond_late(uv_timer_t *timer)
 {
@@ -177,6 +199,19 @@
     case STAGE_RESET:
         io_reset(&self->stream);
         break;
+    case STAGE_ERROR_LATE:
+        self->is_busy = true;
+        send_head(self, self->id, "500 Error", sealed_length_headers);
+        uv_timer_start(&self->timer, send_late_body, STAGE_PAUSE_MS, 0);
+        break;
+    case STAGE_STREAM_HEAD:
+    case STAGE_STREAM_HEAD_CLOSED:
+        self->is_busy = true;
+        send_head(self, self->id, "200 OK", stream_headers);
+        if (self->endpoint->mode == STAGE_STREAM_HEAD_CLOSED) {
+            io_close(&self->stream);
+        }
+        break;
     case STAGE_NO_RESPONSE:
         self->is_busy = true;
         break;
@@ -185,6 +220,7 @@
         uv_timer_start(&self->timer, respond_late, STAGE_PAUSE_MS, 0);
         break;
     case STAGE_STREAM:
+    case STAGE_STREAM_LATE:
     case STAGE_STREAM_TRUNCATED:
     case STAGE_STREAM_STALL:
     case STAGE_STREAM_PAUSE:
--- a/tests/gateway/stage.h
+++ b/tests/gateway/stage.h
@@ -18,19 +18,23 @@
 
 /* How a fake endpoint responds to a request. */
 typedef enum stage_mode {
-    STAGE_RESPOND,               /* a complete response with a seal */
-    STAGE_STREAM,                /* six events, 5 ms apart */
-    STAGE_STREAM_TRUNCATED,      /* three and a half events, then closes */
-    STAGE_STREAM_STALL,          /* three events, then stays idle */
-    STAGE_STREAM_PAUSE,          /* three events, a pause, the other three */
-    STAGE_RESPOND_LATE,          /* a complete response after a pause */
-    STAGE_SHED,                  /* 503, marked as not executed */
-    STAGE_ERROR,                 /* 500 from the endpoint, with a seal */
-    STAGE_RESET,                 /* executes it and resets the connection */
-    STAGE_NO_RESPONSE,           /* executes it and never responds */
-    STAGE_SHORT_BODY,            /* half of the Content-Length, then closes */
-    STAGE_UNSEALED,              /* 200 without a seal header */
-    STAGE_CLOSE_DELIMITED,       /* a body delimited by connection close */
+    STAGE_RESPOND,            /* a complete response with a seal */
+    STAGE_STREAM,             /* six events, 5 ms apart */
+    STAGE_STREAM_TRUNCATED,   /* three and a half events, then closes */
+    STAGE_STREAM_STALL,       /* three events, then stays idle */
+    STAGE_STREAM_PAUSE,       /* three events, a pause, the other three */
+    STAGE_STREAM_LATE,        /* the events after a pause */
+    STAGE_STREAM_HEAD,        /* the head of a stream, then stays idle */
+    STAGE_STREAM_HEAD_CLOSED, /* the head of a stream, then closes */
+    STAGE_RESPOND_LATE,       /* a complete response after a pause */
+    STAGE_ERROR_LATE,         /* the head of a 500, its body after a pause */
+    STAGE_SHED,               /* 503, marked as not executed */
+    STAGE_ERROR,              /* 500 from the endpoint, with a seal */
+    STAGE_RESET,              /* executes it and resets the connection */
+    STAGE_NO_RESPONSE,        /* executes it and never responds */
+    STAGE_SHORT_BODY,         /* half of the Content-Length, then closes */
+    STAGE_UNSEALED,           /* 200 without a seal header */
+    STAGE_CLOSE_DELIMITED,    /* a body delimited by connection close */
     STAGE_CLOSE_DELIMITED_RESET, /* the same, reset within the body */
     STAGE_EXTRA_RESPONSE,        /* the response, then an unsolicited one */
     STAGE_STRAY_RESPONSE_FIRST,  /* another attempt's response, then its own */
--- a/tests/gateway/test-silence.c
+++ b/tests/gateway/test-silence.c
@@ -83,6 +83,18 @@
         {"/resume/1", STAGE_STREAM_PAUSE, STAGE_GARBAGE, false, ALL_EVENTS},
         {"/resume/1", STAGE_STREAM_PAUSE, STAGE_NO_RESPONSE, false,
          ALL_EVENTS},
+        {"/resume/1", STAGE_STREAM_PAUSE, STAGE_STREAM_HEAD, false,
+         ALL_EVENTS},
+        {"/resume/1", STAGE_STREAM_PAUSE, STAGE_STREAM_HEAD_CLOSED, false,
+         ALL_EVENTS},
+        {"/resume/1", STAGE_STREAM_PAUSE, STAGE_CLOSE_DELIMITED, false,
+         ALL_EVENTS},
+        {"/resume/1", STAGE_STREAM_PAUSE, STAGE_STREAM_LATE, false,
+         ALL_EVENTS},
+        {"/resume/1", STAGE_ERROR_LATE, STAGE_STREAM_LATE, false, ALL_EVENTS},
+        {"/many/1", STAGE_RESPOND_LATE, STAGE_SHORT_BODY, false, "body"},
+        {"/many/1", STAGE_RESPOND_LATE, STAGE_CLOSE_DELIMITED_RESET, false,
+         "body"},
         {"/many/1", STAGE_RESPOND_LATE, STAGE_RESPOND, true, "body"},
         {"/many/1", STAGE_RESPOND_LATE, STAGE_SHED, false, "body"},
         {"/many/1", STAGE_RESPOND_LATE, STAGE_ERROR, false, "body"},
@@ -141,3 +153,57 @@
         stage_stop(&stage);
     }
 }
+
+/* Guards against a failure of an endpoint that is replaced by one of the
+ * gateway's own because no other endpoint could do better. */
+Test(silence, the_failure_of_an_endpoint_is_kept_until_another_one_answers)
+{
+    static const stage_mode seconds[] = {STAGE_SHED, STAGE_ERROR, STAGE_RESET,
+                                         STAGE_UNSEALED, STAGE_NO_RESPONSE};
+
+    for (size_t i = 0; i < sizeof seconds / sizeof seconds[0]; i++) {
+        const silence_case one = {
+            .path = "/many/1", .first = STAGE_ERROR, .second = seconds[i]};
+        stage_response answer;
+
+        run_case(&one, &answer);
+        cr_expect_eq(answer.status, 500, "case %zu: %u", i, answer.status);
+        cr_expect(answer.is_complete, "case %zu", i);
+        cr_expect_str_eq(answer.body, "fail", "case %zu", i);
+        stage_stop(&stage);
+    }
+}
+
+static bool
+has_three_endpoints(stage_fixture *self, void *context)
+{
+    (void)context;
+    return self->gate.config != NULL && self->gate.endpoints.capacity >= 3 &&
+           self->gate.endpoints.endpoints[2].is_listed;
+}
+
+/* Guards against a request that fails because its first two endpoints are
+ * silent, although its route allows a third attempt. */
+Test(silence, a_third_endpoint_is_tried_beside_two_silent_ones)
+{
+    stage_response answer;
+
+    stage_prepare(&stage, 3);
+    stage.config_extra =
+        ",{\"name\":\"three\",\"host\":\"h\",\"prefix\":\"/three/\","
+        "\"kind\":\"idempotent\",\"timeout_ms\":1500,"
+        "\"target_latency_ms\":200,\"priority\":1,\"service\":\"pool\","
+        "\"max_attempts\":3}";
+    stage_start_gateway(&stage);
+    cr_assert(stage_run_until(&stage, has_three_endpoints, NULL, 5000));
+    stage.gate.service_budgets[0].budget.settings.slack = 100;
+    stage.endpoints[0].mode = stage.endpoints[1].mode = STAGE_NO_RESPONSE;
+    make_second_choice(&stage.endpoints[2]);
+    stage_exchange(&stage, "/three/1", "", &answer);
+    cr_expect_eq(answer.status, 200);
+    cr_expect_str_eq(answer.body, "body");
+    cr_expect_eq(stage.endpoints[0].requests, 1);
+    cr_expect_eq(stage.endpoints[1].requests, 1);
+    cr_expect_eq(stage.endpoints[2].requests, 1);
+    stage_stop(&stage);
+}
