Take a retry from the budget when it is sent, not when it is decided

The budget is looked at when a retry is decided and charged when the request is sent; silence counts as one failure until the endpoint sends again.

--- a/packages/gateway/source/gate-attempt.c
+++ b/packages/gateway/source/gate-attempt.c
@@ -103,6 +103,7 @@
     attempt->is_running = true;
     attempt->is_whole = false;
     attempt->is_counted_run = false;
+    attempt->is_silence_recorded = false;
     attempt->was_not_run = false;
     attempt->is_answer_dropped = false;
     attempt->last_data_at = io_now();
@@ -285,6 +286,7 @@
         return;
     }
     attempt->last_data_at = io_now();
+    attempt->is_silence_recorded = false;
     record_first_output(attempt);
     if (request->is_stream && is_success(attempt)) {
         forward_stream_data(attempt, data, size);
@@ -392,7 +394,7 @@
                                      : "not-the-endpoints-answer");
         return;
     }
-    if (is_failure(attempt) && request->ops->take_retry(request)) {
+    if (is_failure(attempt) && request->ops->may_retry(request)) {
         gate_exclude_endpoint(request);
         attempt->is_whole = true;
         gate_set_attempt_aside(request);
--- a/packages/gateway/source/gate-imp.h
+++ b/packages/gateway/source/gate-imp.h
@@ -29,6 +29,7 @@
     bool is_whole;               /* a failure that is kept in case no other
                                     endpoint answers */
     bool is_counted_run;         /* in `runs` of the request */
+    bool is_silence_recorded;    /* as a failure of the endpoint */
     eng_reservation reservation; /* the current or last one */
     bool was_not_run;            /* according to the answer */
     bool is_unframed;            /* the answer ends with its connection */
@@ -44,9 +45,9 @@
 typedef struct gate_request_ops {
     void (*decide)(gate_request *request);
 
-    /* Takes one retry from the budget; false if the request may not be sent
-     * again. */
-    bool (*take_retry)(gate_request *request);
+    /* May the request be sent again? Its next start takes a retry from the
+     * budget then. */
+    bool (*may_retry)(gate_request *request);
     void (*retry)(gate_request *request, const char *reason);
 
     /* Ends the request; give_up goes on with an attempt that was set aside
@@ -86,7 +87,8 @@
     uint32_t tried_count;
     lv_handle tried[ADM_TRIED_MAX]; /* endpoints that are not used again */
     gate_attempt attempts[GATE_MAX_SENDS];
-    gate_attempt *attempt;      /* the current or last one */
+    gate_attempt *attempt; /* the current or last one */
+    bool is_retry_due;     /* the next start takes a retry from the budget */
     lv_time next_attempt_after; /* of one beside a silent one, or for an
                                    answer that was interrupted */
     adm_decision decision;
@@ -142,10 +144,6 @@
 void gate_end_request(gate_request *request, const char *outcome,
                       const char *reason);
 
-/* Cancels the attempt; decides the request again if it may be retried, and
- * otherwise gives it up. */
-void gate_retry_request(gate_request *request, const char *reason);
-
 void gate_free_finished_requests(gate_server *gate);
 
 /* gate-share.c: the tokens of requests in the shares of their accounts */
@@ -191,6 +189,20 @@
  * has excluded ADM_TRIED_MAX endpoints is not retried. */
 void gate_exclude_endpoint(gate_request *request);
 
+/* gate-retry.c: the retry budget */
+
+/* Returns whether the request may be sent to another endpoint; its next start
+ * then takes a retry from the budget. */
+bool gate_may_retry(gate_request *request);
+
+/* Takes the retry that is due, if one is. Returns false when the budget is
+ * spent by now. */
+bool gate_spend_retry(gate_request *request);
+
+/* Cancels the attempt; decides the request again if it may be retried, and
+ * otherwise gives it up. */
+void gate_retry_request(gate_request *request, const char *reason);
+
 /* gate-stall.c: attempts that are set aside while others are tried, because
  * their endpoints are silent or their answers are failures, and answers that
  * were interrupted */
--- a/packages/gateway/source/gate-request.c
+++ b/packages/gateway/source/gate-request.c
@@ -147,10 +147,8 @@
     gate_count_requested(request);
 }
 
-static bool take_retry(gate_request *request);
-
 static const gate_request_ops request_ops = {.decide = gate_decide_request,
-                                             .take_retry = take_retry,
+                                             .may_retry = gate_may_retry,
                                              .retry = gate_retry_request,
                                              .fail = gate_fail_request,
                                              .give_up = gate_give_up_request,
@@ -358,6 +356,10 @@
         gate_abandon_request(request);
         return;
     }
+    if (!gate_spend_retry(request)) {
+        gate_give_up_request(request, 502, "retry-budget");
+        return;
+    }
     gate_log_step(request, "start", reason);
     gate_count_served(request);
     if (!gate_start_attempt(request)) {
@@ -426,45 +428,6 @@
     }
 }
 
-/* Takes one retry from the budget. Returns false if the request may not be
- * sent to another endpoint or the budget is used up. */
-static bool
-take_retry(gate_request *request)
-{
-    gate_server *gate = request->gate;
-    gate_service_budget *budget = gate_find_budget(gate, request->service);
-    lv_time now = io_now();
-    bool has_attempt_left = request->runs < request->route->max_attempts;
-
-    if (request->may_have_run && !rt_may_retry(request->route)) {
-        return false;
-    }
-    if (!has_attempt_left || request->sends >= GATE_MAX_SENDS ||
-        request->tried_count == ADM_TRIED_MAX ||
-        now + request->route->target / 4 >= request->answer_deadline) {
-        return false;
-    }
-    if (budget == NULL ||
-        !bud_take_retry(&budget->budget, peers_max_instances(&gate->peers),
-                        now)) {
-        return false;
-    }
-    gate->counts.retries++;
-    return true;
-}
-
-void
-gate_retry_request(gate_request *request, const char *reason)
-{
-    gate_cancel_attempt(request->attempt);
-    if (!take_retry(request)) {
-        gate_give_up_request(request, 502, reason);
-        return;
-    }
-    gate_log_step(request, "again", reason);
-    gate_decide_request(request);
-}
-
 static void
 finish_attempts(gate_request *request)
 {
--- /dev/null
+++ b/packages/gateway/source/gate-retry.c
@@ -0,0 +1,54 @@
+#include "gate-imp.h"
+
+bool
+gate_may_retry(gate_request *request)
+{
+    gate_server *gate = request->gate;
+    gate_service_budget *budget = gate_find_budget(gate, request->service);
+    lv_time now = io_now();
+    bool has_attempt_left = request->runs < request->route->max_attempts;
+
+    if (request->may_have_run && !rt_may_retry(request->route)) {
+        return false;
+    }
+    if (!has_attempt_left || request->sends >= GATE_MAX_SENDS ||
+        request->tried_count == ADM_TRIED_MAX ||
+        now + request->route->target / 4 >= request->answer_deadline) {
+        return false;
+    }
+    request->is_retry_due =
+        budget != NULL &&
+        bud_retries_left(&budget->budget, peers_max_instances(&gate->peers),
+                         now) > 0;
+    return request->is_retry_due;
+}
+
+bool
+gate_spend_retry(gate_request *request)
+{
+    gate_server *gate = request->gate;
+    gate_service_budget *budget = gate_find_budget(gate, request->service);
+
+    if (!request->is_retry_due) {
+        return true;
+    }
+    request->is_retry_due = false;
+    if (!bud_take_retry(&budget->budget, peers_max_instances(&gate->peers),
+                        io_now())) {
+        return false;
+    }
+    gate->counts.retries++;
+    return true;
+}
+
+void
+gate_retry_request(gate_request *request, const char *reason)
+{
+    gate_cancel_attempt(request->attempt);
+    if (!gate_may_retry(request)) {
+        gate_give_up_request(request, 502, reason);
+        return;
+    }
+    gate_log_step(request, "again", reason);
+    gate_decide_request(request);
+}
--- a/packages/gateway/source/gate-stall.c
+++ b/packages/gateway/source/gate-stall.c
@@ -55,6 +55,19 @@
     return (gate_attempt *)found;
 }
 
+static void
+record_silence(gate_attempt *attempt, lv_time now)
+{
+    eng_table *endpoints = &attempt->request->gate->endpoints;
+
+    if (!attempt->is_silence_recorded) {
+        attempt->is_silence_recorded = true;
+        out_record_failure(
+            &eng_at(endpoints, attempt->reservation.endpoint)->outlier, false,
+            now);
+    }
+}
+
 /* Also an endpoint that is sound may be silent for a while, so its attempt is
  * cancelled only when another endpoint has answered. */
 void
@@ -73,12 +86,11 @@
     admission.tried[admission.tried_count++] = endpoint;
     adm_decide(&gate->settings.admission, &gate->endpoints, &admission, now,
                &decision);
-    if (decision.verdict != ADM_START || !request->ops->take_retry(request)) {
+    if (decision.verdict != ADM_START || !gate_may_retry(request)) {
         request->next_attempt_after = now + ATTEMPT_INTERVAL;
         return;
     }
-    out_record_failure(&eng_at(&gate->endpoints, endpoint)->outlier, false,
-                       now);
+    record_silence(request->attempt, now);
     gate_exclude_endpoint(request);
     gate->counts.stalls++;
     gate_set_attempt_aside(request);
@@ -97,6 +109,7 @@
     request->state = GATE_RUNNING;
     request->decision.endpoint = attempt->reservation.endpoint;
     request->grant_denials = 0;
+    request->is_retry_due = false;
     request->next_attempt_after = io_now() + ATTEMPT_INTERVAL;
     gate_log_step(request, "resume", reason);
     if (attempt->is_whole) {
--- a/tests/gateway/test-start-grants.c
+++ b/tests/gateway/test-start-grants.c
@@ -195,6 +195,28 @@
     }
 }
 
+/* Guards against a retry budget that is spent on attempts that are never sent,
+ * and against a sound endpoint that seems to fail because it paused once. */
+Test(start_grants, denied_replacements_cost_neither_retries_nor_reputation)
+{
+    stage_response answer;
+    eng_endpoint *paused;
+
+    set_up_with(COORDINATOR_DENIES, 2);
+    stage.endpoints[0].mode = STAGE_STREAM_PAUSE;
+    stage.endpoints[1].mode = STAGE_STREAM;
+    paused = &stage.gate.endpoints.endpoints[0];
+    out_record_failure(&stage.gate.endpoints.endpoints[1].outlier, true,
+                       io_now());
+    stage_exchange(&stage, "/resume/1", "", &answer);
+    cr_expect(answer.is_complete);
+    cr_expect_geq(start_request_count, 2);
+    cr_expect_eq(stage.endpoints[1].requests, 0);
+    cr_expect_eq(stage.gate.counts.retries, 0);
+    cr_expect_leq(out_failure_rate(&paused->outlier, io_now()), 0.2);
+    tear_down();
+}
+
 /* Guards against a stream that is cut because its endpoint broke off and the
  * coordinator of the other one denied the start at first. */
 Test(start_grants, an_interrupted_stream_waits_for_a_grant)
