Count and log input of callers that gets no response

Callers saw requests that got neither an answer nor a refusal, and nothing told which of two causes acted: a request that is read and discarded after the last response of its connection, or a connection that is closed while a request lies unread in its receive buffer. Neither left a line or a count.

Both are counted now (lavender_caller_input_discarded_total, lavender_caller_closed_unread_total), and each connection concerned writes one line, event=input-dropped, with the reason and the bytes. A response that did not announce "Connection: close" is told from one that did. Connections closed at once at the limit of open ones are counted too.

The fixture's response body is larger because /metrics has grown past 8 KiB.

--- a/packages/gateway/include/lavender-gateway/front.h
+++ b/packages/gateway/include/lavender-gateway/front.h
@@ -31,11 +31,13 @@
     lv_time phase_since;   /* FRONT_READING: the first byte arrived */
     void *request;         /* set by the owner of the server; NULL: none */
     void (*on_response_end)(struct front_connection *connection);
-    bool is_keep_alive;   /* stays open after the current response */
-    bool is_chunked;      /* the current response is sent in chunks */
-    bool has_no_body;     /* the current response has no body */
-    bool is_disconnected; /* the caller closed the connection */
-    bool discards_input;  /* too much was pipelined */
+    uint64_t discarded_bytes; /* received and not read as a request */
+    bool is_keep_alive;       /* stays open after the current response */
+    bool is_chunked;          /* the current response is sent in chunks */
+    bool has_no_body;         /* the current response has no body */
+    bool has_announced_close; /* the current response says so */
+    bool is_disconnected;     /* the caller closed the connection */
+    bool discards_input;      /* too much was pipelined */
 } front_connection;
 
 typedef struct front_ops {
@@ -53,12 +55,21 @@
     /* A request was rejected before it was complete. */
     void (*on_rejected)(front_server *server, uint32_t status,
                         const char *reason);
+
+    /* Input that may hold requests got no response: it was discarded after
+     * the last response, or not read before the connection was closed. NULL:
+     * not reported. */
+    void (*on_input_dropped)(front_server *server, const char *reason,
+                             uint64_t bytes);
 } front_ops;
 
 typedef struct front_counts {
-    uint64_t accepted;  /* connections */
-    uint64_t rejected;  /* malformed or oversized requests */
-    uint64_t timed_out; /* requests that were not complete in time */
+    uint64_t accepted;   /* connections */
+    uint64_t rejected;   /* malformed or oversized requests */
+    uint64_t timed_out;  /* requests that were not complete in time */
+    uint64_t over_limit; /* connections closed at once: too many were open */
+    uint64_t discarded;  /* connections whose input was discarded */
+    uint64_t closed_unread; /* connections closed with unread input */
 } front_counts;
 
 struct front_server {
--- a/packages/gateway/include/lavender-gateway/io.h
+++ b/packages/gateway/include/lavender-gateway/io.h
@@ -89,6 +89,9 @@
  * still wait to be read. */
 bool io_is_closed_remotely(const io_stream *stream);
 
+/* Returns the number of bytes that arrived and were not read yet. */
+size_t io_unread_size(const io_stream *stream);
+
 /* Returns the number of bytes that are queued for writing. */
 size_t io_write_queue_size(const io_stream *stream);
 
--- a/packages/gateway/source/front-connection.c
+++ b/packages/gateway/source/front-connection.c
@@ -17,6 +17,34 @@
     connection->phase_since = io_now();
 }
 
+static void
+report_dropped(front_server *server, const char *reason, uint64_t bytes)
+{
+    if (server->ops->on_input_dropped != NULL) {
+        server->ops->on_input_dropped(server, reason, bytes);
+    }
+}
+
+void
+front_report_unread(front_connection *connection, const char *reason)
+{
+    front_server *server = connection->server;
+    uint64_t bytes =
+        io_unread_size(&connection->stream) + connection->pipelined.size;
+
+    if (bytes > 0 && !connection->stream.is_closing) {
+        server->counts.closed_unread++;
+        report_dropped(server, reason, bytes);
+    }
+}
+
+void
+front_close(front_connection *connection, const char *reason)
+{
+    front_report_unread(connection, reason);
+    io_close(&connection->stream);
+}
+
 static void
 reject_request(front_connection *connection, uint32_t status,
                const char *reason)
@@ -76,6 +104,7 @@
 keep_pipelined(front_connection *connection, const char *data, size_t size)
 {
     if (connection->discards_input) {
+        connection->discarded_bytes += size;
         return;
     }
     buf_append(&connection->pipelined, data, size);
@@ -83,6 +112,7 @@
         connection->pipelined.size > MAX_PIPELINED_BYTES) {
         connection->discards_input = true;
         connection->is_keep_alive = false;
+        connection->discarded_bytes += connection->pipelined.size;
         buf_finish(&connection->pipelined);
     }
 }
@@ -151,6 +181,7 @@
         keep_pipelined(connection, data, size);
         break;
     case FRONT_LINGERING:
+        connection->discarded_bytes += size;
         break;
     }
 }
@@ -200,7 +231,15 @@
 on_close(io_stream *stream)
 {
     front_connection *connection = (front_connection *)stream;
+    front_server *server = connection->server;
 
+    if (connection->discarded_bytes > 0) {
+        server->counts.discarded++;
+        report_dropped(server,
+                       connection->has_announced_close ? "after-close"
+                                                       : "close-not-announced",
+                       connection->discarded_bytes);
+    }
     unlink_connection(connection);
     http_reader_finish(&connection->reader);
     buf_finish(&connection->body);
@@ -238,6 +277,8 @@
 begin_lingering(front_connection *connection)
 {
     front_set_phase(connection, FRONT_LINGERING);
+    connection->discarded_bytes += connection->pipelined.size;
+    buf_finish(&connection->pipelined);
     io_shutdown(&connection->stream);
     io_read_start(&connection->stream);
 }
@@ -277,11 +318,15 @@
                      server->limits.head_bytes);
     front_set_phase(connection, FRONT_IDLE);
     if (!io_accept(&connection->stream, (uv_stream_t *)&server->listener,
-                   FRONT_SILENCE_TIMEOUT, &server->has_inherited_options) ||
-        server->connection_count > server->max_connections) {
+                   FRONT_SILENCE_TIMEOUT, &server->has_inherited_options)) {
         io_close(&connection->stream);
         return;
     }
+    if (server->connection_count > server->max_connections) {
+        server->counts.over_limit++;
+        front_close(connection, "connection-limit");
+        return;
+    }
     server->counts.accepted++;
     io_read_start(&connection->stream);
 }
--- a/packages/gateway/source/front-imp.h
+++ b/packages/gateway/source/front-imp.h
@@ -11,6 +11,13 @@
  * too many. */
 void front_accept_connection(front_server *server);
 
+/* Reports input that was received and not read as a request. */
+void front_report_unread(front_connection *connection, const char *reason);
+
+/* Closes a connection that the caller did not close. `reason` is reported if
+ * there is unread input. */
+void front_close(front_connection *connection, const char *reason);
+
 void front_set_phase(front_connection *connection, front_phase phase);
 
 #endif
--- a/packages/gateway/source/front-response.c
+++ b/packages/gateway/source/front-response.c
@@ -5,11 +5,12 @@
 /* Appends the status line and, for the last response of a connection,
  * "Connection: close". */
 static void
-append_head_start(const front_connection *connection, uint32_t status,
+append_head_start(front_connection *connection, uint32_t status,
                   buf_buffer *to)
 {
     buf_append_format(to, "HTTP/1.1 %u %s\r\n", status,
                       http_reason_phrase(status));
+    connection->has_announced_close = !connection->is_keep_alive;
     if (!connection->is_keep_alive) {
         buf_append_text(to, "Connection: close\r\n");
     }
@@ -99,6 +100,7 @@
 front_abort_response(front_connection *connection)
 {
     connection->request = NULL;
+    front_report_unread(connection, "broken-response");
     if (connection->is_chunked) {
         io_close(&connection->stream);
     }
--- a/packages/gateway/source/front-server.c
+++ b/packages/gateway/source/front-server.c
@@ -78,7 +78,7 @@
     switch (connection->phase) {
     case FRONT_IDLE:
         if (age >= current_idle_timeout(server)) {
-            io_close(&connection->stream);
+            front_close(connection, "idle-timeout");
         }
         break;
     case FRONT_READING:
@@ -91,7 +91,7 @@
         break;
     case FRONT_LINGERING:
         if (age >= LINGER_TIMEOUT) {
-            io_close(&connection->stream);
+            front_close(connection, "linger-timeout");
         }
         break;
     case FRONT_PROCESSING:
@@ -141,6 +141,6 @@
 
     for (connection = server->connections; connection != NULL;
          connection = connection->next) {
-        io_close(&connection->stream);
+        front_close(connection, "stop");
     }
 }
--- a/packages/gateway/source/gate-monitoring.c
+++ b/packages/gateway/source/gate-monitoring.c
@@ -62,6 +62,29 @@
     met_write_scalars(writer, values, sizeof values / sizeof values[0]);
 }
 
+static void
+write_caller_metrics(const gate_server *gate, met_writer *writer)
+{
+    const front_counts *counts = &gate->callers.counts;
+    const met_scalar values[] = {
+        {"lavender_caller_connections", "gauge", "open connections of callers",
+         gate->callers.connection_count},
+        {"lavender_caller_connections_total", "counter",
+         "connections of callers", (double)counts->accepted},
+        {"lavender_caller_connections_over_limit_total", "counter",
+         "connections closed at once because too many were open",
+         (double)counts->over_limit},
+        {"lavender_caller_input_discarded_total", "counter",
+         "connections with input discarded after their last response",
+         (double)counts->discarded},
+        {"lavender_caller_closed_unread_total", "counter",
+         "connections that this instance closed with unread input",
+         (double)counts->closed_unread},
+    };
+
+    met_write_scalars(writer, values, sizeof values / sizeof values[0]);
+}
+
 static void
 write_metrics(const gate_server *gate, met_writer *writer)
 {
@@ -117,6 +140,7 @@
 
     met_write_scalars(writer, values, sizeof values / sizeof values[0]);
     write_store_metrics(gate, writer);
+    write_caller_metrics(gate, writer);
     met_write_header(writer, "lavender_first_piece_seconds", "histogram",
                      "from receipt to the first piece of the answer");
     for (i = 0; i < RT_KINDS; i++) {
--- a/packages/gateway/source/gate.c
+++ b/packages/gateway/source/gate.c
@@ -73,10 +73,21 @@
               status, reason);
 }
 
+static void
+on_caller_input_dropped(front_server *server, const char *reason,
+                        uint64_t bytes)
+{
+    (void)server;
+    log_request(LOG_LEVEL_INFO, LOG_IMPORTANT, io_now(), "input-dropped",
+                "reason=%s bytes=%llu", reason, (unsigned long long)bytes);
+}
+
 static const front_ops caller_ops = {.on_request = on_caller_request,
                                      .on_disconnect = on_caller_disconnected,
                                      .on_drain = on_caller_drained,
-                                     .on_rejected = on_caller_rejected};
+                                     .on_rejected = on_caller_rejected,
+                                     .on_input_dropped =
+                                         on_caller_input_dropped};
 
 static void
 on_peer_change(void *owner, const char *what, const char *address)
--- a/packages/gateway/source/io.c
+++ b/packages/gateway/source/io.c
@@ -4,6 +4,7 @@
 #include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 /* The kernel detects a dead idle connection within five seconds: it sends
@@ -356,6 +357,19 @@
            (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
+size_t
+io_unread_size(const io_stream *stream)
+{
+    uv_os_fd_t descriptor;
+    int size = 0;
+
+    if (uv_fileno((const uv_handle_t *)&stream->tcp, &descriptor) != 0 ||
+        ioctl(descriptor, FIONREAD, &size) != 0) {
+        return 0;
+    }
+    return (size_t)size;
+}
+
 uint64_t
 io_count_writes(void)
 {
--- a/tests/gateway/stage.h
+++ b/tests/gateway/stage.h
@@ -134,7 +134,7 @@
     bool is_complete; /* complete according to its framing */
     bool is_reset;
     char head[4096];
-    char body[8192];
+    char body[16384];
 } stage_response;
 
 /* Send a POST request to a path such as "/once/1", wait for the response and
