Read pipelined requests in a loop, not by recursion

Cause: front_end_response read the next pipelined request, which called on_request, which ended its response, and so on; each step also copied the rest of the input.

The new test many_pipelined_refusals_do_not_nest, before: plain build: "many_pipelined_refusals_do_not_nest: CRASH!" sanitizers: "AddressSanitizer: stack-overflow", frames process_request, read_request, read_pipelined, finish_response repeated.

read_requests now reads as long as requests are answered at once and keeps the rest afterwards. While a request is answered at once nothing is pipelined yet, so that the end of its response finds nothing to read and returns.

--- a/packages/gateway/source/front-connection.c
+++ b/packages/gateway/source/front-connection.c
@@ -117,20 +117,31 @@
     }
 }
 
+/* Receives bytes that cannot be read as a request now. */
 static void
-process_request(front_connection *connection, const char *pipelined_data,
-                size_t size)
+receive_early(front_connection *connection, const char *data, size_t size)
+{
+    if (connection->phase == FRONT_PROCESSING) {
+        keep_pipelined(connection, data, size);
+    }
+    else {
+        connection->discarded_bytes += size;
+    }
+}
+
+static void
+process_request(front_connection *connection)
 {
     front_server *server = connection->server;
 
     front_set_phase(connection, FRONT_PROCESSING);
-    keep_pipelined(connection, pipelined_data, size);
     connection->is_keep_alive =
         connection->is_keep_alive && !server->is_draining;
     server->ops->on_request(server, connection);
 }
 
-static void
+/* Reads at most one request and returns how many bytes were used. */
+static size_t
 read_request(front_connection *connection, const char *data, size_t size)
 {
     size_t consumed;
@@ -145,8 +156,8 @@
     case HTTP_INCOMPLETE:
         break;
     case HTTP_COMPLETE:
-        process_request(connection, data + consumed, size - consumed);
-        break;
+        process_request(connection);
+        return consumed;
     case HTTP_HEAD_TOO_LARGE:
         reject_request(connection, 431, "head-too-large");
         break;
@@ -165,6 +176,24 @@
         reject_request(connection, 400, "not-a-proper-request");
         break;
     }
+    return size;
+}
+
+/* Reads requests as long as they are answered at once, and keeps the rest. */
+static void
+read_requests(front_connection *connection, const char *data, size_t size)
+{
+    while (size > 0 && !connection->stream.is_closing &&
+           (connection->phase == FRONT_IDLE ||
+            connection->phase == FRONT_READING)) {
+        size_t used = read_request(connection, data, size);
+
+        data += used;
+        size -= used;
+    }
+    if (size > 0) {
+        receive_early(connection, data, size);
+    }
 }
 
 static void
@@ -175,13 +204,11 @@
     switch (connection->phase) {
     case FRONT_IDLE:
     case FRONT_READING:
-        read_request(connection, data, size);
+        read_requests(connection, data, size);
         break;
     case FRONT_PROCESSING:
-        keep_pipelined(connection, data, size);
-        break;
     case FRONT_LINGERING:
-        connection->discarded_bytes += size;
+        receive_early(connection, data, size);
         break;
     }
 }
@@ -339,7 +366,7 @@
 
     buf_init(&connection->pipelined);
     if (pipelined.size > 0 && !pipelined.has_failed) {
-        read_request(connection, pipelined.data, pipelined.size);
+        read_requests(connection, pipelined.data, pipelined.size);
     }
     else if (pipelined.has_failed) {
         io_close(&connection->stream);
--- a/tests/gateway/test-connections.c
+++ b/tests/gateway/test-connections.c
@@ -15,6 +15,7 @@
 #define REQUEST_HEAD                                                          \
     " HTTP/1.1\r\nHost: h\r\nApi-Key: k1\r\nContent-Length: 0\r\n"
 #define REQUEST "POST /many/1" REQUEST_HEAD "\r\n"
+#define STREAM_REQUEST "POST /stream/1" REQUEST_HEAD "\r\n"
 #define LAST_REQUEST "POST /many/1" REQUEST_HEAD "Connection: close\r\n\r\n"
 
 /* Time for bytes to reach a receive buffer of this host. */
@@ -53,6 +54,29 @@
     buf_finish(&client->response);
 }
 
+static bool
+has_begun(stage_fixture *self, void *context)
+{
+    (void)self;
+    return ((stage_client *)context)->response.size > 0;
+}
+
+/* Returns how many responses with this status a client received. */
+static uint32_t
+count_responses(stage_client *client, const char *status)
+{
+    uint32_t count = 0;
+    const char *next;
+
+    buf_append(&client->response, "", 1);
+    client->response.size--;
+    for (next = client->response.data; (next = strstr(next, status)) != NULL;
+         next++) {
+        count++;
+    }
+    return count;
+}
+
 static long
 read_metric(const char *name)
 {
@@ -113,3 +137,30 @@
         stage_stop(&stage);
     }
 }
+
+/* Guards against a stack that grows with each pipelined request that is
+ * refused at once. */
+Test(connections, many_pipelined_refusals_do_not_nest)
+{
+    enum {
+        COUNT = 8900 /* 258 KB */
+    };
+    static const char request[] = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+    static char requests[COUNT * (sizeof request - 1)];
+    stage_client client;
+
+    for (int i = 0; i < COUNT; i++) {
+        memcpy(requests + i * (sizeof request - 1), request,
+               sizeof request - 1);
+    }
+    stage_start(&stage, 1);
+    stage.endpoints[0].mode = STAGE_STREAM;
+    stage_send(&stage, &client, STREAM_REQUEST, sizeof STREAM_REQUEST - 1);
+    cr_assert(stage_run_until(&stage, has_begun, &client, 1000));
+    io_write(&client.stream, requests, sizeof requests);
+    stage_run_until(&stage, is_closed, &client, 1500);
+    cr_expect_eq(count_responses(&client, "HTTP/1.1 404"), COUNT,
+                 "%u responses", count_responses(&client, "HTTP/1.1 404"));
+    finish_client(&client);
+    stage_stop(&stage);
+}
