Answer the request behind a response that began before the drain

Callers saw, at restarts, requests with neither an answer nor a refusal: those pipelined behind a response that was under way when SIGTERM came, and those sent just after it. Nothing in that response had told the caller that it was the last of its connection.

Cause: front_drain cleared is_keep_alive of all connections, also of those whose response head had gone out without "Connection: close". At the end of the response the connection lingered, and what was pipelined or came then was read and thrown away.

drain_answers_the_request_after_an_unannounced_close, before (the four cases): "pipelined before the drain: 1 responses" "during the response: 1 responses" "after the response: 1 responses" "in two parts: 1 responses" each with "the last response does not announce the close" After: two responses in each case, the second with "Connection: close".

The decision to close now falls where the head is written, so that the head always announces it: a draining server announces it in every response that begins from then on, and front_drain changes no connection. A connection whose response did not announce a close is read for one more request and closes after the drain's idle timeout if none comes. The log's reason close-not-announced is gone with the case.

--- a/packages/gateway/include/lavender-gateway/front.h
+++ b/packages/gateway/include/lavender-gateway/front.h
@@ -32,12 +32,12 @@
     void *request;         /* set by the owner of the server; NULL: none */
     void (*on_response_end)(struct front_connection *connection);
     uint64_t discarded_bytes; /* received and not read as a request */
-    bool is_keep_alive;       /* stays open after the current response */
-    bool is_chunked;          /* the current response is sent in chunks */
-    bool has_no_body;         /* the current response has no body */
-    bool has_announced_close; /* the current response says so */
-    bool is_disconnected;     /* the caller closed the connection */
-    bool discards_input;      /* too much was pipelined */
+    bool is_keep_alive;   /* stays open after the current response; does not
+                             change once the head is sent */
+    bool is_chunked;      /* the current response is sent in chunks */
+    bool has_no_body;     /* the current response has no body */
+    bool is_disconnected; /* the caller closed the connection */
+    bool discards_input;  /* too much was pipelined */
 } front_connection;
 
 typedef struct front_ops {
@@ -81,7 +81,7 @@
     uint32_t connection_count;  /* open connections */
     uint32_t max_connections;   /* further connections are closed at once */
     bool has_inherited_options; /* see io_accept */
-    bool is_draining; /* each connection closes after its current response */
+    bool is_draining; /* each connection closes after its next response */
     void *owner;
     front_counts counts;
 };
@@ -96,8 +96,10 @@
  * second. */
 void front_tick(front_server *server, lv_time now);
 
-/* Starts draining: connections close after their current response, and idle
- * ones soon. New connections are still accepted. */
+/* Starts draining: a response that begins from now on is the last one of its
+ * connection and says so, and idle connections close soon. A connection whose
+ * response has begun is used for one more request. New connections are still
+ * accepted. */
 void front_drain(front_server *server);
 void front_stop_listening(front_server *server);
 void front_close_all(front_server *server);
--- a/packages/gateway/source/front-connection.c
+++ b/packages/gateway/source/front-connection.c
@@ -135,8 +135,6 @@
     front_server *server = connection->server;
 
     front_set_phase(connection, FRONT_PROCESSING);
-    connection->is_keep_alive =
-        connection->is_keep_alive && !server->is_draining;
     server->ops->on_request(server, connection);
 }
 
@@ -262,10 +260,7 @@
 
     if (connection->discarded_bytes > 0) {
         server->counts.discarded++;
-        report_dropped(server,
-                       connection->has_announced_close ? "after-close"
-                                                       : "close-not-announced",
-                       connection->discarded_bytes);
+        report_dropped(server, "after-close", connection->discarded_bytes);
     }
     unlink_connection(connection);
     http_reader_finish(&connection->reader);
--- a/packages/gateway/source/front-response.c
+++ b/packages/gateway/source/front-response.c
@@ -5,12 +5,11 @@
 /* Appends the status line and, for the last response of a connection,
  * "Connection: close". */
 static void
-append_head_start(front_connection *connection, uint32_t status,
+append_head_start(const front_connection *connection, uint32_t status,
                   buf_buffer *to)
 {
     buf_append_format(to, "HTTP/1.1 %u %s\r\n", status,
                       http_reason_phrase(status));
-    connection->has_announced_close = !connection->is_keep_alive;
     if (!connection->is_keep_alive) {
         buf_append_text(to, "Connection: close\r\n");
     }
@@ -34,6 +33,9 @@
         size = FRONT_SIZE_UNTIL_CLOSE;
         connection->is_keep_alive = false;
     }
+    if (connection->server->is_draining) {
+        connection->is_keep_alive = false;
+    }
     append_head_start(connection, status, &head_text);
     if (headers != NULL) {
         buf_append(&head_text, headers->data, headers->size);
--- a/packages/gateway/source/front-server.c
+++ b/packages/gateway/source/front-server.c
@@ -117,13 +117,7 @@
 void
 front_drain(front_server *server)
 {
-    front_connection *connection;
-
     server->is_draining = true;
-    for (connection = server->connections; connection != NULL;
-         connection = connection->next) {
-        connection->is_keep_alive = false;
-    }
 }
 
 void
--- a/tests/gateway/test-connections.c
+++ b/tests/gateway/test-connections.c
@@ -61,6 +61,15 @@
     return ((stage_client *)context)->response.size > 0;
 }
 
+static bool
+is_quiet(stage_fixture *self, void *context)
+{
+    const front_connection *connection = self->gate.callers.connections;
+
+    (void)context;
+    return connection == NULL || connection->phase != FRONT_PROCESSING;
+}
+
 /* Returns how many responses with this status a client received. */
 static uint32_t
 count_responses(stage_client *client, const char *status)
@@ -77,6 +86,14 @@
     return count;
 }
 
+static void
+start_drain(void)
+{
+    stage.gate.is_draining = true;
+    stage.gate.drain_since = io_now();
+    front_drain(&stage.gate.callers);
+}
+
 static long
 read_metric(const char *name)
 {
@@ -138,6 +155,47 @@
     }
 }
 
+/* Guards against a request that a drain drops behind a response without
+ * "Connection: close": the caller could not know that it was the last. */
+Test(connections, drain_answers_the_request_after_an_unannounced_close)
+{
+    static const struct {
+        const char *what;
+        const char *first;      /* sent before the drain begins */
+        const char *second;     /* after that */
+        bool is_first_complete; /* before the second is sent */
+    } cases[] = {
+        {"pipelined before the drain", STREAM_REQUEST REQUEST, "", false},
+        {"during the response", STREAM_REQUEST, REQUEST, false},
+        {"after the response", STREAM_REQUEST, REQUEST, true},
+        {"in two parts", STREAM_REQUEST "POST /many/1 HTTP",
+         "/1.1\r\nHost: h\r\nApi-Key: k1\r\nContent-Length: 0\r\n\r\n", false},
+    };
+
+    for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+        stage_client client;
+
+        stage_start(&stage, 1);
+        stage.endpoints[0].mode = STAGE_STREAM;
+        stage_send(&stage, &client, cases[i].first, strlen(cases[i].first));
+        cr_assert(stage_run_until(&stage, has_begun, &client, 1000));
+        start_drain();
+        if (cases[i].is_first_complete) {
+            stage_run_until(&stage, is_quiet, NULL, 1000);
+        }
+        io_write(&client.stream, cases[i].second, strlen(cases[i].second));
+        cr_expect(stage_run_until(&stage, is_closed, &client, 3000));
+        cr_expect_eq(count_responses(&client, "HTTP/1.1 200"), 2,
+                     "%s: %u responses", cases[i].what,
+                     count_responses(&client, "HTTP/1.1 200"));
+        cr_expect_eq(count_responses(&client, "Connection: close"), 1,
+                     "%s: the last response does not announce the close",
+                     cases[i].what);
+        finish_client(&client);
+        stage_stop(&stage);
+    }
+}
+
 /* Guards against a stack that grows with each pipelined request that is
  * refused at once. */
 Test(connections, many_pipelined_refusals_do_not_nest)
