Keep pipelined requests instead of discarding them past 256 KiB

Callers that pipelined more than 256 KiB behind a request lost all of it: requests that were read were discarded, also those received before the limit, and the connection closed after a response that had not announced it.

Cause: keep_pipelined discarded the input and cleared is_keep_alive whether or not the head of the current response had been sent.

Bytes are kept as long as all connections together keep less than 32 MiB; past that, a connection with more than 256 KiB stops reading, and the rest waits at the caller. Bytes are kept where they are and read from an offset, so that many small requests are not copied once for each. If memory runs out, the next response is a 503 that closes.

A limit remains: an orderly close behind more unread bytes than the kernel buffers is seen only when bytes are sent, and only past the 32 MiB.

--- a/packages/gateway/include/lavender-gateway/front.h
+++ b/packages/gateway/include/lavender-gateway/front.h
@@ -28,16 +28,17 @@
     const http_head *head; /* of the current request */
     buf_buffer body;       /* of the current request */
     buf_buffer pipelined;  /* bytes received after the current request */
+    size_t pipelined_used; /* of them, read as requests since */
     lv_time phase_since;   /* FRONT_READING: the first byte arrived */
     void *request;         /* set by the owner of the server; NULL: none */
     void (*on_response_end)(struct front_connection *connection);
     uint64_t discarded_bytes; /* received and not read as a request */
-    bool is_keep_alive;   /* stays open after the current response; does not
-                             change once the head is sent */
-    bool is_chunked;      /* the current response is sent in chunks */
-    bool has_no_body;     /* the current response has no body */
+    bool is_keep_alive; /* stays open after the current response; does not
+                           change once the head is sent */
+    bool is_chunked;    /* the current response is sent in chunks */
+    bool has_no_body;   /* the current response has no body */
+    bool is_reading_pipelined;
     bool is_disconnected; /* the caller closed the connection */
-    bool discards_input;  /* too much was pipelined */
 } front_connection;
 
 typedef struct front_ops {
@@ -80,6 +81,7 @@
     front_connection *connections;
     uint32_t connection_count;  /* open connections */
     uint32_t max_connections;   /* further connections are closed at once */
+    size_t pipelined_bytes;     /* of all connections */
     bool has_inherited_options; /* see io_accept */
     bool is_draining; /* each connection closes after its next response */
     void *owner;
--- a/packages/gateway/include/lavender-gateway/io.h
+++ b/packages/gateway/include/lavender-gateway/io.h
@@ -89,6 +89,11 @@
  * still wait to be read. */
 bool io_is_closed_remotely(const io_stream *stream);
 
+/* Returns whether the remote side has closed or reset the connection, also
+ * when unread data is left. The end of a connection is seen once all data
+ * before it has arrived. */
+bool io_is_hung_up(const io_stream *stream);
+
 /* Returns the number of bytes that arrived and were not read yet. */
 size_t io_unread_size(const io_stream *stream);
 
--- a/packages/gateway/source/front-connection.c
+++ b/packages/gateway/source/front-connection.c
@@ -3,11 +3,6 @@
 
 #include "front-imp.h"
 
-/* Bytes that a caller may send before its current response is complete. With
- * more, its connection closes after the response: they are still read, because
- * the end of the connection is behind them, but not kept. */
-#define MAX_PIPELINED_BYTES ((size_t)256 * 1024)
-
 static void read_pipelined(front_connection *connection);
 
 void
@@ -30,7 +25,7 @@
 {
     front_server *server = connection->server;
     uint64_t bytes =
-        io_unread_size(&connection->stream) + connection->pipelined.size;
+        io_unread_size(&connection->stream) + front_pipelined_size(connection);
 
     if (bytes > 0 && !connection->stream.is_closing) {
         server->counts.closed_unread++;
@@ -100,35 +95,6 @@
 static const http_reader_ops reader_ops = {
     .on_head = on_head, .on_body = on_body, .on_end = on_message_end};
 
-static void
-keep_pipelined(front_connection *connection, const char *data, size_t size)
-{
-    if (connection->discards_input) {
-        connection->discarded_bytes += size;
-        return;
-    }
-    buf_append(&connection->pipelined, data, size);
-    if (connection->pipelined.has_failed ||
-        connection->pipelined.size > MAX_PIPELINED_BYTES) {
-        connection->discards_input = true;
-        connection->is_keep_alive = false;
-        connection->discarded_bytes += connection->pipelined.size;
-        buf_finish(&connection->pipelined);
-    }
-}
-
-/* Receives bytes that cannot be read as a request now. */
-static void
-receive_early(front_connection *connection, const char *data, size_t size)
-{
-    if (connection->phase == FRONT_PROCESSING) {
-        keep_pipelined(connection, data, size);
-    }
-    else {
-        connection->discarded_bytes += size;
-    }
-}
-
 static void
 process_request(front_connection *connection)
 {
@@ -177,21 +143,19 @@
     return size;
 }
 
-/* Reads requests as long as they are answered at once, and keeps the rest. */
-static void
+/* Reads requests as long as they are answered at once, and returns how many
+ * bytes were used. */
+static size_t
 read_requests(front_connection *connection, const char *data, size_t size)
 {
-    while (size > 0 && !connection->stream.is_closing &&
+    size_t used = 0;
+
+    while (used < size && !connection->stream.is_closing &&
            (connection->phase == FRONT_IDLE ||
             connection->phase == FRONT_READING)) {
-        size_t used = read_request(connection, data, size);
-
-        data += used;
-        size -= used;
-    }
-    if (size > 0) {
-        receive_early(connection, data, size);
+        used += read_request(connection, data + used, size - used);
     }
+    return used;
 }
 
 static void
@@ -199,30 +163,33 @@
 {
     front_connection *connection = (front_connection *)stream;
 
-    switch (connection->phase) {
-    case FRONT_IDLE:
-    case FRONT_READING:
-        read_requests(connection, data, size);
-        break;
-    case FRONT_PROCESSING:
-    case FRONT_LINGERING:
-        receive_early(connection, data, size);
-        break;
+    size_t used = read_requests(connection, data, size);
+
+    if (used < size && connection->phase == FRONT_PROCESSING) {
+        front_keep_pipelined(connection, data + used, size - used);
+    }
+    else {
+        connection->discarded_bytes += size - used;
     }
 }
 
-static void
-on_stream_end(io_stream *stream, bool is_error)
+void
+front_disconnect(front_connection *connection)
 {
-    front_connection *connection = (front_connection *)stream;
     front_server *server = connection->server;
 
-    (void)is_error;
     connection->is_disconnected = true;
     if (connection->phase == FRONT_PROCESSING) {
         server->ops->on_disconnect(server, connection);
     }
-    io_close(stream);
+    io_close(&connection->stream);
+}
+
+static void
+on_stream_end(io_stream *stream, bool is_error)
+{
+    (void)is_error;
+    front_disconnect((front_connection *)stream);
 }
 
 static void
@@ -258,6 +225,9 @@
     front_connection *connection = (front_connection *)stream;
     front_server *server = connection->server;
 
+    if (connection->phase == FRONT_LINGERING) {
+        connection->discarded_bytes += front_pipelined_size(connection);
+    }
     if (connection->discarded_bytes > 0) {
         server->counts.discarded++;
         report_dropped(server, "after-close", connection->discarded_bytes);
@@ -265,7 +235,7 @@
     unlink_connection(connection);
     http_reader_finish(&connection->reader);
     buf_finish(&connection->body);
-    buf_finish(&connection->pipelined);
+    front_finish_pipelined(connection);
     free(connection);
 }
 
@@ -289,8 +259,8 @@
     connection->head = NULL;
     connection->request = NULL;
     front_set_phase(connection, FRONT_IDLE);
-    io_read_start(&connection->stream);
     read_pipelined(connection);
+    front_update_reading(connection);
 }
 
 /* Sends a FIN and reads until the caller's, because closing a socket with
@@ -299,8 +269,6 @@
 begin_lingering(front_connection *connection)
 {
     front_set_phase(connection, FRONT_LINGERING);
-    connection->discarded_bytes += connection->pipelined.size;
-    buf_finish(&connection->pipelined);
     io_shutdown(&connection->stream);
     io_read_start(&connection->stream);
 }
@@ -353,18 +321,24 @@
     io_read_start(&connection->stream);
 }
 
-/* Reads the next request from the bytes received after the last one. */
+/* Reads the next requests from the bytes received after the last one. A
+ * response that is sent meanwhile calls this again, with nothing to do. */
 static void
 read_pipelined(front_connection *connection)
 {
-    buf_buffer pipelined = connection->pipelined;
+    size_t used = connection->pipelined_used;
 
-    buf_init(&connection->pipelined);
-    if (pipelined.size > 0 && !pipelined.has_failed) {
-        read_requests(connection, pipelined.data, pipelined.size);
+    if (connection->pipelined.has_failed) {
+        reject_request(connection, 503, "no-memory");
+        return;
     }
-    else if (pipelined.has_failed) {
-        io_close(&connection->stream);
+    if (connection->is_reading_pipelined ||
+        front_pipelined_size(connection) == 0) {
+        return;
     }
-    buf_finish(&pipelined);
+    connection->is_reading_pipelined = true;
+    used = read_requests(connection, connection->pipelined.data + used,
+                         front_pipelined_size(connection));
+    front_use_pipelined(connection, used);
+    connection->is_reading_pipelined = false;
 }
--- a/packages/gateway/source/front-imp.h
+++ b/packages/gateway/source/front-imp.h
@@ -18,6 +18,27 @@
  * there is unread input. */
 void front_close(front_connection *connection, const char *reason);
 
+/* Closes a connection that the caller closed. */
+void front_disconnect(front_connection *connection);
+
+/* front-pipeline.c: bytes that arrive while a request is processed */
+
+void front_keep_pipelined(front_connection *connection, const char *data,
+                          size_t size);
+
+/* Returns the number of bytes that were kept and not used. */
+size_t front_pipelined_size(const front_connection *connection);
+
+/* Drops the next bytes, which were read as requests. */
+void front_use_pipelined(front_connection *connection, size_t size);
+void front_finish_pipelined(front_connection *connection);
+
+/* Reads the connection unless too many bytes are pipelined; the rest then
+ * waits at the caller. */
+void front_update_reading(front_connection *connection);
+
+/* front-connection.c */
+
 void front_set_phase(front_connection *connection, front_phase phase);
 
 #endif
--- /dev/null
+++ b/packages/gateway/source/front-pipeline.c
@@ -0,0 +1,72 @@
+#include "front-imp.h"
+
+/* A connection may have this many pipelined bytes; with more it is read on
+ * only while all connections together have less than the second limit. Reading
+ * on is better as long as memory allows, because the end of the connection is
+ * behind the bytes. */
+#define MAX_PIPELINED_BYTES ((size_t)256 * 1024)
+#define MAX_SERVER_PIPELINED_BYTES ((size_t)32 * 1024 * 1024)
+
+size_t
+front_pipelined_size(const front_connection *connection)
+{
+    return connection->pipelined.size - connection->pipelined_used;
+}
+
+static bool
+is_pipeline_full(const front_connection *connection)
+{
+    return connection->pipelined.has_failed ||
+           (front_pipelined_size(connection) > MAX_PIPELINED_BYTES &&
+            connection->server->pipelined_bytes > MAX_SERVER_PIPELINED_BYTES);
+}
+
+void
+front_update_reading(front_connection *connection)
+{
+    if (is_pipeline_full(connection)) {
+        io_read_stop(&connection->stream);
+    }
+    else {
+        io_read_start(&connection->stream);
+    }
+}
+
+static void
+discard_used(front_connection *connection, size_t size)
+{
+    buf_consume(&connection->pipelined, size);
+    connection->pipelined_used -= size;
+    connection->server->pipelined_bytes -= size;
+}
+
+void
+front_keep_pipelined(front_connection *connection, const char *data,
+                     size_t size)
+{
+    size_t kept = connection->pipelined.size;
+
+    buf_append(&connection->pipelined, data, size);
+    connection->server->pipelined_bytes += connection->pipelined.size - kept;
+    front_update_reading(connection);
+}
+
+void
+front_use_pipelined(front_connection *connection, size_t size)
+{
+    connection->pipelined_used += size;
+    if (front_pipelined_size(connection) == 0) {
+        front_finish_pipelined(connection);
+    }
+    else if (connection->pipelined_used > front_pipelined_size(connection)) {
+        discard_used(connection, connection->pipelined_used);
+    }
+}
+
+void
+front_finish_pipelined(front_connection *connection)
+{
+    connection->server->pipelined_bytes -= connection->pipelined.size;
+    connection->pipelined_used = 0;
+    buf_finish(&connection->pipelined);
+}
--- a/packages/gateway/source/front-server.c
+++ b/packages/gateway/source/front-server.c
@@ -95,6 +95,11 @@
         }
         break;
     case FRONT_PROCESSING:
+        /* The end of a connection that is read is reported by the loop. */
+        if (!connection->stream.is_reading &&
+            io_is_hung_up(&connection->stream)) {
+            front_disconnect(connection);
+        }
         break;
     }
 }
--- a/packages/gateway/source/io.c
+++ b/packages/gateway/source/io.c
@@ -1,7 +1,10 @@
+#define _GNU_SOURCE /* POLLRDHUP */
+
 #include "lavender-gateway/io.h"
 
 #include <errno.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/ioctl.h>
@@ -357,6 +360,18 @@
            (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
+bool
+io_is_hung_up(const io_stream *stream)
+{
+    struct pollfd descriptor = {.events = POLLRDHUP};
+
+    if (uv_fileno((const uv_handle_t *)&stream->tcp, &descriptor.fd) != 0) {
+        return true;
+    }
+    return poll(&descriptor, 1, 0) > 0 &&
+           (descriptor.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 size_t
 io_unread_size(const io_stream *stream)
 {
--- a/tests/gateway/test-connections.c
+++ b/tests/gateway/test-connections.c
@@ -196,6 +196,45 @@
     }
 }
 
+/* Guards against requests that are dropped because many bytes were pipelined
+ * behind a response. */
+Test(connections, all_pipelined_requests_are_answered)
+{
+    enum {
+        BODY_SIZE = 2000,
+        COUNT = 400 /* 800 KB */
+    };
+    static const char head[] = "POST /many/1 HTTP/1.1\r\nHost: h\r\n"
+                               "Api-Key: k1\r\nContent-Length: 2000\r\n\r\n";
+    static const size_t pipelined_elsewhere[] = {0, 64 * 1024 * 1024};
+    static char requests[COUNT * (sizeof head - 1 + BODY_SIZE)];
+    stage_client client;
+    char *to = requests;
+
+    for (int i = 0; i < COUNT; i++) {
+        memcpy(to, head, sizeof head - 1);
+        memset(to + sizeof head - 1, 'x', BODY_SIZE);
+        to += sizeof head - 1 + BODY_SIZE;
+    }
+    for (size_t i = 0; i < 2; i++) {
+        stage_start(&stage, 1);
+        stage.gate.callers.pipelined_bytes = pipelined_elsewhere[i];
+        stage.endpoints[0].mode = STAGE_STREAM;
+        stage_send(&stage, &client, STREAM_REQUEST, sizeof STREAM_REQUEST - 1);
+        cr_assert(stage_run_until(&stage, has_begun, &client, 1000));
+        stage.endpoints[0].mode = STAGE_RESPOND;
+        io_write(&client.stream, requests, sizeof requests);
+        stage_run_until(&stage, is_closed, &client, 4000);
+        cr_expect_eq(count_responses(&client, "HTTP/1.1 200"), 1 + COUNT,
+                     "case %zu: %u responses", i,
+                     count_responses(&client, "HTTP/1.1 200"));
+        finish_client(&client);
+        cr_expect_eq(stage.gate.callers.pipelined_bytes,
+                     pipelined_elsewhere[i]);
+        stage_stop(&stage);
+    }
+}
+
 /* Guards against a stack that grows with each pipelined request that is
  * refused at once. */
 Test(connections, many_pipelined_refusals_do_not_nest)
--- a/tests/gateway/test-framing.c
+++ b/tests/gateway/test-framing.c
@@ -254,27 +254,44 @@
     return self->endpoints[0].cancelled_runs > 0;
 }
 
+/* More than all connections of a server may have pipelined. */
+#define FULL ((size_t)64 * 1024 * 1024)
+
 /* A caller that sends on while it waits is noticed when it leaves. */
 Test(framing, caller_that_leaves_behind_many_bytes_is_noticed)
 {
-    static const size_t sizes[] = {100, 300000, 1000000};
+    static const struct {
+        size_t size;
+        bool is_reset;
+        size_t pipelined_elsewhere;
+    } departures[] = {{100, true, 0},       {300000, true, 0},
+                      {1000000, true, 0},   {100, false, 0},
+                      {300000, false, 0},   {1000000, false, 0},
+                      {100, false, FULL},   {300000, false, FULL},
+                      {300000, true, FULL}, {1000000, true, FULL}};
     static const char request[] =
         REQUEST_HEAD "Content-Length: 5\r\n\r\nhello";
 
-    for (size_t i = 0; i < sizeof sizes / sizeof sizes[0]; i++) {
+    for (size_t i = 0; i < sizeof departures / sizeof departures[0]; i++) {
         static char more[1000000];
         stage_client client;
 
         stage_start(&stage, 1);
         memset(more, 'x', sizeof more);
         stage.endpoints[0].mode = STAGE_NO_RESPONSE;
+        stage.gate.callers.pipelined_bytes = departures[i].pipelined_elsewhere;
         stage_send(&stage, &client, request, sizeof request - 1);
         cr_assert(stage_run_until(&stage, is_forwarded, NULL, 1000));
-        io_write(&client.stream, more, sizes[i]);
+        io_write(&client.stream, more, departures[i].size);
         stage_run_for(&stage, 200);
-        io_reset(&client.stream);
-        cr_expect(stage_run_until(&stage, is_cancelled, NULL, 500),
-                  "%zu bytes", sizes[i]);
+        if (departures[i].is_reset) {
+            io_reset(&client.stream);
+        }
+        else {
+            io_close(&client.stream);
+        }
+        cr_expect(stage_run_until(&stage, is_cancelled, NULL, 500), "case %zu",
+                  i);
         stage_run_until(&stage, is_closed, &client, 500);
         buf_finish(&client.response);
         stage_stop(&stage);
