Read what has arrived before a timeout closes a connection

Callers lost whole requests on connections that the instance closed as idle while the request lay in its receive buffer, most of all beside a change of the configuration that lowers the idle limit, on instances with little CPU time, and at drains. Requests that had arrived in time were refused with 408 when the loop was late.

Cause: check_timeout compared ages only. A loop that was blocked runs its timers before it reads, and a limit that shrinks (configuration, drain, crowding) is in force for all connections at the next check.

timeouts_read_what_has_arrived_before_they_close, before: "idle limit lowered: 0 bytes", "crowded: 0 bytes", "drain: 0 bytes", "late loop, idle: 0 bytes", and closed_unread counted in each; "late loop, head: 128 bytes: HTTP/1.1 408 Request Timeout", "late loop, body: 128 bytes: HTTP/1.1 408 Request Timeout" late_close_does_not_reset_the_last_response, before: "The expression !client.is_reset is false." After: one 200 in each case, nothing closed unread, no reset.

An idle connection with unread bytes is no longer idle, so it stays.

--- a/packages/gateway/include/lavender-gateway/front.h
+++ b/packages/gateway/include/lavender-gateway/front.h
@@ -38,6 +38,7 @@
     bool is_chunked;    /* the current response is sent in chunks */
     bool has_no_body;   /* the current response has no body */
     bool is_reading_pipelined;
+    bool is_past_timeout; /* of its phase, with unread bytes */
     bool is_disconnected; /* the caller closed the connection */
 } front_connection;
 
--- a/packages/gateway/source/front-connection.c
+++ b/packages/gateway/source/front-connection.c
@@ -10,6 +10,7 @@
 {
     connection->phase = phase;
     connection->phase_since = io_now();
+    connection->is_past_timeout = false;
 }
 
 static void
--- a/packages/gateway/source/front-server.c
+++ b/packages/gateway/source/front-server.c
@@ -69,6 +69,22 @@
     return timeout;
 }
 
+/* Is the timeout of a connection's phase over? Bytes that arrived before it
+ * may be unread when the loop is late; they are read until the next check. */
+static bool
+is_timed_out(front_connection *connection, lv_time age, lv_time timeout)
+{
+    if (age < timeout) {
+        return false;
+    }
+    if (!connection->is_past_timeout &&
+        io_unread_size(&connection->stream) > 0) {
+        connection->is_past_timeout = true;
+        return false;
+    }
+    return true;
+}
+
 static void
 check_timeout(front_connection *connection, lv_time now)
 {
@@ -77,12 +93,14 @@
 
     switch (connection->phase) {
     case FRONT_IDLE:
-        if (age >= current_idle_timeout(server)) {
+        /* Unread bytes are the next request. */
+        if (age >= current_idle_timeout(server) &&
+            io_unread_size(&connection->stream) == 0) {
             front_close(connection, "idle-timeout");
         }
         break;
     case FRONT_READING:
-        if (age >= server->limits.head_timeout) {
+        if (is_timed_out(connection, age, server->limits.head_timeout)) {
             server->counts.timed_out++;
             connection->is_keep_alive = false;
             server->ops->on_rejected(server, 408, "slow-request");
@@ -90,7 +108,7 @@
         }
         break;
     case FRONT_LINGERING:
-        if (age >= LINGER_TIMEOUT) {
+        if (is_timed_out(connection, age, LINGER_TIMEOUT)) {
             front_close(connection, "linger-timeout");
         }
         break;
--- a/tests/gateway/test-connections.c
+++ b/tests/gateway/test-connections.c
@@ -261,3 +261,109 @@
     finish_client(&client);
     stage_stop(&stage);
 }
+
+typedef enum timeout_case_kind {
+    CASE_LIMIT_LOWERED,
+    CASE_CROWDED,
+    CASE_DRAIN,
+    CASE_LATE
+} timeout_case_kind;
+
+/* Puts a timeout of open connections into force that is shorter than the time
+ * for which the test then blocks the loop. */
+static void
+shorten_timeout(timeout_case_kind kind)
+{
+    front_server *callers = &stage.gate.callers;
+
+    switch (kind) {
+    case CASE_LIMIT_LOWERED:
+        callers->limits.idle_timeout = 50 * LV_MILLISECOND;
+        break;
+    case CASE_CROWDED:
+        callers->max_connections = 1;
+        break;
+    case CASE_DRAIN:
+        start_drain();
+        break;
+    case CASE_LATE:
+        break;
+    }
+}
+
+/* Guards against a timeout that closes a connection over a request that has
+ * arrived and was not read yet, because the loop is late. */
+Test(connections, timeouts_read_what_has_arrived_before_they_close)
+{
+    static const struct {
+        const char *what;
+        timeout_case_kind kind;
+        const char *first; /* read before the loop is blocked */
+        const char *rest;  /* arrives while it is blocked */
+        uint64_t block_ms;
+    } cases[] = {
+        {"idle limit lowered", CASE_LIMIT_LOWERED, "", REQUEST, 200},
+        {"crowded", CASE_CROWDED, "", REQUEST, 300},
+        {"drain", CASE_DRAIN, "", REQUEST, 700},
+        {"late loop, idle", CASE_LATE, "", REQUEST, 1300},
+        {"late loop, head", CASE_LATE, "POST /many/1",
+         " HTTP/1.1\r\nHost: h\r\nApi-Key: k1\r\n\r\n", 600},
+        {"late loop, body", CASE_LATE,
+         "POST /many/1 HTTP/1.1\r\nHost: h\r\nApi-Key: k1\r\n"
+         "Content-Length: 5\r\n\r\nhe",
+         "llo", 600},
+    };
+
+    for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+        stage_client client;
+
+        stage_start(&stage, 1);
+        stage_send(&stage, &client, cases[i].first, strlen(cases[i].first));
+        cr_assert(stage_run_until(&stage, is_accepted, NULL, 1000));
+        stage_run_for(&stage, DELIVERY_MS);
+        io_write(&client.stream, cases[i].rest, strlen(cases[i].rest));
+        shorten_timeout(cases[i].kind);
+        block_loop(cases[i].block_ms);
+        stage_run_until(&stage, is_closed, &client, 3000);
+        cr_expect_eq(count_responses(&client, "HTTP/1.1 200"), 1,
+                     "%s: %zu bytes: %.40s", cases[i].what,
+                     client.response.size, client.response.data);
+        cr_expect_eq(stage.gate.callers.counts.closed_unread, 0, "%s",
+                     cases[i].what);
+        finish_client(&client);
+        stage_stop(&stage);
+    }
+}
+
+static bool
+is_lingering(stage_fixture *self, void *context)
+{
+    const front_connection *connection = self->gate.callers.connections;
+
+    (void)context;
+    return connection != NULL && connection->phase == FRONT_LINGERING;
+}
+
+/* Guards against a reset that takes the last response from its caller, because
+ * the connection is closed over bytes that a late loop did not read. */
+Test(connections, late_close_does_not_reset_the_last_response)
+{
+    stage_client client;
+
+    stage_start(&stage, 1);
+    stage_send(&stage, &client, NULL, 0);
+    cr_assert(stage_run_until(&stage, is_accepted, NULL, 1000));
+    stage_run_for(&stage, DELIVERY_MS);
+    io_read_stop(&client.stream);
+    io_write(&client.stream, LAST_REQUEST, sizeof LAST_REQUEST - 1);
+    cr_assert(stage_run_until(&stage, is_lingering, NULL, 1000));
+    io_write(&client.stream, REQUEST, sizeof REQUEST - 1);
+    block_loop(700);
+    stage_run_for(&stage, 50);
+    io_read_start(&client.stream);
+    stage_run_until(&stage, is_closed, &client, 1000);
+    cr_expect_eq(count_responses(&client, "HTTP/1.1 200"), 1);
+    cr_expect(!client.is_reset);
+    finish_client(&client);
+    stage_stop(&stage);
+}
