Count a shorter idle timeout from its change

Callers keep idle connections for as long as the limit that was in force allows. A configuration that lowers it, and the drain, closed all connections idle for longer at the next check, also over requests on the way from callers that could not know of the change.

Cause: the idle timeout in force was compared with the whole time that a connection had been idle.

lowered_idle_timeout_counts_from_its_change, before: cases 0 and 3 (a request 0.1 s after the configuration lowered the limit, and 0.3 s after the drain began, on connections idle for 0.5 and 0.6 s) were closed without an answer; the three cases that must close did. After: all five hold.

A connection now has a deadline, set when it becomes idle. A shorter timeout moves it to no earlier than the new timeout after the change, and never past the old deadline. Crowding still counts the whole idle time, since it protects new connections. A request that crosses the close on the network can still be lost; HTTP/1.1 leaves that to the caller's retry.

--- a/packages/gateway/include/lavender-gateway/front.h
+++ b/packages/gateway/include/lavender-gateway/front.h
@@ -30,6 +30,7 @@
     buf_buffer pipelined;  /* bytes received after the current request */
     size_t pipelined_used; /* of them, read as requests since */
     lv_time phase_since;   /* FRONT_READING: the first byte arrived */
+    lv_time idle_deadline; /* FRONT_IDLE: closes then */
     void *request;         /* set by the owner of the server; NULL: none */
     void (*on_response_end)(struct front_connection *connection);
     uint64_t discarded_bytes; /* received and not read as a request */
@@ -78,7 +79,8 @@
     const front_ops *ops; /* first member */
     uv_tcp_t listener;
     uv_loop_t *loop;
-    rt_limits limits; /* from the current configuration */
+    rt_limits limits;     /* from the current configuration */
+    lv_time idle_timeout; /* in force since the last front_tick */
     front_connection *connections;
     uint32_t connection_count;  /* open connections */
     uint32_t max_connections;   /* further connections are closed at once */
--- a/packages/gateway/source/front-connection.c
+++ b/packages/gateway/source/front-connection.c
@@ -10,6 +10,8 @@
 {
     connection->phase = phase;
     connection->phase_since = io_now();
+    connection->idle_deadline =
+        connection->phase_since + connection->server->idle_timeout;
     connection->is_past_timeout = false;
 }
 
--- a/packages/gateway/source/front-server.c
+++ b/packages/gateway/source/front-server.c
@@ -49,16 +49,41 @@
     return true;
 }
 
-/* Returns the idle timeout. It shrinks while many connections are open, long
- * before new ones must be refused, because callers open new connections and
- * leave the old ones idle. */
+/* Takes over an idle timeout that has changed. A shorter one counts from its
+ * change, because callers have relied on the old one so far. */
+static void
+update_idle_timeout(front_server *server, lv_time now)
+{
+    lv_time timeout =
+        server->is_draining ? DRAIN_IDLE_TIMEOUT : server->limits.idle_timeout;
+    bool is_shorter = timeout < server->idle_timeout;
+    front_connection *connection;
+
+    if (timeout == server->idle_timeout) {
+        return;
+    }
+    server->idle_timeout = timeout;
+    for (connection = server->connections; connection != NULL;
+         connection = connection->next) {
+        lv_time deadline =
+            (is_shorter ? now : connection->phase_since) + timeout;
+
+        if (!is_shorter || deadline < connection->idle_deadline) {
+            connection->idle_deadline = deadline;
+        }
+    }
+}
+
+/* The idle timeout shrinks while many connections are open, long before new
+ * ones must be refused, because callers open new connections and leave the old
+ * ones idle. */
 static lv_time
-current_idle_timeout(const front_server *server)
+crowded_idle_timeout(const front_server *server)
 {
-    lv_time timeout = server->limits.idle_timeout;
+    lv_time timeout = server->idle_timeout;
 
     if (server->is_draining) {
-        return DRAIN_IDLE_TIMEOUT;
+        return timeout;
     }
     if (server->connection_count > server->max_connections / 2) {
         timeout /= CROWDED_IDLE_DIVISOR;
@@ -69,6 +94,17 @@
     return timeout;
 }
 
+static bool
+is_idle_too_long(const front_connection *connection, lv_time now)
+{
+    const front_server *server = connection->server;
+    lv_time timeout = crowded_idle_timeout(server);
+
+    return now >= connection->idle_deadline ||
+           (timeout < server->idle_timeout &&
+            lv_elapsed(now, connection->phase_since) >= timeout);
+}
+
 /* Is the timeout of a connection's phase over? Bytes that arrived before it
  * may be unread when the loop is late; they are read until the next check. */
 static bool
@@ -94,7 +130,7 @@
     switch (connection->phase) {
     case FRONT_IDLE:
         /* Unread bytes are the next request. */
-        if (age >= current_idle_timeout(server) &&
+        if (is_idle_too_long(connection, now) &&
             io_unread_size(&connection->stream) == 0) {
             front_close(connection, "idle-timeout");
         }
@@ -127,6 +163,7 @@
 {
     front_connection *connection = server->connections;
 
+    update_idle_timeout(server, now);
     while (connection != NULL) {
         front_connection *next = connection->next;
 
--- a/tests/gateway/test-connections.c
+++ b/tests/gateway/test-connections.c
@@ -367,3 +367,48 @@
     finish_client(&client);
     stage_stop(&stage);
 }
+
+/* Guards against a limit that is lowered while callers still rely on the old
+ * one: their connections close at once, over requests that are on the way. */
+Test(connections, lowered_idle_timeout_counts_from_its_change)
+{
+    static const struct {
+        timeout_case_kind kind;
+        lv_time limit_ms;
+        uint64_t idle_ms;  /* before the change */
+        uint64_t after_ms; /* the request follows the change */
+        bool is_answered;
+    } cases[] = {
+        {CASE_LIMIT_LOWERED, 400, 500, 100, true},
+        {CASE_LIMIT_LOWERED, 200, 300, 600, false},
+        {CASE_LIMIT_LOWERED, 900, 850, 400, false}, /* past the old one */
+        {CASE_DRAIN, 0, 600, 300, true},
+        {CASE_DRAIN, 0, 50, 900, false},
+    };
+
+    for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+        stage_client client;
+
+        stage_start(&stage, 1);
+        stage_send(&stage, &client, NULL, 0);
+        cr_assert(stage_run_until(&stage, is_accepted, NULL, 1000));
+        stage_run_for(&stage, cases[i].idle_ms);
+        if (cases[i].kind == CASE_DRAIN) {
+            start_drain();
+        }
+        else {
+            stage.gate.callers.limits.idle_timeout =
+                cases[i].limit_ms * LV_MILLISECOND;
+        }
+        stage_run_for(&stage, cases[i].after_ms);
+        cr_expect_eq(!client.is_closed, cases[i].is_answered, "case %zu", i);
+        if (!client.is_closed) {
+            io_write(&client.stream, REQUEST, sizeof REQUEST - 1);
+            stage_run_until(&stage, is_closed, &client, 1500);
+        }
+        cr_expect_eq(count_responses(&client, "HTTP/1.1 200"),
+                     cases[i].is_answered, "case %zu", i);
+        finish_client(&client);
+        stage_stop(&stage);
+    }
+}
