Serve or refuse connections beyond the limit instead of closing them

Cause: front_accept_connection closed connections beyond max_connections at once, though others were idle, and left the request unread.

The connection that was idle longest, for 0.5 s at least and with nothing unread, now makes room. If there is none, the request of the new connection is read and refused with 503 too-many-connections. Up to 64 connections beyond the limit are held for that, out of the reserve of descriptors; more are closed at once, which lavender_caller_connections_over_limit_total counts and the log shows if they had sent anything.

--- a/packages/gateway/include/lavender-gateway/front.h
+++ b/packages/gateway/include/lavender-gateway/front.h
@@ -39,6 +39,7 @@
     bool is_chunked;    /* the current response is sent in chunks */
     bool has_no_body;   /* the current response has no body */
     bool is_reading_pipelined;
+    bool is_over_limit;   /* was accepted beyond max_connections */
     bool is_past_timeout; /* of its phase, with unread bytes */
     bool is_disconnected; /* the caller closed the connection */
 } front_connection;
@@ -67,11 +68,11 @@
 } front_ops;
 
 typedef struct front_counts {
-    uint64_t accepted;   /* connections */
-    uint64_t rejected;   /* malformed or oversized requests */
-    uint64_t timed_out;  /* requests that were not complete in time */
-    uint64_t over_limit; /* connections closed at once: too many were open */
-    uint64_t discarded;  /* connections whose input was discarded */
+    uint64_t accepted;      /* connections */
+    uint64_t rejected;      /* malformed or oversized requests */
+    uint64_t timed_out;     /* requests that were not complete in time */
+    uint64_t over_limit;    /* connections beyond max_connections */
+    uint64_t discarded;     /* connections whose input was discarded */
     uint64_t closed_unread; /* connections closed with unread input */
 } front_counts;
 
@@ -83,7 +84,7 @@
     lv_time idle_timeout; /* in force since the last front_tick */
     front_connection *connections;
     uint32_t connection_count;  /* open connections */
-    uint32_t max_connections;   /* further connections are closed at once */
+    uint32_t max_connections;   /* requests on further ones are refused */
     size_t pipelined_bytes;     /* of all connections */
     bool has_inherited_options; /* see io_accept */
     bool is_draining; /* each connection closes after its next response */
@@ -91,7 +92,8 @@
     front_counts counts;
 };
 
-/* Starts to accept connections; at most `max_connections` are open at a time.
+/* Starts to accept connections; requests on more than `max_connections` are
+ * refused, and far more are closed at once.
  * Returns false with the error set when the address cannot be bound. */
 bool front_listen(front_server *server, uv_loop_t *loop, const front_ops *ops,
                   const struct sockaddr_in *address, uint32_t max_connections,
--- a/packages/gateway/source/front-connection.c
+++ b/packages/gateway/source/front-connection.c
@@ -3,6 +3,10 @@
 
 #include "front-imp.h"
 
+/* Connections beyond max_connections that are read, to refuse their requests:
+ * a caller cannot tell a close without a response from a lost request. */
+#define REFUSAL_CONNECTIONS 64
+
 static void read_pipelined(front_connection *connection);
 
 void
@@ -104,6 +108,11 @@
     front_server *server = connection->server;
 
     front_set_phase(connection, FRONT_PROCESSING);
+    if (connection->is_over_limit &&
+        server->connection_count > server->max_connections) {
+        reject_request(connection, 503, "too-many-connections");
+        return;
+    }
     server->ops->on_request(server, connection);
 }
 
@@ -315,8 +324,13 @@
         io_close(&connection->stream);
         return;
     }
-    if (server->connection_count > server->max_connections) {
+    if (server->connection_count > server->max_connections &&
+        !front_close_longest_idle(server)) {
         server->counts.over_limit++;
+        connection->is_over_limit = true;
+    }
+    if (server->connection_count >
+        server->max_connections + REFUSAL_CONNECTIONS) {
         front_close(connection, "connection-limit");
         return;
     }
--- a/packages/gateway/source/front-imp.h
+++ b/packages/gateway/source/front-imp.h
@@ -7,8 +7,8 @@
  * disconnected. */
 #define FRONT_SILENCE_TIMEOUT (10 * LV_SECOND)
 
-/* Accepts a connection of the server's listener; closes it when the server has
- * too many. */
+/* Accepts a connection of the server's listener. When the server has too many,
+ * closes the one that was idle longest, or refuses the new one. */
 void front_accept_connection(front_server *server);
 
 /* Reports input that was received and not read as a request. */
@@ -39,6 +39,10 @@
 
 /* front-connection.c */
 
+/* Closes the connection that was idle longest, if it was idle for long enough.
+ * Returns whether there was one. */
+bool front_close_longest_idle(front_server *server);
+
 void front_set_phase(front_connection *connection, front_phase phase);
 
 #endif
--- a/packages/gateway/source/gate-monitoring.c
+++ b/packages/gateway/source/gate-monitoring.c
@@ -72,7 +72,7 @@
         {"lavender_caller_connections_total", "counter",
          "connections of callers", (double)counts->accepted},
         {"lavender_caller_connections_over_limit_total", "counter",
-         "connections closed at once because too many were open",
+         "connections beyond the limit, closed or refused",
          (double)counts->over_limit},
         {"lavender_caller_input_discarded_total", "counter",
          "connections with input discarded after their last response",
--- a/tests/gateway/test-connections.c
+++ b/tests/gateway/test-connections.c
@@ -412,3 +412,39 @@
         stage_stop(&stage);
     }
 }
+
+/* Guards against a connection at the limit of open ones that is closed without
+ * a response. */
+Test(connections, connection_beyond_the_limit_is_served_or_refused)
+{
+    enum {
+        LIMIT = 4
+    };
+    static const struct {
+        uint64_t idle_ms; /* of the connections within the limit */
+        const char *status;
+    } cases[] = {{700, "HTTP/1.1 200"}, {50, "HTTP/1.1 503"}};
+
+    for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+        stage_client idle[LIMIT];
+        stage_client client;
+
+        stage_start(&stage, 1);
+        stage.gate.callers.max_connections = LIMIT;
+        stage.gate.callers.limits.idle_timeout = 60 * LV_SECOND;
+        for (int k = 0; k < LIMIT; k++) {
+            stage_send(&stage, &idle[k], NULL, 0);
+        }
+        stage_run_for(&stage, cases[i].idle_ms);
+        stage_send(&stage, &client, LAST_REQUEST, sizeof LAST_REQUEST - 1);
+        cr_expect(stage_run_until(&stage, is_closed, &client, 3000));
+        cr_expect_eq(count_responses(&client, cases[i].status), 1,
+                     "case %zu: %zu bytes: %.40s", i, client.response.size,
+                     client.response.data);
+        finish_client(&client);
+        for (int k = 0; k < LIMIT; k++) {
+            finish_client(&idle[k]);
+        }
+        stage_stop(&stage);
+    }
+}
