Answer or refuse what has arrived when the process stops

Callers lost, at restarts, requests that reached an instance in its last moments: on a connection that was made as the last one closed, or at the end of the drain, and requests that were still under way then, which ended with their connection and without an answer.

Cause: check_drain stopped the loop once no connection was open, without asking for connections that wait in the listener's queue, and gate_finish ended requests ("cut") without a response.

requests_at_the_stop_are_answered_or_refused, before: no byte of an answer for "connects as the last connection has closed", "connects at the end of the drain", "under way at the end of the drain"; "unread at the end of the drain" was refused already. After: 200, 503, 502 and 503.

gate_run accepts and reads once more after the loop has stopped, and goes on if that brought a connection and the drain has time left. What is unfinished at the end is refused if it cannot have run, and otherwise fails with 502, in the log with reason=stopped; a response that has begun breaks as before.

--- a/packages/gateway/source/gate.c
+++ b/packages/gateway/source/gate.c
@@ -164,18 +164,21 @@
     }
 }
 
-static void
-check_drain(gate_server *gate, lv_time now)
+static bool
+is_drained(const gate_server *gate, lv_time now)
 {
     lv_time elapsed = lv_elapsed(now, gate->drain_since);
 
-    if (!gate->is_draining) {
-        return;
-    }
-    if ((gate->request_count == 0 && gate->callers.connection_count == 0 &&
-         elapsed >= gate->settings.min_drain) ||
-        elapsed + gate->settings.drain_reserve >=
-            gate->settings.shutdown_grace) {
+    return (gate->request_count == 0 && gate->callers.connection_count == 0 &&
+            elapsed >= gate->settings.min_drain) ||
+           elapsed + gate->settings.drain_reserve >=
+               gate->settings.shutdown_grace;
+}
+
+static void
+check_drain(gate_server *gate, lv_time now)
+{
+    if (gate->is_draining && is_drained(gate, now)) {
         uv_stop(gate->loop);
     }
 }
@@ -420,12 +423,26 @@
     return true;
 }
 
+/* Accepts the connections that wait, and then reads them. */
+static void
+read_arrived(gate_server *gate)
+{
+    int i;
+
+    for (i = 0; i < 2; i++) {
+        uv_run(gate->loop, UV_RUN_NOWAIT);
+    }
+}
+
 bool
 gate_run(gate_server *gate)
 {
     uint32_t unfinished;
 
-    uv_run(gate->loop, UV_RUN_DEFAULT);
+    do {
+        uv_run(gate->loop, UV_RUN_DEFAULT);
+        read_arrived(gate);
+    } while (gate->is_draining && !is_drained(gate, io_now()));
     unfinished = gate->request_count;
     log_event(LOG_LEVEL_NOTICE, io_now(), "stop", "cut=%u", unfinished);
     return unfinished == 0;
@@ -437,9 +454,10 @@
     gate_request *request;
     int i;
 
+    front_drain(&gate->callers);
     for (request = gate->requests; request != NULL; request = request->next) {
         if (request->state != GATE_FINISHED) {
-            gate_end_request(request, "cut", "stopped");
+            gate_fail_request(request, 502, "stopped");
         }
     }
     gate_free_finished_requests(gate);
--- a/tests/gateway/test-connections.c
+++ b/tests/gateway/test-connections.c
@@ -6,7 +6,9 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <time.h>
+#include <unistd.h>
 
 #include "stage.h"
 
@@ -54,6 +56,13 @@
     buf_finish(&client->response);
 }
 
+static bool
+is_forwarded(stage_fixture *self, void *context)
+{
+    (void)context;
+    return self->endpoints[0].requests > 0;
+}
+
 static bool
 has_begun(stage_fixture *self, void *context)
 {
@@ -448,3 +457,71 @@
         stage_stop(&stage);
     }
 }
+
+/* Connects without the loop: the connection waits in the listener's queue. */
+static int
+connect_socket(void)
+{
+    struct sockaddr_in address;
+    int client = socket(AF_INET, SOCK_STREAM, 0);
+
+    cr_assert(io_parse_address(stage.callers, &address, NULL));
+    cr_assert_eq(connect(client, (struct sockaddr *)&address, sizeof address),
+                 0);
+    return client;
+}
+
+static void
+send_request(int client)
+{
+    cr_assert_eq(send(client, REQUEST, sizeof REQUEST - 1, 0),
+                 (ssize_t)sizeof REQUEST - 1);
+}
+
+/* Guards against a request that has arrived when the process stops and gets
+ * neither an answer nor a refusal. */
+Test(connections, requests_at_the_stop_are_answered_or_refused)
+{
+    static const struct {
+        const char *what;
+        stage_mode mode;
+        lv_time drained; /* of a drain of at most 8 s */
+        bool is_accepted;
+        bool is_forwarded;
+        const char *status;
+    } cases[] = {
+        {"connects as the last connection has closed", STAGE_RESPOND,
+         4 * LV_SECOND, false, false, "HTTP/1.1 200"},
+        {"connects at the end of the drain", STAGE_RESPOND,
+         7700 * LV_MILLISECOND, false, false, "HTTP/1.1 503"},
+        {"unread at the end of the drain", STAGE_RESPOND,
+         7700 * LV_MILLISECOND, true, false, "HTTP/1.1 503"},
+        {"under way at the end of the drain", STAGE_NO_RESPONSE,
+         7700 * LV_MILLISECOND, true, true, "HTTP/1.1 502"},
+    };
+
+    for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+        char response[1024] = "";
+        int client;
+
+        stage_start(&stage, 1);
+        stage.endpoints[0].mode = cases[i].mode;
+        client = connect_socket();
+        if (cases[i].is_accepted) {
+            cr_assert(stage_run_until(&stage, is_accepted, NULL, 1000));
+        }
+        send_request(client);
+        if (cases[i].is_forwarded) {
+            cr_assert(stage_run_until(&stage, is_forwarded, NULL, 1000));
+        }
+        start_drain();
+        stage.gate.drain_since = io_now() - cases[i].drained;
+        block_loop(2 * DELIVERY_MS);
+        gate_run(&stage.gate);
+        stage_stop(&stage);
+        recv(client, response, sizeof response - 1, MSG_DONTWAIT);
+        cr_expect_eq(strncmp(response, cases[i].status, 12), 0, "%s: %.40s",
+                     cases[i].what, response);
+        close(client);
+    }
+}
