Write no request to an idle connection that its endpoint has closed

A request that must not run twice failed with 502 although no endpoint had received it, when it came just after the endpoint closed a pooled connection: endpoints that restart close many at once. A request that may be repeated spent a retry of the budget on it.

Cause: the end of an idle connection is noticed when the loop reads it. take_idle handed out the connection that was idle last, also if its end waited to be read, behind the request in the same iteration or in the backlog of a late loop. Bytes written to it count as a request that may have run.

request_takes_no_connection_that_has_ended, before: "request after the end of the pooled connection: HTTP/1.1 502 Bad Gateway" After: 200, over a new connection.

take_idle asks the kernel and closes idle connections with anything to read, which is their end or data that nobody asked for. An end that is still on the network when the request is written cannot be seen; then the request may have run, as far as this instance can know.

--- a/packages/gateway/include/lavender-gateway/io.h
+++ b/packages/gateway/include/lavender-gateway/io.h
@@ -94,6 +94,10 @@
  * before it has arrived. */
 bool io_is_hung_up(const io_stream *stream);
 
+/* Returns whether the loop has yet to report the result of the connection
+ * attempt, data, or the end of the connection. */
+bool io_has_unseen_event(const io_stream *stream);
+
 /* Returns the number of bytes that arrived and were not read yet. */
 size_t io_unread_size(const io_stream *stream);
 
--- a/packages/gateway/source/back-pool.c
+++ b/packages/gateway/source/back-pool.c
@@ -208,19 +208,25 @@
                                          .on_close = on_close};
 
 /* Takes the connection to an endpoint that became idle last and less than
- * `max_idle` ago; NULL: none. */
+ * `max_idle` ago; NULL: none. Closes those with input, which the loop has not
+ * read yet: the endpoint closed them, or sent data without a request. */
 static back_connection *
 take_idle(back_pool *pool, lv_handle endpoint, lv_time max_idle)
 {
     const back_idle_list *list = find_idle_list(pool, endpoint);
-    back_connection *latest = list != NULL ? list->first : NULL;
+    lv_time now = io_now();
 
-    if (latest == NULL ||
-        lv_elapsed(io_now(), latest->state_since) >= max_idle) {
-        return NULL;
+    while (list != NULL && list->first != NULL &&
+           lv_elapsed(now, list->first->state_since) < max_idle) {
+        back_connection *latest = list->first;
+
+        if (!io_has_unseen_event(&latest->stream)) {
+            unlink_idle(latest);
+            return latest;
+        }
+        close_idle(latest);
     }
-    unlink_idle(latest);
-    return latest;
+    return NULL;
 }
 
 static back_connection *
--- a/packages/gateway/source/io.c
+++ b/packages/gateway/source/io.c
@@ -360,16 +360,26 @@
            (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
+/* Returns whether any of the events, or an error or hang-up, is pending. */
+static bool
+has_pending_event(const io_stream *stream, short events)
+{
+    struct pollfd descriptor = {.events = events};
+
+    return uv_fileno((const uv_handle_t *)&stream->tcp, &descriptor.fd) != 0 ||
+           poll(&descriptor, 1, 0) > 0;
+}
+
 bool
 io_is_hung_up(const io_stream *stream)
 {
-    struct pollfd descriptor = {.events = POLLRDHUP};
+    return has_pending_event(stream, POLLRDHUP);
+}
 
-    if (uv_fileno((const uv_handle_t *)&stream->tcp, &descriptor.fd) != 0) {
-        return true;
-    }
-    return poll(&descriptor, 1, 0) > 0 &&
-           (descriptor.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+bool
+io_has_unseen_event(const io_stream *stream)
+{
+    return has_pending_event(stream, stream->is_connected ? POLLIN : POLLOUT);
 }
 
 size_t
--- /dev/null
+++ b/tests/gateway/test-endpoint-connections.c
@@ -0,0 +1,103 @@
+/*
+ * Connections to endpoints and to the store, whose other side closes them or
+ * answers while the loop is late.
+ */
+#include <criterion/criterion.h>
+
+#include <string.h>
+#include <time.h>
+
+#include "stage.h"
+
+static stage_fixture stage;
+
+#define ONCE_REQUEST                                                          \
+    "POST /once/1 HTTP/1.1\r\nHost: h\r\nApi-Key: k1\r\n"                     \
+    "Content-Length: 0\r\n\r\n"
+
+/* Time for bytes to reach a receive buffer of this host. */
+#define DELIVERY_MS 20
+
+/* Stops the loop, and the gateway with it, for a while. */
+static void
+block_loop(uint64_t milliseconds)
+{
+    struct timespec time = {(time_t)(milliseconds / 1000),
+                            (long)(milliseconds % 1000) * 1000000};
+
+    nanosleep(&time, NULL);
+}
+
+/* Closes a connection if a listener's process accepted it. */
+static void
+close_if_accepted(uv_handle_t *handle, void *listener)
+{
+    struct sockaddr_in own = {0};
+    struct sockaddr_in local = {0};
+    struct sockaddr_in remote;
+    int size = sizeof own;
+    const uv_tcp_t *tcp = (const uv_tcp_t *)handle;
+
+    if (handle->type != UV_TCP || handle == listener ||
+        uv_is_closing(handle) ||
+        uv_tcp_getpeername(tcp, (struct sockaddr *)&remote, &size) != 0) {
+        return;
+    }
+    uv_tcp_getsockname(tcp, (struct sockaddr *)&local, &size);
+    uv_tcp_getsockname(listener, (struct sockaddr *)&own, &size);
+    if (local.sin_port == own.sin_port) {
+        io_close(handle->data);
+    }
+}
+
+/* Closes the connections that a listener accepted; their other side has not
+ * read the end yet when this returns. */
+static void
+close_accepted(uv_tcp_t *listener)
+{
+    uv_walk(&stage.loop, close_if_accepted, listener);
+    block_loop(DELIVERY_MS);
+}
+
+static bool
+is_answered(stage_fixture *self, void *context)
+{
+    (void)self;
+    return ((stage_client *)context)->response.size > 0;
+}
+
+/* Sends a request on an open connection, before anything else happens. */
+static void
+send_on(stage_client *client)
+{
+    io_write(&client->stream, ONCE_REQUEST, sizeof ONCE_REQUEST - 1);
+    block_loop(DELIVERY_MS);
+}
+
+static void
+expect_ok(stage_client *client, const char *what)
+{
+    cr_expect(stage_run_until(&stage, is_answered, client, 3000), "%s", what);
+    buf_append(&client->response, "", 1);
+    cr_expect_eq(strncmp(client->response.data, "HTTP/1.1 200", 12), 0,
+                 "%s: %.40s", what, client->response.data);
+    buf_clear(&client->response);
+}
+
+/* Guards against a request that must not run twice and fails because it was
+ * written to an idle connection that the endpoint had closed. */
+Test(endpoint_connections, request_takes_no_connection_that_has_ended)
+{
+    stage_client client;
+
+    stage_start(&stage, 1);
+    stage_send(&stage, &client, ONCE_REQUEST, sizeof ONCE_REQUEST - 1);
+    expect_ok(&client, "first request");
+    send_on(&client);
+    close_accepted(&stage.endpoints[0].listener);
+    expect_ok(&client, "request after the end of the pooled connection");
+    cr_expect_eq(stage.endpoints[0].runs, 2);
+    stage_disconnect(&stage, &client);
+    buf_finish(&client.response);
+    stage_stop(&stage);
+}
