Keep a connection to an endpoint that is established when it times out

Requests were refused with 503, and endpoints counted as unreachable, though the endpoints had accepted the connections at once.

Cause: back_tick compares the age of a connection attempt with the connect timeout before the loop has reported its result. An instance whose loop is late by more than the timeout gives up all attempts that were under way.

late_loop_notices_an_established_connection (loop blocked for 0.4 s, timeout 0.3 s), before: "connected while the loop was late: HTTP/1.1 503 Service Unavailable" After: 200.

An attempt whose result the kernel knows is left for the loop to report.

--- a/packages/gateway/source/back-pool.c
+++ b/packages/gateway/source/back-pool.c
@@ -349,7 +349,8 @@
             }
         }
         else if (!connection->stream.is_connected &&
-                 age >= pool->settings.connect_timeout) {
+                 age >= pool->settings.connect_timeout &&
+                 !io_has_unseen_event(&connection->stream)) {
             finish_exchange(connection, BACK_NOT_SENT, "connect-timeout");
         }
         connection = next;
--- a/tests/gateway/test-endpoint-connections.c
+++ b/tests/gateway/test-endpoint-connections.c
@@ -7,6 +7,7 @@
 #include <string.h>
 #include <time.h>
 
+#include "back-imp.h"
 #include "stage.h"
 
 static stage_fixture stage;
@@ -66,6 +67,13 @@
     return ((stage_client *)context)->response.size > 0;
 }
 
+static bool
+is_open(stage_fixture *self, void *context)
+{
+    (void)self;
+    return ((stage_client *)context)->is_open;
+}
+
 /* Sends a request on an open connection, before anything else happens. */
 static void
 send_on(stage_client *client)
@@ -101,3 +109,30 @@
     buf_finish(&client.response);
     stage_stop(&stage);
 }
+
+static bool
+is_connecting(stage_fixture *self, void *context)
+{
+    const back_connection *connection = self->gate.endpoint_pool.connections;
+
+    (void)context;
+    return connection != NULL && !connection->stream.is_connected;
+}
+
+/* Guards against a connect timeout of a connection that is established, at an
+ * instance whose loop is late. */
+Test(endpoint_connections, late_loop_notices_an_established_connection)
+{
+    stage_client client;
+
+    stage_start(&stage, 1);
+    stage_send(&stage, &client, NULL, 0);
+    cr_assert(stage_run_until(&stage, is_open, &client, 1000));
+    send_on(&client);
+    cr_assert(stage_run_until(&stage, is_connecting, NULL, 1000));
+    block_loop(400);
+    expect_ok(&client, "connected while the loop was late");
+    stage_disconnect(&stage, &client);
+    buf_finish(&client.response);
+    stage_stop(&stage);
+}
