Do not take the store for lost because the loop is late

An instance counted the store as lost, waited for its backoff and read a whole list again, because the store had closed an idle connection or because an answer that had arrived was not read by its deadline. No request of a caller was seen to fail from this alone.

Cause: store_feed_tick wrote requests to a connection without asking for its end, and enforced the deadline of an answer before the loop had read what had arrived.

late_loop_does_not_lose_the_store, before: counts.failures rose in "idle connection closed" and "late answer", and lost_at was set in the first. After: neither.

While the connection has an event that the loop has not reported, the feed leaves the connection alone.

--- a/packages/gateway/source/store.c
+++ b/packages/gateway/source/store.c
@@ -421,6 +421,10 @@
     if (feed->is_closing) {
         return;
     }
+    if (feed->connection != NULL &&
+        io_has_unseen_event(&feed->connection->stream)) {
+        return; /* the loop is late */
+    }
     if (feed->phase != STORE_IDLE) {
         if (now >= feed->deadline) {
             fail_feed(feed, "timeout");
--- a/tests/gateway/test-endpoint-connections.c
+++ b/tests/gateway/test-endpoint-connections.c
@@ -136,3 +136,41 @@
     buf_finish(&client.response);
     stage_stop(&stage);
 }
+
+/* Guards against a store that is taken for lost because it closed an idle
+ * connection, or because its answer was not read in time. */
+Test(endpoint_connections, late_loop_does_not_lose_the_store)
+{
+    static const struct {
+        const char *what;
+        bool is_closed;  /* by the store, while idle; otherwise it answers */
+        uint64_t run_ms; /* until the feed is idle, or watches */
+    } cases[] = {{"idle connection closed", true, 300},
+                 {"late answer", false, 800}};
+
+    for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+        store_feed *feed;
+        uint64_t failures;
+
+        stage_start(&stage, 1);
+        stage_run_for(&stage, cases[i].run_ms);
+        feed = &stage.gate.feeds[WIRE_ENDPOINTS];
+        failures = feed->counts.failures;
+        if (cases[i].is_closed) {
+            cr_assert_eq(feed->phase, STORE_IDLE);
+            feed->next_request_at = 0;
+            close_accepted(&stage.store.listener);
+            memset(stage.watches, 0, sizeof stage.watches);
+        }
+        else {
+            cr_assert_eq(feed->phase, STORE_AWAITING_REPLY);
+            feed->deadline = io_now();
+            stage_advance_revision(&stage);
+            block_loop(2 * DELIVERY_MS);
+        }
+        stage_run_for(&stage, 500);
+        cr_expect_eq(feed->counts.failures, failures, "%s", cases[i].what);
+        cr_expect_eq(feed->lost_at, 0, "%s", cases[i].what);
+        stage_stop(&stage);
+    }
+}
