--- a/tests/gateway/stage-client.c
+++ b/tests/gateway/stage-client.c
@@ -76,8 +76,8 @@
     send_to(stage, stage->callers, client, bytes, size);
 }
 
-static bool
-is_closed(stage_fixture *stage, void *context)
+bool
+stage_is_closed(stage_fixture *stage, void *context)
 {
     (void)stage;
     return ((stage_client *)context)->is_closed;
@@ -87,7 +87,31 @@
 stage_disconnect(stage_fixture *stage, stage_client *client)
 {
     io_close(&client->stream);
-    stage_run_until(stage, is_closed, client, 1000);
+    stage_run_until(stage, stage_is_closed, client, 1000);
+}
+
+void
+stage_finish_client(stage_fixture *stage, stage_client *client)
+{
+    if (!client->is_closed) {
+        stage_disconnect(stage, client);
+    }
+    buf_finish(&client->response);
+}
+
+uint32_t
+stage_count_responses(stage_client *client, const char *text)
+{
+    uint32_t count = 0;
+    const char *next;
+
+    buf_append(&client->response, "", 1);
+    client->response.size--;
+    for (next = client->response.data; (next = strstr(next, text)) != NULL;
+         next++) {
+        count++;
+    }
+    return count;
 }
 
 typedef struct response_wait {
--- a/tests/gateway/stage.c
+++ b/tests/gateway/stage.c
@@ -5,6 +5,7 @@
 #include <openssl/evp.h>
 #include <stdio.h>
 #include <string.h>
+#include <time.h>
 
 #include "lavender-platform/platform.h"
 #include "stage-imp.h"
@@ -302,6 +303,30 @@
     stage_run_until(stage, never, NULL, milliseconds);
 }
 
+void
+stage_block(uint64_t milliseconds)
+{
+    struct timespec time = {(time_t)(milliseconds / 1000),
+                            (long)(milliseconds % 1000) * 1000000};
+
+    nanosleep(&time, NULL);
+}
+
+void
+stage_start_drain(stage_fixture *stage)
+{
+    stage->gate.is_draining = true;
+    stage->gate.drain_since = io_now();
+    front_drain(&stage->gate.callers);
+}
+
+bool
+stage_is_accepted(stage_fixture *stage, void *context)
+{
+    (void)context;
+    return stage->gate.callers.connections != NULL;
+}
+
 static bool
 has_config_and_endpoints(stage_fixture *stage, void *context)
 {
--- a/tests/gateway/stage.h
+++ b/tests/gateway/stage.h
@@ -109,6 +109,17 @@
                      void *context, uint64_t milliseconds);
 void stage_run_for(stage_fixture *stage, uint64_t milliseconds);
 
+/* Block the loop, and the gateway with it, for a while. Bytes written before
+ * reach a receive buffer within STAGE_DELIVERY_MS. */
+#define STAGE_DELIVERY_MS 20
+void stage_block(uint64_t milliseconds);
+
+/* Begin to drain, as after SIGTERM. */
+void stage_start_drain(stage_fixture *stage);
+
+/* A condition: the gateway has accepted a connection of a caller. */
+bool stage_is_accepted(stage_fixture *stage, void *context);
+
 typedef struct stage_client {
     io_stream stream; /* first member */
     const char *bytes;
@@ -128,6 +139,15 @@
                 size_t size);
 void stage_disconnect(stage_fixture *stage, stage_client *client);
 
+/* A condition: the client in `context` is closed. */
+bool stage_is_closed(stage_fixture *stage, void *context);
+
+/* Close the connection if it is open, and release the response. */
+void stage_finish_client(stage_fixture *stage, stage_client *client);
+
+/* Count where the bytes of the response hold a text, such as a status line. */
+uint32_t stage_count_responses(stage_client *client, const char *text);
+
 /* A parsed response. */
 typedef struct stage_response {
     uint32_t status;  /* 0: no response */
--- a/tests/gateway/test-endpoint-connections.c
+++ b/tests/gateway/test-endpoint-connections.c
@@ -5,7 +5,6 @@
 #include <criterion/criterion.h>
 
 #include <string.h>
-#include <time.h>
 
 #include "back-imp.h"
 #include "stage.h"
@@ -16,19 +15,6 @@
     "POST /once/1 HTTP/1.1\r\nHost: h\r\nApi-Key: k1\r\n"                     \
     "Content-Length: 0\r\n\r\n"
 
-/* Time for bytes to reach a receive buffer of this host. */
-#define DELIVERY_MS 20
-
-/* Stops the loop, and the gateway with it, for a while. */
-static void
-block_loop(uint64_t milliseconds)
-{
-    struct timespec time = {(time_t)(milliseconds / 1000),
-                            (long)(milliseconds % 1000) * 1000000};
-
-    nanosleep(&time, NULL);
-}
-
 /* Closes a connection if a listener's process accepted it. */
 static void
 close_if_accepted(uv_handle_t *handle, void *listener)
@@ -57,7 +43,7 @@
 close_accepted(uv_tcp_t *listener)
 {
     uv_walk(&stage.loop, close_if_accepted, listener);
-    block_loop(DELIVERY_MS);
+    stage_block(STAGE_DELIVERY_MS);
 }
 
 static bool
@@ -79,7 +65,7 @@
 send_on(stage_client *client)
 {
     io_write(&client->stream, ONCE_REQUEST, sizeof ONCE_REQUEST - 1);
-    block_loop(DELIVERY_MS);
+    stage_block(STAGE_DELIVERY_MS);
 }
 
 static void
@@ -130,7 +116,7 @@
     cr_assert(stage_run_until(&stage, is_open, &client, 1000));
     send_on(&client);
     cr_assert(stage_run_until(&stage, is_connecting, NULL, 1000));
-    block_loop(400);
+    stage_block(400);
     expect_ok(&client, "connected while the loop was late");
     stage_disconnect(&stage, &client);
     buf_finish(&client.response);
@@ -166,7 +152,7 @@
             cr_assert_eq(feed->phase, STORE_AWAITING_REPLY);
             feed->deadline = io_now();
             stage_advance_revision(&stage);
-            block_loop(2 * DELIVERY_MS);
+            stage_block(2 * STAGE_DELIVERY_MS);
         }
         stage_run_for(&stage, 500);
         cr_expect_eq(feed->counts.failures, failures, "%s", cases[i].what);
