Count no closing connections against a burst of new ones

Of a burst of connections at the limit, only 64 were served where idle ones made room for all of them; the others were closed without a response.

Cause: the check for far too many connections counted those that had been closed in the same iteration of the loop and are still on the list.

burst_beyond_the_limit_replaces_idle_connections (80 new connections, 100 idle ones at a limit of 100), before: "64"; after: 80 responses.

A connection that took the place of an idle one is not beyond the limit.

--- a/packages/gateway/include/lavender-gateway/front.h
+++ b/packages/gateway/include/lavender-gateway/front.h
@@ -93,8 +93,8 @@
 };
 
 /* Starts to accept connections; requests on more than `max_connections` are
- * refused, and far more are closed at once.
- * Returns false with the error set when the address cannot be bound. */
+ * refused, and far more are closed at once. Returns false with the error set
+ * when the address cannot be bound. */
 bool front_listen(front_server *server, uv_loop_t *loop, const front_ops *ops,
                   const struct sockaddr_in *address, uint32_t max_connections,
                   void *owner, err_error *error);
--- a/packages/gateway/source/front-connection.c
+++ b/packages/gateway/source/front-connection.c
@@ -174,7 +174,6 @@
 on_data(io_stream *stream, const char *data, size_t size)
 {
     front_connection *connection = (front_connection *)stream;
-
     size_t used = read_requests(connection, data, size);
 
     if (used < size && connection->phase == FRONT_PROCESSING) {
@@ -329,8 +328,9 @@
         server->counts.over_limit++;
         connection->is_over_limit = true;
     }
-    if (server->connection_count >
-        server->max_connections + REFUSAL_CONNECTIONS) {
+    if (connection->is_over_limit &&
+        server->connection_count >
+            server->max_connections + REFUSAL_CONNECTIONS) {
         front_close(connection, "connection-limit");
         return;
     }
--- a/packages/gateway/source/front-imp.h
+++ b/packages/gateway/source/front-imp.h
@@ -7,6 +7,10 @@
  * disconnected. */
 #define FRONT_SILENCE_TIMEOUT (10 * LV_SECOND)
 
+/* front-connection.c: one connection */
+
+void front_set_phase(front_connection *connection, front_phase phase);
+
 /* Accepts a connection of the server's listener. When the server has too many,
  * closes the one that was idle longest, or refuses the new one. */
 void front_accept_connection(front_server *server);
@@ -37,12 +41,10 @@
  * waits at the caller. */
 void front_update_reading(front_connection *connection);
 
-/* front-connection.c */
+/* front-server.c */
 
 /* Closes the connection that was idle longest, if it was idle for long enough.
  * Returns whether there was one. */
 bool front_close_longest_idle(front_server *server);
 
-void front_set_phase(front_connection *connection, front_phase phase);
-
 #endif
--- a/tests/gateway/test-timeouts.c
+++ b/tests/gateway/test-timeouts.c
@@ -211,6 +211,58 @@
     }
 }
 
+enum {
+    BURST_LIMIT = 100,
+    BURST = 80
+};
+
+static bool
+are_closed(stage_fixture *self, void *context)
+{
+    const stage_client *clients = context;
+    bool are = true;
+
+    (void)self;
+    for (int i = 0; i < BURST; i++) {
+        are = are && clients[i].is_closed;
+    }
+    return are;
+}
+
+/* Guards against connections that are closed at once although idle ones made
+ * room for them in the same iteration of the loop. */
+Test(timeouts, burst_beyond_the_limit_replaces_idle_connections)
+{
+    /* No route: answered at once, without an endpoint. */
+    static const char request[] =
+        "GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+    static stage_client idle[BURST_LIMIT];
+    static stage_client clients[BURST];
+    uint32_t answered = 0;
+
+    stage_start(&stage, 1);
+    stage.gate.callers.max_connections = BURST_LIMIT;
+    stage.gate.callers.limits.idle_timeout = 60 * LV_SECOND;
+    for (int i = 0; i < BURST_LIMIT; i++) {
+        stage_send(&stage, &idle[i], NULL, 0);
+    }
+    stage_run_for(&stage, 700);
+    for (int i = 0; i < BURST; i++) {
+        stage_send(&stage, &clients[i], request, sizeof request - 1);
+    }
+    stage_block(STAGE_DELIVERY_MS);
+    cr_expect(stage_run_until(&stage, are_closed, clients, 3000));
+    for (int i = 0; i < BURST; i++) {
+        answered += stage_count_responses(&clients[i], "HTTP/1.1 404");
+        stage_finish_client(&stage, &clients[i]);
+    }
+    cr_expect_eq(answered, BURST, "%u", answered);
+    for (int i = 0; i < BURST_LIMIT; i++) {
+        stage_finish_client(&stage, &idle[i]);
+    }
+    stage_stop(&stage);
+}
+
 /* Connects without the loop: the connection waits in the listener's queue. */
 static int
 connect_socket(void)
