Bound the log lines of requests that are rejected

One line for each request refused before it was routed was written outside [log] bytes_per_second; with refusals at the limit of connections there may be many. They are lines about requests and stay within it now, as the others do.

--- a/packages/gateway/source/gate.c
+++ b/packages/gateway/source/gate.c
@@ -69,8 +69,8 @@
 on_caller_rejected(front_server *server, uint32_t status, const char *reason)
 {
     (void)server;
-    log_event(LOG_LEVEL_INFO, io_now(), "rejected", "status=%u reason=%s",
-              status, reason);
+    log_request(LOG_LEVEL_INFO, LOG_IMPORTANT, io_now(), "rejected",
+                "status=%u reason=%s", status, reason);
 }
 
 static void
