--- a/packages/gateway/include/lavender-gateway/front.h
+++ b/packages/gateway/include/lavender-gateway/front.h
@@ -28,14 +28,20 @@
     const http_head *head; /* of the current request */
     buf_buffer body;       /* of the current request */
     buf_buffer pipelined;  /* bytes received after the current request */
+    size_t pipelined_used; /* of them, read as requests since */
     lv_time phase_since;   /* FRONT_READING: the first byte arrived */
+    lv_time idle_deadline; /* FRONT_IDLE: closes then */
     void *request;         /* set by the owner of the server; NULL: none */
     void (*on_response_end)(struct front_connection *connection);
-    bool is_keep_alive;   /* stays open after the current response */
-    bool is_chunked;      /* the current response is sent in chunks */
-    bool has_no_body;     /* the current response has no body */
+    uint64_t discarded_bytes; /* received and not read as a request */
+    bool is_keep_alive; /* stays open after the current response; does not
+                           change once the head is sent */
+    bool is_chunked;    /* the current response is sent in chunks */
+    bool has_no_body;   /* the current response has no body */
+    bool is_reading_pipelined;
+    bool is_over_limit;   /* was accepted beyond max_connections */
+    bool is_past_timeout; /* of its phase, with unread bytes */
     bool is_disconnected; /* the caller closed the connection */
-    bool discards_input;  /* too much was pipelined */
 } front_connection;
 
 typedef struct front_ops {
@@ -53,30 +59,42 @@
     /* A request was rejected before it was complete. */
     void (*on_rejected)(front_server *server, uint32_t status,
                         const char *reason);
+
+    /* Input that may hold requests got no response: it was discarded after
+     * the last response, or not read before the connection was closed. NULL:
+     * not reported. */
+    void (*on_input_dropped)(front_server *server, const char *reason,
+                             uint64_t bytes);
 } front_ops;
 
 typedef struct front_counts {
-    uint64_t accepted;  /* connections */
-    uint64_t rejected;  /* malformed or oversized requests */
-    uint64_t timed_out; /* requests that were not complete in time */
+    uint64_t accepted;      /* connections */
+    uint64_t rejected;      /* malformed or oversized requests */
+    uint64_t timed_out;     /* requests that were not complete in time */
+    uint64_t over_limit;    /* connections beyond max_connections */
+    uint64_t discarded;     /* connections whose input was discarded */
+    uint64_t closed_unread; /* connections closed with unread input */
 } front_counts;
 
 struct front_server {
     const front_ops *ops; /* first member */
     uv_tcp_t listener;
     uv_loop_t *loop;
-    rt_limits limits; /* from the current configuration */
+    rt_limits limits;     /* from the current configuration */
+    lv_time idle_timeout; /* in force since the last front_tick */
     front_connection *connections;
     uint32_t connection_count;  /* open connections */
-    uint32_t max_connections;   /* further connections are closed at once */
+    uint32_t max_connections;   /* requests on further ones are refused */
+    size_t pipelined_bytes;     /* of all connections */
     bool has_inherited_options; /* see io_accept */
-    bool is_draining; /* each connection closes after its current response */
+    bool is_draining; /* each connection closes after its next response */
     void *owner;
     front_counts counts;
 };
 
-/* Starts to accept connections; at most `max_connections` are open at a time.
- * Returns false with the error set when the address cannot be bound. */
+/* Starts to accept connections; requests on more than `max_connections` are
+ * refused, and far more are closed at once. Returns false with the error set
+ * when the address cannot be bound. */
 bool front_listen(front_server *server, uv_loop_t *loop, const front_ops *ops,
                   const struct sockaddr_in *address, uint32_t max_connections,
                   void *owner, err_error *error);
@@ -85,8 +103,10 @@
  * second. */
 void front_tick(front_server *server, lv_time now);
 
-/* Starts draining: connections close after their current response, and idle
- * ones soon. New connections are still accepted. */
+/* Starts draining: a response that begins from now on is the last one of its
+ * connection and says so, and idle connections close soon. A connection whose
+ * response has begun is used for one more request. New connections are still
+ * accepted. */
 void front_drain(front_server *server);
 void front_stop_listening(front_server *server);
 void front_close_all(front_server *server);
--- a/packages/gateway/source/front-server.c
+++ b/packages/gateway/source/front-server.c
@@ -9,6 +9,10 @@
  * to send its request. */
 #define DRAIN_IDLE_TIMEOUT (500 * LV_MILLISECOND)
 
+/* A connection that was idle for less is not closed for another one: its
+ * request may be on the way. */
+#define MIN_IDLE (500 * LV_MILLISECOND)
+
 /* Divides the idle timeout when over half of the allowed connections are open,
  * and a second time when over three quarters are. */
 #define CROWDED_IDLE_DIVISOR 4
@@ -49,16 +53,41 @@
     return true;
 }
 
-/* Returns the idle timeout. It shrinks while many connections are open, long
- * before new ones must be refused, because callers open new connections and
- * leave the old ones idle. */
+/* Takes over an idle timeout that has changed. A shorter one counts from its
+ * change, because callers have relied on the old one so far. */
+static void
+update_idle_timeout(front_server *server, lv_time now)
+{
+    lv_time timeout =
+        server->is_draining ? DRAIN_IDLE_TIMEOUT : server->limits.idle_timeout;
+    bool is_shorter = timeout < server->idle_timeout;
+    front_connection *connection;
+
+    if (timeout == server->idle_timeout) {
+        return;
+    }
+    server->idle_timeout = timeout;
+    for (connection = server->connections; connection != NULL;
+         connection = connection->next) {
+        lv_time deadline =
+            (is_shorter ? now : connection->phase_since) + timeout;
+
+        if (!is_shorter || deadline < connection->idle_deadline) {
+            connection->idle_deadline = deadline;
+        }
+    }
+}
+
+/* The idle timeout shrinks while many connections are open, long before new
+ * ones must be refused, because callers open new connections and leave the old
+ * ones idle. */
 static lv_time
-current_idle_timeout(const front_server *server)
+crowded_idle_timeout(const front_server *server)
 {
-    lv_time timeout = server->limits.idle_timeout;
+    lv_time timeout = server->idle_timeout;
 
     if (server->is_draining) {
-        return DRAIN_IDLE_TIMEOUT;
+        return timeout;
     }
     if (server->connection_count > server->max_connections / 2) {
         timeout /= CROWDED_IDLE_DIVISOR;
@@ -69,6 +98,33 @@
     return timeout;
 }
 
+static bool
+is_idle_too_long(const front_connection *connection, lv_time now)
+{
+    const front_server *server = connection->server;
+    lv_time timeout = crowded_idle_timeout(server);
+
+    return now >= connection->idle_deadline ||
+           (timeout < server->idle_timeout &&
+            lv_elapsed(now, connection->phase_since) >= timeout);
+}
+
+/* Is the timeout of a connection's phase over? Bytes that arrived before it
+ * may be unread when the loop is late; they are read until the next check. */
+static bool
+is_timed_out(front_connection *connection, lv_time age, lv_time timeout)
+{
+    if (age < timeout) {
+        return false;
+    }
+    if (!connection->is_past_timeout &&
+        io_unread_size(&connection->stream) > 0) {
+        connection->is_past_timeout = true;
+        return false;
+    }
+    return true;
+}
+
 static void
 check_timeout(front_connection *connection, lv_time now)
 {
@@ -77,12 +133,14 @@
 
     switch (connection->phase) {
     case FRONT_IDLE:
-        if (age >= current_idle_timeout(server)) {
-            io_close(&connection->stream);
+        /* Unread bytes are the next request. */
+        if (is_idle_too_long(connection, now) &&
+            io_unread_size(&connection->stream) == 0) {
+            front_close(connection, "idle-timeout");
         }
         break;
     case FRONT_READING:
-        if (age >= server->limits.head_timeout) {
+        if (is_timed_out(connection, age, server->limits.head_timeout)) {
             server->counts.timed_out++;
             connection->is_keep_alive = false;
             server->ops->on_rejected(server, 408, "slow-request");
@@ -90,11 +148,16 @@
         }
         break;
     case FRONT_LINGERING:
-        if (age >= LINGER_TIMEOUT) {
-            io_close(&connection->stream);
+        if (is_timed_out(connection, age, LINGER_TIMEOUT)) {
+            front_close(connection, "linger-timeout");
         }
         break;
     case FRONT_PROCESSING:
+        /* The end of a connection that is read is reported by the loop. */
+        if (!connection->stream.is_reading &&
+            io_is_hung_up(&connection->stream)) {
+            front_disconnect(connection);
+        }
         break;
     }
 }
@@ -104,6 +167,7 @@
 {
     front_connection *connection = server->connections;
 
+    update_idle_timeout(server, now);
     while (connection != NULL) {
         front_connection *next = connection->next;
 
@@ -114,16 +178,35 @@
     }
 }
 
-void
-front_drain(front_server *server)
+bool
+front_close_longest_idle(front_server *server)
 {
+    lv_time now = io_now();
+    front_connection *longest = NULL;
     front_connection *connection;
 
-    server->is_draining = true;
     for (connection = server->connections; connection != NULL;
          connection = connection->next) {
-        connection->is_keep_alive = false;
+        if (connection->phase == FRONT_IDLE &&
+            !connection->stream.is_closing &&
+            lv_elapsed(now, connection->phase_since) >= MIN_IDLE &&
+            (longest == NULL ||
+             connection->phase_since < longest->phase_since) &&
+            io_unread_size(&connection->stream) == 0) {
+            longest = connection;
+        }
+    }
+    if (longest == NULL) {
+        return false;
     }
+    front_close(longest, "connection-limit");
+    return true;
+}
+
+void
+front_drain(front_server *server)
+{
+    server->is_draining = true;
 }
 
 void
@@ -141,6 +224,6 @@
 
     for (connection = server->connections; connection != NULL;
          connection = connection->next) {
-        io_close(&connection->stream);
+        front_close(connection, "stop");
     }
 }
