Read what endpoints have sent before judging silence and deadlines

On an instance whose loop was late, a sound answer that lay unread in the socket was sent to a second endpoint, or its caller got 504.

Cause: the timer judged the time since the last data before the loop had read what had arrived, as it closed callers' connections over unread requests. Same class: input is thrown away by a time-out that has not looked for it.

The kernel is asked first: an attempt with unread bytes is not silent, and a request at its deadline gets one more tick to read them. Without unread bytes the deadline holds as before.

--- a/packages/gateway/include/lavender-gateway/back.h
+++ b/packages/gateway/include/lavender-gateway/back.h
@@ -112,6 +112,10 @@
  * connection is being opened. */
 bool back_was_sent(const back_exchange *exchange);
 
+/* Returns whether the endpoint sent something, or closed the connection, that
+ * was not read yet; a late loop must not take it for silent. */
+bool back_has_unseen_event(const back_exchange *exchange);
+
 /* Closes the connection, which tells the endpoint to stop its work; on_end is
  * not called. */
 void back_cancel_exchange(back_exchange *exchange);
--- a/packages/gateway/source/back-pool.c
+++ b/packages/gateway/source/back-pool.c
@@ -306,6 +306,13 @@
     return exchange->connection != NULL && exchange->connection->has_sent;
 }
 
+bool
+back_has_unseen_event(const back_exchange *exchange)
+{
+    return exchange->connection != NULL &&
+           io_has_unseen_event(&exchange->connection->stream);
+}
+
 void
 back_cancel_exchange(back_exchange *exchange)
 {
--- a/packages/gateway/source/gate-imp.h
+++ b/packages/gateway/source/gate-imp.h
@@ -88,6 +88,7 @@
     lv_handle tried[ADM_TRIED_MAX]; /* endpoints that are not used again */
     gate_attempt attempts[GATE_MAX_SENDS];
     gate_attempt *attempt; /* the current or last one */
+    bool is_past_deadline; /* with bytes of an endpoint to be read */
     bool is_retry_due;     /* the next start takes a retry from the budget */
     lv_time next_attempt_after; /* of one beside a silent one, or for an
                                    answer that was interrupted */
--- a/packages/gateway/source/gate-tick.c
+++ b/packages/gateway/source/gate-tick.c
@@ -10,17 +10,11 @@
 #define STREAM_GAP_PERCENT 300
 
 static bool
-is_stalled(const gate_request *request, lv_time now)
+is_silent(const gate_request *request, lv_time now)
 {
     const rt_route *route = request->route;
     const gate_attempt *attempt = request->attempt;
-    uint32_t runs = request->runs + !attempt->is_counted_run;
 
-    if (!rt_may_retry(route) || runs >= route->max_attempts ||
-        !back_was_sent(&attempt->exchange) ||
-        request->tried_count + 1 >= ADM_TRIED_MAX) {
-        return false;
-    }
     if (!attempt->reservation.has_first_token) {
         return now > attempt->reservation.first_token_due +
                          route->target * OVERDUE_PERCENT / 100;
@@ -31,6 +25,19 @@
                route->gap_target * STREAM_GAP_PERCENT / 100;
 }
 
+static bool
+is_stalled(const gate_request *request, lv_time now)
+{
+    const rt_route *route = request->route;
+    const gate_attempt *attempt = request->attempt;
+    uint32_t runs = request->runs + !attempt->is_counted_run;
+
+    return rt_may_retry(route) && runs < route->max_attempts &&
+           request->tried_count + 1 < ADM_TRIED_MAX &&
+           back_was_sent(&attempt->exchange) && is_silent(request, now) &&
+           !back_has_unseen_event(&attempt->exchange);
+}
+
 static void
 record_overdue(const gate_attempt *attempt, lv_time now)
 {
@@ -49,13 +56,31 @@
     }
 }
 
-/* A failure that was kept is the answer then. */
+static bool
+has_unseen_event(const gate_request *request)
+{
+    int i;
+
+    for (i = 0; i < GATE_MAX_SENDS; i++) {
+        if (back_has_unseen_event(&request->attempts[i].exchange)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Bytes that endpoints sent before the deadline may be unread when the loop is
+ * late; they are read until the next tick. A failure that was kept is the
+ * answer after that. */
 static void
 end_at_deadline(gate_request *request)
 {
     gate_attempt *other = gate_find_set_aside(request);
 
-    if (other != NULL && other->is_whole) {
+    if (!request->is_past_deadline && has_unseen_event(request)) {
+        request->is_past_deadline = true;
+    }
+    else if (other != NULL && other->is_whole) {
         gate_go_on_with(other, "time-is-up");
     }
     else {
