End each case of net-test-exchange by what it names, not by a late server

Cause: all cases of "ends" ran with time-outs of 300 ms to the first byte and between bytes. The scripted server is a thread of the test; when it got no CPU time for 300 ms, the client's time-out ended the exchange in place of what the case names. The clock stood for nothing that the client promises. Four cases that expect a lost connection would also have passed by that time-out.

Change: only the two cases that name a silence have a time-out, each the one that it names (first byte, or between bytes); they must not end before it. The other cases have none to fall back on, so that each ends by the bytes or the close that it is about; a case that does not end fails after 120 s. The count of requests is read once the server has read the request, which may be after the client's time-out.

Conclusion: a fault of the test; the client is unchanged.

--- a/tests/net/script-server.c
+++ b/tests/net/script-server.c
@@ -153,6 +153,14 @@
     }
 }
 
+void
+script_await_request(script_server *server)
+{
+    while (atomic_load(&server->requests) == 0) {
+        poll(NULL, 0, STEP_MS);
+    }
+}
+
 void
 script_stop(script_server *server)
 {
--- a/tests/net/script-server.h
+++ b/tests/net/script-server.h
@@ -27,6 +27,9 @@
 } script_server;
 
 void script_start(script_server *server);
+
+/* Wait until a first request has been read; its sender may be gone. */
+void script_await_request(script_server *server);
 void script_stop(script_server *server);
 
 #endif
--- a/tests/net/test-exchange.c
+++ b/tests/net/test-exchange.c
@@ -66,6 +66,10 @@
 
 static const exch_ops ops = {on_ready, on_head, on_body, on_end};
 
+#define NEVER_MS 3600000
+#define SILENCE_MS 300
+#define HANG_S 120 /* ends a test whose exchange does not end */
+
 static const client_settings settings = {
     .connect_timeout = 500 * LV_MILLISECOND,
     .first_byte_timeout = 300 * LV_MILLISECOND,
@@ -105,72 +109,93 @@
     int status;
     int is_framed;
     size_t size;
+    int first_byte_ms; /* the time-out that ends it; 0: none does */
+    int idle_ms;
 } end_case;
 
 ParameterizedTestParameters(exchange, ends)
 {
     static end_case cases[] = {
         {"stated length", "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello",
-         1, 0, EXCH_COMPLETE, 200, 1, 5},
+         1, 0, EXCH_COMPLETE, 200, 1, 5, 0, 0},
         {"chunked",
          "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
          "2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n",
-         1, 0, EXCH_COMPLETE, 200, 1, 5},
+         1, 0, EXCH_COMPLETE, 200, 1, 5, 0, 0},
         {"empty", "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n", 1, 0,
-         EXCH_COMPLETE, 200, 1, 0},
+         EXCH_COMPLETE, 200, 1, 0, 0, 0},
         {"no content", "HTTP/1.1 204 No Content\r\n\r\n", 1, 0, EXCH_COMPLETE,
-         204, 1, 0},
+         204, 1, 0, 0, 0},
         {"ends by close", "HTTP/1.1 200 OK\r\n\r\nhello", 0, 0, EXCH_COMPLETE,
-         200, 0, 5},
+         200, 0, 5, 0, 0},
         {"cut length", "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhello", 0,
-         0, EXCH_CONNECTION_LOST, 200, 1, 5},
+         0, EXCH_CONNECTION_LOST, 200, 1, 5, 0, 0},
         {"cut chunks",
          "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n",
-         0, 0, EXCH_CONNECTION_LOST, 200, 1, 5},
+         0, 0, EXCH_CONNECTION_LOST, 200, 1, 5, 0, 0},
         {"bad chunks",
          "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nzz\r\nhello", 1,
-         0, EXCH_CONNECTION_LOST, 200, 1, 0},
-        {"no answer", "", 0, 0, EXCH_CONNECTION_LOST, 0, 0, 0},
-        {"no HTTP", "hello there\r\n\r\n", 1, 0, EXCH_PROTOCOL_ERROR, 0, 0, 0},
+         0, EXCH_CONNECTION_LOST, 200, 1, 0, 0, 0},
+        {"no answer", "", 0, 0, EXCH_CONNECTION_LOST, 0, 0, 0, 0, 0},
+        {"no HTTP", "hello there\r\n\r\n", 1, 0, EXCH_PROTOCOL_ERROR, 0, 0, 0,
+         0, 0},
         {"another coding",
          "HTTP/1.1 200 OK\r\ntransfer-encoding: chunkers\r\n\r\n", 1, 0,
-         EXCH_PROTOCOL_ERROR, 0, 0, 0},
+         EXCH_PROTOCOL_ERROR, 0, 0, 0, 0, 0},
         {"no number as length",
          "HTTP/1.1 200 OK\r\ncontent-length: many\r\n\r\n", 1, 0,
-         EXCH_PROTOCOL_ERROR, 0, 0, 0},
+         EXCH_PROTOCOL_ERROR, 0, 0, 0, 0, 0},
         {"a bad head after an interim one",
          "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n"
          "content-length: many\r\n\r\n",
-         1, 0, EXCH_PROTOCOL_ERROR, 0, 0, 0},
+         1, 0, EXCH_PROTOCOL_ERROR, 0, 0, 0, 0, 0},
         {"negative length", "HTTP/1.1 200 OK\r\nContent-Length: -5\r\n\r\n", 1,
-         0, EXCH_PROTOCOL_ERROR, 0, 0, 0},
+         0, EXCH_PROTOCOL_ERROR, 0, 0, 0, 0, 0},
         {"huge length",
          "HTTP/1.1 200 OK\r\ncontent-length: 99999999999999999999\r\n\r\n", 1,
-         0, EXCH_PROTOCOL_ERROR, 0, 0, 0},
-        {"silent", "", 1, 0, EXCH_CONNECTION_LOST, 0, 0, 0},
+         0, EXCH_PROTOCOL_ERROR, 0, 0, 0, 0, 0},
+        {"silent", "", 1, 0, EXCH_CONNECTION_LOST, 0, 0, 0, SILENCE_MS, 0},
         {"silent in the middle",
          "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhello", 1, 0,
-         EXCH_CONNECTION_LOST, 200, 1, 5},
+         EXCH_CONNECTION_LOST, 200, 1, 5, 0, SILENCE_MS},
         {"not ready", "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n", 1, 1,
-         EXCH_DECLINED, 0, 0, 0},
+         EXCH_DECLINED, 0, 0, 0, 0, 0},
     };
 
     return cr_make_param_array(end_case, cases,
                                sizeof cases / sizeof cases[0]);
 }
 
-ParameterizedTest(end_case *parameter, exchange, ends)
+static lv_time
+to_timeout(int milliseconds)
+{
+    return (lv_time)(milliseconds == 0 ? NEVER_MS : milliseconds) *
+           LV_MILLISECOND;
+}
+
+/* Only the time-out under test is short, so that neither a late server nor
+ * another time-out can end an exchange in place of what the case names. */
+ParameterizedTest(end_case *parameter, exchange, ends, .timeout = HANG_S)
 {
     uv_loop_t loop;
     client_context client;
+    client_settings patient = settings;
     watcher self = {.loop = &loop, .is_refused = parameter->is_refused};
     script_server server = {.answer = parameter->answer,
                             .keeps_open = parameter->keeps_open};
+    uint64_t begun;
 
+    patient.connect_timeout = to_timeout(0);
+    patient.first_byte_timeout = to_timeout(parameter->first_byte_ms);
+    patient.idle_timeout = to_timeout(parameter->idle_ms);
     uv_loop_init(&loop);
-    cr_assert(client_init(&client, &loop, &settings, NULL));
+    cr_assert(client_init(&client, &loop, &patient, NULL));
     script_start(&server);
+    begun = uv_hrtime();
     ask(&client, &self, server.address, false);
+    cr_expect_geq((uv_hrtime() - begun) / 1000000,
+                  (uint64_t)parameter->first_byte_ms + parameter->idle_ms,
+                  "%s: ends too early", parameter->name);
     cr_expect_eq((int)self.end, parameter->end, "%s: end %d", parameter->name,
                  (int)self.end);
     cr_expect_eq(self.head.status, parameter->status, "%s: status %d",
@@ -179,6 +204,9 @@
                  parameter->name);
     cr_expect_eq(self.size, parameter->size, "%s: size %zu", parameter->name,
                  self.size);
+    if (!parameter->is_refused) {
+        script_await_request(&server);
+    }
     cr_expect_eq(atomic_load(&server.requests), !parameter->is_refused, "%s",
                  parameter->name);
     script_stop(&server);
