Take the roles again after a pause, also where no peer can change

Cause: a router that finds itself paused for more than pause_limit (1 s) stops its dispatchers and assigns roles again later. That it was to do so was noted as "revision 0 applied", which is also the revision of a membership that has never changed: that of an instance that is alone in the lists. Such a router dispatched nothing until its documents changed; its requests waited for their whole deadline. Found with net-test-answers, whose router was stopped.

Change: a flag of its own says that a pause stopped the roles.

Conclusion: an instance on its own survives a pause. In a fleet the revision is not 0, so that it did before.

--- a/packages/core/include/lavender/node.h
+++ b/packages/core/include/lavender/node.h
@@ -90,6 +90,7 @@
     lv_id *instance_ids; /* scratch, one for each member */
     uint32_t instance_id_capacity;
     uint64_t applied_revision; /* of the membership that the roles follow */
+    bool has_stopped_roles;    /* by a pause; they are still to be assigned */
     node_local_message local_queue[NODE_LOCAL_MESSAGES_MAX]; /* ring buffer */
     uint32_t first_local_message;
     uint32_t local_message_count;
--- a/packages/core/source/node-roles.c
+++ b/packages/core/source/node-roles.c
@@ -388,6 +388,7 @@
         return;
     }
     node->applied_revision = node->membership.revision;
+    node->has_stopped_roles = false;
     if (!reserve_instance_ids(node, doc_lists(&node->documents))) {
         return;
     }
--- a/packages/core/source/node.c
+++ b/packages/core/source/node.c
@@ -117,7 +117,7 @@
     swim_mark_stale(&node->membership, node->now);
     node->stale_until =
         node->now + membership->probe_interval + 2 * membership->probe_timeout;
-    node->applied_revision = 0;
+    node->has_stopped_roles = true;
 }
 
 /* Sets the time and detects a pause of the process. */
@@ -137,7 +137,8 @@
 apply_membership(node_state *node)
 {
     if (node->now < node->stale_until ||
-        node->applied_revision == node->membership.revision) {
+        (!node->has_stopped_roles &&
+         node->applied_revision == node->membership.revision)) {
         return;
     }
     node_assign_roles(node);
--- a/tests/core/test-share.c
+++ b/tests/core/test-share.c
@@ -59,6 +59,43 @@
     pump_close(pump);
 }
 
+/* Roles that end with a pause are assigned again, also to an instance that has
+ * no peers whose state could change. */
+Test(share, roles_return_after_a_pause)
+{
+    static const struct {
+        uint32_t nodes;
+        lv_time pause;
+    } cases[] = {
+        {1, 1100 * LV_MILLISECOND},
+        {1, 11 * LV_SECOND},
+        {2, 1100 * LV_MILLISECOND},
+        {2, 11 * LV_SECOND},
+    };
+
+    for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+        pump_settings settings;
+        pump_pump *pump;
+        uint32_t dispatcher;
+
+        pump_default_settings(&settings, 77);
+        settings.nodes = cases[i].nodes;
+        pump = pump_open(&settings);
+        pump_run(pump, 2 * LV_SECOND);
+        dispatcher = pump_find_dispatcher(pump);
+        cr_assert_lt(dispatcher, settings.nodes, "case %zu", i);
+        pump_pause(pump, dispatcher);
+        pump_run(pump, cases[i].pause);
+        pump_resume(pump, dispatcher);
+        pump_run(pump, 2 * LV_SECOND);
+        cr_expect_lt(pump_find_dispatcher(pump), settings.nodes,
+                     "case %zu: no dispatcher", i);
+        cr_expect_eq(pump->violations, 0, "case %zu: %s", i,
+                     pump->first_violation);
+        pump_close(pump);
+    }
+}
+
 Test(share, planted_mistakes_are_found)
 {
     const share_case *c = &share_cases[1];
