Let net-test-answers wait for the router's own bounds, not for 10 s

Change: the caller waits 60 s, which ends a test whose router hangs. So that nothing passes later than it should, the time-outs of whole_or_not are longer than that wait, and no answer may be the one that a request gets at its deadline; before, an answer up to 10 s late passed whatever ended it.

--- a/tests/net/test-answers.c
+++ b/tests/net/test-answers.c
@@ -8,7 +8,10 @@
 #include "script-server.h"
 
 #define KEY "Authorization: Bearer key-of-alpha\r\n"
-#define READ_TIMEOUT_MS 10000
+/* Longer than the deadline of the rig's entries, 30 s on the router's clock;
+ * it ends only a test whose router hangs. */
+#define READ_TIMEOUT_MS 60000
+#define OF_DEADLINE "\"kind\": \"deadline\""
 #define BIG 400000 /* over [limits] whole_answer, so that it is streamed */
 
 static rig_rig rig;
@@ -92,6 +95,7 @@
     return answer->is_closed && !answer->is_reset;
 }
 
+/* No case waits for the deadline: the endpoint always does something. */
 static void
 ask(const char *version, rig_answer *answer)
 {
@@ -102,6 +106,8 @@
              "GET /lookup HTTP/%s\r\nHost: r\r\n" KEY "\r\n", version);
     rig_write(fd, text, strlen(text));
     rig_read(fd, answer, READ_TIMEOUT_MS);
+    cr_expect_null(strstr(answer->body, OF_DEADLINE), "late: %s",
+                   answer->body);
     close(fd);
 }
 
@@ -109,7 +115,10 @@
  * never says "done" of it. */
 ParameterizedTest(answer_case *wanted, answers, whole_or_not)
 {
-    rig_shape shape = {.service_address = server.address};
+    /* Only what the endpoint does may end an answer. */
+    rig_shape shape = {.service_address = server.address,
+                       .settings = "[endpoints]\nfirst_byte = 10m\n"
+                                   "idle = 10m\n"};
     rig_answer answer;
     char value[64];
 
