Let the soak see answers lost by silences, drains and idle closes

Cause: endpoints of the soak were never silent for a second, its callers sent one request at a time and only to running gateways, the idle limit was 60 s and the budget for repeats was never short. So it could not see that a silence ends a sound answer, that a drain drops a request behind a response that has begun, and that an idle connection is closed over a request that has arrived.

Change: silences of 0.8 to 1.5 s of one or all endpoints, beside changes of the configuration; routes with 5 s for them, one resumable; pipelined requests and requests behind an answer that has begun, on paused and ending gateways too; idle limits of 0.3 to 60 s and settings with next to no budget; series of SIGHUP, SIGTERM, pauses, kills and configurations at one gateway. The check "no answer" leaves out one case that did not occur before: a request that had not arrived, on a connection idle for the least idle limit. A planted mistake counts only when its own promise is named.

--- a/tests/soak/soak-caller.c
+++ b/tests/soak/soak-caller.c
@@ -1,6 +1,9 @@
+#include <linux/sockios.h>
+#include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/ioctl.h>
 
 #include "soak.h"
 
@@ -8,6 +11,20 @@
 #define THINK_LEAST (5 * LV_MILLISECOND)
 #define THINK_MOST (60 * LV_MILLISECOND)
 
+/* Some callers leave their connection idle for longer. */
+#define LONG_THINK_PERCENT 3
+#define LONG_THINK_MOST (1500 * LV_MILLISECOND)
+
+/* Requests on a connection at a time, and how often there is more than one;
+ * how often, at each tick, one is sent behind an answer that has begun. */
+#define CALLS_MAX 3
+#define PIPELINE_PERCENT 25
+#define BEHIND_PERCENT 5
+
+/* A request that the other side's kernel has acknowledged after so long, while
+ * the connection is open, came before any close. */
+#define ARRIVAL_TIME (50 * LV_MILLISECOND)
+
 /* After a connection that failed. */
 #define REST_TIME (50 * LV_MILLISECOND)
 
@@ -15,21 +32,22 @@
 #define LEAVE_PERCENT 4
 #define STAY_MOST (60 * LV_MILLISECOND)
 
-#define ANSWER_SIZE 1024
-
 struct soak_caller {
     io_stream stream; /* first member */
     soak_world *world;
     bool is_used; /* the stream, until it is closed */
-    bool has_call;
     uint32_t daemon;
-    uint32_t call;
+    uint32_t life;             /* of the process that it connected to */
+    uint32_t calls[CALLS_MAX]; /* in the order of their sending */
+    uint32_t count;
+    lv_time sent_at; /* the last of them */
+    lv_time idle_since;
     http_reader reader;
     bool has_reader;
     uint32_t status;
     bool is_not_ours; /* the answer names another request */
     bool is_last;     /* the answer says that the connection closes */
-    char answer[ANSWER_SIZE];
+    char answer[SOAK_ANSWER_SIZE];
     size_t answer_size;
     lv_time next_at;
     lv_time leave_at; /* 0: stays */
@@ -43,9 +61,11 @@
     const char *connection = http_find_header(head, "Connection");
     char wanted[32];
 
-    snprintf(wanted, sizeof wanted, "c%u", self->call);
+    snprintf(wanted, sizeof wanted, "c%u", self->calls[0]);
     self->status = head->status;
-    self->is_last = connection != NULL && strcasecmp(connection, "close") == 0;
+    self->is_last = connection != NULL &&
+                    strcasecmp(connection, "close") == 0 &&
+                    self->world->plant != SOAK_PLANT_DROP;
     self->is_not_ours = id != NULL && strcmp(id, wanted) != 0;
     return true;
 }
@@ -73,28 +93,42 @@
 static const http_reader_ops reader_ops = {
     .on_head = on_head, .on_body = on_body, .on_end = on_answer_end};
 
-static bool
-is_right(const soak_caller *self)
+static void
+rest(soak_caller *self, lv_time least, lv_time most)
 {
-    const soak_call *call = &self->world->calls[self->call];
-    char expected[ANSWER_SIZE];
-    size_t used = 0;
+    self->next_at = io_now() + soak_draw_time(self->world, least, most);
+}
 
-    if (call->kind != SOAK_STREAM) {
-        judge_write_body(self->call, expected, sizeof expected);
-        return !self->is_not_ours && strcmp(expected, self->answer) == 0;
+static void
+expect_answer(soak_caller *self)
+{
+    if (self->has_reader) {
+        http_reader_finish(&self->reader);
     }
-    for (uint32_t i = 0; i < 6; i++) {
-        used += (size_t)snprintf(expected + used, sizeof expected - used,
-                                 "id: %u\ndata: c%u %u\n\n", i, self->call, i);
+    http_reader_init(&self->reader, &reader_ops, self, false, 16384);
+    self->has_reader = true;
+    self->status = 0;
+    self->is_last = false;
+    self->answer_size = 0;
+    self->answer[0] = '\0';
+    self->world->calls[self->calls[0]].first_at = io_now();
+}
+
+static void
+drop_behind(soak_caller *self, bool is_last_known)
+{
+    for (uint32_t i = 0; i < self->count; i++) {
+        judge_behind(self->world, self->calls[i], is_last_known);
     }
-    return !self->is_not_ours && strcmp(expected, self->answer) == 0;
+    self->count = 0;
 }
 
+/* Its first request is over. */
 static void
-rest(soak_caller *self, lv_time least, lv_time most)
+remove_call(soak_caller *self)
 {
-    self->next_at = io_now() + soak_draw_time(self->world, least, most);
+    self->count--;
+    memmove(self->calls, self->calls + 1, self->count * sizeof *self->calls);
 }
 
 static void
@@ -103,86 +137,126 @@
     soak_world *world = self->world;
     uint32_t status = self->status;
 
-    self->has_call = false;
     if (world->plant == SOAK_PLANT_LIE && status == 200) {
         status = 503;
     }
     if (status == 503) {
-        judge_refused(world, self->call);
+        judge_refused(world, self->calls[0]);
     }
     else {
-        judge_answer(world, self->call, status, is_right(self));
+        judge_answer(
+            world, self->calls[0], status,
+            !self->is_not_ours &&
+                request_is_answer(world, self->calls[0], self->answer));
     }
-    rest(self, THINK_LEAST, THINK_MOST);
+    remove_call(self);
+    self->idle_since = self->world->last_tick_at;
     if (self->is_last) {
+        drop_behind(self, true);
         io_close(&self->stream);
     }
-}
-
-static void
-send_call(soak_caller *self)
-{
-    static const char *const prefixes[] = {"once", "many", "stream"};
-    const soak_call *call = &self->world->calls[self->call];
-    char prefix[32];
-    char request[512];
-    int size;
-
-    if (call->kind == SOAK_PROBE) {
-        snprintf(prefix, sizeof prefix, "probe-%u", call->version);
-    }
-    else {
-        snprintf(prefix, sizeof prefix, "%s", prefixes[call->kind]);
+    if (self->count > 0) {
+        expect_answer(self);
+        return;
     }
-    size = snprintf(request, sizeof request,
-                    "POST /%s/x HTTP/1.1\r\nHost: h\r\n"
-                    "Lavenderproxy-Attempt-Id: c%u\r\n"
-                    "Lavenderproxy-Deadline-Ms: 5000\r\n"
-                    "Api-Key: k1\r\nContent-Length: 5\r\n\r\nhello",
-                    prefix, self->call);
-    if (self->has_reader) {
-        http_reader_finish(&self->reader);
+    rest(self, THINK_LEAST, THINK_MOST);
+    if (soak_draw(world, 100) < LONG_THINK_PERCENT) {
+        rest(self, THINK_MOST, LONG_THINK_MOST);
     }
-    http_reader_init(&self->reader, &reader_ops, self, false, 16384);
-    self->has_reader = true;
-    self->status = 0;
-    self->answer_size = 0;
-    self->answer[0] = '\0';
-    io_write(&self->stream, request, (size_t)size);
 }
 
 static void
-begin_call(soak_caller *self, lv_time now)
+add_call(soak_caller *self, lv_time now, buf_buffer *to)
 {
     soak_world *world = self->world;
-    uint32_t drawn = soak_draw(world, 100);
-    soak_call call = {.daemon = self->daemon,
-                      .life = world->daemons[self->daemon].life,
+    soak_call call = {.kind = request_draw_kind(world),
+                      .daemon = self->daemon,
+                      .life = self->life,
                       .sent_at = now};
 
-    call.kind = drawn < 30   ? SOAK_ONCE
-                : drawn < 60 ? SOAK_MANY
-                : drawn < 80 ? SOAK_STREAM
-                             : SOAK_PROBE;
-    if (world->plant == SOAK_PLANT_BUDGET) {
-        call.kind = SOAK_MANY;
-    }
     if (call.kind == SOAK_PROBE) {
         call.version = world->version - soak_draw(world, 2);
     }
-    self->call = judge_send(world, &call);
-    self->has_call = true;
+    if (self->status == 0 && self->idle_since != 0) {
+        call.idle = lv_elapsed(now, self->idle_since);
+    }
+    self->calls[self->count] = judge_send(world, &call);
+    self->sent_at = now;
+    request_write(world, self->calls[self->count], to);
+    self->count++;
+}
+
+static void
+begin_calls(soak_caller *self, lv_time now)
+{
+    soak_world *world = self->world;
+    buf_buffer text;
+
+    buf_init(&text);
+    self->status = 0;
+    do {
+        add_call(self, now, &text);
+    } while (self->count < CALLS_MAX &&
+             soak_draw(world, 100) < PIPELINE_PERCENT);
     self->leave_at = 0;
     if (soak_draw(world, 100) < LEAVE_PERCENT && !world->is_ending) {
         self->leave_at =
             now + soak_draw_time(world, LV_MILLISECOND, STAY_MOST);
     }
-    send_call(self);
+    expect_answer(self);
+    io_write(&self->stream, text.data, text.size);
+    buf_finish(&text);
+}
+
+/* Sends a request behind an answer that has begun. */
+static void
+add_behind(soak_caller *self, lv_time now)
+{
+    buf_buffer text;
+
+    if (self->status == 0 || self->is_last || self->count == CALLS_MAX ||
+        self->world->is_ending || self->stream.is_closing ||
+        soak_draw(self->world, 100) >= BEHIND_PERCENT) {
+        return;
+    }
+    buf_init(&text);
+    add_call(self, now, &text);
+    io_write(&self->stream, text.data, text.size);
+    buf_finish(&text);
+}
+
+/* Notes that all was received by the other side's kernel while the connection
+ * was open in both directions. */
+static void
+watch_arrival(soak_caller *self, lv_time now)
+{
+    soak_world *world = self->world;
+    struct tcp_info info;
+    socklen_t size = sizeof info;
+    uv_os_fd_t descriptor;
+    int unacknowledged;
+
+    if (world->calls[self->calls[self->count - 1]].has_arrived ||
+        now < self->sent_at + ARRIVAL_TIME || self->stream.is_closing ||
+        uv_fileno((const uv_handle_t *)&self->stream.tcp, &descriptor) != 0 ||
+        io_write_queue_size(&self->stream) > 0 ||
+        ioctl(descriptor, SIOCOUTQ, &unacknowledged) != 0 ||
+        unacknowledged > 0 ||
+        getsockopt(descriptor, IPPROTO_TCP, TCP_INFO, &info, &size) != 0 ||
+        info.tcpi_state != TCP_ESTABLISHED) {
+        return;
+    }
+    for (uint32_t i = 0; i < self->count; i++) {
+        world->calls[self->calls[i]].has_arrived = true;
+    }
 }
 
 static void
 on_connect(io_stream *stream)
 {
+    soak_caller *self = (soak_caller *)stream;
+
+    self->idle_since = self->world->last_tick_at;
     io_read_start(stream);
 }
 
@@ -190,23 +264,43 @@
 on_data(io_stream *stream, const char *data, size_t size)
 {
     soak_caller *self = (soak_caller *)stream;
-    size_t used;
-    http_result result;
 
-    if (!self->has_call) {
-        judge_fault(self->world, "bytes that nobody asked for: %.*s",
-                    (int)size, data);
-        io_close(stream);
-        return;
-    }
-    result = http_reader_feed(&self->reader, data, size, &used);
-    if (result == HTTP_COMPLETE) {
+    while (size > 0 && !stream->is_closing) {
+        http_result result;
+        size_t used;
+
+        if (self->count == 0) {
+            judge_fault(self->world, "bytes that nobody asked for: %.*s",
+                        (int)size, data);
+            io_close(stream);
+            return;
+        }
+        result = http_reader_feed(&self->reader, data, size, &used);
+        if (result == HTTP_INCOMPLETE) {
+            return;
+        }
+        if (result != HTTP_COMPLETE) {
+            judge_fault(self->world, "c%u: no proper answer", self->calls[0]);
+            io_close(stream);
+            return;
+        }
         end_call(self);
+        data += used;
+        size -= used;
     }
-    else if (result != HTTP_INCOMPLETE) {
-        judge_fault(self->world, "c%u: no proper answer", self->call);
-        io_close(stream);
+}
+
+/* The connection ended without the rest of its answers. */
+static void
+end_connection(soak_caller *self)
+{
+    bool has_begun = self->status != 0;
+
+    if (self->count > 0) {
+        judge_cut(self->world, self->calls[0], has_begun);
+        remove_call(self);
     }
+    drop_behind(self, false);
 }
 
 static void
@@ -214,18 +308,12 @@
 {
     soak_caller *self = (soak_caller *)stream;
 
-    if (self->has_call) {
-        bool is_whole = !is_error && self->status != 0 &&
-                        http_reader_feed_eof(&self->reader) == HTTP_COMPLETE;
-
-        if (is_whole) {
-            end_call(self);
-        }
-        else {
-            self->has_call = false;
-            judge_cut(self->world, self->call, self->status != 0);
-        }
+    if (self->count > 0 && !is_error && self->status != 0 &&
+        http_reader_feed_eof(&self->reader) == HTTP_COMPLETE) {
+        self->is_last = true;
+        end_call(self);
     }
+    end_connection(self);
     io_close(stream);
 }
 
@@ -257,13 +345,15 @@
     struct sockaddr_in address;
 
     self->daemon = soak_draw(world, world->daemon_count);
-    if (world->daemons[self->daemon].state != DAEMON_RUNNING) {
+    if (world->daemons[self->daemon].state == DAEMON_DOWN) {
         rest(self, 0, REST_TIME);
         return;
     }
     io_parse_address(world->daemons[self->daemon].callers, &address, NULL);
     if (io_stream_init(&self->stream, &stream_ops, &world->loop)) {
         self->is_used = true;
+        self->life = world->daemons[self->daemon].life;
+        self->idle_since = 0;
         io_connect(&self->stream, &address, 0);
     }
 }
@@ -271,21 +361,27 @@
 static void
 leave(soak_caller *self, lv_time now)
 {
-    self->world->calls[self->call].left_at = now;
-    self->world->calls[self->call].is_over = true;
-    self->has_call = false;
+    for (uint32_t i = 0; i < self->count; i++) {
+        soak_call *call = &self->world->calls[self->calls[i]];
+
+        call->left_at = now;
+        call->is_over = true;
+    }
+    self->count = 0;
     io_close(&self->stream);
 }
 
 static void
 tick(soak_caller *self, lv_time now)
 {
-    if (self->has_call) {
+    if (self->count > 0) {
         if (self->leave_at != 0 && now >= self->leave_at) {
             leave(self, now);
             return;
         }
-        judge_waiting(self->world, self->call, now);
+        judge_waiting(self->world, self->calls[0], now);
+        watch_arrival(self, now);
+        add_behind(self, now);
         return;
     }
     if (now < self->next_at ||
@@ -296,7 +392,22 @@
         connect_caller(self);
     }
     else if (self->stream.is_connected && !self->stream.is_closing) {
-        begin_call(self, now);
+        begin_calls(self, now);
+    }
+}
+
+/* Closes the connections to paused gateways as if these had done it. */
+void
+callers_close_paused(soak_world *world)
+{
+    for (uint32_t i = 0; i < world->caller_count; i++) {
+        soak_caller *self = &world->callers[i];
+
+        if (self->count > 0 && world->daemons[self->daemon].is_stopped &&
+            !self->stream.is_closing) {
+            end_connection(self);
+            io_close(&self->stream);
+        }
     }
 }
 
@@ -327,7 +438,7 @@
         if (self->has_reader) {
             http_reader_finish(&self->reader);
         }
-        self->has_call = false;
+        self->count = 0;
         if (self->is_used && !self->stream.is_closing) {
             io_close(&self->stream);
         }
--- a/tests/soak/soak-daemon.c
+++ b/tests/soak/soak-daemon.c
@@ -11,6 +11,9 @@
  * missed before its promises are judged. */
 #define SETTLE_TIME (2 * LV_SECOND)
 
+/* Settings that leave next to no budget for repeats, in percent. */
+#define TIGHT_PERCENT 30
+
 #define FIRST_PORT 20000
 #define METRICS_SIZE ((size_t)64 * 1024)
 
@@ -28,6 +31,8 @@
 {
     const soak_world *world = daemon->world;
     bool is_planted = world->plant == SOAK_PLANT_BUDGET;
+    const char *ratio = is_planted ? "10.0" : "0.20";
+    unsigned slack = is_planted ? 100000 : SOAK_BUDGET_SLACK;
     char path[512];
     FILE *file;
 
@@ -46,9 +51,13 @@
     fprintf(file, "lost_answer_bound = 1s\n");
     fprintf(file, "leave_bound = %ums\n",
             (unsigned)(SOAK_LEAVE_BOUND / LV_MILLISECOND));
-    fprintf(file, "[budget]\nwindow = 10s\nratio = %.2f\nslack = %d\n",
-            is_planted ? 10.0 : SOAK_BUDGET_PERCENT / 100.0,
-            is_planted ? 100000 : SOAK_BUDGET_SLACK);
+    if (world->plant == SOAK_PLANT_NONE &&
+        soak_draw(daemon->world, 100) < TIGHT_PERCENT) {
+        ratio = "0.01";
+        slack = 0;
+    }
+    fprintf(file, "[budget]\nwindow = 10s\nratio = %s\nslack = %u\n", ratio,
+            slack);
     fprintf(file, "[shutdown]\ngrace = %us\n",
             (unsigned)(SOAK_GRACE / LV_SECOND));
     fclose(file);
@@ -140,6 +149,7 @@
     follow_output(daemon);
     daemon->start_at = 0;
     daemon->has_logged = false;
+    daemon->is_stopped = false;
     daemon->state = DAEMON_RUNNING;
     daemon->begun_at = io_now();
     daemon->good_since = daemon->begun_at;
@@ -155,7 +165,11 @@
 daemon_pause(soak_daemon *daemon)
 {
     proc_signal(&daemon->process, SIGSTOP);
-    if (daemon->world->plant != SOAK_PLANT_LATE) {
+    if (daemon->world->plant == SOAK_PLANT_LATE) {
+        return;
+    }
+    daemon->is_stopped = true;
+    if (daemon->state == DAEMON_RUNNING) {
         daemon->state = DAEMON_PAUSED;
     }
 }
@@ -163,10 +177,14 @@
 void
 daemon_go_on(soak_daemon *daemon)
 {
+    if (!daemon->is_stopped) {
+        return;
+    }
     proc_signal(&daemon->process, SIGCONT);
+    daemon->is_stopped = false;
+    daemon->good_since = io_now();
     if (daemon->state == DAEMON_PAUSED) {
         daemon->state = DAEMON_RUNNING;
-        daemon->good_since = io_now();
     }
 }
 
@@ -182,6 +200,7 @@
 set_down(soak_daemon *daemon)
 {
     daemon->state = DAEMON_DOWN;
+    daemon->is_stopped = false;
     daemon->good_since = io_now();
     if (daemon->has_output) {
         uv_close((uv_handle_t *)&daemon->output, on_output_closed);
@@ -201,8 +220,10 @@
 daemon_terminate(soak_daemon *daemon)
 {
     proc_signal(&daemon->process, SIGTERM);
-    daemon->state = DAEMON_STOPPING;
-    daemon->stop_at = io_now();
+    if (daemon->state != DAEMON_STOPPING) {
+        daemon->state = DAEMON_STOPPING;
+        daemon->stop_at = io_now();
+    }
 }
 
 void
@@ -215,6 +236,14 @@
     }
 }
 
+/* A process that was stopped handles SIGTERM when it goes on. */
+static lv_time
+grace_from(const soak_daemon *daemon)
+{
+    return daemon->good_since > daemon->stop_at ? daemon->good_since
+                                                : daemon->stop_at;
+}
+
 static void
 watch_end(soak_daemon *daemon, lv_time now)
 {
@@ -233,8 +262,8 @@
     if (is_ended) {
         set_down(daemon);
     }
-    else if (daemon->state == DAEMON_STOPPING &&
-             lv_elapsed(now, daemon->stop_at) > SOAK_GRACE + SOAK_MARGIN) {
+    else if (daemon->state == DAEMON_STOPPING && !daemon->is_stopped &&
+             now > grace_from(daemon) + SOAK_GRACE + SOAK_MARGIN) {
         judge_fault(daemon->world, "router-%u runs on after its grace",
                     daemon->number);
         daemon_kill(daemon);
--- a/tests/soak/soak-endpoint.c
+++ b/tests/soak/soak-endpoint.c
@@ -6,7 +6,6 @@
 #define WORK_LEAST (5 * LV_MILLISECOND)
 #define WORK_MOST (40 * LV_MILLISECOND)
 #define WORK_SLOW (500 * LV_MILLISECOND)
-#define EVENTS 6
 #define EVENT_TIME (10 * LV_MILLISECOND)
 
 /* Requests that an endpoint in a bad mood treats badly, in percent. */
@@ -22,6 +21,7 @@
     bool is_stream;
     bool has_begun;
     uint32_t next_event;
+    lv_time began_at;
     lv_time due_at;
     endpoint_work *next;
 };
@@ -63,6 +63,22 @@
     buf_finish(&headers);
 }
 
+static bool
+is_stream(const soak_world *world, uint32_t call)
+{
+    return world->calls[call].kind == SOAK_STREAM ||
+           world->calls[call].kind == SOAK_RESUME;
+}
+
+/* The first event, or the one after those that the caller has. */
+static uint32_t
+read_next_event(const http_head *head)
+{
+    const char *last = http_find_header(head, "Last-Event-Id");
+
+    return last != NULL ? (uint32_t)strtoul(last, NULL, 10) + 1 : 0;
+}
+
 static endpoint_mood
 choose_mood(soak_endpoint *endpoint)
 {
@@ -85,6 +101,9 @@
         front_abort_response(connection);
         return;
     }
+    if (mood != ENDPOINT_GOOD) {
+        world->calls[call].is_treated_badly = true;
+    }
     if (mood == ENDPOINT_SHEDS) {
         shed(connection, call);
         return;
@@ -98,7 +117,9 @@
     work->connection = connection;
     work->call = call;
     work->mood = mood;
-    work->is_stream = world->calls[call].kind == SOAK_STREAM;
+    work->began_at = io_now();
+    work->is_stream = is_stream(world, call);
+    work->next_event = read_next_event(connection->head);
     work->due_at =
         io_now() + (mood == ENDPOINT_SLOW
                         ? WORK_SLOW
@@ -196,11 +217,11 @@
     if (!work->has_begun) {
         begin_stream(work);
     }
-    if (work->next_event == EVENTS) {
+    if (work->next_event >= SOAK_EVENTS) {
         front_end_response(work->connection);
         return true;
     }
-    if (work->mood == ENDPOINT_RESETS && work->next_event == EVENTS / 2) {
+    if (work->mood == ENDPOINT_RESETS && work->next_event == SOAK_EVENTS / 2) {
         front_abort_response(work->connection);
         return true;
     }
@@ -212,6 +233,17 @@
     return false;
 }
 
+/* Under the plant: the work was in hand when the silence ended. */
+static bool
+is_broken_by_silence(const endpoint_work *work, lv_time now)
+{
+    const soak_endpoint *endpoint = work->endpoint;
+
+    return endpoint->world->plant == SOAK_PLANT_SILENT &&
+           endpoint->silent_until != 0 && now >= endpoint->silent_until &&
+           work->began_at < endpoint->silent_until;
+}
+
 /* False: there is more to do. */
 static bool
 do_work(endpoint_work *work, lv_time now)
@@ -219,7 +251,12 @@
     if (work->connection == NULL) {
         return work->due_at == 0 || now >= work->due_at + LV_SECOND * 10;
     }
-    if (now < work->due_at || work->mood == ENDPOINT_MUTE ||
+    if (is_broken_by_silence(work, now)) {
+        front_abort_response(work->connection);
+        return true;
+    }
+    if (now < work->due_at || now < work->endpoint->silent_until ||
+        work->mood == ENDPOINT_MUTE ||
         work->endpoint->world->plant == SOAK_PLANT_KEPT) {
         return false;
     }
@@ -279,6 +316,22 @@
     link_start(&endpoint->link, world, target);
 }
 
+void
+endpoint_fall_silent(soak_endpoint *endpoint)
+{
+    lv_time now = io_now();
+
+    if (now > endpoint->silent_until + SOAK_SILENCE_GAP) {
+        endpoint->silent_until =
+            now + soak_draw_time(endpoint->world, SOAK_SILENCE_LEAST,
+                                 SOAK_SILENCE_MOST);
+        soak_log(
+            endpoint->world, "e-%u silent until %.3f", endpoint->number,
+            (double)(endpoint->silent_until - endpoint->world->started_at) /
+                LV_SECOND);
+    }
+}
+
 void
 endpoint_stop(soak_endpoint *endpoint)
 {
--- a/tests/soak/soak-fault.c
+++ b/tests/soak/soak-fault.c
@@ -7,6 +7,10 @@
 #define DOWN_MOST LV_SECOND
 #define DELAY_MOST (400 * LV_MILLISECOND)
 
+/* Between two steps of a series. */
+#define STEP_LEAST (20 * LV_MILLISECOND)
+#define STEP_MOST (400 * LV_MILLISECOND)
+
 typedef enum fault_kind {
     FAULT_NONE,
     FAULT_PAUSE,
@@ -20,13 +24,15 @@
     FAULT_LEAVE,
     FAULT_STORE,
     FAULT_VERSION,
+    FAULT_SILENCE,
+    FAULT_SERIES, /* at one gateway */
     FAULT_KINDS
 } fault_kind;
 
 static const char *const names[FAULT_KINDS] = {
-    "none",      "pause",  "kill",       "herd-kill",
-    "terminate", "reload", "store-link", "endpoint-link",
-    "mood",      "leave",  "store",      "version"};
+    "none",   "pause",      "kill",          "herd-kill", "terminate",
+    "reload", "store-link", "endpoint-link", "mood",      "leave",
+    "store",  "version",    "silence",       "series"};
 
 static link_fault
 draw_link_fault(soak_world *world)
@@ -34,12 +40,13 @@
     return LINK_DELAYED + soak_draw(world, LINK_REFUSES - LINK_DELAYED + 1);
 }
 
+/* A paused or ending one too. */
 static soak_daemon *
-running_daemon(soak_world *world, uint32_t target)
+live_daemon(soak_world *world, uint32_t target)
 {
     soak_daemon *daemon = &world->daemons[target];
 
-    return daemon->state == DAEMON_RUNNING ? daemon : NULL;
+    return daemon->state != DAEMON_DOWN ? daemon : NULL;
 }
 
 static void
@@ -53,7 +60,7 @@
 kill_many(soak_world *world)
 {
     for (uint32_t i = 0; i < world->daemon_count; i++) {
-        if (soak_draw(world, 2) == 0 && running_daemon(world, i) != NULL) {
+        if (soak_draw(world, 2) == 0 && live_daemon(world, i) != NULL) {
             kill_and_restart(world, &world->daemons[i]);
         }
     }
@@ -69,7 +76,15 @@
 static void
 show_version(soak_world *world)
 {
+    static const lv_time idle_limits[] = {SOAK_IDLE_LEAST, LV_SECOND,
+                                          5 * LV_SECOND, SOAK_IDLE_LONGEST};
+
     world->version++;
+    if (world->plant == SOAK_PLANT_NONE) {
+        world->idle_limit = idle_limits[soak_draw(world, 4)];
+    }
+    soak_log(world, "version %u, idle limit %u ms", world->version,
+             (unsigned)(world->idle_limit / LV_MILLISECOND));
     world->version_at[world->version % SOAK_VERSIONS_MAX] = io_now();
     store_show(world);
 }
@@ -83,6 +98,54 @@
     store_show(endpoint->world);
 }
 
+/* One endpoint, or all at a time, with a change of the configuration beside
+ * it. */
+static void
+fall_silent(soak_world *world, soak_endpoint *endpoint)
+{
+    if (soak_draw(world, 2) == 0) {
+        show_version(world);
+    }
+    if (soak_draw(world, 4) != 0) {
+        endpoint_fall_silent(endpoint);
+        return;
+    }
+    for (uint32_t i = 0; i < SOAK_ENDPOINTS; i++) {
+        endpoint_fall_silent(&world->endpoints[i]);
+    }
+}
+
+/* The next step of a series: signals, restarts and configurations. */
+static void
+step_series(soak_world *world, soak_fault *fault)
+{
+    soak_daemon *daemon = live_daemon(world, fault->target);
+    uint32_t drawn = soak_draw(world, 100);
+
+    fault->next_at = io_now() + soak_draw_time(world, STEP_LEAST, STEP_MOST);
+    if (drawn < 30) {
+        show_version(world);
+    }
+    else if (daemon == NULL) {
+        return;
+    }
+    else if (daemon->is_stopped) {
+        daemon_go_on(daemon);
+    }
+    else if (drawn < 60) {
+        daemon_reload(daemon);
+    }
+    else if (drawn < 75) {
+        daemon_pause(daemon);
+    }
+    else if (drawn < 95) {
+        terminate(daemon);
+    }
+    else {
+        kill_and_restart(world, daemon);
+    }
+}
+
 static void
 begin_on_daemon(soak_world *world, fault_kind kind, soak_daemon *daemon)
 {
@@ -111,7 +174,7 @@
 {
     soak_endpoint *endpoint =
         &world->endpoints[fault->target % SOAK_ENDPOINTS];
-    soak_daemon *daemon = running_daemon(world, fault->target);
+    soak_daemon *daemon = live_daemon(world, fault->target);
 
     soak_log(world, "fault %s at %u", names[fault->kind], fault->target);
     switch ((fault_kind)fault->kind) {
@@ -137,6 +200,12 @@
     case FAULT_VERSION:
         show_version(world);
         break;
+    case FAULT_SILENCE:
+        fall_silent(world, endpoint);
+        break;
+    case FAULT_SERIES:
+        fault->next_at = io_now();
+        break;
     default:
         if (daemon != NULL) {
             begin_on_daemon(world, fault->kind, daemon);
@@ -157,6 +226,7 @@
 
     switch ((fault_kind)fault->kind) {
     case FAULT_PAUSE:
+    case FAULT_SERIES:
         daemon_go_on(daemon);
         break;
     case FAULT_STORE_LINK:
@@ -187,7 +257,7 @@
     for (int i = 0; i < SOAK_FAULTS_MAX; i++) {
         const soak_fault *fault = &world->faults[i];
         bool is_endpoint = kind == FAULT_ENDPOINT_LINK || kind == FAULT_MOOD ||
-                           kind == FAULT_LEAVE;
+                           kind == FAULT_LEAVE || kind == FAULT_SILENCE;
         bool is_same = is_endpoint ? fault->target % SOAK_ENDPOINTS ==
                                          target % SOAK_ENDPOINTS
                                    : fault->target == target;
@@ -243,6 +313,17 @@
         world->store.revision++;
         kill_and_restart(world, daemon);
         break;
+    case SOAK_PLANT_SILENT:
+        for (uint32_t i = 0; i < SOAK_ENDPOINTS; i++) {
+            endpoint_fall_silent(&world->endpoints[i]);
+        }
+        break;
+    case SOAK_PLANT_DROP:
+        terminate(daemon);
+        break;
+    case SOAK_PLANT_CLOSE:
+        daemon_pause(daemon);
+        break;
     case SOAK_PLANT_BUDGET:
         for (uint32_t i = 0; i < SOAK_ENDPOINTS; i++) {
             world->endpoints[i].mood = ENDPOINT_FAILS;
@@ -257,11 +338,26 @@
 #define PLANT_AT (4 * LV_SECOND)
 #define SECOND_VERSION_AT (2 * LV_SECOND)
 
+/* The gateway that the plant paused goes on when its connections are closed.
+ */
+static void
+end_plant(soak_world *world, lv_time now)
+{
+    soak_daemon *daemon = &world->daemons[0];
+
+    if (world->plant == SOAK_PLANT_CLOSE && daemon->is_stopped &&
+        lv_elapsed(now, world->started_at) > PLANT_AT + LV_SECOND) {
+        callers_close_paused(world);
+        daemon_go_on(daemon);
+    }
+}
+
 static void
 tick_plant(soak_world *world, lv_time now)
 {
     lv_time passed = lv_elapsed(now, world->started_at);
 
+    end_plant(world, now);
     if (world->next_fault_at == 0 && passed > SECOND_VERSION_AT) {
         world->next_fault_at = world->started_at + PLANT_AT;
         show_version(world);
@@ -284,6 +380,10 @@
             now >= world->faults[i].until) {
             end_fault(world, &world->faults[i]);
         }
+        if (world->faults[i].kind == FAULT_SERIES &&
+            now >= world->faults[i].next_at) {
+            step_series(world, &world->faults[i]);
+        }
     }
     if (now >= world->next_fault_at) {
         draw_fault(world, now);
--- a/tests/soak/soak-judge.c
+++ b/tests/soak/soak-judge.c
@@ -11,21 +11,46 @@
 /* From a caller's leaving until nobody works for it. */
 #define LEFT_BOUND (500 * LV_MILLISECOND)
 
+/* A process that ends leaves so much of its grace. */
+#define GRACE_RESERVE (600 * LV_MILLISECOND)
+
 /* After the last fault, until every request is served again. */
 #define RECOVERY_TIME (4 * LV_SECOND)
 
+/* What is said of a mistake when it is found. */
+static const char *const plant_findings[SOAK_PLANT_COUNT] = {
+    [SOAK_PLANT_NONE] = "",
+    [SOAK_PLANT_TWICE] = "runs for the",
+    [SOAK_PLANT_SWAP] = "not its answer",
+    [SOAK_PLANT_CUT] = "not the whole",
+    [SOAK_PLANT_LIE] = "said not to have run",
+    [SOAK_PLANT_LATE] = "no answer in time",
+    [SOAK_PLANT_LEAVE] = "which left",
+    [SOAK_PLANT_OLD] = "router-0 ",
+    [SOAK_PLANT_STALE] = "is not in force",
+    [SOAK_PLANT_BUDGET] = "repeats of",
+    [SOAK_PLANT_WORK] = "still works on it",
+    [SOAK_PLANT_KEPT] = "in hand",
+    [SOAK_PLANT_SILENT] = "was only silent",
+    [SOAK_PLANT_DROP] =
+        "neither an answer nor a refusal from router-0 (ending",
+    [SOAK_PLANT_CLOSE] =
+        "neither an answer nor a refusal from router-0 (paused"};
+
 void
 judge_fault(soak_world *world, const char *format, ...)
 {
+    char text[512];
     va_list arguments;
 
-    world->violations++;
-    printf("seed %llu, %.3f s: VIOLATION: ", (unsigned long long)world->seed,
-           (double)(io_now() - world->started_at) / LV_SECOND);
     va_start(arguments, format);
-    vprintf(format, arguments);
+    vsnprintf(text, sizeof text, format, arguments);
     va_end(arguments);
-    putchar('\n');
+    world->violations++;
+    world->plants_found += strstr(text, plant_findings[world->plant]) != NULL;
+    printf("seed %llu, %.3f s: VIOLATION: %s\n",
+           (unsigned long long)world->seed,
+           (double)(io_now() - world->started_at) / LV_SECOND, text);
     fflush(stdout);
 }
 
@@ -59,10 +84,23 @@
     return one > other ? one : other;
 }
 
+static bool
+is_long(const soak_call *call)
+{
+    return call->kind == SOAK_LONG || call->kind == SOAK_RESUME;
+}
+
 static bool
 may_repeat(const soak_call *call)
 {
-    return call->kind == SOAK_MANY || call->kind == SOAK_PROBE;
+    return call->kind == SOAK_MANY || call->kind == SOAK_PROBE ||
+           is_long(call);
+}
+
+static lv_time
+timeout_of(const soak_call *call)
+{
+    return is_long(call) ? SOAK_LONG_TIMEOUT : SOAK_TIMEOUT;
 }
 
 /* Did nothing happen to the process since, that would excuse it? */
@@ -75,6 +113,46 @@
            daemon->good_since < call->sent_at;
 }
 
+/* The process that the request was sent to runs, or is paused, and is not at
+ * the end of its grace. */
+static bool
+is_process_there(const soak_world *world, const soak_call *call)
+{
+    const soak_daemon *daemon = &world->daemons[call->daemon];
+
+    return daemon->life == call->life && daemon->state != DAEMON_DOWN &&
+           (daemon->state != DAEMON_STOPPING ||
+            io_now() < daemon->stop_at + SOAK_GRACE - GRACE_RESERVE);
+}
+
+/* A connection that was idle for long enough may close while a request is on
+ * its way; one that ends may close all that are idle. */
+static bool
+may_cross(const soak_call *call)
+{
+    return !call->has_arrived && call->runs == 0 &&
+           call->idle >= SOAK_IDLE_LEAST;
+}
+
+/* Nothing but silences happened to it at its endpoints and its gateway. */
+static bool
+has_sound_endpoints(const soak_world *world, const soak_call *call)
+{
+    const soak_daemon *daemon = &world->daemons[call->daemon];
+
+    for (uint32_t i = 0; i < SOAK_ENDPOINTS; i++) {
+        const link_transport *link = &world->endpoints[i].link;
+
+        if ((call->ran_at & 1U << i) != 0 &&
+            (link->fault != LINK_GOOD || link->good_since >= call->sent_at)) {
+            return false;
+        }
+    }
+    return is_long(call) && call->runs > 0 && !call->is_treated_badly &&
+           is_process_there(world, call) && !daemon->is_stopped &&
+           daemon->good_since < call->sent_at;
+}
+
 void
 judge_run(soak_world *world, uint32_t number, const soak_endpoint *at)
 {
@@ -83,6 +161,7 @@
     lv_time told_at = later(at->changed_at, daemon_calm_since(daemon));
 
     call->runs++;
+    call->ran_at |= 1U << at->number;
     world->repeats += call->runs > 1;
     if (call->runs > (may_repeat(call) ? SOAK_ATTEMPTS : 1)) {
         judge_fault(world, "c%u (kind %d) runs for the %u. time", number,
@@ -179,6 +258,10 @@
     if (status == 404 || status == 401 || status == 400) {
         judge_fault(world, "c%u: %u for a proper request", number, status);
     }
+    if (status != 200 && has_sound_endpoints(world, call)) {
+        judge_fault(world, "c%u: %u, and its endpoint was only silent", number,
+                    status);
+    }
     if (status != 200 && must_be_served(world, call)) {
         judge_fault(world, "c%u: %u after the faults", number, status);
     }
@@ -187,28 +270,78 @@
     }
 }
 
+static unsigned
+since_ms(lv_time at)
+{
+    return (unsigned)(lv_elapsed(io_now(), at) / LV_MILLISECOND);
+}
+
+static const char *
+state_of(const soak_world *world, const soak_call *call)
+{
+    static const char *const states[] = {"down", "running", "paused",
+                                         "ending"};
+
+    return states[world->daemons[call->daemon].state];
+}
+
 void
 judge_cut(soak_world *world, uint32_t number, bool has_begun)
 {
     soak_call *call = &world->calls[number];
 
     call->is_over = true;
-    if (!has_begun && is_same_process(world, call)) {
-        judge_fault(world, "c%u: no answer from router-%u (runs %u)", number,
-                    call->daemon, call->runs);
+    if (has_begun && has_sound_endpoints(world, call)) {
+        judge_fault(world, "c%u: cut, and its endpoint was only silent",
+                    number);
+    }
+    else if (!has_begun && call->has_arrived &&
+             is_process_there(world, call)) {
+        judge_fault(world,
+                    "c%u: neither an answer nor a refusal from router-%u "
+                    "(%s; sent %u ms ago, alone since %u ms; runs %u)",
+                    number, call->daemon, state_of(world, call),
+                    since_ms(call->sent_at), since_ms(call->first_at),
+                    call->runs);
+    }
+    else if (!has_begun && is_same_process(world, call) && !may_cross(call)) {
+        judge_fault(world,
+                    "c%u: no answer from router-%u (runs %u, idle %u ms)",
+                    number, call->daemon, call->runs,
+                    (unsigned)(call->idle / LV_MILLISECOND));
     }
     else if (must_be_served(world, call) && is_same_process(world, call)) {
         judge_fault(world, "c%u: cut after the faults", number);
     }
 }
 
+void
+judge_behind(soak_world *world, uint32_t number, bool is_last_known)
+{
+    soak_call *call = &world->calls[number];
+
+    call->is_over = true;
+    if (!is_last_known) {
+        return;
+    }
+    call->is_refused = true;
+    if (call->runs > 0) {
+        judge_fault(world, "c%u ran behind the last answer", number);
+    }
+}
+
+/* The time runs anew when a paused process goes on, and for a request behind
+ * others when they are answered. */
 void
 judge_waiting(soak_world *world, uint32_t number, lv_time now)
 {
     soak_call *call = &world->calls[number];
+    const soak_daemon *daemon = &world->daemons[call->daemon];
+    lv_time since = later(call->first_at, daemon->good_since);
 
-    if (!call->is_over && is_same_process(world, call) &&
-        now > call->sent_at + SOAK_TIMEOUT + LEFT_BOUND + SOAK_MARGIN) {
+    if (!call->is_over && is_process_there(world, call) &&
+        !daemon->is_stopped &&
+        now > since + timeout_of(call) + LEFT_BOUND + SOAK_MARGIN) {
         call->is_over = true;
         judge_fault(world, "c%u: no answer in time from router-%u", number,
                     call->daemon);
--- a/tests/soak/soak-main.c
+++ b/tests/soak/soak-main.c
@@ -24,8 +24,8 @@
 static soak_world world;
 
 static const char *const plant_names[SOAK_PLANT_COUNT] = {
-    "none",  "twice", "swap",  "cut",    "lie",  "late",
-    "leave", "old",   "stale", "budget", "work", "kept"};
+    "none",  "twice",  "swap", "cut",  "lie",    "late", "leave", "old",
+    "stale", "budget", "work", "kept", "silent", "drop", "close"};
 
 uint32_t
 soak_draw(soak_world *self, uint32_t below)
@@ -99,6 +99,8 @@
     lv_time now = io_now();
 
     (void)timer;
+    world.last_tick_at = world.tick_at;
+    world.tick_at = now;
     watch_phase(now);
     store_tick(&world, now);
     front_tick(&world.store.server, now);
@@ -123,6 +125,7 @@
     world.started_at = io_now();
     world.random = map_mix(world.seed);
     world.version = 2;
+    world.idle_limit = SOAK_IDLE_LONGEST;
     for (uint32_t i = 0; i < SOAK_ENDPOINTS; i++) {
         endpoint_start(&world, i);
     }
@@ -176,7 +179,7 @@
            world.plant != SOAK_PLANT_NONE ? plant_names[world.plant] : "",
            world.peer_rate);
     if (world.plant != SOAK_PLANT_NONE) {
-        return world.violations > 0 ? 0 : 1;
+        return world.plants_found > 0 ? 0 : 1;
     }
     return world.violations > 0 ? 1 : 0;
 }
--- a/tests/soak/soak-store.c
+++ b/tests/soak/soak-store.c
@@ -24,15 +24,20 @@
 }
 
 static void
-append_route(buf_buffer *to, const char *prefix, const char *kind)
+append_route(buf_buffer *to, const char *prefix, const char *kind,
+             lv_time timeout)
 {
+    bool is_repeated = strcmp(kind, "idempotent") == 0;
+    bool is_resumed = strcmp(prefix, "resume") == 0;
+
     buf_append_format(
         to,
         "{\"name\":\"%s\",\"host\":\"h\",\"prefix\":\"/%s/\",\"kind\":\"%s\","
         "\"timeout_ms\":%u,\"target_latency_ms\":200,\"priority\":1,"
-        "\"service\":\"pool\",\"max_attempts\":%u,\"target_gap_ms\":100}",
-        prefix, prefix, kind, (unsigned)(SOAK_TIMEOUT / LV_MILLISECOND),
-        strcmp(kind, "idempotent") == 0 ? SOAK_ATTEMPTS : 1);
+        "\"service\":\"pool\",\"max_attempts\":%u,\"target_gap_ms\":100%s}",
+        prefix, prefix, kind, (unsigned)(timeout / LV_MILLISECOND),
+        is_repeated || is_resumed ? SOAK_ATTEMPTS : 1,
+        is_resumed ? ",\"resumable\":true" : "");
 }
 
 static void
@@ -43,21 +48,26 @@
 
     buf_init(&json);
     buf_append_format(&json, "{\"version\":%u,\"routes\":[", store->version);
-    append_route(&json, "once", "non_idempotent");
+    append_route(&json, "once", "non_idempotent", SOAK_TIMEOUT);
+    buf_append_text(&json, ",");
+    append_route(&json, "many", "idempotent", SOAK_TIMEOUT);
+    buf_append_text(&json, ",");
+    append_route(&json, "stream", "stream", SOAK_TIMEOUT);
     buf_append_text(&json, ",");
-    append_route(&json, "many", "idempotent");
+    append_route(&json, "long", "idempotent", SOAK_LONG_TIMEOUT);
     buf_append_text(&json, ",");
-    append_route(&json, "stream", "stream");
+    append_route(&json, "resume", "stream", SOAK_LONG_TIMEOUT);
     buf_append_text(&json, ",");
     snprintf(probe, sizeof probe, "probe-%u", store->version);
-    append_route(&json, probe, "idempotent");
-    buf_append_text(&json,
-                    "],\"services\":[{\"name\":\"pool\",\"max_conns\":500}],"
-                    "\"limits\":{\"max_header_bytes\":4096,"
-                    "\"max_body_bytes\":2048,\"header_timeout_ms\":4000,"
-                    "\"idle_timeout_ms\":60000},"
-                    "\"tenants\":[{\"name\":\"north\","
-                    "\"api_keys\":[\"k1\"]}]}");
+    append_route(&json, probe, "idempotent", SOAK_TIMEOUT);
+    buf_append_format(&json,
+                      "],\"services\":[{\"name\":\"pool\",\"max_conns\":500}],"
+                      "\"limits\":{\"max_header_bytes\":4096,"
+                      "\"max_body_bytes\":2048,\"header_timeout_ms\":4000,"
+                      "\"idle_timeout_ms\":%u},"
+                      "\"tenants\":[{\"name\":\"north\","
+                      "\"api_keys\":[\"k1\"]}]}",
+                      (unsigned)(store->idle_limit / LV_MILLISECOND));
     buf_append(&json, "", 1);
     append_value(to, "op/config", json.data);
     buf_finish(&json);
@@ -220,6 +230,7 @@
     }
     store->revision++;
     store->version = world->version;
+    store->idle_limit = world->idle_limit;
     for (uint32_t i = 0; i < SOAK_ENDPOINTS; i++) {
         store->is_shown[i] = world->endpoints[i].is_listed;
     }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -18,15 +18,24 @@
 #define SOAK_FAULTS_MAX 8
 #define SOAK_VERSIONS_MAX 256
 #define SOAK_TICK_MS 5
+#define SOAK_EVENTS 6 /* of a stream */
 
 /* What the platform's configuration of the soak says. */
 #define SOAK_TIMEOUT (1500 * LV_MILLISECOND)
+#define SOAK_LONG_TIMEOUT (5 * LV_SECOND) /* outlasts a silence */
 #define SOAK_LEAVE_BOUND (2 * LV_SECOND)
 #define SOAK_CONFIG_BOUND (3 * LV_SECOND)
 #define SOAK_GRACE (8 * LV_SECOND)
 #define SOAK_ATTEMPTS 2 /* of requests that may be repeated */
 #define SOAK_BUDGET_PERCENT 20
 #define SOAK_BUDGET_SLACK 20
+#define SOAK_IDLE_LEAST (300 * LV_MILLISECOND)
+#define SOAK_IDLE_LONGEST (60 * LV_SECOND)
+
+/* An endpoint falls silent for so long and goes on. */
+#define SOAK_SILENCE_LEAST (800 * LV_MILLISECOND)
+#define SOAK_SILENCE_MOST (1500 * LV_MILLISECOND)
+#define SOAK_SILENCE_GAP (2 * LV_SECOND)
 
 /* Added to every bound: this program's own loop may be late on a machine that
  * does other work too. */
@@ -38,6 +47,8 @@
     SOAK_ONCE,   /* must not run twice */
     SOAK_MANY,   /* may be repeated */
     SOAK_STREAM, /* events; must not run twice */
+    SOAK_LONG,   /* may be repeated, and has time for a silence */
+    SOAK_RESUME, /* events that another endpoint may continue; the same time */
     SOAK_PROBE   /* to a route that one version alone has */
 } soak_kind;
 
@@ -55,6 +66,9 @@
     SOAK_PLANT_BUDGET, /* gateways have settings that allow more repeats */
     SOAK_PLANT_WORK,   /* an endpoint works on after its caller has left */
     SOAK_PLANT_KEPT,   /* a request is never answered and stays in hand */
+    SOAK_PLANT_SILENT, /* an endpoint breaks its answers after a silence */
+    SOAK_PLANT_DROP,   /* callers do not heed "Connection: close" */
+    SOAK_PLANT_CLOSE,  /* connections to a paused gateway are closed */
     SOAK_PLANT_COUNT
 } soak_plant;
 
@@ -66,8 +80,13 @@
     uint32_t version; /* that a probe asks for */
     uint32_t runs;
     lv_time sent_at;
-    lv_time left_at; /* its caller closed; 0: did not */
-    bool is_refused; /* said not to have run */
+    lv_time first_at;      /* it is the first on its connection; 0: not yet */
+    lv_time idle;          /* of the connection, before it was sent */
+    lv_time left_at;       /* its caller closed; 0: did not */
+    uint32_t ran_at;       /* endpoints, a bit for each */
+    bool is_treated_badly; /* by an endpoint */
+    bool has_arrived;      /* all of it, on a connection not yet closed */
+    bool is_refused;       /* said not to have run */
     bool is_over;
 } soak_call;
 
@@ -115,8 +134,9 @@
     front_server server;
     store_mood mood;
     lv_time good_since;
-    uint64_t revision; /* shown; grows with each change */
-    uint32_t version;  /* of the configuration, shown */
+    uint64_t revision;  /* shown; grows with each change */
+    uint32_t version;   /* of the configuration, shown */
+    lv_time idle_limit; /* likewise */
     bool is_shown[SOAK_ENDPOINTS];
     struct {
         front_connection *connection; /* NULL: free */
@@ -153,11 +173,13 @@
     endpoint_mood mood;
     bool is_listed;
     lv_time changed_at; /* is_listed */
+    lv_time silent_until;
     uint32_t births;
     endpoint_work *works;
 } soak_endpoint;
 
 void endpoint_start(soak_world *world, uint32_t number);
+void endpoint_fall_silent(soak_endpoint *endpoint);
 void endpoint_tick(soak_endpoint *endpoint, lv_time now);
 void endpoint_stop(soak_endpoint *endpoint);
 
@@ -177,6 +199,7 @@
     uv_pipe_t output;
     bool has_output;
     bool has_logged; /* since its start, so that it handles signals */
+    bool is_stopped; /* by SIGSTOP */
     FILE *log;
     link_transport store;
     char callers[LV_ADDRESS_SIZE];
@@ -208,11 +231,21 @@
 /* Since when nothing was done to it that its promises make exceptions for. */
 lv_time daemon_calm_since(const soak_daemon *daemon);
 
+/* ---- soak-request.c ---- */
+
+#define SOAK_ANSWER_SIZE 1024
+
+soak_kind request_draw_kind(soak_world *world);
+void request_write(const soak_world *world, uint32_t call, buf_buffer *to);
+bool request_is_answer(const soak_world *world, uint32_t call,
+                       const char *text);
+
 /* ---- soak-caller.c ---- */
 
 typedef struct soak_caller soak_caller;
 
 void callers_start(soak_world *world);
+void callers_close_paused(soak_world *world);
 void callers_tick(soak_world *world, lv_time now);
 void callers_stop(soak_world *world);
 
@@ -222,6 +255,7 @@
     uint32_t kind; /* 0: none */
     uint32_t target;
     lv_time until;
+    lv_time next_at; /* step of a series */
 } soak_fault;
 
 void faults_tick(soak_world *world, lv_time now);
@@ -235,6 +269,10 @@
 void judge_answer(soak_world *world, uint32_t call, uint32_t status,
                   bool is_right);
 void judge_cut(soak_world *world, uint32_t call, bool has_begun);
+
+/* A request behind the last answer of its connection: it must not run when its
+ * caller saw that answer and knows that it was the last. */
+void judge_behind(soak_world *world, uint32_t call, bool is_last_known);
 void judge_waiting(soak_world *world, uint32_t call, lv_time now);
 void judge_working(soak_world *world, uint32_t call,
                    const soak_endpoint *endpoint, lv_time now);
@@ -255,15 +293,18 @@
     const char *folder; /* of settings and logs */
     soak_plant plant;
     lv_time started_at;
-    lv_time length; /* of the part with faults */
-    bool is_calm;   /* the faults are over */
+    lv_time tick_at;
+    lv_time last_tick_at; /* what is read now came after this */
+    lv_time length;       /* of the part with faults */
+    bool is_calm;         /* the faults are over */
     lv_time calm_at;
     bool is_ending;
     uint32_t daemon_count;
     soak_daemon daemons[SOAK_DAEMONS_MAX];
     soak_endpoint endpoints[SOAK_ENDPOINTS];
     soak_store store;
-    uint32_t version; /* newest configuration, shown or not */
+    uint32_t version;   /* newest configuration, shown or not */
+    lv_time idle_limit; /* in it */
     lv_time version_at[SOAK_VERSIONS_MAX];
     soak_caller *callers;
     uint32_t caller_count;
@@ -276,7 +317,8 @@
     uint32_t answers;
     uint32_t refusals;
     uint32_t violations;
-    double peer_rate; /* bytes of datagrams a second and gateway */
+    uint32_t plants_found; /* violations that are the planted mistake */
+    double peer_rate;      /* bytes of datagrams a second and gateway */
 };
 
 uint32_t soak_draw(soak_world *world, uint32_t below);
