--- a/packages/gateway/source/gate-log.c
+++ b/packages/gateway/source/gate-log.c
@@ -29,6 +29,15 @@
     return (unsigned)(request->decision.share_ratio * 100);
 }
 
+/* Time since the endpoint of the last attempt sent something, or since it was
+ * sent the request. */
+static lv_time
+silence(const gate_request *request, lv_time now)
+{
+    return request->sends > 0 ? lv_elapsed(now, request->attempt->last_data_at)
+                              : 0;
+}
+
 /* Time since the list of endpoints was last requested from the store. */
 static lv_time
 list_age(const gate_server *gate, lv_time now)
@@ -70,20 +79,21 @@
 {
     const gate_server *gate = request->gate;
     lv_time now = io_now();
-    bool is_served = request->status / 100 == 2 && outcome[0] == 's';
-    lv_handle endpoint = request->sends > 0 ? request->attempt.endpoint
-                                            : request->decision.endpoint;
+    bool is_served = request->attempt->status / 100 == 2 && outcome[0] == 's';
+    lv_handle endpoint = request->sends > 0
+                             ? request->attempt->reservation.endpoint
+                             : request->decision.endpoint;
 
     log_request(
         LOG_LEVEL_INFO, is_served ? LOG_ORDINARY : LOG_IMPORTANT, now, outcome,
         "request=%s reason=%s account=%s host=%s route=%s status=%u "
         "endpoint=%s took_ms=%llu wait_ms=%llu late_ms=%llu own_ms=%llu "
         "share_percent=%u sends=%u runs=%u may_have_run=%d begun=%d "
-        "retry_ms=%llu config=%llu "
+        "silent_ms=%llu retry_ms=%llu config=%llu "
         "list_age_ms=%llu store_lost=%d peers=%u",
         request_id(request), reason,
         request->account != NULL ? request->account->name : "-",
-        request->route->host, request->route->prefix, request->status,
+        request->route->host, request->route->prefix, request->attempt->status,
         endpoint_name(request, endpoint),
         to_ms(lv_elapsed(now, request->received_at)),
         to_ms(request->decision.prediction.wait),
@@ -91,6 +101,7 @@
         to_ms(request->decision.prediction.service_time),
         share_percent(request), request->sends, request->runs,
         request->may_have_run, request->has_answer_begun,
+        to_ms(silence(request, now)),
         to_ms(request->decision.verdict == ADM_REFUSE
                   ? request->decision.retry_after
                   : 0),
