Let the soak's endpoints leave by their own word and ask for time

Cause: endpoints may say "Server-Leaving: 1" in all answers, and 503 with Retry-After; the soak knew neither.

The faults are off by default until the gateway knows the notices.

--- a/tests/soak/soak-endpoint.c
+++ b/tests/soak/soak-endpoint.c
@@ -44,21 +44,28 @@
 }
 
 static void
-write_headers(uint32_t call, const char *more, buf_buffer *to)
+write_headers(soak_endpoint *endpoint, uint32_t call, const char *more,
+              buf_buffer *to)
 {
     buf_append_format(to,
                       "Lavenderproxy-Attempt-Id: c%u\r\n"
                       "Lavenderproxy-Runner-Seal: seal-%u\r\n%s",
                       call, call, more);
+    notice_write(endpoint, call, to);
 }
 
 static void
-shed(front_connection *connection, uint32_t call)
+shed(soak_endpoint *endpoint, front_connection *connection, uint32_t call,
+     endpoint_mood mood)
 {
     buf_buffer headers;
 
     buf_init(&headers);
-    write_headers(call, "Lavenderproxy-Not-Executed: 1\r\n", &headers);
+    write_headers(endpoint, call, "Lavenderproxy-Not-Executed: 1\r\n",
+                  &headers);
+    if (mood == ENDPOINT_OVERLOADED) {
+        notice_back_off(endpoint, call, &headers);
+    }
     front_send_error(connection, 503, &headers, "busy");
     buf_finish(&headers);
 }
@@ -101,11 +108,12 @@
         front_abort_response(connection);
         return;
     }
+    notice_judge(endpoint, call);
     if (mood != ENDPOINT_GOOD) {
         world->calls[call].is_treated_badly = true;
     }
-    if (mood == ENDPOINT_SHEDS) {
-        shed(connection, call);
+    if (mood == ENDPOINT_SHEDS || mood == ENDPOINT_OVERLOADED) {
+        shed(endpoint, connection, call, mood);
         return;
     }
     judge_run(world, call, endpoint);
@@ -183,7 +191,7 @@
         size /= 2;
     }
     buf_init(&headers);
-    write_headers(work->call, "", &headers);
+    write_headers(work->endpoint, work->call, "", &headers);
     front_begin_response(work->connection, status, &headers, size);
     if (work->mood == ENDPOINT_RESETS) {
         front_send_body(work->connection, body, size / 2);
@@ -202,7 +210,8 @@
     buf_buffer headers;
 
     buf_init(&headers);
-    write_headers(work->call, "Content-Type: text/event-stream\r\n", &headers);
+    write_headers(work->endpoint, work->call,
+                  "Content-Type: text/event-stream\r\n", &headers);
     front_begin_response(work->connection, 200, &headers, FRONT_SIZE_UNKNOWN);
     buf_finish(&headers);
     work->has_begun = true;
--- a/tests/soak/soak-fault.c
+++ b/tests/soak/soak-fault.c
@@ -7,6 +7,10 @@
 #define DOWN_MOST LV_SECOND
 #define DELAY_MOST (400 * LV_MILLISECOND)
 
+/* An endpoint that leaves by its word stays for longer than the bound. */
+#define WORD_LEAST (3 * LV_SECOND)
+#define WORD_MOST (5 * LV_SECOND)
+
 /* Between two steps of a series. */
 #define STEP_LEAST (20 * LV_MILLISECOND)
 #define STEP_MOST (400 * LV_MILLISECOND)
@@ -26,13 +30,14 @@
     FAULT_VERSION,
     FAULT_SILENCE,
     FAULT_SERIES, /* at one gateway */
+    FAULT_WORD,   /* an endpoint leaves by its own word */
     FAULT_KINDS
 } fault_kind;
 
 static const char *const names[FAULT_KINDS] = {
     "none",   "pause",      "kill",          "herd-kill", "terminate",
     "reload", "store-link", "endpoint-link", "mood",      "leave",
-    "store",  "version",    "silence",       "series"};
+    "store",  "version",    "silence",       "series",    "word"};
 
 static link_fault
 draw_link_fault(soak_world *world)
@@ -95,6 +100,9 @@
     endpoint->is_listed = is_listed;
     endpoint->births += is_listed;
     endpoint->changed_at = io_now();
+    if (is_listed) {
+        notice_set_leaving(endpoint, false);
+    }
     store_show(endpoint->world);
 }
 
@@ -189,7 +197,9 @@
                  soak_draw_time(world, 0, DELAY_MOST));
         break;
     case FAULT_MOOD:
-        endpoint->mood = 1 + soak_draw(world, ENDPOINT_MOODS - 1);
+        endpoint->mood =
+            1 + soak_draw(world, world->has_notices ? ENDPOINT_MOODS - 1
+                                                    : ENDPOINT_SLOW);
         break;
     case FAULT_LEAVE:
         set_listed(endpoint, false);
@@ -206,6 +216,9 @@
     case FAULT_SERIES:
         fault->next_at = io_now();
         break;
+    case FAULT_WORD:
+        notice_set_leaving(endpoint, true);
+        break;
     default:
         if (daemon != NULL) {
             begin_on_daemon(world, fault->kind, daemon);
@@ -241,6 +254,11 @@
     case FAULT_LEAVE:
         set_listed(endpoint, true);
         break;
+    case FAULT_WORD:
+        if (endpoint->is_leaving && endpoint->is_listed) {
+            set_listed(endpoint, true); /* another one at its address */
+        }
+        break;
     case FAULT_STORE:
         store_set(world, STORE_GOOD);
         break;
@@ -257,7 +275,8 @@
     for (int i = 0; i < SOAK_FAULTS_MAX; i++) {
         const soak_fault *fault = &world->faults[i];
         bool is_endpoint = kind == FAULT_ENDPOINT_LINK || kind == FAULT_MOOD ||
-                           kind == FAULT_LEAVE || kind == FAULT_SILENCE;
+                           kind == FAULT_LEAVE || kind == FAULT_SILENCE ||
+                           kind == FAULT_WORD;
         bool is_same = is_endpoint ? fault->target % SOAK_ENDPOINTS ==
                                          target % SOAK_ENDPOINTS
                                    : fault->target == target;
@@ -270,25 +289,38 @@
 }
 
 static void
-draw_fault(soak_world *world, lv_time now)
+add_fault(soak_world *world, uint32_t kind, uint32_t target, lv_time until)
 {
-    uint32_t kind = 1 + soak_draw(world, FAULT_KINDS - 1);
-    uint32_t target = soak_draw(world, world->daemon_count);
-    lv_time length = soak_draw_time(world, LENGTH_LEAST, LENGTH_MOST);
-
     for (int i = 0; i < SOAK_FAULTS_MAX && !is_on(world, kind, target); i++) {
         soak_fault *fault = &world->faults[i];
 
         if (fault->kind == FAULT_NONE) {
             fault->kind = kind;
             fault->target = target;
-            fault->until = now + length;
+            fault->until = until;
             begin_fault(world, fault);
             return;
         }
     }
 }
 
+static void
+draw_fault(soak_world *world, lv_time now)
+{
+    uint32_t kinds = world->has_notices ? FAULT_KINDS : FAULT_WORD;
+    uint32_t kind = 1 + soak_draw(world, kinds - 1);
+    uint32_t target = soak_draw(world, world->daemon_count);
+    lv_time until = now + soak_draw_time(world, LENGTH_LEAST, LENGTH_MOST);
+
+    if (kind == FAULT_WORD) {
+        until = now + soak_draw_time(world, WORD_LEAST, WORD_MOST);
+        if (soak_draw(world, 3) != 0) {
+            add_fault(world, FAULT_STORE, target, until);
+        }
+    }
+    add_fault(world, kind, target, until);
+}
+
 static void
 plant_mistake(soak_world *world)
 {
@@ -324,6 +356,14 @@
     case SOAK_PLANT_CLOSE:
         daemon_pause(daemon);
         break;
+    case SOAK_PLANT_WORD:
+        notice_set_leaving(&world->endpoints[0], true);
+        break;
+    case SOAK_PLANT_AGAIN:
+        for (uint32_t i = 0; i < SOAK_ENDPOINTS; i++) {
+            world->endpoints[i].mood = ENDPOINT_OVERLOADED;
+        }
+        break;
     case SOAK_PLANT_BUDGET:
         for (uint32_t i = 0; i < SOAK_ENDPOINTS; i++) {
             world->endpoints[i].mood = ENDPOINT_FAILS;
--- a/tests/soak/soak-judge.c
+++ b/tests/soak/soak-judge.c
@@ -35,7 +35,9 @@
     [SOAK_PLANT_DROP] =
         "neither an answer nor a refusal from router-0 (ending",
     [SOAK_PLANT_CLOSE] =
-        "neither an answer nor a refusal from router-0 (paused"};
+        "neither an answer nor a refusal from router-0 (paused",
+    [SOAK_PLANT_WORD] = "which leaves by its word",
+    [SOAK_PLANT_AGAIN] = "in its back-off"};
 
 void
 judge_fault(soak_world *world, const char *format, ...)
@@ -245,6 +247,9 @@
 
     call->is_over = true;
     world->answers++;
+    if (status == 200 || status == 500) {
+        notice_passed_on(world, number);
+    }
     if (status == 200 && !is_right) {
         judge_fault(world, "c%u: not its answer, or not the whole", number);
     }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -69,6 +69,8 @@
     SOAK_PLANT_SILENT, /* an endpoint breaks its answers after a silence */
     SOAK_PLANT_DROP,   /* callers do not heed "Connection: close" */
     SOAK_PLANT_CLOSE,  /* connections to a paused gateway are closed */
+    SOAK_PLANT_WORD,   /* an endpoint that leaves does not say so */
+    SOAK_PLANT_AGAIN,  /* a 503 does not say when to come again */
     SOAK_PLANT_COUNT
 } soak_plant;
 
@@ -80,10 +82,12 @@
     uint32_t version; /* that a probe asks for */
     uint32_t runs;
     lv_time sent_at;
-    lv_time first_at;      /* it is the first on its connection; 0: not yet */
-    lv_time idle;          /* of the connection, before it was sent */
-    lv_time left_at;       /* its caller closed; 0: did not */
-    uint32_t ran_at;       /* endpoints, a bit for each */
+    lv_time first_at;    /* it is the first on its connection; 0: not yet */
+    lv_time idle;        /* of the connection, before it was sent */
+    lv_time left_at;     /* its caller closed; 0: did not */
+    uint32_t ran_at;     /* endpoints, a bit for each */
+    uint32_t noticed_by; /* 1 + the endpoint that answered, and leaves */
+    uint32_t noticed_births;
     bool is_treated_badly; /* by an endpoint */
     bool has_arrived;      /* all of it, on a connection not yet closed */
     bool is_refused;       /* said not to have run */
@@ -160,9 +164,20 @@
     ENDPOINT_RESETS, /* in the middle of its answer */
     ENDPOINT_MUTE,
     ENDPOINT_SLOW,
+    ENDPOINT_OVERLOADED, /* not run, and not to come again for some time */
     ENDPOINT_MOODS
 } endpoint_mood;
 
+#define SOAK_BACKOFFS 16
+
+/* A 503 with Retry-After that was sent to a gateway. */
+typedef struct soak_backoff {
+    uint32_t life;
+    uint32_t count; /* requests that came in its time */
+    lv_time at;
+    lv_time until;
+} soak_backoff;
+
 typedef struct endpoint_work endpoint_work;
 
 typedef struct soak_endpoint {
@@ -175,6 +190,12 @@
     lv_time changed_at; /* is_listed */
     lv_time silent_until;
     uint32_t births;
+    bool is_leaving; /* by its own word */
+    struct {
+        uint32_t life;
+        lv_time at; /* an answer that says so was passed on; 0: none */
+    } told[SOAK_DAEMONS_MAX];
+    soak_backoff backoffs[SOAK_DAEMONS_MAX][SOAK_BACKOFFS];
     endpoint_work *works;
 } soak_endpoint;
 
@@ -183,6 +204,18 @@
 void endpoint_tick(soak_endpoint *endpoint, lv_time now);
 void endpoint_stop(soak_endpoint *endpoint);
 
+/* ---- soak-notice.c: what endpoints say of themselves ---- */
+
+void notice_set_leaving(soak_endpoint *endpoint, bool is_leaving);
+void notice_write(soak_endpoint *endpoint, uint32_t call, buf_buffer *to);
+void notice_back_off(soak_endpoint *endpoint, uint32_t call, buf_buffer *to);
+
+/* A caller got an endpoint's answer. */
+void notice_passed_on(soak_world *world, uint32_t call);
+
+/* A request has reached an endpoint. */
+void notice_judge(soak_endpoint *endpoint, uint32_t call);
+
 /* ---- soak-daemon.c: the gateways ---- */
 
 typedef enum daemon_state {
@@ -292,6 +325,7 @@
     uint64_t seed;
     const char *folder; /* of settings and logs */
     soak_plant plant;
+    bool has_notices; /* endpoints leave by their word, and ask for time */
     lv_time started_at;
     lv_time tick_at;
     lv_time last_tick_at; /* what is read now came after this */
