Say more of an answer that is cut after the faults

Cause: the soak named only the request; a served one has no line in the gateway's log.

Change: the gateway, the kind, the runs and the age of the request.

--- a/tests/soak/soak-judge.c
+++ b/tests/soak/soak-judge.c
@@ -316,7 +316,11 @@
                     (unsigned)(call->idle / LV_MILLISECOND));
     }
     else if (must_be_served(world, call) && is_same_process(world, call)) {
-        judge_fault(world, "c%u: cut after the faults", number);
+        judge_fault(world,
+                    "c%u: cut after the faults by router-%u (kind %d, runs "
+                    "%u, sent %u ms ago, first since %u ms)",
+                    number, call->daemon, (int)call->kind, call->runs,
+                    since_ms(call->sent_at), since_ms(call->first_at));
     }
 }
 
