--- a/packages/gateway/source/front-connection.c
+++ b/packages/gateway/source/front-connection.c
@@ -3,10 +3,9 @@
 
 #include "front-imp.h"
 
-/* Bytes that a caller may send before its current response is complete. With
- * more, its connection closes after the response: they are still read, because
- * the end of the connection is behind them, but not kept. */
-#define MAX_PIPELINED_BYTES ((size_t)256 * 1024)
+/* Connections beyond max_connections that are read, to refuse their requests:
+ * a caller cannot tell a close without a response from a lost request. */
+#define REFUSAL_CONNECTIONS 64
 
 static void read_pipelined(front_connection *connection);
 
@@ -15,6 +14,37 @@
 {
     connection->phase = phase;
     connection->phase_since = io_now();
+    connection->idle_deadline =
+        connection->phase_since + connection->server->idle_timeout;
+    connection->is_past_timeout = false;
+}
+
+static void
+report_dropped(front_server *server, const char *reason, uint64_t bytes)
+{
+    if (server->ops->on_input_dropped != NULL) {
+        server->ops->on_input_dropped(server, reason, bytes);
+    }
+}
+
+void
+front_report_unread(front_connection *connection, const char *reason)
+{
+    front_server *server = connection->server;
+    uint64_t bytes =
+        io_unread_size(&connection->stream) + front_pipelined_size(connection);
+
+    if (bytes > 0 && !connection->stream.is_closing) {
+        server->counts.closed_unread++;
+        report_dropped(server, reason, bytes);
+    }
+}
+
+void
+front_close(front_connection *connection, const char *reason)
+{
+    front_report_unread(connection, reason);
+    io_close(&connection->stream);
 }
 
 static void
@@ -73,34 +103,21 @@
     .on_head = on_head, .on_body = on_body, .on_end = on_message_end};
 
 static void
-keep_pipelined(front_connection *connection, const char *data, size_t size)
-{
-    if (connection->discards_input) {
-        return;
-    }
-    buf_append(&connection->pipelined, data, size);
-    if (connection->pipelined.has_failed ||
-        connection->pipelined.size > MAX_PIPELINED_BYTES) {
-        connection->discards_input = true;
-        connection->is_keep_alive = false;
-        buf_finish(&connection->pipelined);
-    }
-}
-
-static void
-process_request(front_connection *connection, const char *pipelined_data,
-                size_t size)
+process_request(front_connection *connection)
 {
     front_server *server = connection->server;
 
     front_set_phase(connection, FRONT_PROCESSING);
-    keep_pipelined(connection, pipelined_data, size);
-    connection->is_keep_alive =
-        connection->is_keep_alive && !server->is_draining;
+    if (connection->is_over_limit &&
+        server->connection_count > server->max_connections) {
+        reject_request(connection, 503, "too-many-connections");
+        return;
+    }
     server->ops->on_request(server, connection);
 }
 
-static void
+/* Reads at most one request and returns how many bytes were used. */
+static size_t
 read_request(front_connection *connection, const char *data, size_t size)
 {
     size_t consumed;
@@ -115,8 +132,8 @@
     case HTTP_INCOMPLETE:
         break;
     case HTTP_COMPLETE:
-        process_request(connection, data + consumed, size - consumed);
-        break;
+        process_request(connection);
+        return consumed;
     case HTTP_HEAD_TOO_LARGE:
         reject_request(connection, 431, "head-too-large");
         break;
@@ -135,38 +152,55 @@
         reject_request(connection, 400, "not-a-proper-request");
         break;
     }
+    return size;
+}
+
+/* Reads requests as long as they are answered at once, and returns how many
+ * bytes were used. */
+static size_t
+read_requests(front_connection *connection, const char *data, size_t size)
+{
+    size_t used = 0;
+
+    while (used < size && !connection->stream.is_closing &&
+           (connection->phase == FRONT_IDLE ||
+            connection->phase == FRONT_READING)) {
+        used += read_request(connection, data + used, size - used);
+    }
+    return used;
 }
 
 static void
 on_data(io_stream *stream, const char *data, size_t size)
 {
     front_connection *connection = (front_connection *)stream;
+    size_t used = read_requests(connection, data, size);
 
-    switch (connection->phase) {
-    case FRONT_IDLE:
-    case FRONT_READING:
-        read_request(connection, data, size);
-        break;
-    case FRONT_PROCESSING:
-        keep_pipelined(connection, data, size);
-        break;
-    case FRONT_LINGERING:
-        break;
+    if (used < size && connection->phase == FRONT_PROCESSING) {
+        front_keep_pipelined(connection, data + used, size - used);
+    }
+    else {
+        connection->discarded_bytes += size - used;
     }
 }
 
-static void
-on_stream_end(io_stream *stream, bool is_error)
+void
+front_disconnect(front_connection *connection)
 {
-    front_connection *connection = (front_connection *)stream;
     front_server *server = connection->server;
 
-    (void)is_error;
     connection->is_disconnected = true;
     if (connection->phase == FRONT_PROCESSING) {
         server->ops->on_disconnect(server, connection);
     }
-    io_close(stream);
+    io_close(&connection->stream);
+}
+
+static void
+on_stream_end(io_stream *stream, bool is_error)
+{
+    (void)is_error;
+    front_disconnect((front_connection *)stream);
 }
 
 static void
@@ -200,11 +234,19 @@
 on_close(io_stream *stream)
 {
     front_connection *connection = (front_connection *)stream;
+    front_server *server = connection->server;
 
+    if (connection->phase == FRONT_LINGERING) {
+        connection->discarded_bytes += front_pipelined_size(connection);
+    }
+    if (connection->discarded_bytes > 0) {
+        server->counts.discarded++;
+        report_dropped(server, "after-close", connection->discarded_bytes);
+    }
     unlink_connection(connection);
     http_reader_finish(&connection->reader);
     buf_finish(&connection->body);
-    buf_finish(&connection->pipelined);
+    front_finish_pipelined(connection);
     free(connection);
 }
 
@@ -228,8 +270,8 @@
     connection->head = NULL;
     connection->request = NULL;
     front_set_phase(connection, FRONT_IDLE);
-    io_read_start(&connection->stream);
     read_pipelined(connection);
+    front_update_reading(connection);
 }
 
 /* Sends a FIN and reads until the caller's, because closing a socket with
@@ -277,27 +319,43 @@
                      server->limits.head_bytes);
     front_set_phase(connection, FRONT_IDLE);
     if (!io_accept(&connection->stream, (uv_stream_t *)&server->listener,
-                   FRONT_SILENCE_TIMEOUT, &server->has_inherited_options) ||
-        server->connection_count > server->max_connections) {
+                   FRONT_SILENCE_TIMEOUT, &server->has_inherited_options)) {
         io_close(&connection->stream);
         return;
     }
+    if (server->connection_count > server->max_connections &&
+        !front_close_longest_idle(server)) {
+        server->counts.over_limit++;
+        connection->is_over_limit = true;
+    }
+    if (connection->is_over_limit &&
+        server->connection_count >
+            server->max_connections + REFUSAL_CONNECTIONS) {
+        front_close(connection, "connection-limit");
+        return;
+    }
     server->counts.accepted++;
     io_read_start(&connection->stream);
 }
 
-/* Reads the next request from the bytes received after the last one. */
+/* Reads the next requests from the bytes received after the last one. A
+ * response that is sent meanwhile calls this again, with nothing to do. */
 static void
 read_pipelined(front_connection *connection)
 {
-    buf_buffer pipelined = connection->pipelined;
+    size_t used = connection->pipelined_used;
 
-    buf_init(&connection->pipelined);
-    if (pipelined.size > 0 && !pipelined.has_failed) {
-        read_request(connection, pipelined.data, pipelined.size);
+    if (connection->pipelined.has_failed) {
+        reject_request(connection, 503, "no-memory");
+        return;
     }
-    else if (pipelined.has_failed) {
-        io_close(&connection->stream);
+    if (connection->is_reading_pipelined ||
+        front_pipelined_size(connection) == 0) {
+        return;
     }
-    buf_finish(&pipelined);
+    connection->is_reading_pipelined = true;
+    used = read_requests(connection, connection->pipelined.data + used,
+                         front_pipelined_size(connection));
+    front_use_pipelined(connection, used);
+    connection->is_reading_pipelined = false;
 }
