Give every gateway callers after the soak's faults

Cause: callers draw their gateway when they connect, and after the faults few connections end.

Change: 4 s after the faults each caller goes to a gateway of its own number.

--- a/tests/soak/soak-caller.c
+++ b/tests/soak/soak-caller.c
@@ -35,7 +35,8 @@
 struct soak_caller {
     io_stream stream; /* first member */
     soak_world *world;
-    bool is_used; /* the stream, until it is closed */
+    bool is_used;  /* the stream, until it is closed */
+    bool has_home; /* its gateway is no longer drawn */
     uint32_t daemon;
     uint32_t life;             /* of the process that it connected to */
     uint32_t calls[CALLS_MAX]; /* in the order of their sending */
@@ -344,7 +345,9 @@
     soak_world *world = self->world;
     struct sockaddr_in address;
 
-    self->daemon = soak_draw(world, world->daemon_count);
+    self->daemon = self->has_home ? (uint32_t)(self - world->callers) %
+                                        world->daemon_count
+                                  : soak_draw(world, world->daemon_count);
     if (world->daemons[self->daemon].state == DAEMON_DOWN) {
         rest(self, 0, REST_TIME);
         return;
@@ -371,6 +374,17 @@
     io_close(&self->stream);
 }
 
+/* After the faults a gateway that began last would have no callers, as their
+ * connections to the others stay open. */
+static void
+go_home(soak_caller *self)
+{
+    self->has_home = true;
+    if (self->is_used && !self->stream.is_closing) {
+        io_close(&self->stream);
+    }
+}
+
 static void
 tick(soak_caller *self, lv_time now)
 {
@@ -388,7 +402,11 @@
         (self->world->is_ending && self->world->plant != SOAK_PLANT_KEPT)) {
         return;
     }
-    if (!self->is_used) {
+    if (!self->has_home && self->world->is_calm &&
+        now > self->world->calm_at + SOAK_RECOVERY) {
+        go_home(self);
+    }
+    else if (!self->is_used) {
         connect_caller(self);
     }
     else if (self->stream.is_connected && !self->stream.is_closing) {
--- a/tests/soak/soak-judge.c
+++ b/tests/soak/soak-judge.c
@@ -14,9 +14,6 @@
 /* A process that ends leaves so much of its grace. */
 #define GRACE_RESERVE (600 * LV_MILLISECOND)
 
-/* After the last fault, until every request is served again. */
-#define RECOVERY_TIME (4 * LV_SECOND)
-
 /* What is said of a mistake when it is found. */
 static const char *const plant_findings[SOAK_PLANT_COUNT] = {
     [SOAK_PLANT_NONE] = "",
@@ -194,7 +191,7 @@
 static bool
 must_be_served(const soak_world *world, const soak_call *call)
 {
-    return world->is_calm && call->sent_at > world->calm_at + RECOVERY_TIME;
+    return world->is_calm && call->sent_at > world->calm_at + SOAK_RECOVERY;
 }
 
 /* Is the probed version surely in force where it was probed? */
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -37,6 +37,9 @@
 #define SOAK_SILENCE_MOST (1500 * LV_MILLISECOND)
 #define SOAK_SILENCE_GAP (2 * LV_SECOND)
 
+/* After the last fault, until every request is served again. */
+#define SOAK_RECOVERY (4 * LV_SECOND)
+
 /* Added to every bound: this program's own loop may be late on a machine that
  * does other work too. */
 #define SOAK_MARGIN (1500 * LV_MILLISECOND)
