Count a request's time from its writing, and judge a cut only once begun

And such a request, left out of "no answer" as it crossed the close of an idle connection, was then taken for an answer that was cut.

Change: the time is that of the writing; "cut after the faults" is for answers that had begun, as before the crossing was left out. The message has the status.

--- a/tests/soak/soak-caller.c
+++ b/tests/soak/soak-caller.c
@@ -295,10 +295,8 @@
 static void
 end_connection(soak_caller *self)
 {
-    bool has_begun = self->status != 0;
-
     if (self->count > 0) {
-        judge_cut(self->world, self->calls[0], has_begun);
+        judge_cut(self->world, self->calls[0], self->status);
         remove_call(self);
     }
     drop_behind(self, false);
@@ -395,7 +393,7 @@
         }
         judge_waiting(self->world, self->calls[0], now);
         watch_arrival(self, now);
-        add_behind(self, now);
+        add_behind(self, io_now());
         return;
     }
     if (now < self->next_at ||
@@ -410,7 +408,7 @@
         connect_caller(self);
     }
     else if (self->stream.is_connected && !self->stream.is_closing) {
-        begin_calls(self, now);
+        begin_calls(self, io_now());
     }
 }
 
--- a/tests/soak/soak-judge.c
+++ b/tests/soak/soak-judge.c
@@ -288,8 +288,9 @@
 }
 
 void
-judge_cut(soak_world *world, uint32_t number, bool has_begun)
+judge_cut(soak_world *world, uint32_t number, uint32_t status)
 {
+    bool has_begun = status != 0;
     soak_call *call = &world->calls[number];
 
     call->is_over = true;
@@ -312,11 +313,12 @@
                     number, call->daemon, call->runs,
                     (unsigned)(call->idle / LV_MILLISECOND));
     }
-    else if (must_be_served(world, call) && is_same_process(world, call)) {
+    else if (has_begun && must_be_served(world, call) &&
+             is_same_process(world, call)) {
         judge_fault(world,
-                    "c%u: cut after the faults by router-%u (kind %d, runs "
-                    "%u, sent %u ms ago, first since %u ms)",
-                    number, call->daemon, (int)call->kind, call->runs,
+                    "c%u: %u, cut after the faults by router-%u (kind %d, "
+                    "runs %u, sent %u ms ago, first since %u ms)",
+                    number, status, call->daemon, (int)call->kind, call->runs,
                     since_ms(call->sent_at), since_ms(call->first_at));
     }
 }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -304,7 +304,8 @@
 void judge_refused(soak_world *world, uint32_t call);
 void judge_answer(soak_world *world, uint32_t call, uint32_t status,
                   bool is_right);
-void judge_cut(soak_world *world, uint32_t call, bool has_begun);
+/* Its connection ended; status 0: its answer had not begun. */
+void judge_cut(soak_world *world, uint32_t call, uint32_t status);
 
 /* A request behind the last answer of its connection: it must not run when its
  * caller saw that answer and knows that it was the last. */
