--- a/tests/soak/soak-endpoint.c
+++ b/tests/soak/soak-endpoint.c
@@ -6,7 +6,6 @@
 #define WORK_LEAST (5 * LV_MILLISECOND)
 #define WORK_MOST (40 * LV_MILLISECOND)
 #define WORK_SLOW (500 * LV_MILLISECOND)
-#define EVENTS 6
 #define EVENT_TIME (10 * LV_MILLISECOND)
 
 /* Requests that an endpoint in a bad mood treats badly, in percent. */
@@ -22,6 +21,7 @@
     bool is_stream;
     bool has_begun;
     uint32_t next_event;
+    lv_time began_at;
     lv_time due_at;
     endpoint_work *next;
 };
@@ -44,25 +44,48 @@
 }
 
 static void
-write_headers(uint32_t call, const char *more, buf_buffer *to)
+write_headers(soak_endpoint *endpoint, uint32_t call, const char *more,
+              buf_buffer *to)
 {
     buf_append_format(to,
                       "Lavenderproxy-Attempt-Id: c%u\r\n"
                       "Lavenderproxy-Runner-Seal: seal-%u\r\n%s",
                       call, call, more);
+    notice_write(endpoint, call, to);
 }
 
 static void
-shed(front_connection *connection, uint32_t call)
+shed(soak_endpoint *endpoint, front_connection *connection, uint32_t call,
+     endpoint_mood mood)
 {
     buf_buffer headers;
 
     buf_init(&headers);
-    write_headers(call, "Lavenderproxy-Not-Executed: 1\r\n", &headers);
+    write_headers(endpoint, call, "Lavenderproxy-Not-Executed: 1\r\n",
+                  &headers);
+    if (mood == ENDPOINT_OVERLOADED) {
+        notice_back_off(endpoint, call, &headers);
+    }
     front_send_error(connection, 503, &headers, "busy");
     buf_finish(&headers);
 }
 
+static bool
+is_stream(const soak_world *world, uint32_t call)
+{
+    return world->calls[call].kind == SOAK_STREAM ||
+           world->calls[call].kind == SOAK_RESUME;
+}
+
+/* The first event, or the one after those that the caller has. */
+static uint32_t
+read_next_event(const http_head *head)
+{
+    const char *last = http_find_header(head, "Last-Event-Id");
+
+    return last != NULL ? (uint32_t)strtoul(last, NULL, 10) + 1 : 0;
+}
+
 static endpoint_mood
 choose_mood(soak_endpoint *endpoint)
 {
@@ -85,8 +108,12 @@
         front_abort_response(connection);
         return;
     }
-    if (mood == ENDPOINT_SHEDS) {
-        shed(connection, call);
+    notice_judge(endpoint, call);
+    if (mood != ENDPOINT_GOOD) {
+        world->calls[call].is_treated_badly = true;
+    }
+    if (mood == ENDPOINT_SHEDS || mood == ENDPOINT_OVERLOADED) {
+        shed(endpoint, connection, call, mood);
         return;
     }
     judge_run(world, call, endpoint);
@@ -98,7 +125,9 @@
     work->connection = connection;
     work->call = call;
     work->mood = mood;
-    work->is_stream = world->calls[call].kind == SOAK_STREAM;
+    work->began_at = io_now();
+    work->is_stream = is_stream(world, call);
+    work->next_event = read_next_event(connection->head);
     work->due_at =
         io_now() + (mood == ENDPOINT_SLOW
                         ? WORK_SLOW
@@ -162,7 +191,7 @@
         size /= 2;
     }
     buf_init(&headers);
-    write_headers(work->call, "", &headers);
+    write_headers(work->endpoint, work->call, "", &headers);
     front_begin_response(work->connection, status, &headers, size);
     if (work->mood == ENDPOINT_RESETS) {
         front_send_body(work->connection, body, size / 2);
@@ -181,7 +210,8 @@
     buf_buffer headers;
 
     buf_init(&headers);
-    write_headers(work->call, "Content-Type: text/event-stream\r\n", &headers);
+    write_headers(work->endpoint, work->call,
+                  "Content-Type: text/event-stream\r\n", &headers);
     front_begin_response(work->connection, 200, &headers, FRONT_SIZE_UNKNOWN);
     buf_finish(&headers);
     work->has_begun = true;
@@ -196,11 +226,11 @@
     if (!work->has_begun) {
         begin_stream(work);
     }
-    if (work->next_event == EVENTS) {
+    if (work->next_event >= SOAK_EVENTS) {
         front_end_response(work->connection);
         return true;
     }
-    if (work->mood == ENDPOINT_RESETS && work->next_event == EVENTS / 2) {
+    if (work->mood == ENDPOINT_RESETS && work->next_event == SOAK_EVENTS / 2) {
         front_abort_response(work->connection);
         return true;
     }
@@ -212,6 +242,17 @@
     return false;
 }
 
+/* Under the plant: the work was in hand when the silence ended. */
+static bool
+is_broken_by_silence(const endpoint_work *work, lv_time now)
+{
+    const soak_endpoint *endpoint = work->endpoint;
+
+    return endpoint->world->plant == SOAK_PLANT_SILENT &&
+           endpoint->silent_until != 0 && now >= endpoint->silent_until &&
+           work->began_at < endpoint->silent_until;
+}
+
 /* False: there is more to do. */
 static bool
 do_work(endpoint_work *work, lv_time now)
@@ -219,7 +260,12 @@
     if (work->connection == NULL) {
         return work->due_at == 0 || now >= work->due_at + LV_SECOND * 10;
     }
-    if (now < work->due_at || work->mood == ENDPOINT_MUTE ||
+    if (is_broken_by_silence(work, now)) {
+        front_abort_response(work->connection);
+        return true;
+    }
+    if (now < work->due_at || now < work->endpoint->silent_until ||
+        work->mood == ENDPOINT_MUTE ||
         work->endpoint->world->plant == SOAK_PLANT_KEPT) {
         return false;
     }
@@ -279,6 +325,22 @@
     link_start(&endpoint->link, world, target);
 }
 
+void
+endpoint_fall_silent(soak_endpoint *endpoint)
+{
+    lv_time now = io_now();
+
+    if (now > endpoint->silent_until + SOAK_SILENCE_GAP) {
+        endpoint->silent_until =
+            now + soak_draw_time(endpoint->world, SOAK_SILENCE_LEAST,
+                                 SOAK_SILENCE_MOST);
+        soak_log(
+            endpoint->world, "e-%u silent until %.3f", endpoint->number,
+            (double)(endpoint->silent_until - endpoint->world->started_at) /
+                LV_SECOND);
+    }
+}
+
 void
 endpoint_stop(soak_endpoint *endpoint)
 {
--- a/tests/soak/soak-main.c
+++ b/tests/soak/soak-main.c
@@ -24,8 +24,9 @@
 static soak_world world;
 
 static const char *const plant_names[SOAK_PLANT_COUNT] = {
-    "none",  "twice", "swap",  "cut",    "lie",  "late",
-    "leave", "old",   "stale", "budget", "work", "kept"};
+    "none",   "twice", "swap",  "cut",    "lie",  "late",
+    "leave",  "old",   "stale", "budget", "work", "kept",
+    "silent", "drop",  "close", "word",   "again"};
 
 uint32_t
 soak_draw(soak_world *self, uint32_t below)
@@ -99,6 +100,8 @@
     lv_time now = io_now();
 
     (void)timer;
+    world.last_tick_at = world.tick_at;
+    world.tick_at = now;
     watch_phase(now);
     store_tick(&world, now);
     front_tick(&world.store.server, now);
@@ -123,6 +126,7 @@
     world.started_at = io_now();
     world.random = map_mix(world.seed);
     world.version = 2;
+    world.idle_limit = SOAK_IDLE_LONGEST;
     for (uint32_t i = 0; i < SOAK_ENDPOINTS; i++) {
         endpoint_start(&world, i);
     }
@@ -176,7 +180,7 @@
            world.plant != SOAK_PLANT_NONE ? plant_names[world.plant] : "",
            world.peer_rate);
     if (world.plant != SOAK_PLANT_NONE) {
-        return world.violations > 0 ? 0 : 1;
+        return world.plants_found > 0 ? 0 : 1;
     }
     return world.violations > 0 ? 1 : 0;
 }
@@ -198,6 +202,9 @@
                        SOAK_DAEMONS_MAX);
         }
         return 0;
+    case 'w':
+        world.has_notices = true;
+        return 0;
     case 'f':
         world.folder = value;
         return 0;
@@ -222,6 +229,10 @@
         {"seed", 's', "N", 0, "of all that is drawn", 0},
         {"seconds", 't', "N", 0, "with faults", 0},
         {"daemons", 'n', "N", 0, "gateways", 0},
+        {"notices", 'w', NULL, 0,
+         "endpoints that say that they leave or are "
+         "overloaded",
+         0},
         {"folder", 'f', "DIR", 0, "for settings and logs", 0},
         {"plant", 'p', "NAME", 0, "make a mistake; succeeds when it is found",
          0},
