Count a busy loop in full in the fixture's waits

The fixture counts a pause of the test's process as 100 ms at most. That would also have hidden a gateway that keeps its own loop busy: what the process computes now counts in full. 30 gateway and net tests pass.

--- a/tests/gateway/stage.c
+++ b/tests/gateway/stage.c
@@ -276,9 +276,13 @@
 {
     stage_fixture *stage = timer->data;
     uint64_t elapsed = uv_now(&stage->loop) - stage->step_began;
+    uint64_t computed =
+        (uint64_t)(clock() - stage->cpu_began) * 1000 / CLOCKS_PER_SEC;
+    uint64_t most =
+        computed > STAGE_PAUSE_MAX_MS ? computed : STAGE_PAUSE_MAX_MS;
 
-    if (elapsed > STAGE_PAUSE_MAX_MS) {
-        elapsed = STAGE_PAUSE_MAX_MS;
+    if (elapsed > most) {
+        elapsed = most;
     }
     if (elapsed >= stage->time_left) {
         stage->time_left = 0;
@@ -293,6 +297,7 @@
 start_step(stage_fixture *stage)
 {
     stage->step_began = uv_now(&stage->loop);
+    stage->cpu_began = clock();
     uv_timer_start(&stage->timer, on_step,
                    stage->time_left < STEP_MS ? stage->time_left : STEP_MS, 0);
 }
--- a/tests/gateway/stage.h
+++ b/tests/gateway/stage.h
@@ -6,6 +6,8 @@
 #ifndef STAGE_H
 #define STAGE_H
 
+#include <time.h>
+
 #include "lavender-gateway/gate.h"
 
 #define STAGE_ENDPOINTS 10
@@ -81,6 +83,7 @@
     char readiness[LV_ADDRESS_SIZE];
     char peer[LV_ADDRESS_SIZE]; /* of the gateway; empty: any free port */
     uint64_t step_began;        /* on the loop's clock */
+    clock_t cpu_began;          /* CPU time of the process then */
     uint64_t time_left;         /* of stage_run_until, in milliseconds */
 } stage_fixture;
 
@@ -117,7 +120,8 @@
 
 /* Run the loop until the condition holds or the time has passed; return
  * whether the condition holds. A time in which the process got no CPU counts
- * as STAGE_PAUSE_MAX_MS: the gateway could do nothing in it. */
+ * as STAGE_PAUSE_MAX_MS: the gateway could do nothing in it. A loop that the
+ * gateway itself keeps busy counts in full. */
 typedef bool stage_condition(stage_fixture *stage, void *context);
 bool stage_run_until(stage_fixture *stage, stage_condition *condition,
                      void *context, uint64_t milliseconds);
