Decode what endpoints say of leaving and of a pause

Cause: endpoints may say in any answer that they leave, and in a 503 for how long they take no request; neither header was read.

Change: wire_response has is_draining, retry_after and is_retry_after_invalid.

Conclusion: nothing uses the fields yet.

--- a/packages/gateway/include/lavender-gateway/wire.h
+++ b/packages/gateway/include/lavender-gateway/wire.h
@@ -42,6 +42,10 @@
     bool was_not_executed; /* the endpoint did not execute the request */
     lv_time keep_alive_timeout; /* keep-alive timeout of the connection; 0: not
                                    given */
+    bool is_draining;           /* the endpoint is draining by its own word */
+    lv_time retry_after; /* of a 503: the endpoint takes no request for so
+                            long; 0: not given */
+    bool is_retry_after_invalid; /* of a 503: it was not valid, and ignored */
 } wire_response;
 
 /* The parts of the store that the gateway reads. */
