Keep what an endpoint says of itself, and ask it before each request

Cause: an endpoint that leaves by its own word, or asks for a pause, went on being chosen until the list said so, or until its failures outweighed its load.

Change: availability.h holds both states for an endpoint; eng_check_send is the one place that says whether a request may be sent to it now, and why not. Leaving unlists the endpoint for good: it holds while the list is read again, the service is configured anew, or an older copy names the endpoint after it was withdrawn. Only another endpoint, which has another id, is used at the address. Of two pauses the longer one stays. After it requests return a few at a time: 2, and twice as many with each 50 ms, for 0.5 s. If no endpoint may be sent the request, it is queued when one is free within its usual wait and its deadline and fewer wait than can start by then; otherwise it is refused at once, until one can be asked and up to 1 s later, so that callers do not return together. Rows of endpoints stay while they are published.

Conclusion: the gateway does not record these states yet.

--- a/packages/core/include/lavender/admission.h
+++ b/packages/core/include/lavender/admission.h
@@ -9,6 +9,11 @@
  * a short time if the wait is expected to fall below the allowance soon.
  * Otherwise it is refused at once, with the time after which capacity is
  * expected.
+ *
+ * Endpoints that may be sent no request now (eng_check_send) are not compared.
+ * If there are no others, the request is queued for one that may be sent
+ * requests again in time, as long as there is room for it beside those that
+ * wait already.
  */
 #ifndef LAVENDER_ADMISSION_H
 #define LAVENDER_ADMISSION_H
@@ -47,6 +52,9 @@
     const eng_prompt *prompt;
     lv_time received;
     lv_time target;     /* latency target */
+    lv_time deadline;   /* an answer after it is of no use; 0: none */
+    uint32_t waiting;   /* requests of the service that this instance queues;
+                           0 for one of them */
     double share_ratio; /* tokens served to the account as a fraction of its
                            fair share (shr_ratio); 0: not limited */
     uint32_t first_row; /* any number: the row to begin with; of endpoints with
--- a/packages/core/include/lavender/engine.h
+++ b/packages/core/include/lavender/engine.h
@@ -12,11 +12,15 @@
 #ifndef LAVENDER_ENGINE_H
 #define LAVENDER_ENGINE_H
 
+#include "lavender/availability.h"
 #include "lavender/map.h"
 #include "lavender/outlier.h"
 
 #define ENG_BLOCKS_MAX 16
 
+/* Endpoints without a row of which is remembered what they said. */
+#define ENG_DEPARTED_MAX 256
+
 /* The published description of an endpoint. */
 typedef struct eng_spec {
     lv_id id;                /* hash of the name and the start time */
@@ -57,7 +61,8 @@
     eng_spec spec;
     uint32_t generation; /* changes each time the row is reused */
     bool is_used;        /* the row holds an endpoint */
-    bool is_listed;      /* published and not draining */
+    bool is_published;
+    bool is_listed; /* published and not draining */
     bool is_engine;
     uint64_t kv_capacity;     /* in tokens */
     uint32_t reference_count; /* of connections and attempts; the row is not
@@ -76,8 +81,16 @@
                                 first token */
     lv_time mean_duration;   /* of requests, from sending to the end */
     out_detector outlier;
+    avl_state availability;
 } eng_endpoint;
 
+/* An endpoint that was removed, and what it had said of itself: an older list
+ * may name it again. */
+typedef struct eng_departed {
+    lv_id id; /* LV_ID_NONE: unused */
+    avl_state availability;
+} eng_departed;
+
 /* A block of a prompt. */
 typedef struct eng_block {
     uint64_t prefix_hash; /* hash of this block and all blocks before it */
@@ -135,6 +148,8 @@
     map_table cache_index; /* key of a cache entry to its index */
     eng_cache_entry *cache_entries;
     uint32_t next_cache_entry; /* index of the entry to overwrite next */
+    eng_departed departed[ENG_DEPARTED_MAX];
+    uint32_t departed_count; /* ever; the oldest one is overwritten */
 } eng_table;
 
 void eng_default_settings(eng_settings *settings);
@@ -153,6 +168,24 @@
 /* Stops new requests to an endpoint that is still published. */
 void eng_unlist(eng_table *table, lv_handle endpoint);
 
+/* Returns why the endpoint may be sent no request of this instance now. Every
+ * request is checked before it is sent, also one that has waited since it was
+ * decided. `free_at` is set to the time when one may be sent; LV_TIME_NEVER:
+ * not known. */
+avl_reason eng_check_send(const eng_table *table, lv_handle endpoint,
+                          lv_time now, lv_time *free_at);
+
+/* Record what the endpoint said of itself: that it is draining, or that it
+ * takes no request for some time. The first unlists it, whatever is published
+ * later. Return whether the state changed. */
+bool eng_begin_leaving(eng_table *table, lv_handle endpoint);
+bool eng_begin_backoff(eng_table *table, lv_handle endpoint, lv_time duration,
+                       lv_time now);
+
+/* Ends a back-off whose slow start is over. Returns its endpoint; call it
+ * until it returns LV_HANDLE_NONE. */
+lv_handle eng_end_backoff(eng_table *table, lv_time now);
+
 /* Applies the configuration of a service to its known endpoints. `kv_tokens`
  * is the KV cache capacity; 0 leaves it unchanged. */
 void eng_set_service(eng_table *table, lv_id service, bool is_engine,
--- a/packages/core/source/admission.c
+++ b/packages/core/source/admission.c
@@ -28,6 +28,10 @@
  * been idle for some time (required_idle_time). */
 #define FAR_OVER_SHARE 1.2
 
+/* Refused requests return within this time after an endpoint may be sent
+ * requests again: its slow start, and as long after it. */
+#define RETURN_SPREAD (2 * AVL_SLOW_START)
+
 typedef struct candidate {
     lv_handle endpoint;
     eng_prediction prediction;
@@ -35,6 +39,16 @@
     uint64_t cost;
 } candidate;
 
+/* The endpoints that may be sent no request now. */
+typedef struct unavailable {
+    uint32_t count;
+    avl_reason reason;     /* of the one that is available first */
+    lv_time free_at;       /* then; LV_TIME_NEVER: none will be */
+    lv_time tried_free_at; /* the same of those that are excluded */
+    lv_time latest_free;   /* the request can wait until then */
+    uint32_t places;       /* requests that may start by then */
+} unavailable;
+
 void
 adm_default_settings(adm_settings *settings)
 {
@@ -178,14 +192,56 @@
     return one->cost < other->cost;
 }
 
+/* Returns until when the request may wait for an endpoint that takes none now:
+ * as long as at one with a queue, and not beyond its deadline. */
+static lv_time
+latest_free(const adm_settings *settings, const adm_request *request)
+{
+    lv_time usual = request->target * settings->wait_percent / 100;
+    lv_time latest =
+        request->received +
+        (lv_time)((double)usual * allowance_factor(request->share_ratio));
+
+    return request->deadline != 0 && request->deadline < latest
+               ? request->deadline
+               : latest;
+}
+
+/* Returns whether the endpoint may be sent the request now; adds it to those
+ * that may not. */
 static bool
-is_candidate(const eng_table *table, const adm_request *request, lv_handle row)
+is_candidate(const eng_table *table, const adm_request *request, lv_handle row,
+             lv_time now, unavailable *others)
 {
     const eng_endpoint *endpoint = &table->endpoints[row];
+    lv_time free_at;
+    uint32_t places;
+    avl_reason reason;
 
-    return endpoint->is_used && endpoint->is_listed &&
-           endpoint->spec.service == request->service &&
-           !was_tried(request, row);
+    if (!endpoint->is_used || endpoint->spec.service != request->service) {
+        return false;
+    }
+    reason = eng_check_send(table, row, now, &free_at);
+    if (was_tried(request, row)) {
+        if (free_at < others->tried_free_at) {
+            others->tried_free_at = free_at;
+        }
+        return false;
+    }
+    if (reason == AVL_AVAILABLE || reason == AVL_UNLISTED) {
+        return reason == AVL_AVAILABLE;
+    }
+    if (others->count == 0 || free_at < others->free_at) {
+        others->free_at = free_at;
+        others->reason = reason;
+    }
+    others->count++;
+    places =
+        avl_places(&eng_at(table, row)->availability, others->latest_free);
+    others->places = places > UINT32_MAX - others->places
+                         ? UINT32_MAX
+                         : others->places + places;
+    return false;
 }
 
 /* Returns an upper limit of wait_allowance for any prediction. */
@@ -221,14 +277,20 @@
 }
 
 /* Writes the best candidate, whose endpoint is LV_HANDLE_NONE if there is
- * none. Returns the number of candidates. */
+ * none, and what is known of the endpoints that may be sent no request.
+ * Returns the number of candidates. */
 static uint32_t
 find_best(const adm_settings *settings, const eng_table *table,
-          const adm_request *request, lv_time now, candidate *best)
+          const adm_request *request, lv_time now, candidate *best,
+          unavailable *others)
 {
     uint32_t count = 0;
     uint32_t i;
 
+    memset(others, 0, sizeof *others);
+    others->free_at = LV_TIME_NEVER;
+    others->tried_free_at = LV_TIME_NEVER;
+    others->latest_free = latest_free(settings, request);
     memset(best, 0, sizeof *best);
     best->endpoint = LV_HANDLE_NONE;
     for (i = 0; i < table->capacity; i++) {
@@ -237,7 +299,7 @@
         const eng_endpoint *endpoint = &table->endpoints[row];
         candidate one = {.endpoint = row};
 
-        if (!is_candidate(table, request, row)) {
+        if (!is_candidate(table, request, row, now, others)) {
             continue;
         }
         count++;
@@ -272,11 +334,53 @@
     decision->reason = reason;
 }
 
+/* Refuses the request until a time, and spreads what returns then. */
+static void
+refuse_until(const adm_request *request, lv_time free_at, const char *reason,
+             lv_time now, adm_decision *decision)
+{
+    refuse(decision,
+           lv_elapsed(free_at, now) +
+               map_mix((uint64_t)request->first_row + 1) % RETURN_SPREAD,
+           reason);
+}
+
+/* Queues the request until an endpoint may be sent requests again, or refuses
+ * it. */
+static void
+decide_unavailable(const adm_request *request, const unavailable *others,
+                   lv_time now, adm_decision *decision)
+{
+    const char *reason =
+        others->count > 0 ? avl_reason_text(others->reason) : "no-endpoint";
+
+    if (others->free_at != LV_TIME_NEVER) {
+        if (others->free_at <= others->latest_free &&
+            request->waiting < others->places) {
+            decision->verdict = ADM_QUEUE;
+            decision->reason = reason;
+            return;
+        }
+        refuse_until(request, others->free_at, reason, now, decision);
+        return;
+    }
+    if (request->tried_count > 0) {
+        reason = "all-tried";
+    }
+    if (others->tried_free_at != LV_TIME_NEVER &&
+        others->tried_free_at > now) {
+        refuse_until(request, others->tried_free_at, reason, now, decision);
+        return;
+    }
+    refuse(decision, LV_SECOND, reason);
+}
+
 void
 adm_decide(const adm_settings *settings, const eng_table *table,
            const adm_request *request, lv_time now, adm_decision *decision)
 {
     candidate best;
+    unavailable others;
     lv_time allowance;
     lv_time queued_time = lv_elapsed(now, request->received);
     lv_time max_queue_time = request->target * settings->queue_percent / 100;
@@ -284,12 +388,11 @@
 
     decision->share_ratio = request->share_ratio;
     decision->candidate_count =
-        find_best(settings, table, request, now, &best);
+        find_best(settings, table, request, now, &best, &others);
     decision->endpoint = best.endpoint;
     decision->prediction = best.prediction;
     if (best.endpoint == LV_HANDLE_NONE) {
-        refuse(decision, LV_SECOND,
-               request->tried_count > 0 ? "all-tried" : "no-endpoint");
+        decide_unavailable(request, &others, now, decision);
         return;
     }
     allowance = wait_allowance(settings, request, &best.prediction, now);
@@ -299,6 +402,9 @@
         return;
     }
     excess = lv_elapsed(best.prediction.wait, allowance);
+    if (lv_elapsed(others.free_at, now) < excess) {
+        excess = lv_elapsed(others.free_at, now);
+    }
     if (queued_time < max_queue_time &&
         excess < max_queue_time - queued_time) {
         decision->verdict = ADM_QUEUE;
--- a/packages/core/source/engine.c
+++ b/packages/core/source/engine.c
@@ -101,6 +101,7 @@
     endpoint->kv_capacity = table->settings.default_kv_tokens;
     endpoint->mean_duration = INITIAL_DURATION;
     out_init(&endpoint->outlier);
+    eng_recall_availability(table, spec->id, &endpoint->availability);
     return row;
 }
 
@@ -113,8 +114,12 @@
         row = add_endpoint(table, spec);
     }
     if (row != LV_HANDLE_NONE) {
-        table->endpoints[row].spec = *spec;
-        table->endpoints[row].is_listed = !spec->is_draining;
+        eng_endpoint *endpoint = &table->endpoints[row];
+
+        endpoint->spec = *spec;
+        endpoint->is_published = true;
+        endpoint->is_listed =
+            !spec->is_draining && !endpoint->availability.is_leaving;
         table->list_version++;
     }
     return row;
@@ -125,8 +130,9 @@
 {
     eng_endpoint *endpoint = &table->endpoints[row];
 
-    if (endpoint->is_used && !endpoint->is_listed &&
-        endpoint->reference_count == 0 && !endpoint->spec.is_draining) {
+    if (endpoint->is_used && !endpoint->is_published &&
+        endpoint->reference_count == 0) {
+        eng_remember_availability(table, endpoint);
         map_remove(&table->by_id, endpoint->spec.id);
         endpoint->is_used = false;
     }
@@ -147,6 +153,7 @@
     if (row != LV_HANDLE_NONE) {
         eng_unlist(table, row);
         table->endpoints[row].spec.is_draining = false;
+        table->endpoints[row].is_published = false;
         free_row_if_unused(table, row);
     }
 }
@@ -326,6 +333,7 @@
     endpoint->local.in_flight++;
     endpoint->local.prefill_total += prediction->uncached_tokens;
     endpoint->local.kv_tokens += use->kv_tokens;
+    avl_count_start(&endpoint->availability, now);
     add_prefill(table, endpoint, prediction->uncached_tokens, now);
     touch_blocks(table, row, prompt);
     eng_ref(table, row);
