--- a/packages/gateway/include/lavender-gateway/http.h
+++ b/packages/gateway/include/lavender-gateway/http.h
@@ -108,6 +108,9 @@
  * to case, or NULL. */
 const char *http_find_header(const http_head *head, const char *name);
 
+/* Returns how many headers have a name, compared without regard to case. */
+uint32_t http_count_headers(const http_head *head, const char *name);
+
 /* Returns whether a header is hop-by-hop and so not forwarded. Content-Length
  * and Expect count as such: the gateway handles them itself. */
 bool http_is_hop_by_hop(const http_head *head, const char *name);
--- a/packages/gateway/source/http-head.c
+++ b/packages/gateway/source/http-head.c
@@ -16,6 +16,18 @@
     return NULL;
 }
 
+uint32_t
+http_count_headers(const http_head *head, const char *name)
+{
+    uint32_t count = 0;
+    uint32_t i;
+
+    for (i = 0; i < head->header_count; i++) {
+        count += strcasecmp(head->headers[i].name, name) == 0;
+    }
+    return count;
+}
+
 bool
 http_has_token(const char *value, const char *token)
 {
--- a/packages/gateway/source/http-reader.c
+++ b/packages/gateway/source/http-reader.c
@@ -122,18 +122,6 @@
     return HTTP_UNTIL_CLOSE;
 }
 
-static uint32_t
-count_headers(const http_head *head, const char *name)
-{
-    uint32_t count = 0;
-    uint32_t i;
-
-    for (i = 0; i < head->header_count; i++) {
-        count += strcasecmp(head->headers[i].name, name) == 0;
-    }
-    return count;
-}
-
 /* http-parser accepts names with spaces and values with control characters. */
 static bool
 is_valid_header(const http_header *header)
@@ -160,7 +148,7 @@
 is_ambiguous(const http_reader *reader)
 {
     const http_head *head = &reader->head;
-    uint32_t host_count = count_headers(head, "Host");
+    uint32_t host_count = http_count_headers(head, "Host");
     uint32_t i;
 
     for (i = 0; i < head->header_count; i++) {
@@ -175,7 +163,7 @@
         return true;
     }
     return host_count != 1 || *http_find_header(head, "Host") == '\0' ||
-           count_headers(head, "Transfer-Encoding") > 1;
+           http_count_headers(head, "Transfer-Encoding") > 1;
 }
 
 static int
