Test how long a request waits for the end of a back-off

Cause: the wait is bounded by the latency target, the share of the account, the deadline and what waits already; only the first was played.

Change: a table of one endpoint in back-off.

--- a/tests/core/test-availability.c
+++ b/tests/core/test-availability.c
@@ -471,3 +471,64 @@
                      cases[i].places, "case %zu", i);
     }
 }
+
+/* One endpoint in back-off, a target of 400 ms, of which 280 may be waited. */
+Test(availability, a_request_waits_only_for_one_that_is_free_in_time)
+{
+    static const struct {
+        lv_time backoff;
+        lv_time waited;
+        lv_time time_left; /* 0: not limited */
+        uint32_t waiting;
+        uint32_t tried; /* the endpoint is excluded */
+        double share_ratio;
+        adm_verdict verdict;
+        lv_time retry_after; /* at least, and up to 1 s more */
+    } cases[] = {
+        {200 * MS, 0, 0, 0, 0, 0, ADM_QUEUE, 0},
+        {280 * MS, 0, 0, 0, 0, 0, ADM_QUEUE, 0},
+        {281 * MS, 0, 0, 0, 0, 0, ADM_REFUSE, 281 * MS},
+        {200 * MS, 100 * MS, 0, 0, 0, 0, ADM_REFUSE, 200 * MS},
+        {200 * MS, 0, 150 * MS, 0, 0, 0, ADM_REFUSE, 200 * MS},
+        {200 * MS, 0, 250 * MS, 0, 0, 0, ADM_QUEUE, 0},
+        {200 * MS, 0, 0, 3, 0, 0, ADM_QUEUE, 0},
+        {200 * MS, 0, 0, 4, 0, 0, ADM_REFUSE, 200 * MS},
+        {200 * MS, 0, 0, 0, 0, 2, ADM_REFUSE, 200 * MS},
+        {5000 * MS, 0, 0, 0, 0, 0, ADM_REFUSE, 5000 * MS},
+        {5000 * MS, 0, 0, 0, 1, 0, ADM_REFUSE, 5000 * MS},
+    };
+    lv_time now = 50 * LV_SECOND;
+
+    for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+        eng_prompt prompt = {.affinity = LV_HANDLE_NONE,
+                             .secondary_affinity = LV_HANDLE_NONE};
+        adm_request admission = {
+            .service = SERVICE,
+            .prompt = &prompt,
+            .received = now - cases[i].waited,
+            .target = 400 * MS,
+            .deadline = cases[i].time_left > 0 ? now + cases[i].time_left : 0,
+            .waiting = cases[i].waiting,
+            .tried_count = cases[i].tried,
+            .share_ratio = cases[i].share_ratio,
+            .first_row = (uint32_t)i};
+        adm_decision decision;
+        eng_settings engine;
+
+        adm_default_settings(&settings);
+        eng_default_settings(&engine);
+        cr_assert(eng_init(&table, &engine, NULL));
+        publish(0);
+        configure();
+        eng_begin_backoff(&table, 0, cases[i].backoff, now);
+        adm_decide(&settings, &table, &admission, now, &decision);
+        cr_expect_eq(decision.verdict, cases[i].verdict, "case %zu", i);
+        if (cases[i].verdict == ADM_REFUSE) {
+            cr_expect_geq(decision.retry_after, cases[i].retry_after,
+                          "case %zu", i);
+            cr_expect_lt(decision.retry_after,
+                         cases[i].retry_after + LV_SECOND, "case %zu", i);
+        }
+        eng_finish(&table);
+    }
+}
