Do not promise that a request was not run where only the status says so

Cause: an endpoint's 503 without the mark that it did not run the request was passed on as it is. Callers read 408, 421, 429 and 503 as that promise, and send a request again that must not run twice.

Change: the decoder says which statuses callers take as the promise. Such an answer without the mark, to a request that must not run twice, is answered with 502, reason unmarked-refusal; others are passed on or repeated as before. The fixture's endpoints can answer so, and with more headers.

--- a/packages/gateway/include/lavender-gateway/wire.h
+++ b/packages/gateway/include/lavender-gateway/wire.h
@@ -40,6 +40,7 @@
     const char *attempt_id; /* attempt that it belongs to; NULL: not given */
     bool is_sealed;        /* has the endpoint's seal, which is not verified */
     bool was_not_executed; /* the endpoint did not execute the request */
+    bool promises_not_executed; /* by its status, as callers read it */
     lv_time keep_alive_timeout; /* keep-alive timeout of the connection; 0: not
                                    given */
     bool is_draining;           /* the endpoint is draining by its own word */
--- a/packages/gateway/source/gate-attempt.c
+++ b/packages/gateway/source/gate-attempt.c
@@ -218,7 +218,7 @@
 {
     const gate_request *request = attempt->request;
 
-    return attempt->was_not_run ||
+    return attempt->was_not_run || attempt->is_false_promise ||
            (request->has_answer_begun && !is_success(attempt)) ||
            (request->stalled != NULL && is_failure(attempt));
 }
@@ -248,6 +248,9 @@
     attempt->status = head->status;
     attempt->is_unframed = head->framing == HTTP_UNTIL_CLOSE;
     attempt->was_not_run = answer->was_not_executed && head->status / 100 != 2;
+    attempt->is_false_promise = answer->promises_not_executed &&
+                                !attempt->was_not_run &&
+                                !rt_may_retry(request->route);
     if (is_success(attempt) && !answer->is_sealed) {
         /* Without a seal it is not the endpoint's own answer. */
         attempt->is_answer_dropped = true;
@@ -397,7 +400,8 @@
     count_run(attempt);
     record_outcome(attempt, !is_failure(attempt), false);
     if (attempt->is_answer_dropped) {
-        retry_elsewhere(request, attempt->status >= 500
+        retry_elsewhere(request, attempt->is_false_promise ? "unmarked-refusal"
+                                 : attempt->status >= 500
                                      ? "endpoint-error"
                                      : "not-the-endpoints-answer");
         return;
--- a/packages/gateway/source/gate-imp.h
+++ b/packages/gateway/source/gate-imp.h
@@ -28,6 +28,8 @@
     bool is_counted_run;         /* in `runs` of the request */
     eng_reservation reservation; /* the current or last one */
     bool was_not_run;            /* according to the answer */
+    bool is_false_promise;       /* its status says so, without the mark, of a
+                                    request that must not run twice */
     bool is_unframed;            /* the answer ends with its connection */
     bool is_answer_dropped;      /* the answer is not forwarded */
     uint32_t status;             /* of the answer; 0: not the endpoint's */
--- a/tests/gateway/stage-endpoint.c
+++ b/tests/gateway/stage-endpoint.c
@@ -32,11 +32,12 @@
 send_head(endpoint_connection *self, const char *id, const char *status,
           const char *header_lines)
 {
+    const char *more = self->endpoint->more_headers;
     char head[512];
 
     snprintf(head, sizeof head,
-             "HTTP/1.1 %s\r\nLavenderproxy-Attempt-Id: %s\r\n%s\r\n", status,
-             id, header_lines);
+             "HTTP/1.1 %s\r\nLavenderproxy-Attempt-Id: %s\r\n%s%s\r\n", status,
+             id, header_lines, more != NULL ? more : "");
     send_text(self, head);
 }
 
@@ -147,6 +148,9 @@
         send_head(self, self->id, "503 Busy",
                   "Lavenderproxy-Not-Executed: 1\r\nContent-Length: 0\r\n");
         break;
+    case STAGE_BUSY:
+        send_head(self, self->id, "503 Busy", "Content-Length: 0\r\n");
+        break;
     case STAGE_ERROR:
         send_head(self, self->id, "500 Error", sealed_length_headers);
         send_text(self, "fail");
--- a/tests/gateway/stage.c
+++ b/tests/gateway/stage.c
@@ -85,8 +85,10 @@
         snprintf(value, sizeof value,
                  "{\"service\":\"pool\",\"address\":\"%s\",\"zone\":\"z\","
                  "\"version\":\"v1\",\"slots\":4,\"state\":\"ready\","
-                 "\"born\":1000,\"seq\":1}",
-                 endpoint->address);
+                 "\"born\":%llu,\"seq\":1}",
+                 endpoint->address,
+                 endpoint->born != 0 ? (unsigned long long)endpoint->born
+                                     : 1000ULL);
         buf_append_text(to, comma);
         append_value(to, key, value);
         comma = ",";
--- a/tests/gateway/stage.h
+++ b/tests/gateway/stage.h
@@ -25,6 +25,7 @@
     STAGE_STREAM_PAUSE,          /* three events, a pause, the other three */
     STAGE_RESPOND_LATE,          /* a complete response after a pause */
     STAGE_SHED,                  /* 503, marked as not executed */
+    STAGE_BUSY,                  /* 503 without that mark and without a seal */
     STAGE_ERROR,                 /* 500 from the endpoint, with a seal */
     STAGE_RESET,                 /* executes it and resets the connection */
     STAGE_NO_RESPONSE,           /* executes it and never responds */
@@ -41,6 +42,9 @@
     uv_tcp_t listener;
     struct stage_fixture *stage;
     stage_mode mode;
+    const char *more_headers; /* of all its responses, each with CRLF; or NULL
+                               */
+    uint64_t born;            /* start time in the store; 0: 1000 */
     char address[LV_ADDRESS_SIZE];
     char name[LV_NAME_SIZE];
     uint32_t requests;       /* complete requests received */
@@ -141,7 +145,7 @@
     bool is_complete; /* complete according to its framing */
     bool is_reset;
     char head[4096];
-    char body[8192];
+    char body[32768];
 } stage_response;
 
 /* Send a POST request to a path such as "/once/1", wait for the response and
--- a/tests/gateway/test-wire-response.c
+++ b/tests/gateway/test-wire-response.c
@@ -53,6 +53,34 @@
     }
 }
 
+Test(wire_response, promises_that_a_request_was_not_executed)
+{
+    static const struct {
+        uint32_t status;
+        bool has_mark;
+        bool was_not_executed;
+        bool promises_not_executed;
+    } cases[] = {
+        {200, false, false, false}, {400, true, true, false},
+        {408, false, false, true},  {421, false, true, true},
+        {429, true, true, true},    {429, false, false, true},
+        {500, false, false, false}, {502, false, false, false},
+        {503, true, true, true},    {503, false, false, true},
+        {504, false, false, false},
+    };
+
+    for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+        http_header header = {"Lavenderproxy-Not-Executed", "1"};
+        wire_response response;
+
+        read_head(cases[i].status, &header, cases[i].has_mark, &response);
+        cr_expect_eq(response.was_not_executed, cases[i].was_not_executed,
+                     "case %zu", i);
+        cr_expect_eq(response.promises_not_executed,
+                     cases[i].promises_not_executed, "case %zu", i);
+    }
+}
+
 Test(wire_response, one_of_several_values_is_a_notice)
 {
     static const http_header headers[] = {{"Server-Leaving", "0"},
