Send nothing to endpoints that leave or pause by their own word

Cause: the gateway read the list only. An endpoint that said in its answers that it leaves got requests until the store said so, which it cannot while it is away, and one that answered 503 with a Retry-After was asked again at once.

Change: gate-notice.c records both with the head of an answer that is certainly the endpoint's. eng_check_send is asked by admission for each candidate, again when a grant arrives or its time is over, and when a connection opened for a request is there; what waits for such a connection goes elsewhere at once, with no failure held against the endpoint and nothing taken from the retry budget. A coordinator denies starts at an endpoint that it knows to leave; its own back-off does not bind others. Requests that wait for the end of a back-off are counted, so that no more wait than can start. Peers are told in the datagrams of unlisted endpoints, with revision 0; their word counts as a failed connection, so that it cannot empty the list. Log lines, counters and a gauge for each endpoint.

Conclusion: nothing new on the wire between instances.

--- a/packages/gateway/include/lavender-gateway/back.h
+++ b/packages/gateway/include/lavender-gateway/back.h
@@ -36,6 +36,8 @@
 typedef enum back_outcome {
     BACK_COMPLETE,    /* the response is complete */
     BACK_NOT_SENT,    /* no byte of the request was sent */
+    BACK_WITHHELD,    /* nor was it, since by then the endpoint may be sent no
+                         request */
     BACK_NO_RESPONSE, /* bytes may have been sent; no valid head arrived */
     BACK_TRUNCATED    /* the response failed after its head */
 } back_outcome;
@@ -75,6 +77,8 @@
     uint64_t opened; /* connections */
     uint64_t reused; /* connections that were idle */
 
+    uint64_t withheld; /* requests: BACK_WITHHELD */
+
     /* Responses to other requests than the current one, and data received on
      * an idle connection. */
     uint64_t unmatched_responses;
@@ -91,6 +95,13 @@
     uv_loop_t *loop;
     const wire_ops *wire;
     eng_table *endpoints;
+
+    /* Called with the head of each response to a request of ours, before its
+     * exchange; or NULL. */
+    void (*on_response)(void *owner, lv_handle endpoint,
+                        const back_exchange *exchange, const http_head *head,
+                        const wire_response *response);
+    void *owner;
     back_connection *connections; /* to all endpoints */
     back_idle_list *idle;         /* by endpoint */
     uint32_t idle_capacity;
@@ -116,6 +127,10 @@
  * not called. */
 void back_cancel_exchange(back_exchange *exchange);
 
+/* Ends the exchanges whose connections to the endpoint are being opened, with
+ * BACK_WITHHELD. */
+void back_withhold(back_pool *pool, lv_handle endpoint);
+
 /* Suspend and resume reading of the response. */
 void back_pause_exchange(back_exchange *exchange);
 void back_resume_exchange(back_exchange *exchange);
--- a/packages/gateway/include/lavender-gateway/gate.h
+++ b/packages/gateway/include/lavender-gateway/gate.h
@@ -86,10 +86,14 @@
     uint64_t failed;
     uint64_t caller_disconnects; /* callers that disconnected before the end */
     uint64_t retries;
-    uint64_t stalls;         /* attempts set aside because their endpoint was
-                                silent */
-    uint64_t stalls_resumed; /* of these, continued because no other endpoint
-                                answered first */
+    uint64_t stalls;          /* attempts set aside because their endpoint was
+                                 silent */
+    uint64_t stalls_resumed;  /* of these, continued because no other endpoint
+                                 answered first */
+    uint64_t leaving_notices; /* of endpoints, in their answers */
+    uint64_t peer_leaving_notices; /* the same, of peers */
+    uint64_t backoffs;             /* that endpoints asked for */
+    uint64_t invalid_retry_after;  /* of endpoints; ignored */
 } gate_counts;
 
 struct gate_server {
--- a/packages/gateway/include/lavender-gateway/peers.h
+++ b/packages/gateway/include/lavender-gateway/peers.h
@@ -103,7 +103,8 @@
 typedef struct peers_unlisted {
     lv_id endpoint;
     uint64_t era;         /* of the store, when it was unlisted */
-    uint64_t revision;    /* of the store, then */
+    uint64_t revision;    /* of the store, then; 0: the endpoint itself said so
+                             in an answer */
     lv_time report_until; /* datagrams name it until then */
 } peers_unlisted;
 
@@ -223,7 +224,8 @@
 void peers_report_block_use(peers_state *peers, lv_handle endpoint,
                             uint64_t prefix_hash);
 
-/* Reports to the peers that the store unlisted an endpoint at this point. */
+/* Reports to the peers that the store unlisted an endpoint at this point, or,
+ * with revision 0, that the endpoint said in an answer that it leaves. */
 void peers_report_unlisted(peers_state *peers, lv_id endpoint, uint64_t era,
                            uint64_t revision, lv_time now);
 
--- a/packages/gateway/source/back-pool.c
+++ b/packages/gateway/source/back-pool.c
@@ -133,14 +133,38 @@
     buf_finish(&connection->message);
 }
 
+static void
+withhold(back_connection *connection)
+{
+    connection->pool->counts.withheld++;
+    finish_exchange(connection, BACK_WITHHELD, "withheld");
+}
+
+/* A request that waits for its connection has its place in a slow start. */
+static bool
+may_be_sent(const back_connection *connection)
+{
+    lv_time free_at;
+    avl_reason reason = eng_check_send(
+        connection->pool->endpoints, connection->endpoint, io_now(), &free_at);
+
+    return reason == AVL_AVAILABLE || reason == AVL_SLOW_STARTING;
+}
+
 static void
 on_connect(io_stream *stream)
 {
     back_connection *connection = (back_connection *)stream;
 
-    if (connection->exchange != NULL) {
+    if (connection->exchange == NULL) {
+        return;
+    }
+    if (may_be_sent(connection)) {
         send_message(connection);
     }
+    else {
+        withhold(connection);
+    }
 }
 
 static void
@@ -308,6 +332,22 @@
     }
 }
 
+void
+back_withhold(back_pool *pool, lv_handle endpoint)
+{
+    back_connection *connection = pool->connections;
+
+    while (connection != NULL) {
+        back_connection *next = connection->next;
+
+        if (connection->endpoint == endpoint && connection->exchange != NULL &&
+            !connection->has_sent && !connection->stream.is_closing) {
+            withhold(connection);
+        }
+        connection = next;
+    }
+}
+
 void
 back_pause_exchange(back_exchange *exchange)
 {
--- a/packages/gateway/source/back-response.c
+++ b/packages/gateway/source/back-response.c
@@ -43,6 +43,11 @@
                                    : connection->pool->settings.max_idle;
     }
     exchange->has_response_head = true;
+    if (connection->pool->on_response != NULL) {
+        connection->pool->on_response(connection->pool->owner,
+                                      connection->endpoint, exchange, head,
+                                      &response);
+    }
     exchange->ops->on_head(exchange, head, &response);
     return connection->exchange != NULL;
 }
--- a/packages/gateway/source/gate-attempt.c
+++ b/packages/gateway/source/gate-attempt.c
@@ -431,6 +431,17 @@
     request->ops->decide(request);
 }
 
+/* The endpoint is not at fault and may be used later. */
+static void
+handle_withheld(gate_attempt *attempt, const char *reason)
+{
+    gate_request *request = attempt->request;
+
+    request->sends--;
+    gate_log_step(request, "again", reason);
+    request->ops->decide(request);
+}
+
 /* The current attempt, or the decision on it, goes on. */
 static void
 drop_stalled_attempt(gate_attempt *attempt, back_outcome outcome)
@@ -438,13 +449,15 @@
     gate_request *request = attempt->request;
 
     request->stalled = NULL;
-    if (outcome == BACK_NOT_SENT) {
+    if (outcome == BACK_NOT_SENT || outcome == BACK_WITHHELD) {
         request->sends--;
     }
     else if (!attempt->was_not_run) {
         count_run(attempt);
     }
-    record_outcome(attempt, false, outcome == BACK_NOT_SENT);
+    if (outcome != BACK_WITHHELD) {
+        record_outcome(attempt, false, outcome == BACK_NOT_SENT);
+    }
 }
 
 static void
@@ -468,6 +481,9 @@
     case BACK_NOT_SENT:
         handle_unreached(attempt, reason);
         break;
+    case BACK_WITHHELD:
+        handle_withheld(attempt, reason);
+        break;
     case BACK_NO_RESPONSE:
     case BACK_TRUNCATED:
         count_run(attempt);
--- a/packages/gateway/source/gate-grant.c
+++ b/packages/gateway/source/gate-grant.c
@@ -55,17 +55,18 @@
     return true;
 }
 
-/* The endpoint may have been withdrawn while the request waited for a grant;
- * the request is then decided again. */
+/* The endpoint may have been withdrawn while the request waited for a grant,
+ * or takes no request for some time; the request is then decided again. */
 static void
-start_if_listed(gate_request *request, const char *reason)
+start_if_available(gate_request *request, const char *reason)
 {
     const eng_table *table = &request->gate->endpoints;
     lv_handle endpoint = request->decision.endpoint;
+    lv_time free_at;
 
     request->state = GATE_QUEUED;
     if (eng_find(table, request->grant_endpoint) == endpoint &&
-        eng_at(table, endpoint)->is_listed) {
+        eng_check_send(table, endpoint, io_now(), &free_at) == AVL_AVAILABLE) {
         gate_start_request(request, reason);
     }
     else {
@@ -82,7 +83,7 @@
     }
     peers_note_unanswered(&request->gate->peers, &request->grant_coordinator,
                           now);
-    start_if_listed(request, "keeper-silent");
+    start_if_available(request, "keeper-silent");
 }
 
 void
@@ -100,13 +101,17 @@
         .target = ask->target,
         .share_ratio = ask->share};
     eng_prediction prediction;
+    avl_reason reason;
+    lv_time free_at;
     bool has_room;
 
     eng_clear_affinity(&prompt); /* the coordinator knows what is cached */
     has_room = adm_may_start(&gate->settings.admission, &gate->endpoints,
                              &request, endpoint, now, &prediction);
+    /* A back-off is between the endpoint and this instance alone. */
+    reason = eng_check_send(&gate->endpoints, endpoint, now, &free_at);
     answer->is_granted =
-        has_room && eng_at(&gate->endpoints, endpoint)->is_listed;
+        has_room && reason != AVL_UNLISTED && reason != AVL_LEAVING;
     eng_summarize(&gate->endpoints, endpoint, now, &answer->summary);
     answer->service_time = prediction.service_time;
     answer->uncached_tokens = prediction.uncached_tokens;
@@ -154,5 +159,5 @@
     prediction->wait = answer->summary.wait;
     prediction->service_time = answer->service_time;
     prediction->uncached_tokens = answer->uncached_tokens;
-    start_if_listed(request, "granted");
+    start_if_available(request, "granted");
 }
--- a/packages/gateway/source/gate-imp.h
+++ b/packages/gateway/source/gate-imp.h
@@ -208,6 +208,29 @@
                                peers_start_reply *answer);
 void gate_handle_grant_answer(void *owner, const peers_start_reply *answer);
 
+/* gate-notice.c: what endpoints say of themselves in their answers */
+
+/* Callback of the pool: `owner` is the gateway. Records that the endpoint
+ * leaves or asks for a back-off, and takes back what was not sent yet. */
+void gate_handle_response(void *owner, lv_handle endpoint,
+                          const back_exchange *exchange, const http_head *head,
+                          const wire_response *response);
+
+/* Applies a peer's notice that an endpoint leaves by its own word. */
+void gate_handle_peer_notice(gate_server *gate, lv_id endpoint);
+
+/* Logs back-offs that have ended; call it at every tick of the timer. */
+void gate_end_backoffs(gate_server *gate, lv_time now);
+
+/* Returns how many requests of a service are queued, which matters only while
+ * an endpoint may be in back-off; 0 otherwise. */
+uint32_t gate_count_queued(const gate_server *gate, lv_id service,
+                           lv_time now);
+
+/* Does the endpoint leave by its own word? */
+bool gate_is_leaving(const gate_server *gate, lv_id endpoint);
+void gate_write_notice_metrics(const gate_server *gate, met_writer *writer);
+
 /* gate-stream.c: resumable event streams */
 
 /* Forwards the events that are whole and buffers the rest. Returns false when
--- a/packages/gateway/source/gate-request.c
+++ b/packages/gateway/source/gate-request.c
@@ -321,6 +321,10 @@
     to->prompt = &request->decoded.prompt;
     to->received = request->received_at;
     to->target = request->route->target;
+    to->deadline = request->answer_deadline;
+    to->waiting = request->has_logged_queueing
+                      ? 0
+                      : gate_count_queued(gate, request->service, now);
     to->share_ratio = gate_share_ratio(request, now);
     to->first_row = (uint32_t)gate_random(gate);
     to->tried_count = request->tried_count;
--- a/packages/gateway/source/gate-store.c
+++ b/packages/gateway/source/gate-store.c
@@ -151,6 +151,7 @@
     lv_time now = io_now();
     const reg_entry *entry = reg_find(&gate->registry, item->key);
     lv_id previous = entry != NULL ? entry->endpoint : LV_ID_NONE;
+    bool was_leaving = gate_is_leaving(gate, previous);
     const char *change = reg_apply_item(&gate->registry, item, now);
 
     if (!item->has_endpoint && !item->is_removed) {
@@ -162,9 +163,9 @@
     }
     if (change != NULL) {
         log_event(LOG_LEVEL_NOTICE, now, "endpoint",
-                  "key=%s change=%s era=%llu revision=%llu", item->key, change,
-                  (unsigned long long)item->position.era,
-                  (unsigned long long)item->position.revision);
+                  "key=%s change=%s era=%llu revision=%llu was_leaving=%d",
+                  item->key, change, (unsigned long long)item->position.era,
+                  (unsigned long long)item->position.revision, was_leaving);
         gate_apply_services(gate);
         gate->has_pending_updates = true;
         report_leaving(gate, previous, item->position, now);
--- a/packages/gateway/source/gate.c
+++ b/packages/gateway/source/gate.c
@@ -92,6 +92,10 @@
     gate_server *gate = owner;
     wire_position position = {.era = era, .revision = revision};
 
+    if (revision == 0) {
+        gate_handle_peer_notice(gate, id);
+        return;
+    }
     if (reg_apply_unlisted(&gate->registry, id, position)) {
         log_event(LOG_LEVEL_NOTICE, io_now(), "endpoint",
                   "key=%s change=leaving revision=%llu source=peer",
@@ -211,6 +215,7 @@
     if (reg_remove_expired(&gate->registry, now) > 0) {
         log_event(LOG_LEVEL_NOTICE, now, "endpoint", "change=lapsed");
     }
+    gate_end_backoffs(gate, now);
     gate_tick_requests(gate, now);
     check_connections(gate, now);
     check_settings_file(gate, now);
@@ -389,6 +394,8 @@
     ovl_init(&gate->overload, GATE_TICK);
     back_init(&gate->endpoint_pool, loop, &settings->endpoint_connections,
               wire, &gate->endpoints);
+    gate->endpoint_pool.on_response = gate_handle_response;
+    gate->endpoint_pool.owner = gate;
     if (!io_parse_address(settings->store_address,
                           &gate->settings.store.address, error) ||
         !init_listeners(gate, error) ||
--- a/tests/gateway/test-start-grants.c
+++ b/tests/gateway/test-start-grants.c
@@ -6,6 +6,7 @@
 
 #include <string.h>
 
+#include "gate-imp.h"
 #include "stage.h"
 
 #define LARGE_FLEET_INSTANCES 100 /* above the large-fleet threshold */
@@ -191,17 +192,77 @@
     }
 }
 
+static bool
+awaits_grant(stage_fixture *self, void *context)
+{
+    (void)context;
+    return self->gate.requests != NULL &&
+           self->gate.requests->state == GATE_AWAITING_GRANT;
+}
+
+static bool
+has_answer(stage_fixture *self, void *context)
+{
+    (void)self;
+    return ((stage_client *)context)->response.size > 0;
+}
+
+/* The request waits for the coordinator's reply while its endpoint says that
+ * it leaves, or for how long it takes no request. */
+Test(start_grants, an_endpoint_that_takes_none_by_then_receives_no_request)
+{
+    static const char text[] =
+        "POST /once/1 HTTP/1.1\r\nHost: h\r\nLavenderproxy-Attempt-Id: "
+        "id-1\r\n"
+        "Lavenderproxy-Deadline-Ms: 3000\r\nApi-Key: k1\r\n"
+        "Content-Length: 5\r\n\r\nhello";
+    static const struct {
+        coordinator_mode mode;
+        bool is_leaving;
+    } cases[] = {
+        {COORDINATOR_GRANTS, true},
+        {COORDINATOR_GRANTS, false},
+        {COORDINATOR_IS_SILENT, true},
+        {COORDINATOR_IS_SILENT, false},
+    };
+
+    for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+        stage_client client;
+
+        set_up(cases[i].mode);
+        stage_send(&stage, &client, text, sizeof text - 1);
+        cr_assert(stage_run_until(&stage, awaits_grant, NULL, 1000));
+        if (cases[i].is_leaving) {
+            eng_begin_leaving(&stage.gate.endpoints, 0);
+        }
+        else {
+            eng_begin_backoff(&stage.gate.endpoints, 0, 60 * LV_SECOND,
+                              io_now());
+        }
+        cr_expect(stage_run_until(&stage, has_answer, &client, 2000));
+        cr_expect_eq(stage.endpoints[0].requests, 0, "case %zu", i);
+        stage_disconnect(&stage, &client);
+        buf_finish(&client.response);
+        tear_down();
+    }
+}
+
 /* The gateway itself as the coordinator. */
 Test(start_grants, a_start_is_granted_to_a_listed_endpoint_without_a_queue)
 {
     static const struct {
         bool is_listed;
         lv_time queue;
+        bool is_leaving; /* by its own word */
+        lv_time backoff; /* between the endpoint and the coordinator */
         bool is_granted;
     } cases[] = {
-        {true, 0, true},
-        {true, 5 * LV_SECOND, false},
-        {false, 0, false}, /* removed; the requesting peer does not know yet */
+        {true, 0, false, 0, true},
+        {true, 5 * LV_SECOND, false, 0, false},
+        /* removed; the requesting peer does not know yet */
+        {false, 0, false, 0, false},
+        {true, 0, true, 0, false},
+        {true, 0, false, LV_SECOND, true},
     };
 
     for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
@@ -215,6 +276,11 @@
         endpoint->is_engine = true;
         endpoint->is_listed = cases[i].is_listed;
         endpoint->prefill_until = io_now() + cases[i].queue;
+        if (cases[i].is_leaving) {
+            eng_begin_leaving(&stage.gate.endpoints, 0);
+        }
+        eng_begin_backoff(&stage.gate.endpoints, 0, cases[i].backoff,
+                          io_now());
         eng_clear_affinity(&request.prompt);
         stage.gate.peers.on_start_request(&stage.gate, 0, &request, &reply);
         cr_expect_eq(reply.is_granted, cases[i].is_granted, "case %zu", i);
