Explain why an endpoint was not asked

Cause: the states that endpoints announce, their log lines, metrics and words were not written down, and explain did not know the events.

--- a/packages/ctl/source/ctl-explain.c
+++ b/packages/ctl/source/ctl-explain.c
@@ -29,6 +29,9 @@
     {"cut", "was aborted by the exit of the process"},
     {"endpoint-error", "received an error response from its endpoint"},
     {"unrouted", "has no route or no valid key"},
+    {"endpoint-leaving", "has an answer whose endpoint says that it leaves"},
+    {"endpoint-backoff", "was turned away by an endpoint for some time"},
+    {"retry-after-ignored", "has an answer with an invalid Retry-After"},
 };
 
 typedef struct log_line {
@@ -150,12 +153,14 @@
 print_event(const log_line *line, double start_time)
 {
     static const char *const printed_keys[] = {
-        "reason",   "status",        "endpoint", "account",     "route",
-        "late_ms",  "share_percent", "target",   "age_ms",      "took_ms",
-        "wait_ms",  "own_ms",        "uncached", "in_flight",   "candidates",
-        "sends",    "runs",          "begun",    "retry_ms",    "may_have_run",
-        "config",   "peers",         "left_out", "list_age_ms", "store_lost",
-        "silent_ms"};
+        "reason",     "status",    "endpoint",      "account",
+        "route",      "late_ms",   "share_percent", "target",
+        "age_ms",     "took_ms",   "wait_ms",       "own_ms",
+        "uncached",   "in_flight", "candidates",    "sends",
+        "runs",       "begun",     "retry_ms",      "may_have_run",
+        "config",     "peers",     "left_out",      "list_age_ms",
+        "store_lost", "silent_ms", "change",        "seconds",
+        "source"};
     char event[64] = "";
     char instance[128] = "-";
     char value[256];
