Spread the returns to an endpoint that is free sooner than the others

Cause: where the endpoints that may be sent requests had a longer queue than the back-off of another one lasts, all refused callers were told its very end.

Change: up to 1 s more, at random, and never later than without it.

Measured: core-test-availability, 100 refusals beside a back-off of 500 ms: a Retry-After of 500 ms for all before, over at least 500 ms within 500 to 1,500 now.

--- a/packages/core/source/admission.c
+++ b/packages/core/source/admission.c
@@ -334,15 +334,13 @@
     decision->reason = reason;
 }
 
-/* Refuses the request until a time, and spreads what returns then. */
-static void
-refuse_until(const adm_request *request, lv_time free_at, const char *reason,
-             lv_time now, adm_decision *decision)
+/* Returns how long a request that is refused until `free_at` waits, spread so
+ * that such requests do not return together. */
+static lv_time
+spread_return(const adm_request *request, lv_time free_at, lv_time now)
 {
-    refuse(decision,
-           lv_elapsed(free_at, now) +
-               map_mix((uint64_t)request->first_row + 1) % RETURN_SPREAD,
-           reason);
+    return lv_elapsed(free_at, now) +
+           map_mix((uint64_t)request->first_row + 1) % RETURN_SPREAD;
 }
 
 /* Queues the request until an endpoint may be sent requests again, or refuses
@@ -361,7 +359,7 @@
             decision->reason = reason;
             return;
         }
-        refuse_until(request, others->free_at, reason, now, decision);
+        refuse(decision, spread_return(request, others->free_at, now), reason);
         return;
     }
     if (request->tried_count > 0) {
@@ -369,7 +367,8 @@
     }
     if (others->tried_free_at != LV_TIME_NEVER &&
         others->tried_free_at > now) {
-        refuse_until(request, others->tried_free_at, reason, now, decision);
+        refuse(decision, spread_return(request, others->tried_free_at, now),
+               reason);
         return;
     }
     refuse(decision, LV_SECOND, reason);
@@ -385,6 +384,7 @@
     lv_time queued_time = lv_elapsed(now, request->received);
     lv_time max_queue_time = request->target * settings->queue_percent / 100;
     lv_time excess;
+    lv_time retry_after;
 
     decision->share_ratio = request->share_ratio;
     decision->candidate_count =
@@ -402,8 +402,14 @@
         return;
     }
     excess = lv_elapsed(best.prediction.wait, allowance);
+    retry_after = excess > settings->min_retry_after
+                      ? excess
+                      : settings->min_retry_after;
     if (lv_elapsed(others.free_at, now) < excess) {
+        lv_time spread = spread_return(request, others.free_at, now);
+
         excess = lv_elapsed(others.free_at, now);
+        retry_after = spread < retry_after ? spread : retry_after;
     }
     if (queued_time < max_queue_time &&
         excess < max_queue_time - queued_time) {
@@ -411,9 +417,7 @@
         decision->reason = best.prediction.has_capacity ? "queue" : "slots";
         return;
     }
-    refuse(decision,
-           excess > settings->min_retry_after ? excess
-                                              : settings->min_retry_after,
+    refuse(decision, retry_after,
            is_over_share(request)         ? "over-share"
            : best.prediction.has_capacity ? "queue"
                                           : "slots");
--- a/tests/core/test-availability.c
+++ b/tests/core/test-availability.c
@@ -532,3 +532,46 @@
         eng_finish(&table);
     }
 }
+
+/* The other endpoint has a queue that is longer than the back-off, so refused
+ * requests return after the back-off, and not together. */
+Test(availability, refused_requests_return_for_the_one_in_backoff)
+{
+    eng_prompt prompt = {.affinity = LV_HANDLE_NONE,
+                         .secondary_affinity = LV_HANDLE_NONE};
+    lv_time now = 50 * LV_SECOND;
+    lv_time least = LV_TIME_NEVER;
+    lv_time most = 0;
+    eng_settings engine;
+
+    adm_default_settings(&settings);
+    eng_default_settings(&engine);
+    cr_assert(eng_init(&table, &engine, NULL));
+    publish(0);
+    publish(1);
+    configure();
+    for (int i = 0; i < 1600; i++) {
+        eng_reservation use;
+
+        eng_start_request(&table, 1, &prompt, now, &use);
+    }
+    eng_begin_backoff(&table, 0, 500 * MS, now);
+    for (uint32_t i = 0; i < 100; i++) {
+        adm_request admission = {.service = SERVICE,
+                                 .prompt = &prompt,
+                                 .received = now,
+                                 .target = 400 * MS,
+                                 .first_row = i};
+        adm_decision decision;
+
+        adm_decide(&settings, &table, &admission, now, &decision);
+        cr_assert_eq(decision.verdict, ADM_REFUSE);
+        least = decision.retry_after < least ? decision.retry_after : least;
+        most = decision.retry_after > most ? decision.retry_after : most;
+    }
+    cr_expect_geq(least, 500 * MS);
+    cr_expect_leq(most, 1500 * MS);
+    cr_expect_geq(most - least, 500 * MS, "%llu to %llu",
+                  (unsigned long long)least, (unsigned long long)most);
+    eng_finish(&table);
+}
