Let an interrupted stream wait for the end of a back-off

Cause: a stream whose endpoint broke off was cut at once when every other endpoint was in back-off, since no endpoint was left to be compared.

Change: the decision says when an endpoint that takes none now may be asked; if that is before the deadline, the stream waits as it does for a busy one.

Measured: gateway-test-endpoint-notices, a stream that breaks off while the other endpoint is in back-off for 0.5 s: cut after 0.02 s before, whole now.

--- a/packages/core/include/lavender/admission.h
+++ b/packages/core/include/lavender/admission.h
@@ -71,7 +71,9 @@
     uint32_t candidate_count; /* number of endpoints that were compared */
     double share_ratio;       /* as in the request */
     lv_time retry_after;      /* valid for ADM_REFUSE */
-    const char *reason;       /* a static string for logs and metrics */
+    lv_time free_at;    /* when one that may be sent no request now may be sent
+                           one; LV_TIME_NEVER: none of them */
+    const char *reason; /* a static string for logs and metrics */
 } adm_decision;
 
 void adm_default_settings(adm_settings *settings);
--- a/packages/core/source/admission.c
+++ b/packages/core/source/admission.c
@@ -390,6 +390,7 @@
     decision->candidate_count =
         find_best(settings, table, request, now, &best, &others);
     decision->endpoint = best.endpoint;
+    decision->free_at = others.free_at;
     decision->prediction = best.prediction;
     if (best.endpoint == LV_HANDLE_NONE) {
         decide_unavailable(request, &others, now, decision);
--- a/packages/gateway/source/gate-request.c
+++ b/packages/gateway/source/gate-request.c
@@ -332,8 +332,10 @@
 static void
 refuse_or_fail(gate_request *request, lv_time retry_after, const char *reason)
 {
-    if (request->stalled == NULL && request->has_answer_begun &&
-        request->decision.endpoint != LV_HANDLE_NONE) {
+    bool is_one_left = request->decision.endpoint != LV_HANDLE_NONE ||
+                       request->decision.free_at < request->answer_deadline;
+
+    if (request->stalled == NULL && request->has_answer_begun && is_one_left) {
         gate_wait_to_resume(request, reason);
     }
     else if (request->stalled != NULL || request->may_have_run ||
--- a/tests/gateway/test-endpoint-notices.c
+++ b/tests/gateway/test-endpoint-notices.c
@@ -300,6 +300,28 @@
     }
 }
 
+/* Guards against a stream that is cut because its endpoint broke off while the
+ * other one takes no request for longer than a new request may wait. */
+Test(endpoint_notices, an_interrupted_stream_waits_for_the_end_of_a_backoff)
+{
+    stage_response answer;
+
+    stage_start(&stage, 2);
+    stage.endpoints[0].mode = STAGE_STREAM_TRUNCATED;
+    stage.endpoints[1].mode = STAGE_STREAM;
+    prefer_first_endpoint();
+    eng_begin_backoff(
+        &stage.gate.endpoints,
+        (lv_handle)(find_row(1) - stage.gate.endpoints.endpoints),
+        500 * LV_MILLISECOND, io_now());
+    stage_exchange(&stage, "/resume/1", "", &answer);
+    cr_expect_eq(stage.endpoints[0].requests, 1);
+    cr_expect_eq(answer.status, 200);
+    cr_expect(answer.is_complete);
+    cr_expect_not_null(strstr(answer.body, "piece-5"));
+    stage_stop(&stage);
+}
+
 #define CROWD 20
 
 static bool
