--- a/packages/gateway/source/front-imp.h
+++ b/packages/gateway/source/front-imp.h
@@ -7,10 +7,44 @@
  * disconnected. */
 #define FRONT_SILENCE_TIMEOUT (10 * LV_SECOND)
 
-/* Accepts a connection of the server's listener; closes it when the server has
- * too many. */
-void front_accept_connection(front_server *server);
+/* front-connection.c: one connection */
 
 void front_set_phase(front_connection *connection, front_phase phase);
 
+/* Accepts a connection of the server's listener. When the server has too many,
+ * closes the one that was idle longest, or refuses the new one. */
+void front_accept_connection(front_server *server);
+
+/* Reports input that was received and not read as a request. */
+void front_report_unread(front_connection *connection, const char *reason);
+
+/* Closes a connection that the caller did not close. `reason` is reported if
+ * there is unread input. */
+void front_close(front_connection *connection, const char *reason);
+
+/* Closes a connection that the caller closed. */
+void front_disconnect(front_connection *connection);
+
+/* front-pipeline.c: bytes that arrive while a request is processed */
+
+void front_keep_pipelined(front_connection *connection, const char *data,
+                          size_t size);
+
+/* Returns the number of bytes that were kept and not used. */
+size_t front_pipelined_size(const front_connection *connection);
+
+/* Drops the next bytes, which were read as requests. */
+void front_use_pipelined(front_connection *connection, size_t size);
+void front_finish_pipelined(front_connection *connection);
+
+/* Reads the connection unless too many bytes are pipelined; the rest then
+ * waits at the caller. */
+void front_update_reading(front_connection *connection);
+
+/* front-server.c */
+
+/* Closes the connection that was idle longest, if it was idle for long enough.
+ * Returns whether there was one. */
+bool front_close_longest_idle(front_server *server);
+
 #endif
--- a/packages/gateway/source/front-response.c
+++ b/packages/gateway/source/front-response.c
@@ -33,6 +33,9 @@
         size = FRONT_SIZE_UNTIL_CLOSE;
         connection->is_keep_alive = false;
     }
+    if (connection->server->is_draining) {
+        connection->is_keep_alive = false;
+    }
     append_head_start(connection, status, &head_text);
     if (headers != NULL) {
         buf_append(&head_text, headers->data, headers->size);
@@ -99,6 +102,7 @@
 front_abort_response(front_connection *connection)
 {
     connection->request = NULL;
+    front_report_unread(connection, "broken-response");
     if (connection->is_chunked) {
         io_close(&connection->stream);
     }
--- a/packages/gateway/source/gate-request.c
+++ b/packages/gateway/source/gate-request.c
@@ -63,10 +63,11 @@
 static void
 cancel_attempts(gate_request *request)
 {
-    gate_cancel_attempt(request->attempt);
-    if (request->stalled != NULL) {
-        gate_cancel_attempt(request->stalled);
-        request->stalled = NULL;
+    int i;
+
+    for (i = 0; i < GATE_MAX_SENDS; i++) {
+        gate_cancel_attempt(&request->attempts[i]);
+        request->attempts[i].is_set_aside = false;
     }
 }
 
@@ -146,10 +147,8 @@
     gate_count_requested(request);
 }
 
-static bool take_retry(gate_request *request);
-
 static const gate_request_ops request_ops = {.decide = gate_decide_request,
-                                             .take_retry = take_retry,
+                                             .may_retry = gate_may_retry,
                                              .retry = gate_retry_request,
                                              .fail = gate_fail_request,
                                              .give_up = gate_give_up_request,
@@ -160,14 +159,16 @@
                const rt_route *route, const rt_account *account)
 {
     gate_request *request = calloc(1, sizeof *request);
+    int i;
 
     if (request == NULL) {
         return NULL;
     }
     request->gate = gate;
     request->ops = &request_ops;
-    request->attempts[0].request = request;
-    request->attempts[1].request = request;
+    for (i = 0; i < GATE_MAX_SENDS; i++) {
+        request->attempts[i].request = request;
+    }
     request->attempt = &request->attempts[0];
     request->connection = connection;
     request->config = rt_ref(gate->config);
@@ -296,8 +297,10 @@
 gate_give_up_request(gate_request *request, uint32_t status,
                      const char *reason)
 {
-    if (request->stalled != NULL) {
-        gate_resume_stalled_attempt(request, reason);
+    gate_attempt *other = gate_find_set_aside(request);
+
+    if (other != NULL) {
+        gate_go_on_with(other, reason);
     }
     else {
         gate_fail_request(request, status, reason);
@@ -332,14 +335,14 @@
 static void
 refuse_or_fail(gate_request *request, lv_time retry_after, const char *reason)
 {
+    bool has_other = gate_find_set_aside(request) != NULL;
     bool is_one_left = request->decision.endpoint != LV_HANDLE_NONE ||
                        request->decision.free_at < request->answer_deadline;
 
-    if (request->stalled == NULL && request->has_answer_begun && is_one_left) {
+    if (!has_other && request->has_answer_begun && is_one_left) {
         gate_wait_to_resume(request, reason);
     }
-    else if (request->stalled != NULL || request->may_have_run ||
-             request->has_answer_begun) {
+    else if (has_other || request->may_have_run || request->has_answer_begun) {
         gate_give_up_request(request, 502, reason);
     }
     else {
@@ -355,6 +358,10 @@
         gate_abandon_request(request);
         return;
     }
+    if (!gate_spend_retry(request)) {
+        gate_give_up_request(request, 502, "retry-budget");
+        return;
+    }
     gate_log_step(request, "start", reason);
     gate_count_served(request);
     if (!gate_start_attempt(request)) {
@@ -430,51 +437,16 @@
     }
 }
 
-/* Takes one retry from the budget. Returns false if the request may not be
- * sent to another endpoint or the budget is used up. */
-static bool
-take_retry(gate_request *request)
+static void
+finish_attempts(gate_request *request)
 {
-    gate_server *gate = request->gate;
-    gate_service_budget *budget = gate_find_budget(gate, request->service);
-    lv_time now = io_now();
-    bool has_attempt_left = request->runs < request->route->max_attempts;
+    int i;
 
-    if (request->may_have_run && !rt_may_retry(request->route)) {
-        return false;
-    }
-    if (!has_attempt_left || request->sends >= GATE_MAX_SENDS ||
-        request->tried_count == ADM_TRIED_MAX ||
-        now + request->route->target / 4 >= request->answer_deadline) {
-        return false;
-    }
-    if (budget == NULL ||
-        !bud_take_retry(&budget->budget, peers_max_instances(&gate->peers),
-                        now)) {
-        return false;
+    for (i = 0; i < GATE_MAX_SENDS; i++) {
+        buf_finish(&request->attempts[i].headers);
+        buf_finish(&request->attempts[i].body);
+        buf_finish(&request->attempts[i].partial_event);
     }
-    gate->counts.retries++;
-    return true;
-}
-
-void
-gate_retry_request(gate_request *request, const char *reason)
-{
-    gate_cancel_attempt(request->attempt);
-    if (!take_retry(request)) {
-        gate_give_up_request(request, 502, reason);
-        return;
-    }
-    gate_log_step(request, "again", reason);
-    gate_decide_request(request);
-}
-
-static void
-finish_attempt(gate_attempt *attempt)
-{
-    buf_finish(&attempt->headers);
-    buf_finish(&attempt->body);
-    buf_finish(&attempt->partial_event);
 }
 
 void
@@ -488,8 +460,7 @@
         if (request->state == GATE_FINISHED) {
             unlink_request(request);
             rt_unref(request->config);
-            finish_attempt(&request->attempts[0]);
-            finish_attempt(&request->attempts[1]);
+            finish_attempts(request);
             free(request);
         }
         request = next;
--- a/packages/gateway/source/io.c
+++ b/packages/gateway/source/io.c
@@ -1,9 +1,13 @@
+#define _GNU_SOURCE /* POLLRDHUP */
+
 #include "lavender-gateway/io.h"
 
 #include <errno.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 /* The kernel detects a dead idle connection within five seconds: it sends
@@ -356,6 +360,41 @@
            (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
+/* Returns whether any of the events, or an error or hang-up, is pending. */
+static bool
+has_pending_event(const io_stream *stream, short events)
+{
+    struct pollfd descriptor = {.events = events};
+
+    return uv_fileno((const uv_handle_t *)&stream->tcp, &descriptor.fd) != 0 ||
+           poll(&descriptor, 1, 0) > 0;
+}
+
+bool
+io_is_hung_up(const io_stream *stream)
+{
+    return has_pending_event(stream, POLLRDHUP);
+}
+
+bool
+io_has_unseen_event(const io_stream *stream)
+{
+    return has_pending_event(stream, stream->is_connected ? POLLIN : POLLOUT);
+}
+
+size_t
+io_unread_size(const io_stream *stream)
+{
+    uv_os_fd_t descriptor;
+    int size = 0;
+
+    if (uv_fileno((const uv_handle_t *)&stream->tcp, &descriptor) != 0 ||
+        ioctl(descriptor, FIONREAD, &size) != 0) {
+        return 0;
+    }
+    return (size_t)size;
+}
+
 uint64_t
 io_count_writes(void)
 {
--- a/tests/gateway/stage.h
+++ b/tests/gateway/stage.h
@@ -18,20 +18,24 @@
 
 /* How a fake endpoint responds to a request. */
 typedef enum stage_mode {
-    STAGE_RESPOND,               /* a complete response with a seal */
-    STAGE_STREAM,                /* six events, 5 ms apart */
-    STAGE_STREAM_TRUNCATED,      /* three and a half events, then closes */
-    STAGE_STREAM_STALL,          /* three events, then stays idle */
-    STAGE_STREAM_PAUSE,          /* three events, a pause, the other three */
-    STAGE_RESPOND_LATE,          /* a complete response after a pause */
-    STAGE_SHED,                  /* 503, marked as not executed */
-    STAGE_BUSY,                  /* 503 without that mark and without a seal */
-    STAGE_ERROR,                 /* 500 from the endpoint, with a seal */
-    STAGE_RESET,                 /* executes it and resets the connection */
-    STAGE_NO_RESPONSE,           /* executes it and never responds */
-    STAGE_SHORT_BODY,            /* half of the Content-Length, then closes */
-    STAGE_UNSEALED,              /* 200 without a seal header */
-    STAGE_CLOSE_DELIMITED,       /* a body delimited by connection close */
+    STAGE_RESPOND,            /* a complete response with a seal */
+    STAGE_STREAM,             /* six events, 5 ms apart */
+    STAGE_STREAM_TRUNCATED,   /* three and a half events, then closes */
+    STAGE_STREAM_STALL,       /* three events, then stays idle */
+    STAGE_STREAM_PAUSE,       /* three events, a pause, the other three */
+    STAGE_STREAM_LATE,        /* the events after a pause */
+    STAGE_STREAM_HEAD,        /* the head of a stream, then stays idle */
+    STAGE_STREAM_HEAD_CLOSED, /* the head of a stream, then closes */
+    STAGE_RESPOND_LATE,       /* a complete response after a pause */
+    STAGE_ERROR_LATE,         /* the head of a 500, its body after a pause */
+    STAGE_SHED,               /* 503, marked as not executed */
+    STAGE_BUSY,               /* 503 without that mark and without a seal */
+    STAGE_ERROR,              /* 500 from the endpoint, with a seal */
+    STAGE_RESET,              /* executes it and resets the connection */
+    STAGE_NO_RESPONSE,        /* executes it and never responds */
+    STAGE_SHORT_BODY,         /* half of the Content-Length, then closes */
+    STAGE_UNSEALED,           /* 200 without a seal header */
+    STAGE_CLOSE_DELIMITED,    /* a body delimited by connection close */
     STAGE_CLOSE_DELIMITED_RESET, /* the same, reset within the body */
     STAGE_EXTRA_RESPONSE,        /* the response, then an unsolicited one */
     STAGE_STRAY_RESPONSE_FIRST,  /* another attempt's response, then its own */
@@ -120,6 +124,17 @@
                      void *context, uint64_t milliseconds);
 void stage_run_for(stage_fixture *stage, uint64_t milliseconds);
 
+/* Block the loop, and the gateway with it, for a while. Bytes written before
+ * reach a receive buffer within STAGE_DELIVERY_MS. */
+#define STAGE_DELIVERY_MS 20
+void stage_block(uint64_t milliseconds);
+
+/* Begin to drain, as after SIGTERM. */
+void stage_start_drain(stage_fixture *stage);
+
+/* A condition: the gateway has accepted a connection of a caller. */
+bool stage_is_accepted(stage_fixture *stage, void *context);
+
 typedef struct stage_client {
     io_stream stream; /* first member */
     const char *bytes;
@@ -139,6 +154,15 @@
                 size_t size);
 void stage_disconnect(stage_fixture *stage, stage_client *client);
 
+/* A condition: the client in `context` is closed. */
+bool stage_is_closed(stage_fixture *stage, void *context);
+
+/* Close the connection if it is open, and release the response. */
+void stage_finish_client(stage_fixture *stage, stage_client *client);
+
+/* Count where the bytes of the response hold a text, such as a status line. */
+uint32_t stage_count_responses(stage_client *client, const char *text);
+
 /* A parsed response. */
 typedef struct stage_response {
     uint32_t status;  /* 0: no response */
