--- a/packages/gateway/source/gate-attempt.c
+++ b/packages/gateway/source/gate-attempt.c
@@ -224,7 +224,7 @@
          (attempt->is_unframed && !request->is_close_delimited))) {
         return true;
     }
-    return attempt->was_not_run ||
+    return attempt->was_not_run || attempt->is_false_promise ||
            (is_failure(attempt) && (attempt->is_set_aside || other != NULL));
 }
 
@@ -238,6 +238,9 @@
     attempt->status = head->status;
     attempt->is_unframed = head->framing == HTTP_UNTIL_CLOSE;
     attempt->was_not_run = answer->was_not_executed && head->status / 100 != 2;
+    attempt->is_false_promise = answer->promises_not_executed &&
+                                !attempt->was_not_run &&
+                                !rt_may_retry(request->route);
     if (is_success(attempt) && !answer->is_sealed) {
         /* Without a seal it is not the endpoint's own answer. */
         attempt->is_answer_dropped = true;
@@ -389,7 +392,8 @@
     count_run(attempt);
     record_outcome(attempt, !is_failure(attempt), false);
     if (attempt->is_answer_dropped) {
-        retry_elsewhere(request, attempt->status >= 500
+        retry_elsewhere(request, attempt->is_false_promise ? "unmarked-refusal"
+                                 : attempt->status >= 500
                                      ? "endpoint-error"
                                      : "not-the-endpoints-answer");
         return;
@@ -421,6 +425,17 @@
     request->ops->decide(request);
 }
 
+/* The endpoint is not at fault and may be used later. */
+static void
+handle_withheld(gate_attempt *attempt, const char *reason)
+{
+    gate_request *request = attempt->request;
+
+    request->sends--;
+    gate_log_step(request, "again", reason);
+    request->ops->decide(request);
+}
+
 /* The current attempt, or the decision on it, goes on. */
 static void
 drop_set_aside(gate_attempt *attempt, back_outcome outcome)
@@ -428,13 +443,15 @@
     gate_request *request = attempt->request;
 
     attempt->is_set_aside = false;
-    if (outcome == BACK_NOT_SENT) {
+    if (outcome == BACK_NOT_SENT || outcome == BACK_WITHHELD) {
         request->sends--;
     }
     else if (!attempt->was_not_run) {
         count_run(attempt);
     }
-    record_outcome(attempt, false, outcome == BACK_NOT_SENT);
+    if (outcome != BACK_WITHHELD) {
+        record_outcome(attempt, false, outcome == BACK_NOT_SENT);
+    }
 }
 
 static void
@@ -455,6 +472,9 @@
     case BACK_NOT_SENT:
         handle_unreached(attempt, reason);
         break;
+    case BACK_WITHHELD:
+        handle_withheld(attempt, reason);
+        break;
     case BACK_NO_RESPONSE:
     case BACK_TRUNCATED:
         count_run(attempt);
--- a/packages/gateway/source/gate-request.c
+++ b/packages/gateway/source/gate-request.c
@@ -324,6 +324,7 @@
     to->prompt = &request->decoded.prompt;
     to->received = gate_waiting_since(request);
     to->target = request->route->target;
+    to->deadline = request->answer_deadline;
     to->share_ratio =
         request->has_answer_begun ? 0 : gate_share_ratio(request, now);
     to->first_row = (uint32_t)gate_random(gate);
@@ -335,9 +336,10 @@
 refuse_or_fail(gate_request *request, lv_time retry_after, const char *reason)
 {
     bool has_other = gate_find_set_aside(request) != NULL;
+    bool is_one_left = request->decision.endpoint != LV_HANDLE_NONE ||
+                       request->decision.free_at < request->answer_deadline;
 
-    if (!has_other && request->has_answer_begun &&
-        request->decision.endpoint != LV_HANDLE_NONE) {
+    if (!has_other && request->has_answer_begun && is_one_left) {
         gate_wait_to_resume(request, reason);
     }
     else if (has_other || request->may_have_run || request->has_answer_begun) {
@@ -404,6 +406,13 @@
     gate_fill_admission(request, now, &admission);
     adm_decide(&gate->settings.admission, &gate->endpoints, &admission, now,
                &request->decision);
+    if (request->decision.verdict == ADM_QUEUE &&
+        request->decision.candidate_count == 0 &&
+        !request->has_logged_queueing) {
+        admission.waiting = gate_count_queued(gate, request->service);
+        adm_decide(&gate->settings.admission, &gate->endpoints, &admission,
+                   now, &request->decision);
+    }
     switch (request->decision.verdict) {
     case ADM_START:
         if (gate_is_denial_limit_reached(request)) {
--- a/tests/gateway/stage.h
+++ b/tests/gateway/stage.h
@@ -32,6 +32,7 @@
     STAGE_RESPOND_LATE,       /* a complete response after a pause */
     STAGE_ERROR_LATE,         /* the head of a 500, its body after a pause */
     STAGE_SHED,               /* 503, marked as not executed */
+    STAGE_BUSY,               /* 503 without that mark and without a seal */
     STAGE_ERROR,              /* 500 from the endpoint, with a seal */
     STAGE_RESET,              /* executes it and resets the connection */
     STAGE_NO_RESPONSE,        /* executes it and never responds */
@@ -48,6 +49,9 @@
     uv_tcp_t listener;
     struct stage_fixture *stage;
     stage_mode mode;
+    const char *more_headers; /* of all its responses, each with CRLF; or NULL
+                               */
+    uint64_t born;            /* start time in the store; 0: 1000 */
     char address[LV_ADDRESS_SIZE];
     char name[LV_NAME_SIZE];
     uint32_t requests;       /* complete requests received */
@@ -172,7 +176,7 @@
     bool is_complete; /* complete according to its framing */
     bool is_reset;
     char head[4096];
-    char body[16384];
+    char body[32768];
 } stage_response;
 
 /* Send a POST request to a path such as "/once/1", wait for the response and
