Print how late the soak's loop was

Cause: a play of seed 102 (12 s, 30 gateways, load average 23) stood for 20 s in the soak's own loop, seen only from a hole in its log; every gateway then served nothing and 27 answers were late. What held the loop up is not known.

Change: the longest time between two ticks stands in the last line. Nothing is judged otherwise.

--- a/tests/soak/soak-main.c
+++ b/tests/soak/soak-main.c
@@ -102,6 +102,10 @@
     (void)timer;
     world.last_tick_at = world.tick_at;
     world.tick_at = now;
+    if (world.last_tick_at != 0 &&
+        now - world.last_tick_at > world.longest_gap) {
+        world.longest_gap = now - world.last_tick_at;
+    }
     watch_phase(now);
     store_tick(&world, now);
     front_tick(&world.store.server, now);
@@ -172,13 +176,14 @@
 report(void)
 {
     printf("seed %llu: %u gateways, %u requests, %u answers, %u refusals, "
-           "%u repeats, %u violations%s%s, %.0f bytes/s of datagrams each\n",
+           "%u repeats, %u violations%s%s, %.0f bytes/s of datagrams each, "
+           "loop late by %u ms at most\n",
            (unsigned long long)world.seed, world.daemon_count,
            world.call_count, world.answers, world.refusals, world.repeats,
            world.violations,
            world.plant != SOAK_PLANT_NONE ? ", planted " : "",
            world.plant != SOAK_PLANT_NONE ? plant_names[world.plant] : "",
-           world.peer_rate);
+           world.peer_rate, (unsigned)(world.longest_gap / LV_MILLISECOND));
     if (world.plant != SOAK_PLANT_NONE) {
         return world.plants_found > 0 ? 0 : 1;
     }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -332,6 +332,7 @@
     bool has_notices; /* endpoints leave by their word, and ask for time */
     lv_time started_at;
     lv_time tick_at;
+    lv_time longest_gap;  /* between two ticks */
     lv_time last_tick_at; /* what is read now came after this */
     lv_time length;       /* of the part with faults */
     bool is_calm;         /* the faults are over */
