End the soak's watches when their time is over

Cause: the soak's store ended a watch only at a change, whatever wait_ms said.

Change: a watch ends without events after its wait_ms, as the store's protocol says. Stores that do not answer are still those behind silent connections. Every bound stays.

--- a/tests/soak/soak-store.c
+++ b/tests/soak/soak-store.c
@@ -119,14 +119,37 @@
     buf_finish(&body);
 }
 
+/* Nothing has changed. */
+static void
+end_watch(const soak_store *store, front_connection *connection)
+{
+    char body[128];
+    int size = snprintf(body, sizeof body,
+                        "{\"events\":[],\"has_more\":false,\"at\":%llu}",
+                        (unsigned long long)store->revision);
+
+    front_begin_response(connection, 200, NULL, (uint64_t)size);
+    front_send_body(connection, body, (size_t)size);
+    front_end_response(connection);
+}
+
+static lv_time
+read_wait(const char *target)
+{
+    const char *wait = strstr(target, "wait_ms=");
+
+    return wait != NULL ? strtoull(wait + 8, NULL, 10) * LV_MILLISECOND : 0;
+}
+
 static void
 wait(soak_store *store, front_connection *connection, bool is_config,
-     lv_time due_at)
+     bool is_watch, lv_time due_at)
 {
     for (int i = 0; i < STORE_WAITING_MAX; i++) {
         if (store->waiting[i].connection == NULL) {
             store->waiting[i].connection = connection;
             store->waiting[i].is_config = is_config;
+            store->waiting[i].is_watch = is_watch;
             store->waiting[i].due_at = due_at;
             return;
         }
@@ -152,10 +175,10 @@
         front_send_error(connection, 410, NULL, "gone"); /* a short history */
     }
     else if (is_watch) {
-        wait(store, connection, is_config, 0);
+        wait(store, connection, is_config, true, io_now() + read_wait(target));
     }
     else if (store->mood == STORE_SLOW) {
-        wait(store, connection, is_config,
+        wait(store, connection, is_config, false,
              io_now() + soak_draw_time(world, SLOW_LEAST, SLOW_MOST));
     }
     else {
@@ -213,7 +236,7 @@
     for (int i = 0; i < STORE_WAITING_MAX; i++) {
         front_connection *connection = store->waiting[i].connection;
 
-        if (connection != NULL && store->waiting[i].due_at == 0) {
+        if (connection != NULL && store->waiting[i].is_watch) {
             store->waiting[i].connection = NULL;
             front_send_error(connection, status, NULL, "changed");
         }
@@ -229,6 +252,8 @@
         return;
     }
     store->revision++;
+    soak_log(world, "the store shows version %u, revision %llu",
+             world->version, (unsigned long long)store->revision);
     store->version = world->version;
     store->idle_limit = world->idle_limit;
     for (uint32_t i = 0; i < SOAK_ENDPOINTS; i++) {
@@ -260,9 +285,14 @@
     for (int i = 0; i < STORE_WAITING_MAX; i++) {
         front_connection *connection = store->waiting[i].connection;
 
-        if (connection != NULL && store->waiting[i].due_at != 0 &&
-            now >= store->waiting[i].due_at) {
-            store->waiting[i].connection = NULL;
+        if (connection == NULL || now < store->waiting[i].due_at) {
+            continue;
+        }
+        store->waiting[i].connection = NULL;
+        if (store->waiting[i].is_watch) {
+            end_watch(store, connection);
+        }
+        else {
             answer_list(world, connection, store->waiting[i].is_config);
         }
     }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -148,7 +148,8 @@
     struct {
         front_connection *connection; /* NULL: free */
         bool is_config;
-        lv_time due_at; /* a slow answer; 0: a watch */
+        bool is_watch;
+        lv_time due_at; /* a slow answer, or the end of a watch */
     } waiting[STORE_WAITING_MAX];
 } soak_store;
 
