--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -148,7 +148,8 @@
     struct {
         front_connection *connection; /* NULL: free */
         bool is_config;
-        lv_time due_at; /* a slow answer; 0: a watch */
+        bool is_watch;
+        lv_time due_at; /* a slow answer, or the end of a watch */
     } waiting[STORE_WAITING_MAX];
 } soak_store;
 
@@ -332,6 +333,7 @@
     bool has_notices; /* endpoints leave by their word, and ask for time */
     lv_time started_at;
     lv_time tick_at;
+    lv_time longest_gap;  /* between two ticks */
     lv_time last_tick_at; /* what is read now came after this */
     lv_time length;       /* of the part with faults */
     bool is_calm;         /* the faults are over */
