--- a/tests/soak/soak-fault.c
+++ b/tests/soak/soak-fault.c
@@ -197,9 +197,7 @@
                  soak_draw_time(world, 0, DELAY_MOST));
         break;
     case FAULT_MOOD:
-        endpoint->mood =
-            1 + soak_draw(world, world->has_notices ? ENDPOINT_MOODS - 1
-                                                    : ENDPOINT_SLOW);
+        endpoint->mood = 1 + soak_draw(world, ENDPOINT_MOODS - 1);
         break;
     case FAULT_LEAVE:
         set_listed(endpoint, false);
@@ -307,8 +305,7 @@
 static void
 draw_fault(soak_world *world, lv_time now)
 {
-    uint32_t kinds = world->has_notices ? FAULT_KINDS : FAULT_WORD;
-    uint32_t kind = 1 + soak_draw(world, kinds - 1);
+    uint32_t kind = 1 + soak_draw(world, FAULT_KINDS - 1);
     uint32_t target = soak_draw(world, world->daemon_count);
     lv_time until = now + soak_draw_time(world, LENGTH_LEAST, LENGTH_MOST);
 
--- a/tests/soak/soak-main.c
+++ b/tests/soak/soak-main.c
@@ -207,9 +207,6 @@
                        SOAK_DAEMONS_MAX);
         }
         return 0;
-    case 'w':
-        world.has_notices = true;
-        return 0;
     case 'f':
         world.folder = value;
         return 0;
@@ -234,10 +231,6 @@
         {"seed", 's', "N", 0, "of all that is drawn", 0},
         {"seconds", 't', "N", 0, "with faults", 0},
         {"daemons", 'n', "N", 0, "gateways", 0},
-        {"notices", 'w', NULL, 0,
-         "endpoints that say that they leave or are "
-         "overloaded",
-         0},
         {"folder", 'f', "DIR", 0, "for settings and logs", 0},
         {"plant", 'p', "NAME", 0, "make a mistake; succeeds when it is found",
          0},
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -330,7 +330,6 @@
     uint64_t seed;
     const char *folder; /* of settings and logs */
     soak_plant plant;
-    bool has_notices; /* endpoints leave by their word, and ask for time */
     lv_time started_at;
     lv_time tick_at;
     lv_time longest_gap;  /* between two ticks */
