End a request in the log before its connection reads the next one

With pipelined requests the line of an answer or refusal bore the id of the request behind it, since the end of the response reads the next head into the same memory. Seen by the fault soak (one id logged twice) and by gateway-test-log-lines, which failed in both cases before: the request is ended first now, and both pass.

--- a/packages/gateway/source/gate-attempt.c
+++ b/packages/gateway/source/gate-attempt.c
@@ -314,6 +314,7 @@
 gate_finish_answer(gate_attempt *attempt)
 {
     gate_request *request = attempt->request;
+    front_connection *connection = request->connection;
     gate_server *gate = request->gate;
     bool is_served = attempt->status < 500;
 
@@ -334,14 +335,12 @@
             front_send_body(request->connection, attempt->partial_event.data,
                             attempt->partial_event.size);
         }
-        front_end_response(request->connection);
     }
     else {
         front_begin_response(request->connection, attempt->status,
                              &attempt->headers, attempt->body.size);
         front_send_body(request->connection, attempt->body.data,
                         attempt->body.size);
-        front_end_response(request->connection);
     }
     if (is_served) {
         gate->counts.served++;
@@ -349,8 +348,10 @@
     else {
         gate->counts.failed++;
     }
+    /* The end of the response may read the next request over this one's. */
     request->ops->end(request, is_served ? "served" : "endpoint-error",
                       "whole");
+    front_end_response(connection);
 }
 
 void
--- a/packages/gateway/source/gate-request.c
+++ b/packages/gateway/source/gate-request.c
@@ -193,17 +193,19 @@
 refuse_request(gate_request *request, lv_time retry_after, const char *reason)
 {
     gate_server *gate = request->gate;
+    front_connection *connection = request->connection;
     buf_buffer headers;
 
     buf_init(&headers);
     gate->wire->write_retry_after(&headers, retry_after);
     gate->counts.refused++;
     if (gate->overload.is_overloaded) {
-        request->connection->is_keep_alive = false;
+        connection->is_keep_alive = false;
     }
-    front_send_error(request->connection, 503, &headers, reason);
-    buf_finish(&headers);
+    /* The end of the response may read the next request over this one's. */
     gate_end_request(request, "refused", reason);
+    front_send_error(connection, 503, &headers, reason);
+    buf_finish(&headers);
 }
 
 /* While the instance drains, a request that is received after the minimum
