Let the linger and idle time of a caller run once its output is sent

Callers that paused got a part of a response and an orderly end: one that paused for 1 s got 3,919,872 of 16,777,216 bytes. A body that ends with the connection then looked complete.

Cause: the linger time of 500 ms ran from the end of queueing the last response, the idle time after a response that keeps the connection open did the same, and the FIN of a caller that only ended its requests closed the connection. All three closed the stream over its write queue, which drops it.

Now both times run from the moment the queue is empty. A FIN with output queued delivers the output first.

--- a/packages/gateway/include/lavender-gateway/front.h
+++ b/packages/gateway/include/lavender-gateway/front.h
@@ -34,6 +34,8 @@
     void *request;         /* set by the owner of the server; NULL: none */
     void (*on_response_end)(struct front_connection *connection);
     uint64_t discarded_bytes; /* received and not read as a request */
+    size_t unsent_bytes;      /* in the write queue when it last changed */
+    lv_time unsent_since;     /* that change */
     bool is_keep_alive; /* stays open after the current response; does not
                            change once the head is sent */
     bool is_chunked;    /* the current response is sent in chunks */
--- a/packages/gateway/include/lavender-gateway/io.h
+++ b/packages/gateway/include/lavender-gateway/io.h
@@ -101,6 +101,9 @@
 /* Returns the number of bytes that arrived and were not read yet. */
 size_t io_unread_size(const io_stream *stream);
 
+/* Sends what callbacks have written so far. An error is reported by on_end. */
+void io_flush(io_stream *stream);
+
 /* Returns the number of bytes that are queued for writing. */
 size_t io_write_queue_size(const io_stream *stream);
 
--- a/packages/gateway/source/front-connection.c
+++ b/packages/gateway/source/front-connection.c
@@ -7,6 +7,7 @@
  * a caller cannot tell a close without a response from a lost request. */
 #define REFUSAL_CONNECTIONS 64
 
+static void begin_lingering(front_connection *connection);
 static void read_pipelined(front_connection *connection);
 
 void
@@ -17,6 +18,7 @@
     connection->idle_deadline =
         connection->phase_since + connection->server->idle_timeout;
     connection->is_past_timeout = false;
+    connection->unsent_bytes = 0;
 }
 
 static void
@@ -44,7 +46,13 @@
 front_close(front_connection *connection, const char *reason)
 {
     front_report_unread(connection, reason);
-    io_close(&connection->stream);
+    io_flush(&connection->stream);
+    if (io_write_queue_size(&connection->stream) > 0) {
+        io_reset(&connection->stream);
+    }
+    else {
+        io_close(&connection->stream);
+    }
 }
 
 static void
@@ -199,8 +207,18 @@
 static void
 on_stream_end(io_stream *stream, bool is_error)
 {
-    (void)is_error;
-    front_disconnect((front_connection *)stream);
+    front_connection *connection = (front_connection *)stream;
+
+    if (is_error || connection->phase == FRONT_PROCESSING ||
+        io_write_queue_size(stream) == 0) {
+        front_disconnect(connection);
+        return;
+    }
+    /* The caller may still read the responses. */
+    connection->is_disconnected = true;
+    if (connection->phase != FRONT_LINGERING) {
+        begin_lingering(connection);
+    }
 }
 
 static void
@@ -208,8 +226,22 @@
 {
     front_connection *connection = (front_connection *)stream;
 
-    if (connection->phase == FRONT_PROCESSING) {
+    switch (connection->phase) {
+    case FRONT_PROCESSING:
         connection->server->ops->on_drain(connection->server, connection);
+        break;
+    case FRONT_LINGERING:
+        if (connection->is_disconnected) {
+            io_close(stream);
+            break;
+        }
+        /* fall through */
+    case FRONT_IDLE:
+        /* Both timeouts run from the end of the output. */
+        front_set_phase(connection, connection->phase);
+        break;
+    case FRONT_READING:
+        break;
     }
 }
 
@@ -281,7 +313,9 @@
 {
     front_set_phase(connection, FRONT_LINGERING);
     io_shutdown(&connection->stream);
-    io_read_start(&connection->stream);
+    if (!connection->is_disconnected) {
+        io_read_start(&connection->stream);
+    }
 }
 
 static void
--- a/packages/gateway/source/front-imp.h
+++ b/packages/gateway/source/front-imp.h
@@ -18,8 +18,9 @@
 /* Reports input that was received and not read as a request. */
 void front_report_unread(front_connection *connection, const char *reason);
 
-/* Closes a connection that the caller did not close. `reason` is reported if
- * there is unread input. */
+/* Closes a connection that the caller did not close, with a reset if output is
+ * still queued: the response would appear to be complete. `reason` is reported
+ * if there is unread input. */
 void front_close(front_connection *connection, const char *reason);
 
 /* Closes a connection that the caller closed. */
--- a/packages/gateway/source/front-server.c
+++ b/packages/gateway/source/front-server.c
@@ -2,7 +2,7 @@
 
 #include "front-imp.h"
 
-/* How long a connection is read after its last response. */
+/* How long a connection is read after its last response was sent. */
 #define LINGER_TIMEOUT (500 * LV_MILLISECOND)
 
 /* The idle timeout while the instance drains; a new connection has this time
@@ -125,12 +125,34 @@
     return true;
 }
 
+/* Ends the connection of a caller that has stopped to read its responses. */
+static void
+check_output(front_connection *connection, lv_time now)
+{
+    size_t unsent = io_write_queue_size(&connection->stream);
+
+    if (unsent != connection->unsent_bytes) {
+        connection->unsent_bytes = unsent;
+        connection->unsent_since = now;
+    }
+    else if (lv_elapsed(now, connection->unsent_since) >=
+             FRONT_SILENCE_TIMEOUT) {
+        front_close(connection, "caller-silent");
+    }
+}
+
 static void
 check_timeout(front_connection *connection, lv_time now)
 {
     front_server *server = connection->server;
     lv_time age = lv_elapsed(now, connection->phase_since);
 
+    if ((connection->phase == FRONT_IDLE ||
+         connection->phase == FRONT_LINGERING) &&
+        io_write_queue_size(&connection->stream) > 0) {
+        check_output(connection, now);
+        return;
+    }
     switch (connection->phase) {
     case FRONT_IDLE:
         /* Unread bytes are the next request. */
@@ -189,6 +211,7 @@
          connection = connection->next) {
         if (connection->phase == FRONT_IDLE &&
             !connection->stream.is_closing &&
+            io_write_queue_size(&connection->stream) == 0 &&
             lv_elapsed(now, connection->phase_since) >= MIN_IDLE &&
             (longest == NULL ||
              connection->phase_since < longest->phase_since) &&
--- a/packages/gateway/source/io.c
+++ b/packages/gateway/source/io.c
@@ -196,6 +196,15 @@
     return is_sent;
 }
 
+void
+io_flush(io_stream *stream)
+{
+    if (!stream->is_closing && !send_batch(stream)) {
+        io_read_stop(stream);
+        stream->ops->on_end(stream, true);
+    }
+}
+
 /* Sends what callbacks wrote since the batch began. The callback of a stream
  * that cannot be sent may write to others, so that the list is taken again
  * until it is empty. */
@@ -207,11 +216,7 @@
 
         batched_streams = stream->next_batched;
         stream->is_batched = false;
-        if (!stream->is_closing && !send_batch(stream) &&
-            !stream->is_closing) {
-            io_read_stop(stream);
-            stream->ops->on_end(stream, true);
-        }
+        io_flush(stream);
     }
 }
 
@@ -448,6 +453,19 @@
     }
 }
 
+/* libuv refuses to reset a connection that is being shut down. */
+static void
+close_with_reset(uv_tcp_t *tcp)
+{
+    static const struct linger option = {.l_onoff = 1, .l_linger = 0};
+    uv_os_fd_t socket;
+
+    if (uv_fileno((uv_handle_t *)tcp, &socket) == 0) {
+        setsockopt(socket, SOL_SOCKET, SO_LINGER, &option, sizeof option);
+    }
+    uv_close((uv_handle_t *)tcp, on_closed);
+}
+
 void
 io_reset(io_stream *stream)
 {
@@ -455,7 +473,7 @@
         send_batch(stream);
         stream->is_closing = true;
         if (uv_tcp_close_reset(&stream->tcp, on_closed) != 0) {
-            uv_close((uv_handle_t *)&stream->tcp, on_closed);
+            close_with_reset(&stream->tcp);
         }
     }
 }
