Say in the drain test what reached the endpoint

gateway-test-drain failed once, in a run of all gateway tests with -j 3 on a busy machine (load 14): a case saw another number of runs than it expects. The cause is open; the message now tells an extra run from a foreign request.

--- a/tests/gateway/test-drain.c
+++ b/tests/gateway/test-drain.c
@@ -40,7 +40,10 @@
         stage_exchange(&stage, "/stream/1", "", &answer);
         cr_expect_eq(answer.status, cases[i].status, "case %zu: %u", i,
                      answer.status);
-        cr_expect_eq(stage.endpoints[0].runs, cases[i].status == 200);
+        cr_expect_eq(stage.endpoints[0].runs, cases[i].status == 200,
+                     "case %zu: %u runs on %u connections, last %s", i,
+                     stage.endpoints[0].runs, stage.endpoints[0].connections,
+                     stage.endpoints[0].last_head);
         cr_expect_not_null(strstr(answer.head, "Connection: close"));
         stage_stop(&stage);
     }
