Deliver the last answers before the gateway ends

Callers of an instance that stopped lost answers: a request in hand with another one behind it got "502 stopped" and a reset at once, a request that had arrived and was not read yet got a reset and no answer, and answers that were queued for a slow caller were dropped.

Cause: gate_finish closed all connections in the call that wrote the last answers. Closing a socket with unread input resets it, and closing a stream drops its write queue.

Idle connections close at once as before.

--- a/packages/gateway/include/lavender-gateway/front.h
+++ b/packages/gateway/include/lavender-gateway/front.h
@@ -90,6 +90,7 @@
     size_t pipelined_bytes;     /* of all connections */
     bool has_inherited_options; /* see io_accept */
     bool is_draining; /* each connection closes after its next response */
+    bool is_stopping; /* requests are refused */
     void *owner;
     front_counts counts;
 };
@@ -111,6 +112,10 @@
  * accepted. */
 void front_drain(front_server *server);
 void front_stop_listening(front_server *server);
+
+/* Refuses requests from now on and closes each connection once its caller has
+ * its last response; front_close_all ends those that remain. */
+void front_stop(front_server *server);
 void front_close_all(front_server *server);
 
 /* Body sizes for front_begin_response. A body of unknown size is sent in
--- a/packages/gateway/source/front-connection.c
+++ b/packages/gateway/source/front-connection.c
@@ -7,7 +7,6 @@
  * a caller cannot tell a close without a response from a lost request. */
 #define REFUSAL_CONNECTIONS 64
 
-static void begin_lingering(front_connection *connection);
 static void read_pipelined(front_connection *connection);
 
 void
@@ -55,6 +54,16 @@
     }
 }
 
+void
+front_begin_lingering(front_connection *connection)
+{
+    front_set_phase(connection, FRONT_LINGERING);
+    io_shutdown(&connection->stream);
+    if (!connection->is_disconnected) {
+        io_read_start(&connection->stream);
+    }
+}
+
 static void
 reject_request(front_connection *connection, uint32_t status,
                const char *reason)
@@ -116,6 +125,10 @@
     front_server *server = connection->server;
 
     front_set_phase(connection, FRONT_PROCESSING);
+    if (server->is_stopping) {
+        reject_request(connection, 503, "stopped");
+        return;
+    }
     if (connection->is_over_limit &&
         server->connection_count > server->max_connections) {
         reject_request(connection, 503, "too-many-connections");
@@ -217,7 +230,7 @@
     /* The caller may still read the responses. */
     connection->is_disconnected = true;
     if (connection->phase != FRONT_LINGERING) {
-        begin_lingering(connection);
+        front_begin_lingering(connection);
     }
 }
 
@@ -306,18 +319,6 @@
     front_update_reading(connection);
 }
 
-/* Sends a FIN and reads until the caller's, because closing a socket with
- * unread bytes resets the connection and the caller may lose the response. */
-static void
-begin_lingering(front_connection *connection)
-{
-    front_set_phase(connection, FRONT_LINGERING);
-    io_shutdown(&connection->stream);
-    if (!connection->is_disconnected) {
-        io_read_start(&connection->stream);
-    }
-}
-
 static void
 finish_response(front_connection *connection)
 {
@@ -325,7 +326,7 @@
         prepare_next_request(connection);
     }
     else {
-        begin_lingering(connection);
+        front_begin_lingering(connection);
     }
 }
 
--- a/packages/gateway/source/front-imp.h
+++ b/packages/gateway/source/front-imp.h
@@ -23,6 +23,10 @@
  * if there is unread input. */
 void front_close(front_connection *connection, const char *reason);
 
+/* Sends a FIN and reads until the caller's, because closing a socket with
+ * unread bytes resets the connection and the caller may lose the response. */
+void front_begin_lingering(front_connection *connection);
+
 /* Closes a connection that the caller closed. */
 void front_disconnect(front_connection *connection);
 
--- a/packages/gateway/source/front-server.c
+++ b/packages/gateway/source/front-server.c
@@ -240,6 +240,30 @@
     }
 }
 
+void
+front_stop(front_server *server)
+{
+    front_connection *connection;
+
+    server->is_draining = true;
+    server->is_stopping = true;
+    for (connection = server->connections; connection != NULL;
+         connection = connection->next) {
+        if (connection->stream.is_closing ||
+            connection->phase == FRONT_LINGERING ||
+            io_unread_size(&connection->stream) > 0) {
+            continue;
+        }
+        if (connection->phase != FRONT_PROCESSING &&
+            io_write_queue_size(&connection->stream) > 0) {
+            front_begin_lingering(connection);
+        }
+        else {
+            front_close(connection, "stop");
+        }
+    }
+}
+
 void
 front_close_all(front_server *server)
 {
--- a/packages/gateway/source/gate-imp.h
+++ b/packages/gateway/source/gate-imp.h
@@ -319,4 +319,10 @@
 /* Returns the next pseudo-random number. */
 uint64_t gate_random(gate_server *gate);
 
+/* gate-stop.c */
+
+/* Closes the listeners and their connections; with the other handles closing,
+ * runs the loop until all are closed. */
+void gate_stop_listeners(gate_server *gate);
+
 #endif
--- a/packages/gateway/source/gate.c
+++ b/packages/gateway/source/gate.c
@@ -465,18 +465,13 @@
         store_feed_close(&gate->feeds[i]);
     }
     back_close_all(&gate->endpoint_pool);
-    front_close_all(&gate->callers);
-    front_close_all(&gate->readiness);
-    front_stop_listening(&gate->callers);
-    front_stop_listening(&gate->readiness);
     rly_close(&gate->relay);
     peers_close(&gate->peers);
-    uv_close((uv_handle_t *)&gate->timer, NULL);
     uv_close((uv_handle_t *)&gate->prepare, NULL);
     for (i = 0; i < 3; i++) {
         uv_close((uv_handle_t *)&gate->signals[i], NULL);
     }
-    uv_run(gate->loop, UV_RUN_DEFAULT);
+    gate_stop_listeners(gate);
     peers_finish(&gate->peers);
     rly_finish(&gate->relay);
     back_finish(&gate->endpoint_pool);
