Read no further request of a caller whose output is full

One caller that pipelines requests and does not read could make an instance queue without bound: requests that are refused at once are answered in a loop that did not look at the write queue.

Now the next request waits, read or not, while more than 64 KiB are queued on its connection, and is read when the queue is empty. The test then sees less than 512 KiB queued and as much kept, and all 200,000 requests are answered once the caller reads.

What on_drain writes is collected as in the other callbacks, because requests are now answered there.

--- a/packages/gateway/include/lavender-gateway/io.h
+++ b/packages/gateway/include/lavender-gateway/io.h
@@ -3,8 +3,9 @@
  * the socket does not accept at once, all streams of the loop share one read
  * buffer, and one callback reports that a stream is closed and may be freed.
  *
- * What on_data and on_end write is sent when they return, with one system call
- * for each stream: small writes otherwise cost most of a busy process's time.
+ * What on_data, on_end and on_drain write is sent when they return, with one
+ * system call for each stream: small writes otherwise cost most of a busy
+ * process's time.
  */
 #ifndef LAVENDER_GATEWAY_IO_H
 #define LAVENDER_GATEWAY_IO_H
--- a/packages/gateway/source/front-connection.c
+++ b/packages/gateway/source/front-connection.c
@@ -7,7 +7,7 @@
  * a caller cannot tell a close without a response from a lost request. */
 #define REFUSAL_CONNECTIONS 64
 
-static void read_pipelined(front_connection *connection);
+static void await_request(front_connection *connection);
 
 void
 front_set_phase(front_connection *connection, front_phase phase)
@@ -176,6 +176,16 @@
     return size;
 }
 
+/* Can a request be read? Not the next one while the output is full. */
+static bool
+can_read_request(front_connection *connection)
+{
+    return !connection->stream.is_closing &&
+           (connection->phase == FRONT_READING ||
+            (connection->phase == FRONT_IDLE &&
+             !front_is_output_full(connection)));
+}
+
 /* Reads requests as long as they are answered at once, and returns how many
  * bytes were used. */
 static size_t
@@ -183,9 +193,7 @@
 {
     size_t used = 0;
 
-    while (used < size && !connection->stream.is_closing &&
-           (connection->phase == FRONT_IDLE ||
-            connection->phase == FRONT_READING)) {
+    while (used < size && can_read_request(connection)) {
         used += read_request(connection, data + used, size - used);
     }
     return used;
@@ -197,7 +205,8 @@
     front_connection *connection = (front_connection *)stream;
     size_t used = read_requests(connection, data, size);
 
-    if (used < size && connection->phase == FRONT_PROCESSING) {
+    if (used < size && (connection->phase == FRONT_PROCESSING ||
+                        connection->phase == FRONT_IDLE)) {
         front_keep_pipelined(connection, data + used, size - used);
     }
     else {
@@ -249,9 +258,11 @@
             break;
         }
         /* fall through */
+        /* The linger time runs from the end of the output. */
+        front_set_phase(connection, FRONT_LINGERING);
+        break;
     case FRONT_IDLE:
-        /* Both timeouts run from the end of the output. */
-        front_set_phase(connection, connection->phase);
+        await_request(connection);
         break;
     case FRONT_READING:
         break;
@@ -307,6 +318,38 @@
                                          .on_drain = on_drain,
                                          .on_close = on_close};
 
+/* Reads the next requests from the bytes received after the last one. A
+ * response that is sent meanwhile calls this again, with nothing to do. */
+static void
+read_pipelined(front_connection *connection)
+{
+    size_t used = connection->pipelined_used;
+
+    if (connection->pipelined.has_failed) {
+        reject_request(connection, 503, "no-memory");
+        return;
+    }
+    if (connection->is_reading_pipelined ||
+        front_pipelined_size(connection) == 0) {
+        return;
+    }
+    connection->is_reading_pipelined = true;
+    used = read_requests(connection, connection->pipelined.data + used,
+                         front_pipelined_size(connection));
+    front_use_pipelined(connection, used);
+    connection->is_reading_pipelined = false;
+}
+
+/* Waits for the next request, whose bytes may have arrived; the idle time
+ * begins. */
+static void
+await_request(front_connection *connection)
+{
+    front_set_phase(connection, FRONT_IDLE);
+    read_pipelined(connection);
+    front_update_reading(connection);
+}
+
 static void
 prepare_next_request(front_connection *connection)
 {
@@ -314,9 +357,7 @@
     buf_finish(&connection->body);
     connection->head = NULL;
     connection->request = NULL;
-    front_set_phase(connection, FRONT_IDLE);
-    read_pipelined(connection);
-    front_update_reading(connection);
+    await_request(connection);
 }
 
 static void
@@ -372,25 +413,3 @@
     server->counts.accepted++;
     io_read_start(&connection->stream);
 }
-
-/* Reads the next requests from the bytes received after the last one. A
- * response that is sent meanwhile calls this again, with nothing to do. */
-static void
-read_pipelined(front_connection *connection)
-{
-    size_t used = connection->pipelined_used;
-
-    if (connection->pipelined.has_failed) {
-        reject_request(connection, 503, "no-memory");
-        return;
-    }
-    if (connection->is_reading_pipelined ||
-        front_pipelined_size(connection) == 0) {
-        return;
-    }
-    connection->is_reading_pipelined = true;
-    used = read_requests(connection, connection->pipelined.data + used,
-                         front_pipelined_size(connection));
-    front_use_pipelined(connection, used);
-    connection->is_reading_pipelined = false;
-}
--- a/packages/gateway/source/front-imp.h
+++ b/packages/gateway/source/front-imp.h
@@ -42,8 +42,12 @@
 void front_use_pipelined(front_connection *connection, size_t size);
 void front_finish_pipelined(front_connection *connection);
 
-/* Reads the connection unless too many bytes are pipelined; the rest then
- * waits at the caller. */
+/* Is so much output queued that no further request is to be read? The
+ * connection may close during the call. */
+bool front_is_output_full(front_connection *connection);
+
+/* Reads the connection unless too many bytes are pipelined or its output is
+ * full; the rest then waits at the caller. */
 void front_update_reading(front_connection *connection);
 
 /* front-server.c */
--- a/packages/gateway/source/front-pipeline.c
+++ b/packages/gateway/source/front-pipeline.c
@@ -7,6 +7,19 @@
 #define MAX_PIPELINED_BYTES ((size_t)256 * 1024)
 #define MAX_SERVER_PIPELINED_BYTES ((size_t)32 * 1024 * 1024)
 
+/* Further requests of a connection wait while it has more output queued. */
+#define MAX_QUEUED_BYTES ((size_t)64 * 1024)
+
+bool
+front_is_output_full(front_connection *connection)
+{
+    if (io_write_queue_size(&connection->stream) <= MAX_QUEUED_BYTES) {
+        return false;
+    }
+    io_flush(&connection->stream);
+    return io_write_queue_size(&connection->stream) > MAX_QUEUED_BYTES;
+}
+
 size_t
 front_pipelined_size(const front_connection *connection)
 {
@@ -24,7 +37,8 @@
 void
 front_update_reading(front_connection *connection)
 {
-    if (is_pipeline_full(connection)) {
+    if (is_pipeline_full(connection) || (connection->phase == FRONT_IDLE &&
+                                         front_is_output_full(connection))) {
         io_read_stop(&connection->stream);
     }
     else {
--- a/packages/gateway/source/front-server.c
+++ b/packages/gateway/source/front-server.c
@@ -251,7 +251,9 @@
          connection = connection->next) {
         if (connection->stream.is_closing ||
             connection->phase == FRONT_LINGERING ||
-            io_unread_size(&connection->stream) > 0) {
+            io_unread_size(&connection->stream) > 0 ||
+            (connection->phase == FRONT_IDLE &&
+             front_pipelined_size(connection) > 0)) {
             continue;
         }
         if (connection->phase != FRONT_PROCESSING &&
--- a/packages/gateway/source/io.c
+++ b/packages/gateway/source/io.c
@@ -291,6 +291,7 @@
 on_written(uv_write_t *request, int status)
 {
     io_stream *stream = request->handle->data;
+    bool was_batching;
 
     free(request);
     if (stream->is_closing || status == UV_ECANCELED) {
@@ -301,7 +302,9 @@
         stream->ops->on_end(stream, true);
     }
     else if (io_write_queue_size(stream) == 0) {
+        begin_batch(&was_batching);
         stream->ops->on_drain(stream);
+        end_batch(was_batching);
     }
 }
 
--- a/tests/gateway/test-caller-output.c
+++ b/tests/gateway/test-caller-output.c
@@ -160,3 +160,85 @@
     stage_finish_client(&stage, &client);
     stop_server();
 }
+
+static uint32_t refusals;
+
+static void
+refuse_request(front_server *self, front_connection *connection)
+{
+    (void)self;
+    refusals++;
+    front_send_error(connection, 404, NULL, "no-route");
+}
+
+static const front_ops refusing_ops = {.on_request = refuse_request,
+                                       .on_disconnect = ignore_connection,
+                                       .on_drain = ignore_connection,
+                                       .on_rejected = ignore_rejected};
+
+enum {
+    REFUSAL_COUNT = 200000 /* 6 MB, with 22 MB of responses */
+};
+static char requests[REFUSAL_COUNT * (sizeof KEEPING_HEAD - 1)];
+
+/* Pipelines requests of a caller that does not read. */
+static void
+pipeline_requests(stage_client *client)
+{
+    for (int i = 0; i < REFUSAL_COUNT; i++) {
+        memcpy(requests + i * (sizeof KEEPING_HEAD - 1), KEEPING_HEAD,
+               sizeof KEEPING_HEAD - 1);
+    }
+    refusals = 0;
+    start_server(&refusing_ops);
+    stage_send(&stage, client, requests, sizeof requests);
+    cr_assert(stage_run_until(&stage, is_open, client, 1000));
+    io_read_stop(&client->stream);
+    stage_run_for(&stage, 2000);
+}
+
+/* All responses have the same size. */
+static size_t
+first_response_size(const stage_client *client)
+{
+    const char *start = client->response.data;
+    const char *end = memchr(start, '}', client->response.size);
+
+    cr_assert_not_null(end);
+    return (size_t)(end - start) + 2;
+}
+
+/* Guards against a write queue that grows with each pipelined request, and
+ * against requests that stay unanswered once it was full. */
+Test(caller_output, queue_of_pipelined_refusals_is_bounded)
+{
+    stage_client client;
+    size_t queued;
+
+    pipeline_requests(&client);
+    cr_assert_eq(server.connection_count, 1);
+    queued = io_write_queue_size(&server.connections->stream);
+    cr_expect_lt(queued, 512 * 1024, "%zu bytes queued", queued);
+    cr_expect_lt(server.pipelined_bytes, 512 * 1024, "%zu bytes kept",
+                 server.pipelined_bytes);
+    io_read_start(&client.stream);
+    stage_run_until(&stage, stage_is_closed, &client, 10000);
+    cr_expect_eq(refusals, REFUSAL_COUNT);
+    cr_expect_eq(client.response.size,
+                 REFUSAL_COUNT * first_response_size(&client));
+    cr_expect_not(client.is_reset);
+    stage_finish_client(&stage, &client);
+    stop_server();
+}
+
+/* Guards against a caller that left unnoticed because it is not read. */
+Test(caller_output, a_caller_that_leaves_with_a_full_queue_is_noticed)
+{
+    stage_client client;
+
+    pipeline_requests(&client);
+    stage_finish_client(&stage, &client);
+    stage_run_for(&stage, 500);
+    cr_expect_eq(server.connection_count, 0);
+    stop_server();
+}
