Close connections that are not read when the gateway ends

The loop of the stop ends when no handle is active, and a connection whose reading is stopped with nothing queued is not. gate_finish then left its handle open; a test of input behind a last response ended with:

stage.c:409: a handle is left open

--- a/packages/gateway/source/gate-stop.c
+++ b/packages/gateway/source/gate-stop.c
@@ -5,14 +5,18 @@
 #define STOP_TIMEOUT (200 * LV_MILLISECOND)
 
 static void
-on_stop_timeout(uv_timer_t *timer)
+close_connections(gate_server *gate)
 {
-    gate_server *gate = timer->data;
-
     front_close_all(&gate->callers);
     front_close_all(&gate->readiness);
 }
 
+static void
+on_stop_timeout(uv_timer_t *timer)
+{
+    close_connections(timer->data);
+}
+
 void
 gate_stop_listeners(gate_server *gate)
 {
@@ -28,6 +32,8 @@
     uv_timer_start(&gate->timer, on_stop_timeout, timeout / LV_MILLISECOND, 0);
     uv_unref((uv_handle_t *)&gate->timer);
     uv_run(gate->loop, UV_RUN_DEFAULT);
+    /* The loop does not wait for connections that are not read. */
+    close_connections(gate);
     uv_close((uv_handle_t *)&gate->timer, NULL);
     uv_run(gate->loop, UV_RUN_DEFAULT);
 }
