--- a/packages/gateway/source/front-imp.h
+++ b/packages/gateway/source/front-imp.h
@@ -7,6 +7,10 @@
  * disconnected. */
 #define FRONT_SILENCE_TIMEOUT (10 * LV_SECOND)
 
+/* Pipelined bytes of all connections; with more, connections that wait for a
+ * response are not read. */
+#define FRONT_MAX_PIPELINED_BYTES ((size_t)32 * 1024 * 1024)
+
 /* front-connection.c: one connection */
 
 void front_set_phase(front_connection *connection, front_phase phase);
@@ -46,8 +50,9 @@
  * connection may close during the call. */
 bool front_is_output_full(front_connection *connection);
 
-/* Reads the connection unless too many bytes are pipelined or its output is
- * full; the rest then waits at the caller. */
+/* Reads the connection unless it waits for a response and too many bytes are
+ * pipelined, or it is idle and its output is full; the rest then waits at the
+ * caller. */
 void front_update_reading(front_connection *connection);
 
 /* front-server.c */
--- a/tests/gateway/stage.c
+++ b/tests/gateway/stage.c
@@ -3,6 +3,7 @@
 #include <criterion/criterion.h>
 
 #include <openssl/evp.h>
+#include <signal.h>
 #include <stdio.h>
 #include <string.h>
 #include <time.h>
@@ -372,6 +373,7 @@
                                      .idle_timeout = 60 * LV_SECOND};
     struct sockaddr_in address;
 
+    signal(SIGPIPE, SIG_IGN); /* as the daemon does */
     memset(stage, 0, sizeof *stage);
     stage->revision = 100;
     stage->config_version = 5;
