Bound the search for a connection to close for a new one

At the limit of connections every new one could ask the kernel about every idle connection whose input might be unread, so that a burst cost the most when an instance was busiest.

Idle connections now stand in a list in the order in which they became idle.

--- a/packages/gateway/include/lavender-gateway/front.h
+++ b/packages/gateway/include/lavender-gateway/front.h
@@ -23,6 +23,9 @@
     front_server *server;
     struct front_connection *next;
     struct front_connection *previous;
+    struct front_connection *next_idle;
+    struct front_connection *previous_idle;
+    bool is_linked_idle;
     front_phase phase;
     http_reader reader;
     const http_head *head; /* of the current request */
@@ -85,6 +88,8 @@
     rt_limits limits;     /* from the current configuration */
     lv_time idle_timeout; /* in force since the last front_tick */
     front_connection *connections;
+    front_connection *first_idle; /* the longest idle */
+    front_connection *last_idle;
     uint32_t connection_count;  /* open connections */
     uint32_t max_connections;   /* requests on further ones are refused */
     size_t pipelined_bytes;     /* of all connections */
--- a/packages/gateway/include/lavender-gateway/io.h
+++ b/packages/gateway/include/lavender-gateway/io.h
@@ -116,6 +116,9 @@
 /* Closes the connection with a RST. */
 void io_reset(io_stream *stream);
 
+/* Returns how often io_unread_size asked the kernel. */
+uint64_t io_count_unread_queries(void);
+
 /* Returns how often bytes of any stream were handed to the kernel. */
 uint64_t io_count_writes(void);
 
--- a/packages/gateway/source/front-connection.c
+++ b/packages/gateway/source/front-connection.c
@@ -18,6 +18,10 @@
         connection->phase_since + connection->server->idle_timeout;
     connection->is_past_timeout = false;
     connection->unsent_bytes = 0;
+    front_unlink_idle(connection);
+    if (phase == FRONT_IDLE) {
+        front_link_idle(connection);
+    }
 }
 
 static void
@@ -45,6 +49,7 @@
 front_close(front_connection *connection, const char *reason)
 {
     front_report_unread(connection, reason);
+    front_unlink_idle(connection);
     io_flush(&connection->stream);
     if (io_write_queue_size(&connection->stream) > 0) {
         io_reset(&connection->stream);
@@ -221,6 +226,7 @@
     front_server *server = connection->server;
 
     connection->is_disconnected = true;
+    front_unlink_idle(connection);
     if (connection->phase == FRONT_PROCESSING) {
         server->ops->on_disconnect(server, connection);
     }
@@ -275,6 +281,7 @@
 {
     front_server *server = connection->server;
 
+    front_unlink_idle(connection);
     if (connection->next != NULL) {
         connection->next->previous = connection->previous;
     }
--- a/packages/gateway/source/front-imp.h
+++ b/packages/gateway/source/front-imp.h
@@ -55,7 +55,10 @@
  * caller. */
 void front_update_reading(front_connection *connection);
 
-/* front-server.c */
+/* front-idle.c: idle connections in the order in which they became idle */
+
+void front_link_idle(front_connection *connection);
+void front_unlink_idle(front_connection *connection);
 
 /* Closes the connection that was idle longest, if it was idle for long enough.
  * Returns whether there was one. */
--- a/packages/gateway/source/front-server.c
+++ b/packages/gateway/source/front-server.c
@@ -9,10 +9,6 @@
  * to send its request. */
 #define DRAIN_IDLE_TIMEOUT (500 * LV_MILLISECOND)
 
-/* A connection that was idle for less is not closed for another one: its
- * request may be on the way. */
-#define MIN_IDLE (500 * LV_MILLISECOND)
-
 /* Divides the idle timeout when over half of the allowed connections are open,
  * and a second time when over three quarters are. */
 #define CROWDED_IDLE_DIVISOR 4
@@ -200,32 +196,6 @@
     }
 }
 
-bool
-front_close_longest_idle(front_server *server)
-{
-    lv_time now = io_now();
-    front_connection *longest = NULL;
-    front_connection *connection;
-
-    for (connection = server->connections; connection != NULL;
-         connection = connection->next) {
-        if (connection->phase == FRONT_IDLE &&
-            !connection->stream.is_closing &&
-            io_write_queue_size(&connection->stream) == 0 &&
-            lv_elapsed(now, connection->phase_since) >= MIN_IDLE &&
-            (longest == NULL ||
-             connection->phase_since < longest->phase_since) &&
-            io_unread_size(&connection->stream) == 0) {
-            longest = connection;
-        }
-    }
-    if (longest == NULL) {
-        return false;
-    }
-    front_close(longest, "connection-limit");
-    return true;
-}
-
 void
 front_drain(front_server *server)
 {
--- a/packages/gateway/source/io.c
+++ b/packages/gateway/source/io.c
@@ -32,6 +32,7 @@
 static bool is_batching;
 static io_stream *batched_streams;
 static uint64_t write_count;
+static uint64_t unread_query_count;
 
 lv_time
 io_now(void)
@@ -396,6 +397,7 @@
     uv_os_fd_t descriptor;
     int size = 0;
 
+    unread_query_count++;
     if (uv_fileno((const uv_handle_t *)&stream->tcp, &descriptor) != 0 ||
         ioctl(descriptor, FIONREAD, &size) != 0) {
         return 0;
@@ -403,6 +405,12 @@
     return (size_t)size;
 }
 
+uint64_t
+io_count_unread_queries(void)
+{
+    return unread_query_count;
+}
+
 uint64_t
 io_count_writes(void)
 {
