Keep 256 KiB of pipelined input for each connection again

A FIN behind more input than the receive buffer holds is seen only by reading on, so that the bound needs another way to notice it.

--- a/packages/gateway/source/front-connection.c
+++ b/packages/gateway/source/front-connection.c
@@ -139,7 +139,6 @@
         reject_request(connection, 503, "too-many-connections");
         return;
     }
-    front_update_reading(connection);
     server->ops->on_request(server, connection);
 }
 
--- a/packages/gateway/source/front-imp.h
+++ b/packages/gateway/source/front-imp.h
@@ -7,10 +7,6 @@
  * disconnected. */
 #define FRONT_SILENCE_TIMEOUT (10 * LV_SECOND)
 
-/* Pipelined bytes of all connections; with more, connections that wait for a
- * response are not read. */
-#define FRONT_MAX_PIPELINED_BYTES ((size_t)32 * 1024 * 1024)
-
 /* front-connection.c: one connection */
 
 void front_set_phase(front_connection *connection, front_phase phase);
--- a/packages/gateway/source/front-pipeline.c
+++ b/packages/gateway/source/front-pipeline.c
@@ -1,5 +1,12 @@
 #include "front-imp.h"
 
+/* A connection may have this many pipelined bytes; with more it is read on
+ * only while all connections together have less than the second limit. Reading
+ * on is better as long as memory allows, because the end of the connection is
+ * behind the bytes. */
+#define MAX_PIPELINED_BYTES ((size_t)256 * 1024)
+#define MAX_SERVER_PIPELINED_BYTES ((size_t)32 * 1024 * 1024)
+
 /* Further requests of a connection wait while it has more output queued. */
 #define MAX_QUEUED_BYTES ((size_t)64 * 1024)
 
@@ -19,13 +26,12 @@
     return connection->pipelined.size - connection->pipelined_used;
 }
 
-/* While a request is processed, input is kept as long as memory allows,
- * because the end of the connection is behind it. */
 static bool
 is_pipeline_full(const front_connection *connection)
 {
     return connection->pipelined.has_failed ||
-           connection->server->pipelined_bytes > FRONT_MAX_PIPELINED_BYTES;
+           (front_pipelined_size(connection) > MAX_PIPELINED_BYTES &&
+            connection->server->pipelined_bytes > MAX_SERVER_PIPELINED_BYTES);
 }
 
 void
@@ -47,21 +53,6 @@
     }
 }
 
-/* The server's limit was passed: stops reading of all that wait for a
- * response. */
-static void
-stop_reading(front_server *server)
-{
-    front_connection *connection;
-
-    for (connection = server->connections; connection != NULL;
-         connection = connection->next) {
-        if (connection->phase == FRONT_PROCESSING) {
-            io_read_stop(&connection->stream);
-        }
-    }
-}
-
 static void
 discard_used(front_connection *connection, size_t size)
 {
@@ -76,16 +67,10 @@
 {
     front_server *server = connection->server;
     size_t kept = connection->pipelined.size;
-    bool was_within_limit =
-        server->pipelined_bytes <= FRONT_MAX_PIPELINED_BYTES;
 
     buf_append(&connection->pipelined, data, size);
     server->pipelined_bytes += connection->pipelined.size - kept;
     front_update_reading(connection);
-    if (was_within_limit &&
-        server->pipelined_bytes > FRONT_MAX_PIPELINED_BYTES) {
-        stop_reading(server);
-    }
 }
 
 void
