--- a/packages/gateway/include/lavender-gateway/front.h
+++ b/packages/gateway/include/lavender-gateway/front.h
@@ -23,6 +23,9 @@
     front_server *server;
     struct front_connection *next;
     struct front_connection *previous;
+    struct front_connection *next_idle;
+    struct front_connection *previous_idle;
+    bool is_linked_idle;
     front_phase phase;
     http_reader reader;
     const http_head *head; /* of the current request */
@@ -34,6 +37,8 @@
     void *request;         /* set by the owner of the server; NULL: none */
     void (*on_response_end)(struct front_connection *connection);
     uint64_t discarded_bytes; /* received and not read as a request */
+    size_t unsent_bytes;      /* in the write queue when it last changed */
+    lv_time unsent_since;     /* that change */
     bool is_keep_alive; /* stays open after the current response; does not
                            change once the head is sent */
     bool is_chunked;    /* the current response is sent in chunks */
@@ -83,11 +88,14 @@
     rt_limits limits;     /* from the current configuration */
     lv_time idle_timeout; /* in force since the last front_tick */
     front_connection *connections;
+    front_connection *first_idle; /* the longest idle */
+    front_connection *last_idle;
     uint32_t connection_count;  /* open connections */
     uint32_t max_connections;   /* requests on further ones are refused */
     size_t pipelined_bytes;     /* of all connections */
     bool has_inherited_options; /* see io_accept */
     bool is_draining; /* each connection closes after its next response */
+    bool is_stopping; /* requests are refused */
     void *owner;
     front_counts counts;
 };
@@ -109,6 +117,10 @@
  * accepted. */
 void front_drain(front_server *server);
 void front_stop_listening(front_server *server);
+
+/* Refuses requests from now on and closes each connection once its caller has
+ * its last response; front_close_all ends those that remain. */
+void front_stop(front_server *server);
 void front_close_all(front_server *server);
 
 /* Body sizes for front_begin_response. A body of unknown size is sent in
--- a/packages/gateway/include/lavender-gateway/io.h
+++ b/packages/gateway/include/lavender-gateway/io.h
@@ -3,8 +3,9 @@
  * the socket does not accept at once, all streams of the loop share one read
  * buffer, and one callback reports that a stream is closed and may be freed.
  *
- * What on_data and on_end write is sent when they return, with one system call
- * for each stream: small writes otherwise cost most of a busy process's time.
+ * What on_data, on_end and on_drain write is sent when they return, with one
+ * system call for each stream: small writes otherwise cost most of a busy
+ * process's time.
  */
 #ifndef LAVENDER_GATEWAY_IO_H
 #define LAVENDER_GATEWAY_IO_H
@@ -101,6 +102,9 @@
 /* Returns the number of bytes that arrived and were not read yet. */
 size_t io_unread_size(const io_stream *stream);
 
+/* Sends what callbacks have written so far. An error is reported by on_end. */
+void io_flush(io_stream *stream);
+
 /* Returns the number of bytes that are queued for writing. */
 size_t io_write_queue_size(const io_stream *stream);
 
@@ -112,6 +116,9 @@
 /* Closes the connection with a RST. */
 void io_reset(io_stream *stream);
 
+/* Returns how often io_unread_size asked the kernel. */
+uint64_t io_count_unread_queries(void);
+
 /* Returns how often bytes of any stream were handed to the kernel. */
 uint64_t io_count_writes(void);
 
--- a/packages/gateway/source/front-connection.c
+++ b/packages/gateway/source/front-connection.c
@@ -7,7 +7,7 @@
  * a caller cannot tell a close without a response from a lost request. */
 #define REFUSAL_CONNECTIONS 64
 
-static void read_pipelined(front_connection *connection);
+static void await_request(front_connection *connection);
 
 void
 front_set_phase(front_connection *connection, front_phase phase)
@@ -17,6 +17,11 @@
     connection->idle_deadline =
         connection->phase_since + connection->server->idle_timeout;
     connection->is_past_timeout = false;
+    connection->unsent_bytes = 0;
+    front_unlink_idle(connection);
+    if (phase == FRONT_IDLE) {
+        front_link_idle(connection);
+    }
 }
 
 static void
@@ -44,7 +49,24 @@
 front_close(front_connection *connection, const char *reason)
 {
     front_report_unread(connection, reason);
-    io_close(&connection->stream);
+    front_unlink_idle(connection);
+    io_flush(&connection->stream);
+    if (io_write_queue_size(&connection->stream) > 0) {
+        io_reset(&connection->stream);
+    }
+    else {
+        io_close(&connection->stream);
+    }
+}
+
+void
+front_begin_lingering(front_connection *connection)
+{
+    front_set_phase(connection, FRONT_LINGERING);
+    io_shutdown(&connection->stream);
+    if (!connection->is_disconnected) {
+        io_read_start(&connection->stream);
+    }
 }
 
 static void
@@ -108,6 +130,10 @@
     front_server *server = connection->server;
 
     front_set_phase(connection, FRONT_PROCESSING);
+    if (server->is_stopping) {
+        reject_request(connection, 503, "stopped");
+        return;
+    }
     if (connection->is_over_limit &&
         server->connection_count > server->max_connections) {
         reject_request(connection, 503, "too-many-connections");
@@ -155,6 +181,16 @@
     return size;
 }
 
+/* Can a request be read? Not the next one while the output is full. */
+static bool
+can_read_request(front_connection *connection)
+{
+    return !connection->stream.is_closing &&
+           (connection->phase == FRONT_READING ||
+            (connection->phase == FRONT_IDLE &&
+             !front_is_output_full(connection)));
+}
+
 /* Reads requests as long as they are answered at once, and returns how many
  * bytes were used. */
 static size_t
@@ -162,9 +198,7 @@
 {
     size_t used = 0;
 
-    while (used < size && !connection->stream.is_closing &&
-           (connection->phase == FRONT_IDLE ||
-            connection->phase == FRONT_READING)) {
+    while (used < size && can_read_request(connection)) {
         used += read_request(connection, data + used, size - used);
     }
     return used;
@@ -176,7 +210,8 @@
     front_connection *connection = (front_connection *)stream;
     size_t used = read_requests(connection, data, size);
 
-    if (used < size && connection->phase == FRONT_PROCESSING) {
+    if (used < size && (connection->phase == FRONT_PROCESSING ||
+                        connection->phase == FRONT_IDLE)) {
         front_keep_pipelined(connection, data + used, size - used);
     }
     else {
@@ -190,6 +225,7 @@
     front_server *server = connection->server;
 
     connection->is_disconnected = true;
+    front_unlink_idle(connection);
     if (connection->phase == FRONT_PROCESSING) {
         server->ops->on_disconnect(server, connection);
     }
@@ -199,8 +235,18 @@
 static void
 on_stream_end(io_stream *stream, bool is_error)
 {
-    (void)is_error;
-    front_disconnect((front_connection *)stream);
+    front_connection *connection = (front_connection *)stream;
+
+    if (is_error || connection->phase == FRONT_PROCESSING ||
+        io_write_queue_size(stream) == 0) {
+        front_disconnect(connection);
+        return;
+    }
+    /* The caller may still read the responses. */
+    connection->is_disconnected = true;
+    if (connection->phase != FRONT_LINGERING) {
+        front_begin_lingering(connection);
+    }
 }
 
 static void
@@ -208,8 +254,24 @@
 {
     front_connection *connection = (front_connection *)stream;
 
-    if (connection->phase == FRONT_PROCESSING) {
+    switch (connection->phase) {
+    case FRONT_PROCESSING:
         connection->server->ops->on_drain(connection->server, connection);
+        break;
+    case FRONT_LINGERING:
+        if (connection->is_disconnected) {
+            io_close(stream);
+            break;
+        }
+        /* fall through */
+        /* The linger time runs from the end of the output. */
+        front_set_phase(connection, FRONT_LINGERING);
+        break;
+    case FRONT_IDLE:
+        await_request(connection);
+        break;
+    case FRONT_READING:
+        break;
     }
 }
 
@@ -218,6 +280,7 @@
 {
     front_server *server = connection->server;
 
+    front_unlink_idle(connection);
     if (connection->next != NULL) {
         connection->next->previous = connection->previous;
     }
@@ -262,26 +325,46 @@
                                          .on_drain = on_drain,
                                          .on_close = on_close};
 
+/* Reads the next requests from the bytes received after the last one. A
+ * response that is sent meanwhile calls this again, with nothing to do. */
 static void
-prepare_next_request(front_connection *connection)
+read_pipelined(front_connection *connection)
+{
+    size_t used = connection->pipelined_used;
+
+    if (connection->pipelined.has_failed) {
+        reject_request(connection, 503, "no-memory");
+        return;
+    }
+    if (connection->is_reading_pipelined ||
+        front_pipelined_size(connection) == 0) {
+        return;
+    }
+    connection->is_reading_pipelined = true;
+    used = read_requests(connection, connection->pipelined.data + used,
+                         front_pipelined_size(connection));
+    front_use_pipelined(connection, used);
+    connection->is_reading_pipelined = false;
+}
+
+/* Waits for the next request, whose bytes may have arrived; the idle time
+ * begins. */
+static void
+await_request(front_connection *connection)
 {
-    http_reader_restart(&connection->reader);
-    buf_finish(&connection->body);
-    connection->head = NULL;
-    connection->request = NULL;
     front_set_phase(connection, FRONT_IDLE);
     read_pipelined(connection);
     front_update_reading(connection);
 }
 
-/* Sends a FIN and reads until the caller's, because closing a socket with
- * unread bytes resets the connection and the caller may lose the response. */
 static void
-begin_lingering(front_connection *connection)
+prepare_next_request(front_connection *connection)
 {
-    front_set_phase(connection, FRONT_LINGERING);
-    io_shutdown(&connection->stream);
-    io_read_start(&connection->stream);
+    http_reader_restart(&connection->reader);
+    buf_finish(&connection->body);
+    connection->head = NULL;
+    connection->request = NULL;
+    await_request(connection);
 }
 
 static void
@@ -291,7 +374,7 @@
         prepare_next_request(connection);
     }
     else {
-        begin_lingering(connection);
+        front_begin_lingering(connection);
     }
 }
 
@@ -337,25 +420,3 @@
     server->counts.accepted++;
     io_read_start(&connection->stream);
 }
-
-/* Reads the next requests from the bytes received after the last one. A
- * response that is sent meanwhile calls this again, with nothing to do. */
-static void
-read_pipelined(front_connection *connection)
-{
-    size_t used = connection->pipelined_used;
-
-    if (connection->pipelined.has_failed) {
-        reject_request(connection, 503, "no-memory");
-        return;
-    }
-    if (connection->is_reading_pipelined ||
-        front_pipelined_size(connection) == 0) {
-        return;
-    }
-    connection->is_reading_pipelined = true;
-    used = read_requests(connection, connection->pipelined.data + used,
-                         front_pipelined_size(connection));
-    front_use_pipelined(connection, used);
-    connection->is_reading_pipelined = false;
-}
--- a/packages/gateway/source/front-imp.h
+++ b/packages/gateway/source/front-imp.h
@@ -18,10 +18,15 @@
 /* Reports input that was received and not read as a request. */
 void front_report_unread(front_connection *connection, const char *reason);
 
-/* Closes a connection that the caller did not close. `reason` is reported if
- * there is unread input. */
+/* Closes a connection that the caller did not close, with a reset if output is
+ * still queued: the response would appear to be complete. `reason` is reported
+ * if there is unread input. */
 void front_close(front_connection *connection, const char *reason);
 
+/* Sends a FIN and reads until the caller's, because closing a socket with
+ * unread bytes resets the connection and the caller may lose the response. */
+void front_begin_lingering(front_connection *connection);
+
 /* Closes a connection that the caller closed. */
 void front_disconnect(front_connection *connection);
 
@@ -37,11 +42,19 @@
 void front_use_pipelined(front_connection *connection, size_t size);
 void front_finish_pipelined(front_connection *connection);
 
-/* Reads the connection unless too many bytes are pipelined; the rest then
- * waits at the caller. */
+/* Is so much output queued that no further request is to be read? The
+ * connection may close during the call. */
+bool front_is_output_full(front_connection *connection);
+
+/* Reads the connection unless it waits for a response and too many bytes are
+ * pipelined, or it is idle and its output is full; the rest then waits at the
+ * caller. */
 void front_update_reading(front_connection *connection);
 
-/* front-server.c */
+/* front-idle.c: idle connections in the order in which they became idle */
+
+void front_link_idle(front_connection *connection);
+void front_unlink_idle(front_connection *connection);
 
 /* Closes the connection that was idle longest, if it was idle for long enough.
  * Returns whether there was one. */
--- a/packages/gateway/source/front-server.c
+++ b/packages/gateway/source/front-server.c
@@ -2,17 +2,13 @@
 
 #include "front-imp.h"
 
-/* How long a connection is read after its last response. */
+/* How long a connection is read after its last response was sent. */
 #define LINGER_TIMEOUT (500 * LV_MILLISECOND)
 
 /* The idle timeout while the instance drains; a new connection has this time
  * to send its request. */
 #define DRAIN_IDLE_TIMEOUT (500 * LV_MILLISECOND)
 
-/* A connection that was idle for less is not closed for another one: its
- * request may be on the way. */
-#define MIN_IDLE (500 * LV_MILLISECOND)
-
 /* Divides the idle timeout when over half of the allowed connections are open,
  * and a second time when over three quarters are. */
 #define CROWDED_IDLE_DIVISOR 4
@@ -125,12 +121,34 @@
     return true;
 }
 
+/* Ends the connection of a caller that has stopped to read its responses. */
+static void
+check_output(front_connection *connection, lv_time now)
+{
+    size_t unsent = io_write_queue_size(&connection->stream);
+
+    if (unsent != connection->unsent_bytes) {
+        connection->unsent_bytes = unsent;
+        connection->unsent_since = now;
+    }
+    else if (lv_elapsed(now, connection->unsent_since) >=
+             FRONT_SILENCE_TIMEOUT) {
+        front_close(connection, "caller-silent");
+    }
+}
+
 static void
 check_timeout(front_connection *connection, lv_time now)
 {
     front_server *server = connection->server;
     lv_time age = lv_elapsed(now, connection->phase_since);
 
+    if ((connection->phase == FRONT_IDLE ||
+         connection->phase == FRONT_LINGERING) &&
+        io_write_queue_size(&connection->stream) > 0) {
+        check_output(connection, now);
+        return;
+    }
     switch (connection->phase) {
     case FRONT_IDLE:
         /* Unread bytes are the next request. */
@@ -178,31 +196,6 @@
     }
 }
 
-bool
-front_close_longest_idle(front_server *server)
-{
-    lv_time now = io_now();
-    front_connection *longest = NULL;
-    front_connection *connection;
-
-    for (connection = server->connections; connection != NULL;
-         connection = connection->next) {
-        if (connection->phase == FRONT_IDLE &&
-            !connection->stream.is_closing &&
-            lv_elapsed(now, connection->phase_since) >= MIN_IDLE &&
-            (longest == NULL ||
-             connection->phase_since < longest->phase_since) &&
-            io_unread_size(&connection->stream) == 0) {
-            longest = connection;
-        }
-    }
-    if (longest == NULL) {
-        return false;
-    }
-    front_close(longest, "connection-limit");
-    return true;
-}
-
 void
 front_drain(front_server *server)
 {
@@ -217,6 +210,32 @@
     }
 }
 
+void
+front_stop(front_server *server)
+{
+    front_connection *connection;
+
+    server->is_draining = true;
+    server->is_stopping = true;
+    for (connection = server->connections; connection != NULL;
+         connection = connection->next) {
+        if (connection->stream.is_closing ||
+            connection->phase == FRONT_LINGERING ||
+            io_unread_size(&connection->stream) > 0 ||
+            (connection->phase == FRONT_IDLE &&
+             front_pipelined_size(connection) > 0)) {
+            continue;
+        }
+        if (connection->phase != FRONT_PROCESSING &&
+            io_write_queue_size(&connection->stream) > 0) {
+            front_begin_lingering(connection);
+        }
+        else {
+            front_close(connection, "stop");
+        }
+    }
+}
+
 void
 front_close_all(front_server *server)
 {
--- a/packages/gateway/source/io.c
+++ b/packages/gateway/source/io.c
@@ -32,6 +32,7 @@
 static bool is_batching;
 static io_stream *batched_streams;
 static uint64_t write_count;
+static uint64_t unread_query_count;
 
 lv_time
 io_now(void)
@@ -196,6 +197,15 @@
     return is_sent;
 }
 
+void
+io_flush(io_stream *stream)
+{
+    if (!stream->is_closing && !send_batch(stream)) {
+        io_read_stop(stream);
+        stream->ops->on_end(stream, true);
+    }
+}
+
 /* Sends what callbacks wrote since the batch began. The callback of a stream
  * that cannot be sent may write to others, so that the list is taken again
  * until it is empty. */
@@ -207,11 +217,7 @@
 
         batched_streams = stream->next_batched;
         stream->is_batched = false;
-        if (!stream->is_closing && !send_batch(stream) &&
-            !stream->is_closing) {
-            io_read_stop(stream);
-            stream->ops->on_end(stream, true);
-        }
+        io_flush(stream);
     }
 }
 
@@ -286,6 +292,7 @@
 on_written(uv_write_t *request, int status)
 {
     io_stream *stream = request->handle->data;
+    bool was_batching;
 
     free(request);
     if (stream->is_closing || status == UV_ECANCELED) {
@@ -296,7 +303,9 @@
         stream->ops->on_end(stream, true);
     }
     else if (io_write_queue_size(stream) == 0) {
+        begin_batch(&was_batching);
         stream->ops->on_drain(stream);
+        end_batch(was_batching);
     }
 }
 
@@ -388,6 +397,7 @@
     uv_os_fd_t descriptor;
     int size = 0;
 
+    unread_query_count++;
     if (uv_fileno((const uv_handle_t *)&stream->tcp, &descriptor) != 0 ||
         ioctl(descriptor, FIONREAD, &size) != 0) {
         return 0;
@@ -395,6 +405,12 @@
     return (size_t)size;
 }
 
+uint64_t
+io_count_unread_queries(void)
+{
+    return unread_query_count;
+}
+
 uint64_t
 io_count_writes(void)
 {
@@ -448,6 +464,19 @@
     }
 }
 
+/* libuv refuses to reset a connection that is being shut down. */
+static void
+close_with_reset(uv_tcp_t *tcp)
+{
+    static const struct linger option = {.l_onoff = 1, .l_linger = 0};
+    uv_os_fd_t socket;
+
+    if (uv_fileno((uv_handle_t *)tcp, &socket) == 0) {
+        setsockopt(socket, SOL_SOCKET, SO_LINGER, &option, sizeof option);
+    }
+    uv_close((uv_handle_t *)tcp, on_closed);
+}
+
 void
 io_reset(io_stream *stream)
 {
@@ -455,7 +484,7 @@
         send_batch(stream);
         stream->is_closing = true;
         if (uv_tcp_close_reset(&stream->tcp, on_closed) != 0) {
-            uv_close((uv_handle_t *)&stream->tcp, on_closed);
+            close_with_reset(&stream->tcp);
         }
     }
 }
