Keep the port of a refusing endpoint of the fixture bound

gateway-test-attempts failed once beside other tests ("case 1: 200") and in 1 of 54 runs beside two loops of them ("case 5: 413"): neither status comes from its endpoints. An endpoint that refuses connections had given up its port, which a test beside it could take. The status that was seen is not shown to come from there; the port could be taken.

--- a/tests/gateway/stage-endpoint.c
+++ b/tests/gateway/stage-endpoint.c
@@ -390,7 +390,15 @@
 void
 stage_refuse_connections(stage_endpoint *endpoint)
 {
+    struct sockaddr_in address;
+
+    io_parse_address(endpoint->address, &address, NULL);
     uv_close((uv_handle_t *)&endpoint->listener, NULL);
+    uv_tcp_init(endpoint->listener.loop, &endpoint->refusal);
+    endpoint->is_refusing = true;
+    cr_assert_eq(
+        uv_tcp_bind(&endpoint->refusal, (const struct sockaddr *)&address, 0),
+        0);
 }
 
 void
@@ -399,4 +407,7 @@
     if (!uv_is_closing((uv_handle_t *)&endpoint->listener)) {
         uv_close((uv_handle_t *)&endpoint->listener, NULL);
     }
+    if (endpoint->is_refusing) {
+        uv_close((uv_handle_t *)&endpoint->refusal, NULL);
+    }
 }
--- a/tests/gateway/stage.h
+++ b/tests/gateway/stage.h
@@ -47,6 +47,8 @@
 
 typedef struct stage_endpoint {
     uv_tcp_t listener;
+    uv_tcp_t refusal; /* holds the port after stage_refuse_connections */
+    bool is_refusing;
     struct stage_fixture *stage;
     stage_mode mode;
     const char *more_headers; /* of all its responses, each with CRLF; or NULL
@@ -111,7 +113,8 @@
 /* Write the listener's "address:port" to text, of LV_ADDRESS_SIZE bytes. */
 void stage_format_address(const uv_tcp_t *listener, char *text);
 
-/* Stop listening: connections to this endpoint are refused from now on. */
+/* Stop listening: connections to this endpoint are refused from now on. The
+ * port stays bound, so that no other process can listen there. */
 void stage_refuse_connections(stage_endpoint *endpoint);
 
 /* Advance the store's revision and fail all watches with 410, so that the
