Give the items of the soak's store the revision of their change

Soaks with 30 gateways found "version N is not in force" at gateways that read the store through a relay; the readers had listed the version within 0.5 s.

Cause: every item of the soak's store had revision 1. A relay answers a watch with the items that are newer than the revision it names, so that none ever was; a relayed gateway learned a change only when it listed again. The store of the users raises an item's revision with each write.

--- a/tests/soak/soak-store.c
+++ b/tests/soak/soak-store.c
@@ -12,13 +12,16 @@
                                  .head_timeout = 10 * LV_SECOND,
                                  .idle_timeout = 60 * LV_SECOND};
 
+/* Every item was written anew when the store last showed a change. */
 static void
-append_value(buf_buffer *to, const char *key, const char *json)
+append_value(const soak_store *store, buf_buffer *to, const char *key,
+             const char *json)
 {
     unsigned char encoded[16384];
 
     EVP_EncodeBlock(encoded, (const unsigned char *)json, (int)strlen(json));
-    buf_append_format(to, "{\"key\":\"%s\",\"revision\":1,\"value\":\"", key);
+    buf_append_format(to, "{\"key\":\"%s\",\"revision\":%llu,\"value\":\"",
+                      key, (unsigned long long)store->revision);
     buf_append_text(to, (const char *)encoded);
     buf_append_text(to, "\"}");
 }
@@ -69,7 +72,7 @@
                       "\"api_keys\":[\"k1\"]}]}",
                       (unsigned)(store->idle_limit / LV_MILLISECOND));
     buf_append(&json, "", 1);
-    append_value(to, "op/config", json.data);
+    append_value(store, to, "op/config", json.data);
     buf_finish(&json);
 }
 
@@ -93,7 +96,7 @@
                  "\"born\":%u,\"seq\":1}",
                  endpoint->link.address, 1000 + endpoint->births);
         buf_append_text(to, comma);
-        append_value(to, key, value);
+        append_value(&world->store, to, key, value);
         comma = ",";
     }
 }
