--- a/packages/core/source/engine-imp.h
+++ b/packages/core/source/engine-imp.h
@@ -19,8 +19,8 @@
  * instances, in tokens. */
 uint64_t eng_kv_used(const eng_endpoint *endpoint);
 
-/* engine-availability.c: keep what an endpoint has said of itself while it has
- * no row. */
+/* engine-availability.c: keep what an endpoint has said of itself beyond the
+ * life of its row, and restore it when the endpoint is published again. */
 void eng_remember_availability(eng_table *table, const eng_endpoint *endpoint);
 void eng_recall_availability(eng_table *table, lv_id id, avl_state *state);
 
--- a/packages/gateway/source/gate-imp.h
+++ b/packages/gateway/source/gate-imp.h
@@ -25,15 +25,17 @@
     back_exchange exchange; /* first member */
     gate_request *request;
     bool is_running;             /* holds its reservation */
-    bool is_set_aside;           /* another one is tried beside it */
-    bool is_whole;               /* a failure that is kept in case no other
-                                    endpoint answers */
+    bool is_set_aside;           /* another one is tried beside it; it may
+                                    still give the answer */
+    bool is_whole;               /* set aside with a whole answer, a failure,
+                                    in case no other endpoint answers */
     bool is_counted_run;         /* in `runs` of the request */
     bool is_silence_recorded;    /* as a failure of the endpoint */
     eng_reservation reservation; /* the current or last one */
     bool was_not_run;            /* according to the answer */
-    bool is_false_promise;       /* its status says so, without the mark, of a
-                                    request that must not run twice */
+    bool is_false_promise;       /* its status tells callers that the request
+                                    was not run, which the endpoint does not
+                                    say; set if it must not run twice */
     bool is_unframed;            /* the answer ends with its connection */
     bool is_answer_dropped;      /* the answer is not forwarded */
     uint32_t status;             /* of the answer; 0: not the endpoint's */
@@ -90,7 +92,7 @@
     lv_handle tried[ADM_TRIED_MAX]; /* endpoints that are not used again */
     gate_attempt attempts[GATE_MAX_SENDS];
     gate_attempt *attempt; /* the current or last one */
-    bool is_past_deadline; /* with bytes of an endpoint to be read */
+    bool is_past_deadline; /* and given a tick to read what had arrived */
     bool is_retry_due;     /* the next start takes a retry from the budget */
     lv_time next_attempt_after; /* of one beside a silent one, or for an
                                    answer that was interrupted */
@@ -142,8 +144,8 @@
                           const char *reason);
 
 /* Logs and counts the end of a request and cancels its attempts. Its caller
- * has
- * been answered or is disconnected, or the process exits. */
+ * has been answered or is disconnected, or the process exits. Call it before
+ * the response ends, which may read the next request over this one's head. */
 void gate_end_request(gate_request *request, const char *outcome,
                       const char *reason);
 
--- a/packages/gateway/source/gate-stall.c
+++ b/packages/gateway/source/gate-stall.c
@@ -3,8 +3,8 @@
 /* From an attempt that could not start, or failed, to the next. */
 #define ATTEMPT_INTERVAL (100 * LV_MILLISECOND)
 
-/* An attempt set aside is one that was sent, and so few are sent that one is
- * left. */
+/* There is one: an attempt set aside was sent, and another one is decided only
+ * while fewer than GATE_MAX_SENDS were. */
 static gate_attempt *
 find_free_attempt(gate_request *request)
 {
@@ -16,8 +16,8 @@
     return attempt;
 }
 
-/* The next attempt names the endpoint of this one in the log until it is
- * started. */
+/* Until the next attempt is started, the log names the endpoint of this one
+ * for it. */
 void
 gate_set_attempt_aside(gate_request *request)
 {
@@ -68,8 +68,8 @@
     }
 }
 
-/* Also an endpoint that is sound may be silent for a while, so its attempt is
- * cancelled only when another endpoint has answered. */
+/* A sound endpoint may be silent for a while, too, so its attempt is cancelled
+ * only when another endpoint has answered. */
 void
 gate_reroute_request(gate_request *request)
 {
