Log the blocks of attempts that an endpoint breaks off

No line named the parts of a prompt, so that a crash caused by one of them could not be told from an endpoint's own. attempt-cut names the endpoint, whether the answer had begun and the shared blocks; eng_block keeps the id of its content, as the prefix hash changes with what precedes it.

--- a/packages/core/include/lavender/engine.h
+++ b/packages/core/include/lavender/engine.h
@@ -93,6 +93,8 @@
 
 /* A block of a prompt. */
 typedef struct eng_block {
+    uint64_t id;          /* of its content, whatever precedes it; 0: not
+                             known */
     uint64_t prefix_hash; /* hash of this block and all blocks before it */
     uint32_t tokens;
 } eng_block;
@@ -107,6 +109,7 @@
     lv_handle secondary_affinity; /* used when the affinity endpoint is busy;
                                      or LV_HANDLE_NONE */
     uint32_t block_count;
+    bool has_more_blocks; /* beyond the first ENG_BLOCKS_MAX */
     eng_block blocks[ENG_BLOCKS_MAX];
 } eng_prompt;
 
@@ -217,6 +220,10 @@
  * the first ENG_BLOCKS_MAX are ignored. */
 void eng_add_block(eng_prompt *prompt, uint64_t block, uint32_t tokens);
 
+/* Returns how many blocks at the start of a prompt may be shared with other
+ * requests: all but the last, which belongs to the request or its session. */
+uint32_t eng_shared_blocks(const eng_prompt *prompt);
+
 /* Sets the affinity endpoint and the secondary affinity endpoint of a prompt,
  * by rendezvous hashing of its shared blocks, which are all but the last. All
  * instances choose the same ones, so that a block is cached at few endpoints
--- a/packages/core/source/engine-cache.c
+++ b/packages/core/source/engine-cache.c
@@ -13,17 +13,28 @@
     uint64_t previous_hash = 0;
 
     if (prompt->block_count == ENG_BLOCKS_MAX) {
+        prompt->has_more_blocks = true;
         return;
     }
     if (prompt->block_count > 0) {
         previous_hash = prompt->blocks[prompt->block_count - 1].prefix_hash;
     }
+    prompt->blocks[prompt->block_count].id = block;
     prompt->blocks[prompt->block_count].prefix_hash =
         map_mix(previous_hash ^ map_mix(block));
     prompt->blocks[prompt->block_count].tokens = tokens;
     prompt->block_count++;
 }
 
+uint32_t
+eng_shared_blocks(const eng_prompt *prompt)
+{
+    if (prompt->has_more_blocks || prompt->block_count == 0) {
+        return prompt->block_count;
+    }
+    return prompt->block_count - 1;
+}
+
 /* Returns the key of a block in the cache index, never 0. */
 static uint64_t
 cache_key(const eng_table *table, lv_handle endpoint, uint64_t prefix_hash)
--- a/packages/gateway/source/gate-attempt.c
+++ b/packages/gateway/source/gate-attempt.c
@@ -107,6 +107,7 @@
     attempt->was_not_run = false;
     attempt->is_answer_dropped = false;
     attempt->last_data_at = io_now();
+    attempt->first_output_at = 0;
     request->state = GATE_RUNNING;
     request->sends++;
     eng_start_predicted(&gate->endpoints, endpoint, &request->decoded.prompt,
@@ -175,6 +176,9 @@
     lv_time now = io_now();
 
     request->has_begun = true;
+    if (attempt->first_output_at == 0) {
+        attempt->first_output_at = now;
+    }
     if (!reservation->has_first_token) {
         met_histogram_add(&gate->first_output_times[request->route->kind],
                           lv_elapsed(now, request->received_at));
@@ -461,6 +465,9 @@
     gate_attempt *attempt = (gate_attempt *)exchange;
 
     end_attempt(attempt);
+    if (outcome == BACK_NO_RESPONSE || outcome == BACK_TRUNCATED) {
+        gate_log_cut(attempt, reason);
+    }
     if (attempt->is_set_aside &&
         (outcome != BACK_COMPLETE || attempt->is_answer_dropped)) {
         drop_set_aside(attempt, outcome);
--- a/packages/gateway/source/gate-imp.h
+++ b/packages/gateway/source/gate-imp.h
@@ -40,6 +40,7 @@
     bool is_answer_dropped;      /* the answer is not forwarded */
     uint32_t status;             /* of the answer; 0: not the endpoint's */
     lv_time last_data_at;
+    lv_time first_output_at;  /* 0: no output yet */
     buf_buffer headers;       /* for the caller */
     buf_buffer body;          /* buffered until the answer is whole */
     buf_buffer partial_event; /* at the end of a resumable stream's data */
@@ -290,6 +291,10 @@
 void gate_log_end(const gate_request *request, const char *outcome,
                   const char *reason);
 
+/* Logs that an endpoint broke off an attempt, with the shared blocks of the
+ * prompt. */
+void gate_log_cut(const gate_attempt *attempt, const char *reason);
+
 /* Logs the refusal of a request that has no valid route or key. */
 void gate_log_unrouted(const gate_server *gate, const http_head *head,
                        uint32_t status, const char *reason);
--- a/packages/gateway/source/gate-log.c
+++ b/packages/gateway/source/gate-log.c
@@ -1,3 +1,5 @@
+#include <stdio.h>
+
 #include "gate-imp.h"
 
 /* docs/OPERATIONS.md explains the keys of the lines. */
@@ -110,6 +112,46 @@
         gate->peers.live_count);
 }
 
+/* Writes the ids of a prompt's shared blocks, separated by commas; "-" when
+ * there are none. */
+static const char *
+format_blocks(const eng_prompt *prompt, char *text, size_t size)
+{
+    uint32_t count = eng_shared_blocks(prompt);
+    size_t used = 0;
+    uint32_t i;
+
+    snprintf(text, size, "-");
+    for (i = 0; i < count && used < size; i++) {
+        used += (size_t)snprintf(text + used, size - used, "%s%llx",
+                                 i > 0 ? "," : "",
+                                 (unsigned long long)prompt->blocks[i].id);
+    }
+    return text;
+}
+
+void
+gate_log_cut(const gate_attempt *attempt, const char *reason)
+{
+    const gate_request *request = attempt->request;
+    char blocks[ENG_BLOCKS_MAX * 17 + 1];
+    lv_time now = io_now();
+
+    log_request(
+        LOG_LEVEL_INFO, LOG_IMPORTANT, now, "attempt-cut",
+        "request=%s reason=%s endpoint=%s account=%s status=%u output=%d "
+        "output_ms=%llu silent_ms=%llu blocks=%s",
+        request_id(request), reason,
+        endpoint_name(request, attempt->reservation.endpoint),
+        request->account != NULL ? request->account->name : "-",
+        attempt->status, attempt->first_output_at != 0,
+        to_ms(attempt->first_output_at != 0
+                  ? lv_elapsed(now, attempt->first_output_at)
+                  : 0),
+        to_ms(lv_elapsed(now, attempt->last_data_at)),
+        format_blocks(&request->decoded.prompt, blocks, sizeof blocks));
+}
+
 void
 gate_log_unrouted(const gate_server *gate, const http_head *head,
                   uint32_t status, const char *reason)
