Weigh the crashes of several blocks apart

Cause: a crash that one block of a joint quarantine was present in counted as explained, so that the subject of two deadly parts hid the second one; and a block marked as explained stayed so after the other one had been cleared.

A group explains the crashes that all its needed blocks were present in; a block is dropped from a group after two crashes that no suspect outside explains, and needed again when another one leaves.

--- a/packages/core/source/quarantine-decide.c
+++ b/packages/core/source/quarantine-decide.c
@@ -28,6 +28,10 @@
  * quarantined jointly with it. */
 #define JOINT_PERCENT 75
 
+/* Crashes without a block of a joint quarantine that show that it is not
+ * needed. */
+#define MIN_LATER_CRASHES 2
+
 /* The time to the next trial stops to double here. */
 #define MAX_TRIAL_DOUBLINGS 5
 
@@ -98,6 +102,29 @@
            table->answer_count - suspect->answers >= MIN_OTHER_ANSWERS;
 }
 
+static bool
+is_needed(const qtn_suspect *suspect)
+{
+    return suspect->is_quarantined && !suspect->is_explained;
+}
+
+/* Returns the crashes that all needed blocks of a group were present in. */
+static uint64_t
+group_crashes(const qtn_table *table, uint64_t group)
+{
+    uint64_t crashes = UINT64_MAX;
+    uint32_t i;
+
+    for (i = 0; i < QTN_SUSPECTS_MAX; i++) {
+        const qtn_suspect *suspect = &table->suspects[i];
+
+        if (is_needed(suspect) && suspect->group == group) {
+            crashes &= suspect->crashes;
+        }
+    }
+    return crashes;
+}
+
 /* Returns the set of crashes that blocks in quarantine explain. */
 static uint64_t
 explained_crashes(const qtn_table *table)
@@ -106,8 +133,8 @@
     uint32_t i;
 
     for (i = 0; table->quarantined_count > 0 && i < QTN_SUSPECTS_MAX; i++) {
-        if (table->suspects[i].is_quarantined) {
-            explained |= table->suspects[i].crashes;
+        if (is_needed(&table->suspects[i])) {
+            explained |= group_crashes(table, table->suspects[i].group);
         }
     }
     return explained;
@@ -248,6 +275,41 @@
     return later & settled;
 }
 
+/* Is there a suspect of all of the crashes outside the group? */
+static bool
+has_other_suspect(const qtn_table *table, uint64_t group, uint64_t crashes)
+{
+    uint32_t i;
+
+    for (i = 0; i < QTN_SUSPECTS_MAX; i++) {
+        const qtn_suspect *suspect = &table->suspects[i];
+
+        if (suspect->is_used &&
+            (!suspect->is_quarantined || suspect->group != group) &&
+            (suspect->crashes & crashes) == crashes) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Did endpoints crash since under the other block of the group, without this
+ * one, and for no other reason that is known? */
+static bool
+is_explained_by(const qtn_table *table, const qtn_suspect *one,
+                const qtn_suspect *other, uint64_t settled)
+{
+    uint64_t crashes;
+
+    if (!is_needed(other) || other->group != one->group) {
+        return false;
+    }
+    crashes = later_crashes(table, one, settled) & other->crashes;
+    return (one->crashes & crashes) == 0 &&
+           count_bits(crashes) >= MIN_LATER_CRASHES &&
+           !has_other_suspect(table, one->group, crashes);
+}
+
 /* Marks the blocks of joint quarantines without which endpoints crashed
  * since. */
 static void
@@ -257,20 +319,10 @@
 
     for (i = 0; table->quarantined_count > 1 && i < QTN_SUSPECTS_MAX; i++) {
         qtn_suspect *one = &table->suspects[i];
-        uint64_t later;
-
-        if (!one->is_quarantined || one->is_explained) {
-            continue;
-        }
-        later = later_crashes(table, one, settled);
-        for (j = 0; j < QTN_SUSPECTS_MAX; j++) {
-            const qtn_suspect *other = &table->suspects[j];
 
+        for (j = 0; is_needed(one) && j < QTN_SUSPECTS_MAX; j++) {
             one->is_explained =
-                one->is_explained ||
-                (other->is_quarantined && !other->is_explained &&
-                 other->group == one->group && (one->crashes & later) == 0 &&
-                 (other->crashes & later) != 0);
+                is_explained_by(table, one, &table->suspects[j], settled);
         }
     }
 }
@@ -433,8 +485,8 @@
     for (i = 0; i < QTN_SUSPECTS_MAX; i++) {
         const qtn_suspect *suspect = &table->suspects[i];
 
-        if (suspect->is_quarantined && !suspect->is_explained &&
-            suspect->group == group && !has_block(prompt, suspect->block)) {
+        if (is_needed(suspect) && suspect->group == group &&
+            !has_block(prompt, suspect->block)) {
             return false;
         }
     }
@@ -467,7 +519,7 @@
     for (i = 0; table->quarantined_count > 0 && i < QTN_SUSPECTS_MAX; i++) {
         const qtn_suspect *suspect = &table->suspects[i];
 
-        if (!suspect->is_quarantined || suspect->is_explained ||
+        if (!is_needed(suspect) ||
             (!suspect->has_other_accounts && suspect->account != account) ||
             !has_block(prompt, suspect->block) ||
             !has_group(table, prompt, suspect->group)) {
--- a/packages/core/source/quarantine.c
+++ b/packages/core/source/quarantine.c
@@ -37,10 +37,24 @@
     return NULL;
 }
 
+/* Without this block of a joint quarantine others may be needed again. */
+static void
+leave_group(qtn_table *table, const qtn_suspect *suspect)
+{
+    uint32_t i;
+
+    for (i = 0; i < QTN_SUSPECTS_MAX; i++) {
+        if (table->suspects[i].group == suspect->group) {
+            table->suspects[i].is_explained = false;
+        }
+    }
+}
+
 void
 qtn_release(qtn_table *table, qtn_suspect *suspect)
 {
     if (suspect->is_quarantined) {
+        leave_group(table, suspect);
         table->quarantined_count--;
         table->ops->on_change(table, suspect, "ended");
     }
