Refuse with 429 what an account asks beyond its share

Cause: an account that floods the fleet is refused with 503, which says that the service is not available, although its own load is the reason; what it gets beyond its share varies with the others' demand.

A refusal for lack of capacity says 429 when the account asked for more than its share in the last window, and 503 otherwise: no endpoint, an account within its share. Both are promises that it was not run, with the same Retry-After.

Test: share_accounting refusals_tell_who_asks_too_much; before, 503 in all cases.

--- a/packages/core/include/lavender/shares.h
+++ b/packages/core/include/lavender/shares.h
@@ -79,6 +79,11 @@
 double shr_ratio(shr_shares *shares, lv_handle account,
                  uint32_t request_tokens, lv_time now);
 
+/* Returns whether the account requested more than its fair share in the last
+ * window; false while every account is served all it requests. */
+bool shr_requests_over_share(shr_shares *shares, lv_handle account,
+                             lv_time now);
+
 /* Returns the tokens that the account was served in the last window. */
 uint64_t shr_served(shr_shares *shares, lv_handle account, lv_time now);
 
--- a/packages/core/source/shares.c
+++ b/packages/core/source/shares.c
@@ -220,6 +220,17 @@
     return served;
 }
 
+bool
+shr_requests_over_share(shr_shares *shares, lv_handle account, lv_time now)
+{
+    uint64_t requested;
+    uint64_t served;
+
+    estimate_sums(shares, &shares->accounts[account], now, &requested,
+                  &served);
+    return requested > shr_fair_share(shares, now);
+}
+
 double
 shr_ratio(shr_shares *shares, lv_handle account, uint32_t request_tokens,
           lv_time now)
--- a/packages/gateway/source/gate-imp.h
+++ b/packages/gateway/source/gate-imp.h
@@ -134,6 +134,10 @@
 /* Ends a request whose caller disconnected. */
 void gate_abandon_request(gate_request *request);
 
+/* Ends a request that cannot have run with a refusal. */
+void gate_refuse_request(gate_request *request, uint32_t status,
+                         lv_time retry_after, const char *reason);
+
 /* Cancels the attempts and ends the request with an error: a refusal when it
  * cannot have run, `status` when it may have, and a broken connection when its
  * answer has begun. */
@@ -166,6 +170,11 @@
  * account. */
 double gate_share_ratio(const gate_request *request, lv_time now);
 
+/* Was the request refused for lack of capacity while its account asks for more
+ * than its share? The refusal then says that there are too many requests, and
+ * otherwise that the service is not available. */
+bool gate_asks_over_share(const gate_request *request);
+
 /* gate-load.c: a process that gets too little CPU time for its load */
 
 /* Records how late a tick of the timer is. A loop that is late reads the
@@ -289,9 +298,9 @@
  * has lasted for a while. */
 void gate_record_begun(gate_attempt *attempt, bool is_whole, lv_time now);
 
-/* Returns whether a block in quarantine forbids to send the request. */
-bool gate_is_quarantined(gate_request *request, bool starts,
-                         lv_time *retry_after);
+/* Ends a request that a block in quarantine forbids to send; one that `starts`
+ * now may be the trial of the block. Returns whether it did. */
+bool gate_refuse_quarantined(gate_request *request, bool starts);
 
 /* Decides on the evidence; call it at every tick of the timer. */
 void gate_update_quarantine(gate_server *gate, lv_time now);
--- a/packages/gateway/source/gate-quarantine.c
+++ b/packages/gateway/source/gate-quarantine.c
@@ -140,10 +140,23 @@
 }
 
 bool
-gate_is_quarantined(gate_request *request, bool starts, lv_time *retry_after)
+gate_refuse_quarantined(gate_request *request, bool starts)
 {
-    return qtn_is_refused(&request->gate->quarantine, &request->decoded.prompt,
-                          account_id(request), starts, io_now(), retry_after);
+    lv_time retry_after;
+
+    if (!qtn_is_refused(&request->gate->quarantine, &request->decoded.prompt,
+                        account_id(request), starts, io_now(), &retry_after)) {
+        return false;
+    }
+    request->gate->counts.quarantine_refused++;
+    if (request->may_have_run || request->has_answer_begun ||
+        gate_find_set_aside(request) != NULL) {
+        gate_give_up_request(request, 502, "quarantined");
+    }
+    else {
+        gate_refuse_request(request, 503, retry_after, "quarantined");
+    }
+    return true;
 }
 
 /* Returns how many endpoints prompts are sent to: engines, or all where no
--- a/packages/gateway/source/gate-request.c
+++ b/packages/gateway/source/gate-request.c
@@ -189,8 +189,9 @@
     return request;
 }
 
-static void
-refuse_request(gate_request *request, lv_time retry_after, const char *reason)
+void
+gate_refuse_request(gate_request *request, uint32_t status,
+                    lv_time retry_after, const char *reason)
 {
     gate_server *gate = request->gate;
     front_connection *connection = request->connection;
@@ -204,31 +205,10 @@
     }
     /* The end of the response may read the next request over this one's. */
     gate_end_request(request, "refused", reason);
-    front_send_error(connection, 503, &headers, reason);
+    front_send_error(connection, status, &headers, reason);
     buf_finish(&headers);
 }
 
-/* Ends a request that a block in quarantine forbids to send. Returns whether
- * it did. */
-static bool
-refuse_quarantined(gate_request *request, bool starts)
-{
-    lv_time retry_after;
-
-    if (!gate_is_quarantined(request, starts, &retry_after)) {
-        return false;
-    }
-    request->gate->counts.quarantine_refused++;
-    if (request->may_have_run || request->has_answer_begun ||
-        gate_find_set_aside(request) != NULL) {
-        gate_give_up_request(request, 502, "quarantined");
-    }
-    else {
-        refuse_request(request, retry_after, "quarantined");
-    }
-    return true;
-}
-
 /* While the instance drains, a request that is received after the minimum
  * drain time is accepted only if its answer is due before the process exits.
  */
@@ -282,18 +262,19 @@
     }
     request->decoded = decoded;
     set_deadlines(request, io_now());
-    if (refuse_quarantined(request, false)) {
+    if (gate_refuse_quarantined(request, false)) {
         return;
     }
     count_arrival(request);
     if (!can_end_before_stop(request)) {
-        refuse_request(request, gate->settings.admission.min_retry_after,
-                       "draining");
+        gate_refuse_request(request, 503,
+                            gate->settings.admission.min_retry_after,
+                            "draining");
         return;
     }
     if (ovl_should_shed(&gate->overload, gate_share_ratio(request, io_now()),
                         gate_random(gate))) {
-        refuse_request(request, LV_SECOND, "overloaded");
+        gate_refuse_request(request, 503, LV_SECOND, "overloaded");
         return;
     }
     gate_decide_request(request);
@@ -310,7 +291,7 @@
         return;
     }
     if (!request->may_have_run) {
-        refuse_request(request, LV_SECOND, reason);
+        gate_refuse_request(request, 503, LV_SECOND, reason);
         return;
     }
     request->gate->counts.failed++;
@@ -372,7 +353,8 @@
         gate_give_up_request(request, 502, reason);
     }
     else {
-        refuse_request(request, retry_after, reason);
+        gate_refuse_request(request, gate_asks_over_share(request) ? 429 : 503,
+                            retry_after, reason);
     }
 }
 
@@ -384,7 +366,7 @@
         gate_abandon_request(request);
         return;
     }
-    if (refuse_quarantined(request, true)) {
+    if (gate_refuse_quarantined(request, true)) {
         return;
     }
     if (!gate_spend_retry(request)) {
@@ -427,7 +409,7 @@
     lv_time now = io_now();
     adm_request admission;
 
-    if (refuse_quarantined(request, false)) {
+    if (gate_refuse_quarantined(request, false)) {
         return;
     }
     if (request->has_answer_begun && now < request->next_attempt_after) {
--- a/packages/gateway/source/gate-share.c
+++ b/packages/gateway/source/gate-share.c
@@ -51,3 +51,12 @@
                            share_tokens(request), now)
                : 0;
 }
+
+bool
+gate_asks_over_share(const gate_request *request)
+{
+    return request->share_row != LV_HANDLE_NONE &&
+           request->decision.endpoint != LV_HANDLE_NONE &&
+           shr_requests_over_share(&request->gate->shares, request->share_row,
+                                   io_now());
+}
--- a/tests/gateway/test-share-accounting.c
+++ b/tests/gateway/test-share-accounting.c
@@ -138,3 +138,40 @@
         stage_stop(&stage);
     }
 }
+
+/* Guards against telling an account that floods the fleet that the service is
+ * not available, and an account within its share that it sends too much. */
+Test(share_accounting, refusals_tell_who_asks_too_much)
+{
+    static const struct {
+        uint32_t requested; /* by "north" */
+        uint32_t others;    /* requested by another account */
+        uint32_t endpoints;
+        uint32_t status;
+    } cases[] = {{100000, 100000, 1, 429},
+                 {1000, 200000, 1, 503},
+                 {100000, 100000, 0, 503}};
+
+    for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+        shr_shares *shares = &stage.gate.shares;
+        stage_response answer;
+        lv_handle north, other;
+
+        stage_start(&stage, 1);
+        if (cases[i].endpoints == 0) {
+            eng_unlist(&stage.gate.endpoints, 0);
+        }
+        eng_at(&stage.gate.endpoints, 0)->local.in_flight = 100000;
+        north = shr_find_or_add(shares, lv_hash_name("north"));
+        other = shr_find_or_add(shares, lv_hash_name("south"));
+        shr_add_requested(shares, north, cases[i].requested, io_now());
+        shr_add_requested(shares, other, cases[i].others, io_now());
+        shr_add_served(shares, north, 500, io_now());
+        shr_add_served(shares, other, 50000, io_now());
+        stage_exchange(&stage, "/stream/1", HEADERS, &answer);
+        cr_expect_eq(answer.status, cases[i].status, "case %zu: %u", i,
+                     answer.status);
+        cr_expect_not_null(strstr(answer.head, "Retry-After:"));
+        stage_stop(&stage);
+    }
+}
