Read and log the limits that endpoints name

The wire decodes it (a decimal number of requests a second, from all instances together), endpoint-limit logs it, and two counters count valid and ignored values. Nothing heeds it yet.

--- a/packages/gateway/include/lavender-gateway/gate.h
+++ b/packages/gateway/include/lavender-gateway/gate.h
@@ -95,6 +95,8 @@
     uint64_t peer_leaving_notices; /* the same, of peers */
     uint64_t backoffs;             /* that endpoints asked for */
     uint64_t invalid_retry_after;  /* of endpoints; ignored */
+    uint64_t limit_notices;        /* answers that name a limit */
+    uint64_t invalid_limits;       /* the same, not valid; ignored */
     uint64_t quarantine_refused;   /* for a block in quarantine */
 } gate_counts;
 
--- a/packages/gateway/source/gate-notice.c
+++ b/packages/gateway/source/gate-notice.c
@@ -67,6 +67,18 @@
                   "request=%s endpoint=%s", request_id,
                   endpoint_name(gate, row));
     }
+    if (response->is_limit_invalid) {
+        gate->counts.invalid_limits++;
+        log_event(LOG_LEVEL_WARNING, io_now(), "limit-ignored",
+                  "request=%s endpoint=%s", request_id,
+                  endpoint_name(gate, row));
+    }
+    if (response->has_limit) {
+        gate->counts.limit_notices++;
+        log_event(LOG_LEVEL_NOTICE, io_now(), "endpoint-limit",
+                  "request=%s endpoint=%s per_second=%.3f", request_id,
+                  endpoint_name(gate, row), response->limit);
+    }
     if (response->is_draining) {
         begin_leaving(gate, row, request_id);
     }
@@ -180,6 +192,12 @@
         {"lavender_retry_after_ignored_total", "counter",
          "answers of endpoints with a Retry-After that was not valid",
          (double)counts->invalid_retry_after},
+        {"lavender_endpoint_limit_notices_total", "counter",
+         "answers that named a limit of the endpoint",
+         (double)counts->limit_notices},
+        {"lavender_limits_ignored_total", "counter",
+         "answers that named one that was not valid",
+         (double)counts->invalid_limits},
         {"lavender_withheld_requests_total", "counter",
          "requests not sent on a connection opened for them",
          (double)gate->endpoint_pool.counts.withheld},
