Keep to the limits that endpoints name, over the whole fleet

Class: a bound of the fleet that each instance would keep for itself.

Change: pace holds the limit and its tokens; the endpoint's coordinator grants each start under a limit, also in a small fleet and for plain services, by the start requests that exist (format 10). A silent coordinator of a limited endpoint is not stood in for. What was said survives lists, like a back-off.

--- a/packages/core/include/lavender/availability.h
+++ b/packages/core/include/lavender/availability.h
@@ -16,10 +16,11 @@
 /* Why an endpoint is sent no request now. */
 typedef enum avl_reason {
     AVL_AVAILABLE,
-    AVL_UNLISTED,     /* not published, or draining according to the list */
-    AVL_LEAVING,      /* draining by its own word */
-    AVL_BACKING_OFF,  /* until the time that it named */
-    AVL_SLOW_STARTING /* as many as may start now have started */
+    AVL_UNLISTED,      /* not published, or draining according to the list */
+    AVL_LEAVING,       /* draining by its own word */
+    AVL_BACKING_OFF,   /* until the time that it named */
+    AVL_SLOW_STARTING, /* as many as may start now have started */
+    AVL_LIMITED        /* by the limit that it named (pace.h) */
 } avl_reason;
 
 typedef struct avl_state {
--- a/packages/core/include/lavender/engine.h
+++ b/packages/core/include/lavender/engine.h
@@ -15,6 +15,7 @@
 #include "lavender/availability.h"
 #include "lavender/map.h"
 #include "lavender/outlier.h"
+#include "lavender/pace.h"
 
 #define ENG_BLOCKS_MAX 16
 
@@ -82,6 +83,7 @@
     lv_time mean_duration;   /* of requests, from sending to the end */
     out_detector outlier;
     avl_state availability;
+    pace_state pace;
 } eng_endpoint;
 
 /* An endpoint that was removed, and what it had said of itself: an older list
@@ -89,6 +91,7 @@
 typedef struct eng_departed {
     lv_id id; /* LV_ID_NONE: unused */
     avl_state availability;
+    pace_state pace;
 } eng_departed;
 
 /* A block of a prompt. */
@@ -178,6 +181,10 @@
 avl_reason eng_check_send(const eng_table *table, lv_handle endpoint,
                           lv_time now, lv_time *free_at);
 
+/* Returns how many requests of this instance may be sent to the endpoint up to
+ * a time; UINT32_MAX: any number. */
+uint32_t eng_places(const eng_table *table, lv_handle endpoint, lv_time until);
+
 /* Record what the endpoint said of itself: that it is draining, or that it
  * takes no request for some time. The first unlists it, whatever is published
  * later. Return whether the state changed. */
--- a/packages/core/source/admission.c
+++ b/packages/core/source/admission.c
@@ -236,8 +236,7 @@
         others->reason = reason;
     }
     others->count++;
-    places =
-        avl_places(&eng_at(table, row)->availability, others->latest_free);
+    places = eng_places(table, row, others->latest_free);
     others->places = places > UINT32_MAX - others->places
                          ? UINT32_MAX
                          : others->places + places;
--- a/packages/core/source/availability.c
+++ b/packages/core/source/availability.c
@@ -105,6 +105,8 @@
         return "backing-off";
     case AVL_SLOW_STARTING:
         return "slow-start";
+    case AVL_LIMITED:
+        return "limited";
     }
     return "";
 }
--- a/packages/core/source/engine-availability.c
+++ b/packages/core/source/engine-availability.c
@@ -5,12 +5,28 @@
                lv_time *free_at)
 {
     const eng_endpoint *endpoint = &table->endpoints[row];
+    avl_reason reason;
 
     if (!endpoint->is_listed && !endpoint->availability.is_leaving) {
         *free_at = LV_TIME_NEVER;
         return AVL_UNLISTED;
     }
-    return avl_check(&endpoint->availability, now, free_at);
+    reason = avl_check(&endpoint->availability, now, free_at);
+    if (reason == AVL_AVAILABLE &&
+        !pace_check(&endpoint->pace, now, free_at)) {
+        return AVL_LIMITED;
+    }
+    return reason;
+}
+
+uint32_t
+eng_places(const eng_table *table, lv_handle row, lv_time until)
+{
+    const eng_endpoint *endpoint = &table->endpoints[row];
+    uint32_t places = avl_places(&endpoint->availability, until);
+    uint32_t paced = pace_places(&endpoint->pace, until);
+
+    return paced < places ? paced : places;
 }
 
 bool
@@ -51,25 +67,29 @@
     const avl_state *state = &endpoint->availability;
     eng_departed *departed;
 
-    if (!state->is_leaving && state->backoff_until == 0) {
+    if (!state->is_leaving && state->backoff_until == 0 &&
+        !pace_is_limited(&endpoint->pace)) {
         return;
     }
     departed = &table->departed[table->departed_count++ % ENG_DEPARTED_MAX];
     departed->id = endpoint->spec.id;
     departed->availability = *state;
+    departed->pace = endpoint->pace;
 }
 
 void
-eng_recall_availability(eng_table *table, lv_id id, avl_state *state)
+eng_recall_availability(eng_table *table, eng_endpoint *endpoint, lv_id id)
 {
     uint32_t i;
 
-    avl_init(state);
+    avl_init(&endpoint->availability);
+    pace_init(&endpoint->pace);
     for (i = 0; i < ENG_DEPARTED_MAX; i++) {
         eng_departed *departed = &table->departed[i];
 
         if (departed->id == id) {
-            *state = departed->availability;
+            endpoint->availability = departed->availability;
+            endpoint->pace = departed->pace;
             departed->id = LV_ID_NONE;
         }
     }
--- a/packages/core/source/engine-imp.h
+++ b/packages/core/source/engine-imp.h
@@ -22,6 +22,7 @@
 /* engine-availability.c: keep what an endpoint has said of itself beyond the
  * life of its row, and restore it when the endpoint is published again. */
 void eng_remember_availability(eng_table *table, const eng_endpoint *endpoint);
-void eng_recall_availability(eng_table *table, lv_id id, avl_state *state);
+void eng_recall_availability(eng_table *table, eng_endpoint *endpoint,
+                             lv_id id);
 
 #endif
--- a/packages/core/source/engine.c
+++ b/packages/core/source/engine.c
@@ -101,7 +101,7 @@
     endpoint->kv_capacity = table->settings.default_kv_tokens;
     endpoint->mean_duration = INITIAL_DURATION;
     out_init(&endpoint->outlier);
-    eng_recall_availability(table, spec->id, &endpoint->availability);
+    eng_recall_availability(table, endpoint, spec->id);
     return row;
 }
 
@@ -334,6 +334,7 @@
     endpoint->local.prefill_total += prediction->uncached_tokens;
     endpoint->local.kv_tokens += use->kv_tokens;
     avl_count_start(&endpoint->availability, now);
+    pace_count_start(&endpoint->pace, now);
     add_prefill(table, endpoint, prediction->uncached_tokens, now);
     touch_blocks(table, row, prompt);
     eng_ref(table, row);
--- a/packages/gateway/include/lavender-gateway/peers.h
+++ b/packages/gateway/include/lavender-gateway/peers.h
@@ -121,6 +121,12 @@
     lv_time target; /* latency target */
     lv_time waited; /* since the caller's request was received */
     double share;   /* of its account, as in adm_request */
+
+    /* What the endpoint said last of its limit to the sender, if anything. */
+    bool has_limit_word;
+    double limit;      /* as in pace_state */
+    lv_time limit_age; /* of the word */
+    uint64_t sender;   /* its incarnation; set by the receiver */
     eng_prompt prompt;
 } peers_start_request;
 
@@ -132,6 +138,8 @@
     eng_summary summary;      /* without the request */
     lv_time service_time;     /* predicted, as in eng_prediction */
     uint32_t uncached_tokens; /* prompt tokens to prefill */
+    lv_time limit_wait; /* denied for the endpoint's limit: how long to wait;
+                           0: not for that */
 } peers_start_reply;
 
 typedef struct peers_state peers_state;
@@ -266,12 +274,13 @@
 bool peers_is_coordinator(const peers_state *peers, lv_id key);
 
 /* Requests a start grant from the endpoint's coordinator and writes its
- * address to `address`. Passes over coordinators that recently did not reply.
- * Returns false when no request was sent: the fleet is small, this instance is
- * the coordinator, or there is no memory. */
+ * address to `address`. Passes over coordinators that recently did not reply,
+ * unless the endpoint is limited.
+ * Returns false when no request was sent: this instance is the coordinator,
+ * there is no memory, or the fleet is small and the endpoint not limited. */
 bool peers_request_start(peers_state *peers,
-                         const peers_start_request *request, lv_time now,
-                         struct sockaddr_in *address);
+                         const peers_start_request *request, bool is_limited,
+                         lv_time now, struct sockaddr_in *address);
 
 /* Records that a coordinator did not reply in time; peers_request_start passes
  * it over for a while. */
--- a/packages/gateway/include/lavender-gateway/wire.h
+++ b/packages/gateway/include/lavender-gateway/wire.h
@@ -47,8 +47,9 @@
     lv_time retry_after; /* of a 503: the endpoint takes no request for so
                             long; 0: not given */
     bool is_retry_after_invalid; /* of a 503: it was not valid, and ignored */
-    bool has_limit;              /* the endpoint names a limit */
-    bool is_limit_invalid;       /* it does, but not as a number */
+    bool is_misdirected;   /* by an endpoint that the request was not for */
+    bool has_limit;        /* the endpoint names a limit */
+    bool is_limit_invalid; /* it does, but not as a number */
     double limit; /* requests per second that it takes from all instances */
 } wire_response;
 
--- a/packages/gateway/source/back-pool.c
+++ b/packages/gateway/source/back-pool.c
@@ -140,7 +140,8 @@
     finish_exchange(connection, BACK_WITHHELD, "withheld");
 }
 
-/* A request that waits for its connection has its place in a slow start. */
+/* A request that waits for its connection has its place in a slow start and
+ * under a limit. */
 static bool
 may_be_sent(const back_connection *connection)
 {
@@ -148,7 +149,8 @@
     avl_reason reason = eng_check_send(
         connection->pool->endpoints, connection->endpoint, io_now(), &free_at);
 
-    return reason == AVL_AVAILABLE || reason == AVL_SLOW_STARTING;
+    return reason == AVL_AVAILABLE || reason == AVL_SLOW_STARTING ||
+           reason == AVL_LIMITED;
 }
 
 static void
--- a/packages/gateway/source/gate-grant.c
+++ b/packages/gateway/source/gate-grant.c
@@ -10,6 +10,26 @@
  * milliseconds of its latency target. */
 #define MAX_GRANT_DENIALS 2
 
+/* The same for denials by the limits of endpoints, each of another one: it is
+ * passed over afterwards. */
+#define MAX_LIMIT_DENIALS 6
+
+/* A limited endpoint whose coordinator did not answer is passed over for this
+ * long. */
+#define SILENT_CLOSURE (100 * LV_MILLISECOND)
+
+/* Percent of an endpoint's limit that an instance grants while it takes
+ * another one for the coordinator, which may be granting, too. */
+#define STAND_IN_PERCENT 50
+
+static void
+fill_limit_word(const pace_state *pace, lv_time now, peers_start_request *ask)
+{
+    ask->limit_age = lv_elapsed(now, pace->heard_at);
+    ask->has_limit_word = pace->heard_at != 0;
+    ask->limit = pace->limit;
+}
+
 static void
 fill_grant_request(gate_request *request, lv_time now,
                    peers_start_request *ask)
@@ -25,12 +45,14 @@
     ask->waited = lv_elapsed(now, gate_waiting_since(request));
     ask->share = request->decision.share_ratio;
     ask->prompt = request->decoded.prompt;
+    fill_limit_word(&endpoint->pace, now, ask);
 }
 
 bool
 gate_is_denial_limit_reached(const gate_request *request)
 {
-    return request->grant_denials >= MAX_GRANT_DENIALS;
+    return request->grant_denials >= MAX_GRANT_DENIALS ||
+           request->limit_denials >= MAX_LIMIT_DENIALS;
 }
 
 bool
@@ -38,14 +60,17 @@
 {
     gate_server *gate = request->gate;
     lv_time now = io_now();
+    const eng_endpoint *endpoint =
+        eng_at(&gate->endpoints, request->decision.endpoint);
+    bool is_limited = pace_is_limited(&endpoint->pace);
     peers_start_request ask;
 
-    if (!eng_at(&gate->endpoints, request->decision.endpoint)->is_engine) {
+    if (!endpoint->is_engine && !is_limited) {
         return false;
     }
     request->grant_number = ++gate->last_grant_number;
     fill_grant_request(request, now, &ask);
-    if (!peers_request_start(&gate->peers, &ask, now,
+    if (!peers_request_start(&gate->peers, &ask, is_limited, now,
                              &request->grant_coordinator)) {
         return false;
     }
@@ -56,17 +81,21 @@
 }
 
 /* The endpoint may have been withdrawn while the request waited for a grant,
- * or takes no request for some time; the request is then decided again. */
+ * or takes no request for some time; the request is then decided again. A
+ * grant counts more than what this instance knows of the endpoint's limit. */
 static void
-start_if_available(gate_request *request, const char *reason)
+start_if_available(gate_request *request, bool is_granted, const char *reason)
 {
     const eng_table *table = &request->gate->endpoints;
     lv_handle endpoint = request->decision.endpoint;
+    avl_reason reason_not;
     lv_time free_at;
 
     request->state = GATE_QUEUED;
+    reason_not = eng_check_send(table, endpoint, io_now(), &free_at);
     if (eng_find(table, request->grant_endpoint) == endpoint &&
-        eng_check_send(table, endpoint, io_now(), &free_at) == AVL_AVAILABLE) {
+        (reason_not == AVL_AVAILABLE ||
+         (reason_not == AVL_LIMITED && is_granted))) {
         gate_start_request(request, reason);
     }
     else {
@@ -74,16 +103,37 @@
     }
 }
 
-/* Without an answer in time the request starts where this instance decided. */
+/* Without an answer in time the request starts where this instance decided,
+ * unless the endpoint is limited: it goes elsewhere then. */
 void
 gate_check_grant_deadline(gate_request *request, lv_time now)
 {
+    gate_server *gate = request->gate;
+    lv_handle endpoint;
+
     if (now < request->grant_deadline) {
         return;
     }
-    peers_note_unanswered(&request->gate->peers, &request->grant_coordinator,
-                          now);
-    start_if_available(request, "keeper-silent");
+    peers_note_unanswered(&gate->peers, &request->grant_coordinator, now);
+    endpoint = eng_find(&gate->endpoints, request->grant_endpoint);
+    if (endpoint != LV_HANDLE_NONE &&
+        pace_is_limited(&eng_at(&gate->endpoints, endpoint)->pace)) {
+        request->state = GATE_QUEUED;
+        request->limit_denials++;
+        pace_close(&eng_at(&gate->endpoints, endpoint)->pace, SILENT_CLOSURE,
+                   now);
+        gate_log_step(request, "denied", "keeper-silent");
+        gate_decide_request(request);
+        return;
+    }
+    start_if_available(request, false, "keeper-silent");
+}
+
+static uint32_t
+grant_percent(const gate_server *gate, lv_id endpoint)
+{
+    return peers_is_coordinator(&gate->peers, endpoint) ? 100
+                                                        : STAND_IN_PERCENT;
 }
 
 void
@@ -100,6 +150,7 @@
         .received = now - ask->waited,
         .target = ask->target,
         .share_ratio = ask->share};
+    pace_state *pace = &eng_at(&gate->endpoints, endpoint)->pace;
     eng_prediction prediction;
     avl_reason reason;
     lv_time free_at;
@@ -112,6 +163,15 @@
     reason = eng_check_send(&gate->endpoints, endpoint, now, &free_at);
     answer->is_granted =
         has_room && reason != AVL_UNLISTED && reason != AVL_LEAVING;
+    if (ask->has_limit_word) {
+        pace_hear(pace, ask->limit, ask->sender,
+                  lv_elapsed(now, ask->limit_age), now);
+    }
+    if (answer->is_granted) {
+        answer->is_granted =
+            pace_grant(pace, grant_percent(gate, ask->endpoint), now,
+                       &answer->limit_wait);
+    }
     eng_summarize(&gate->endpoints, endpoint, now, &answer->summary);
     answer->service_time = prediction.service_time;
     answer->uncached_tokens = prediction.uncached_tokens;
@@ -138,6 +198,25 @@
     return request;
 }
 
+static void
+handle_denial(gate_request *request, const peers_start_reply *answer)
+{
+    eng_table *endpoints = &request->gate->endpoints;
+
+    request->state = GATE_QUEUED;
+    if (answer->limit_wait > 0) {
+        request->limit_denials++;
+        pace_close(&eng_at(endpoints, request->decision.endpoint)->pace,
+                   answer->limit_wait, io_now());
+        gate_log_step(request, "denied", "limited");
+    }
+    else {
+        request->grant_denials++;
+        gate_log_step(request, "denied", "keeper");
+    }
+    gate_decide_request(request);
+}
+
 void
 gate_handle_grant_answer(void *owner, const peers_start_reply *answer)
 {
@@ -149,15 +228,12 @@
         return; /* the caller disconnected, or the deadline passed */
     }
     if (!answer->is_granted) {
-        request->state = GATE_QUEUED;
-        request->grant_denials++;
-        gate_log_step(request, "denied", "keeper");
-        gate_decide_request(request);
+        handle_denial(request, answer);
         return;
     }
     prediction = &request->decision.prediction;
     prediction->wait = answer->summary.wait;
     prediction->service_time = answer->service_time;
     prediction->uncached_tokens = answer->uncached_tokens;
-    start_if_available(request, "granted");
+    start_if_available(request, true, "granted");
 }
--- a/packages/gateway/source/gate-imp.h
+++ b/packages/gateway/source/gate-imp.h
@@ -104,6 +104,7 @@
     struct sockaddr_in grant_coordinator;
     lv_time grant_deadline;
     uint32_t grant_denials;
+    uint32_t limit_denials; /* for limits of endpoints */
     bool has_logged_queueing;
     bool may_have_run;
     bool is_stream;
--- a/packages/gateway/source/gate-notice.c
+++ b/packages/gateway/source/gate-notice.c
@@ -51,6 +51,29 @@
     back_withhold(&gate->endpoint_pool, row);
 }
 
+/* A limit holds until an answer names none. What a limit that is not valid was
+ * meant to say is not known, so the one before stays. */
+static void
+note_limit(gate_server *gate, lv_handle row, const wire_response *response,
+           const char *request_id)
+{
+    eng_endpoint *endpoint = eng_at(&gate->endpoints, row);
+    double limit = response->has_limit ? response->limit : PACE_NO_LIMIT;
+
+    if (response->is_limit_invalid || response->is_misdirected) {
+        return;
+    }
+    gate->counts.limit_notices += response->has_limit;
+    if (pace_name(&endpoint->pace, limit, io_now())) {
+        gate->has_pending_updates = true;
+        log_event(LOG_LEVEL_NOTICE, io_now(), "endpoint-limit",
+                  "request=%s endpoint=%s change=%s per_second=%.3f",
+                  request_id, endpoint->spec.name,
+                  response->has_limit ? "named" : "ended",
+                  response->has_limit ? limit : 0);
+    }
+}
+
 void
 gate_handle_response(void *owner, lv_handle row, const back_exchange *exchange,
                      const http_head *head, const wire_response *response)
@@ -73,12 +96,7 @@
                   "request=%s endpoint=%s", request_id,
                   endpoint_name(gate, row));
     }
-    if (response->has_limit) {
-        gate->counts.limit_notices++;
-        log_event(LOG_LEVEL_NOTICE, io_now(), "endpoint-limit",
-                  "request=%s endpoint=%s per_second=%.3f", request_id,
-                  endpoint_name(gate, row), response->limit);
-    }
+    note_limit(gate, row, response, request_id);
     if (response->is_draining) {
         begin_leaving(gate, row, request_id);
     }
@@ -168,6 +186,13 @@
     return endpoint->availability.is_leaving;
 }
 
+static double
+limit_value(const eng_endpoint *endpoint, lv_time now)
+{
+    (void)now;
+    return endpoint->pace.limit;
+}
+
 static double
 backoff_value(const eng_endpoint *endpoint, lv_time now)
 {
@@ -206,6 +231,9 @@
     met_write_scalars(writer, values, sizeof values / sizeof values[0]);
     write_endpoint_gauge(gate, writer, "lavender_endpoint_leaving",
                          "1: it said that it leaves", leaving_value);
+    write_endpoint_gauge(gate, writer, "lavender_endpoint_limit",
+                         "requests per second that it takes; -1: no limit",
+                         limit_value);
     write_endpoint_gauge(gate, writer, "lavender_endpoint_backoff_seconds",
                          "left of the back-off that it asked for",
                          backoff_value);
--- a/packages/gateway/source/gate-stall.c
+++ b/packages/gateway/source/gate-stall.c
@@ -37,6 +37,7 @@
     request->attempt = next;
     request->state = GATE_QUEUED;
     request->grant_denials = 0;
+    request->limit_denials = 0;
 }
 
 gate_attempt *
@@ -109,6 +110,7 @@
     request->state = GATE_RUNNING;
     request->decision.endpoint = attempt->reservation.endpoint;
     request->grant_denials = 0;
+    request->limit_denials = 0;
     request->is_retry_due = false;
     request->next_attempt_after = io_now() + ATTEMPT_INTERVAL;
     gate_log_step(request, "resume", reason);
@@ -140,6 +142,7 @@
 {
     request->state = GATE_QUEUED;
     request->grant_denials = 0;
+    request->limit_denials = 0;
     request->next_attempt_after = io_now() + ATTEMPT_INTERVAL;
     gate_log_step(request, "hold", reason);
 }
--- a/packages/gateway/source/peers-coordinator.c
+++ b/packages/gateway/source/peers-coordinator.c
@@ -68,15 +68,16 @@
 
 bool
 peers_request_start(peers_state *peers, const peers_start_request *request,
-                    lv_time now, struct sockaddr_in *address)
+                    bool is_limited, lv_time now, struct sockaddr_in *address)
 {
     const peers_peer *coordinator;
     buf_buffer datagram;
 
-    if (!peers_is_large_fleet(peers)) {
+    if (!peers_is_large_fleet(peers) && !is_limited) {
         return false;
     }
-    coordinator = find_coordinator(peers, request->endpoint, true, now);
+    /* Only one instance may count the starts at a limited endpoint. */
+    coordinator = find_coordinator(peers, request->endpoint, !is_limited, now);
     if (coordinator == NULL) {
         return false;
     }
--- a/packages/gateway/source/peers-imp.h
+++ b/packages/gateway/source/peers-imp.h
@@ -29,12 +29,14 @@
     PEERS_FIELD_ENDPOINT_SUMMARIES,
 
     /* One entry: number, endpoint, latency target and time waited in us, share
-     * in percent, prompt tokens, output tokens; then prefix hash and tokens of
-     * each prompt block. */
+     * in percent, prompt tokens, output tokens, limit (0: no word, 1: none,
+     * else 2 and thousandths of requests per second) and its age in us; then
+     * prefix hash and tokens of each prompt block. */
     PEERS_FIELD_START_REQUEST,
 
     /* One entry: number, endpoint, granted, requests in flight, KV tokens,
-     * wait and service time in us, uncached tokens. */
+     * wait and service time in us, uncached tokens, wait for the limit in us.
+     */
     PEERS_FIELD_START_REPLY,
 
     /* Kind, block, endpoint, account, group, trials and whether the claim is
@@ -43,15 +45,22 @@
     PEERS_FIELD_COUNT
 };
 
-#define PEERS_FORMAT_VERSION 9
+#define PEERS_FORMAT_VERSION 10
 
 enum {
     PEERS_FLAG_STORE_REACHABLE = 1,
     PEERS_FLAG_CAN_COORDINATE = 2
 };
 
-#define PEERS_START_REQUEST_MIN_SIZE 7 /* numbers, without prompt blocks */
-#define PEERS_START_REPLY_SIZE 8       /* numbers */
+#define PEERS_START_REQUEST_MIN_SIZE 9 /* numbers, without prompt blocks */
+#define PEERS_START_REPLY_SIZE 9       /* numbers */
+
+/* The limit in a start request. */
+enum {
+    PEERS_LIMIT_UNKNOWN,
+    PEERS_LIMIT_NONE,
+    PEERS_LIMIT_NAMED /* and thousandths of requests per second */
+};
 
 /* In a large fleet a row that was not refreshed for three default intervals of
  * full reports is considered expired: the peer reports to another
--- a/packages/gateway/source/peers-receive.c
+++ b/packages/gateway/source/peers-receive.c
@@ -237,6 +237,7 @@
     if (endpoint == LV_HANDLE_NONE) {
         return; /* not published here yet; the sender times out and decides */
     }
+    request.sender = peer->incarnation;
     memset(&reply, 0, sizeof reply);
     reply.number = request.number;
     reply.endpoint = request.endpoint;
--- a/packages/gateway/source/peers-start.c
+++ b/packages/gateway/source/peers-start.c
@@ -35,6 +35,12 @@
     request->share = (double)numbers[4].via.u64 / 100;
     request->prompt.tokens = (uint32_t)numbers[5].via.u64;
     request->prompt.output_tokens = (uint32_t)numbers[6].via.u64;
+    request->has_limit_word = numbers[7].via.u64 != PEERS_LIMIT_UNKNOWN;
+    request->limit =
+        numbers[7].via.u64 < PEERS_LIMIT_NAMED
+            ? PACE_NO_LIMIT
+            : (double)(numbers[7].via.u64 - PEERS_LIMIT_NAMED) / 1000;
+    request->limit_age = numbers[8].via.u64;
     eng_clear_affinity(&request->prompt);
     return read_blocks(numbers + PEERS_START_REQUEST_MIN_SIZE,
                        values->size - PEERS_START_REQUEST_MIN_SIZE,
@@ -59,5 +65,6 @@
     reply->summary.wait = numbers[5].via.u64;
     reply->service_time = numbers[6].via.u64;
     reply->uncached_tokens = (uint32_t)numbers[7].via.u64;
+    reply->limit_wait = numbers[8].via.u64;
     return true;
 }
--- a/packages/gateway/source/peers-write.c
+++ b/packages/gateway/source/peers-write.c
@@ -391,6 +391,17 @@
     }
 }
 
+static uint64_t
+pack_limit(const peers_start_request *request)
+{
+    if (!request->has_limit_word) {
+        return PEERS_LIMIT_UNKNOWN;
+    }
+    return request->limit < 0
+               ? PEERS_LIMIT_NONE
+               : PEERS_LIMIT_NAMED + (uint64_t)(request->limit * 1000 + 0.5);
+}
+
 void
 peers_write_start_request(peers_state *peers,
                           const peers_start_request *request, buf_buffer *to)
@@ -411,6 +422,8 @@
     msgpack_pack_uint32(&packer, (uint32_t)(request->share * 100));
     msgpack_pack_uint32(&packer, prompt->tokens);
     msgpack_pack_uint32(&packer, prompt->output_tokens);
+    msgpack_pack_uint64(&packer, pack_limit(request));
+    msgpack_pack_uint64(&packer, request->limit_age);
     for (i = 0; i < prompt->block_count; i++) {
         msgpack_pack_uint64(&packer, prompt->blocks[i].prefix_hash);
         msgpack_pack_uint32(&packer, prompt->blocks[i].tokens);
@@ -436,5 +449,6 @@
     msgpack_pack_uint64(&packer, reply->summary.wait);
     msgpack_pack_uint64(&packer, reply->service_time);
     msgpack_pack_uint32(&packer, reply->uncached_tokens);
+    msgpack_pack_uint64(&packer, reply->limit_wait);
     pack_empty_lists(1, &packer);
 }
--- a/tests/gateway/test-coordinators.c
+++ b/tests/gateway/test-coordinators.c
@@ -175,7 +175,7 @@
                    .secondary_affinity = LV_HANDLE_NONE}};
 
     eng_add_block(&request.prompt, 5, 3000);
-    return peers_request_start(&from->base.peers, &request, now,
+    return peers_request_start(&from->base.peers, &request, false, now,
                                &last_address);
 }
 
--- a/tests/gateway/test-start-grants.c
+++ b/tests/gateway/test-start-grants.c
@@ -154,6 +154,20 @@
     }
 }
 
+/* Guards against sending requests to a limited endpoint that nobody counts. */
+Test(start_grants, a_limited_endpoint_receives_no_uncounted_request)
+{
+    stage_response answer;
+
+    set_up(COORDINATOR_IS_SILENT);
+    pace_name(&eng_at(&stage.gate.endpoints, 0)->pace, 5,
+              io_now() - LV_SECOND);
+    stage_exchange(&stage, "/many/1", "", &answer);
+    cr_expect_eq(answer.status, 503);
+    cr_expect_eq(stage.endpoints[0].requests, 0);
+    tear_down();
+}
+
 /* The request waits for the coordinator's reply while its endpoint is removed
  * from the catalogue. */
 Test(start_grants, a_removed_endpoint_receives_no_request)
