Take a stream that ends inside an event for broken off

Cause: the orderly end of a connection was taken for the end of the answer, whatever was in it.

The tail of a stream's data tells whether it ends with an empty line. If not, the attempt is truncated (event-cut): it counts against the endpoint, is resumed where the route allows it, and is otherwise broken off towards the caller by a reset.

Test: five cases in gateway-test-answers; without the check three of them fail (complete answers with half an event, no resumption).

--- a/packages/gateway/source/gate-attempt.c
+++ b/packages/gateway/source/gate-attempt.c
@@ -108,6 +108,7 @@
     attempt->is_answer_dropped = false;
     attempt->last_data_at = io_now();
     attempt->first_output_at = 0;
+    attempt->tail_size = 0;
     attempt->is_begun_recorded = false;
     request->state = GATE_RUNNING;
     request->sends++;
@@ -267,6 +268,7 @@
 {
     gate_request *request = attempt->request;
 
+    gate_note_stream_data(attempt, data, size);
     if (request->route->is_resumable) {
         if (!gate_forward_events(attempt, data, size)) {
             request->ops->fail(request, 502, "no-memory");
@@ -450,6 +452,10 @@
     gate_attempt *attempt = (gate_attempt *)exchange;
 
     end_attempt(attempt);
+    if (outcome == BACK_COMPLETE && gate_ends_in_event(attempt)) {
+        outcome = BACK_TRUNCATED;
+        reason = "event-cut";
+    }
     gate_note_outcome(attempt, outcome, reason);
     if (attempt->is_set_aside &&
         (outcome != BACK_COMPLETE || attempt->is_answer_dropped)) {
--- a/packages/gateway/source/gate-imp.h
+++ b/packages/gateway/source/gate-imp.h
@@ -10,6 +10,9 @@
  * endpoints rejected without running it. */
 #define GATE_MAX_SENDS 3
 
+/* Bytes that show whether a stream's data ends with an empty line. */
+#define GATE_TAIL_SIZE 4
+
 typedef enum gate_request_state {
     GATE_QUEUED,         /* not sent; waits for capacity or a decision */
     GATE_AWAITING_GRANT, /* waits for the coordinator of an endpoint */
@@ -41,10 +44,12 @@
     bool is_answer_dropped;      /* the answer is not forwarded */
     uint32_t status;             /* of the answer; 0: not the endpoint's */
     lv_time last_data_at;
-    lv_time first_output_at;  /* 0: no output yet */
-    buf_buffer headers;       /* for the caller */
-    buf_buffer body;          /* buffered until the answer is whole */
-    buf_buffer partial_event; /* at the end of a resumable stream's data */
+    lv_time first_output_at;   /* 0: no output yet */
+    buf_buffer headers;        /* for the caller */
+    buf_buffer body;           /* buffered until the answer is whole */
+    buf_buffer partial_event;  /* at the end of a resumable stream's data */
+    char tail[GATE_TAIL_SIZE]; /* of a stream's data: its last bytes */
+    uint32_t tail_size;
 } gate_attempt;
 
 /* What gate-attempt.c calls when an attempt ends; set by gate-request.c. */
@@ -315,6 +320,14 @@
  * memory. */
 bool gate_forward_events(gate_attempt *attempt, const char *data, size_t size);
 
+/* Notes the data of a stream for gate_ends_in_event. */
+void gate_note_stream_data(gate_attempt *attempt, const char *data,
+                           size_t size);
+
+/* Did the stream, whose end is that of its connection, end inside an event? It
+ * was broken off then. */
+bool gate_ends_in_event(const gate_attempt *attempt);
+
 /* gate-log.c: log lines of requests */
 
 /* Logs a decision about a request, with the values it was based on. */
--- a/packages/gateway/source/gate-stream.c
+++ b/packages/gateway/source/gate-stream.c
@@ -2,23 +2,56 @@
 
 #include "gate-imp.h"
 
-/* Returns the size of the whole events at the front of a text; an empty line
- * ends an event. */
+/* Does the text end with an empty line, which ends an event? */
+static bool
+ends_with_empty_line(const char *text, size_t size)
+{
+    return size >= 2 && text[size - 1] == '\n' &&
+           (text[size - 2] == '\n' ||
+            (size >= 4 && memcmp(text + size - 4, "\r\n\r\n", 4) == 0));
+}
+
+/* Returns the size of the whole events at the front of a text. */
 static size_t
 whole_events_size(const char *text, size_t size)
 {
     size_t i;
 
     for (i = size; i >= 2; i--) {
-        if (text[i - 1] == '\n' &&
-            (text[i - 2] == '\n' ||
-             (i >= 4 && memcmp(text + i - 4, "\r\n\r\n", 4) == 0))) {
+        if (ends_with_empty_line(text, i)) {
             return i;
         }
     }
     return 0;
 }
 
+void
+gate_note_stream_data(gate_attempt *attempt, const char *data, size_t size)
+{
+    size_t kept = 0;
+
+    if (size < GATE_TAIL_SIZE) {
+        kept = GATE_TAIL_SIZE - size;
+        kept = kept < attempt->tail_size ? kept : attempt->tail_size;
+        memmove(attempt->tail, attempt->tail + attempt->tail_size - kept,
+                kept);
+    }
+    else {
+        data += size - GATE_TAIL_SIZE;
+        size = GATE_TAIL_SIZE;
+    }
+    memcpy(attempt->tail + kept, data, size);
+    attempt->tail_size = (uint32_t)(kept + size);
+}
+
+bool
+gate_ends_in_event(const gate_attempt *attempt)
+{
+    return attempt->is_unframed && attempt->request->is_stream &&
+           attempt->status / 100 == 2 && attempt->tail_size > 0 &&
+           !ends_with_empty_line(attempt->tail, attempt->tail_size);
+}
+
 static void
 save_event_id(gate_request *request, const char *value, size_t size)
 {
--- a/tests/gateway/stage-endpoint.c
+++ b/tests/gateway/stage-endpoint.c
@@ -193,6 +193,15 @@
         send_text(self, "body");
         io_close(&self->stream);
         break;
+    case STAGE_CLOSE_DELIMITED_EVENTS:
+    case STAGE_CLOSE_DELIMITED_CUT:
+        send_head(self, self->id, "200 OK", SEAL_HEADER);
+        send_text(self, "id: 0\ndata: piece-0\n\nid: 1\ndata: piece-1\n");
+        if (self->endpoint->mode == STAGE_CLOSE_DELIMITED_EVENTS) {
+            send_text(self, "\n");
+        }
+        io_close(&self->stream);
+        break;
     case STAGE_CLOSE_DELIMITED_RESET:
         send_head(self, self->id, "200 OK", SEAL_HEADER);
         send_text(self, "bo");
--- a/tests/gateway/stage.h
+++ b/tests/gateway/stage.h
@@ -39,10 +39,12 @@
     STAGE_SHORT_BODY,         /* half of the Content-Length, then closes */
     STAGE_UNSEALED,           /* 200 without a seal header */
     STAGE_CLOSE_DELIMITED,    /* a body delimited by connection close */
-    STAGE_CLOSE_DELIMITED_RESET, /* the same, reset within the body */
-    STAGE_EXTRA_RESPONSE,        /* the response, then an unsolicited one */
-    STAGE_STRAY_RESPONSE_FIRST,  /* another attempt's response, then its own */
-    STAGE_GARBAGE                /* bytes that are not HTTP */
+    STAGE_CLOSE_DELIMITED_EVENTS, /* two events, delimited so */
+    STAGE_CLOSE_DELIMITED_CUT,    /* an event and a half, delimited so */
+    STAGE_CLOSE_DELIMITED_RESET,  /* the same, reset within the body */
+    STAGE_EXTRA_RESPONSE,         /* the response, then an unsolicited one */
+    STAGE_STRAY_RESPONSE_FIRST, /* another attempt's response, then its own */
+    STAGE_GARBAGE               /* bytes that are not HTTP */
 } stage_mode;
 
 typedef struct stage_endpoint {
--- a/tests/gateway/test-answers.c
+++ b/tests/gateway/test-answers.c
@@ -24,6 +24,7 @@
     "id: 0\ndata: piece-0\n\nid: 1\ndata: piece-1\n\nid: 2\ndata: piece-2"    \
     "\n\nid: 3\ndata: piece-3\n\nid: 4\ndata: piece-4\n\n"                    \
     "id: 5\ndata: piece-5\n\n"
+#define TWO_EVENTS "id: 0\ndata: piece-0\n\nid: 1\ndata: piece-1\n\n"
 #define BOTH(mode)                                                            \
     {                                                                         \
         mode, mode                                                            \
@@ -53,6 +54,18 @@
     {"/stream/1", BOTH(STAGE_STREAM_TRUNCATED), 200, false, NULL, 1},
     {"/stream/1", BOTH(STAGE_STREAM_STALL), 200, false, NULL, 1},
     {"/stream/1", BOTH(STAGE_RESET), 502, true, NULL, 1},
+    {"/stream/1", BOTH(STAGE_CLOSE_DELIMITED_EVENTS), 200, true, TWO_EVENTS,
+     1},
+    {"/stream/1", BOTH(STAGE_CLOSE_DELIMITED_CUT), 200, false, NULL, 1},
+    {"/resume/1", BOTH(STAGE_CLOSE_DELIMITED_EVENTS), 200, true, TWO_EVENTS,
+     1},
+    {"/resume/1", BOTH(STAGE_CLOSE_DELIMITED_CUT), 200, false, NULL, 2},
+    {"/resume/1",
+     {STAGE_CLOSE_DELIMITED_CUT, STAGE_STREAM},
+     200,
+     true,
+     ALL_EVENTS,
+     0},
     {"/resume/1", BOTH(STAGE_STREAM), 200, true, ALL_EVENTS, 1},
     {"/resume/1",
      {STAGE_STREAM_TRUNCATED, STAGE_STREAM},
