Bound the responses that are skipped before the request's own

An endpoint in trouble may send bytes without end. 1xx responses, responses to other requests and the body of one were skipped until the caller's deadline: 67 MB in 3 s on the fixture, with the loop busy for it. Heads, chunk extensions and trailers without end were bounded already (the test shows it).

More than 1 MiB of skipped bytes since the request was sent ends the exchange as not a proper answer; the connection is closed.

--- a/packages/gateway/source/back-imp.h
+++ b/packages/gateway/source/back-imp.h
@@ -17,6 +17,8 @@
     buf_buffer message;  /* to be sent once connected */
     lv_time state_since; /* start of the connection attempt or the idle time */
     lv_time max_idle;    /* closed after so much idle time */
+    size_t skipped;      /* bytes of 1xx responses and of other requests' ones
+                            since the request */
     bool has_sent;       /* a request was sent */
     bool is_keep_alive;  /* the endpoint keeps it open after the response */
     bool is_unmatched;   /* the current message belongs to another request */
--- a/packages/gateway/source/back-pool.c
+++ b/packages/gateway/source/back-pool.c
@@ -123,6 +123,7 @@
     connection->is_keep_alive = false;
     connection->is_unmatched = false;
     connection->is_interim = false;
+    connection->skipped = 0;
     connection->has_sent = true;
     io_read_start(&connection->stream);
     if (!io_write(&connection->stream, connection->message.data,
--- a/packages/gateway/source/back-response.c
+++ b/packages/gateway/source/back-response.c
@@ -2,6 +2,10 @@
 
 #include "back-imp.h"
 
+/* Skipped responses of more than this are no sign that one to the request
+ * follows. */
+#define MAX_SKIPPED_BYTES ((size_t)1024 * 1024)
+
 /* Does a response belong to the request of the connection? One without an id
  * does. */
 static bool
@@ -100,6 +104,17 @@
     return true;
 }
 
+/* Counts the bytes of skipped responses. Returns whether there are too many.
+ */
+static bool
+is_skipped_without_end(back_connection *connection, size_t size)
+{
+    if (connection->is_unmatched || connection->is_interim) {
+        connection->skipped += size;
+    }
+    return connection->skipped > MAX_SKIPPED_BYTES;
+}
+
 bool
 back_receive(back_connection *connection, const char *data, size_t size,
              back_result *result)
@@ -111,7 +126,13 @@
 
         data += consumed;
         size -= consumed;
-        if (connection->exchange == NULL || read_result == HTTP_INCOMPLETE) {
+        if (connection->exchange == NULL) {
+            return false;
+        }
+        if (is_skipped_without_end(connection, consumed)) {
+            read_result = HTTP_MALFORMED;
+        }
+        if (read_result == HTTP_INCOMPLETE) {
             return false;
         }
         if (read_result != HTTP_COMPLETE) {
--- a/tests/gateway/stage-endpoint.c
+++ b/tests/gateway/stage-endpoint.c
@@ -144,6 +144,77 @@
     }
 }
 
+/* How an endless mode begins and what it repeats. */
+typedef struct endless_text {
+    const char *id;     /* of the attempt; NULL: the request's */
+    const char *status; /* NULL: the texts hold the heads */
+    const char *headers;
+    const char *first;
+    const char *repeated;
+} endless_text;
+
+#define CHUNKED "Transfer-Encoding: chunked\r\n"
+#define CHUNK "10\r\n0123456789abcdef\r\n"
+#define STRAY                                                                 \
+    "HTTP/1.1 200 OK\r\nLavenderproxy-Attempt-Id: x\r\n"                      \
+    "Content-Length: 4\r\n\r\nevil"
+
+/* In the order of the modes. */
+static const endless_text endless_texts[] = {
+    {NULL, NULL, "", "HTTP/1.1 200 OK\r\n", "X-Filler: filler\r\n"},
+    {NULL, NULL, "", "", "HTTP/1.1 102 Processing\r\n\r\n"},
+    {"somebody", "200 OK", SEAL_HEADER CHUNKED, "", CHUNK},
+    {NULL, NULL, "", "", STRAY},
+    {NULL, "200 OK", SEAL_HEADER CHUNKED, "b\r\nid: 0\ndata:\r\n", CHUNK},
+    {NULL, "200 OK", SEAL_HEADER CHUNKED, "", CHUNK},
+    {NULL, "500 Error", SEAL_HEADER CHUNKED, "", CHUNK},
+    {NULL, "200 OK", SEAL_HEADER CHUNKED, "4;", "x=0123456789abcdef;"},
+    {NULL, "200 OK", SEAL_HEADER CHUNKED, "4\r\nbody\r\n0\r\n",
+     "X-Filler: filler\r\n"},
+};
+
+static const endless_text *
+find_endless_text(stage_mode mode)
+{
+    return &endless_texts[mode - STAGE_ENDLESS_HEAD];
+}
+
+static void
+send_endlessly(uv_timer_t *timer)
+{
+    static char block[256 * 1024];
+    endpoint_connection *self = timer->data;
+    const char *text = find_endless_text(self->endpoint->mode)->repeated;
+    size_t size = strlen(text);
+    size_t used;
+
+    for (used = 0; used + size <= sizeof block; used += size) {
+        memcpy(block + used, text, size);
+    }
+    if (self->stream.is_closing ||
+        self->endpoint->endless_bytes >= STAGE_ENDLESS_BYTES) {
+        uv_timer_stop(timer);
+    }
+    else if (io_write_queue_size(&self->stream) < sizeof block) {
+        io_write(&self->stream, block, used);
+        self->endpoint->endless_bytes += used;
+    }
+}
+
+static void
+start_endless(endpoint_connection *self)
+{
+    const endless_text *text = find_endless_text(self->endpoint->mode);
+
+    self->is_busy = true;
+    if (text->status != NULL) {
+        send_head(self, text->id != NULL ? text->id : self->id, text->status,
+                  text->headers);
+    }
+    send_text(self, text->first);
+    uv_timer_start(&self->timer, send_endlessly, 1, 1);
+}
+
 static void
 respond(endpoint_connection *self, const http_head *head)
 {
@@ -233,6 +304,17 @@
         self->is_busy = true;
         uv_timer_start(&self->timer, respond_late, STAGE_PAUSE_MS, 0);
         break;
+    case STAGE_ENDLESS_HEAD:
+    case STAGE_ENDLESS_INTERIM:
+    case STAGE_ENDLESS_STRAY:
+    case STAGE_ENDLESS_STRAYS:
+    case STAGE_ENDLESS_EVENT:
+    case STAGE_ENDLESS_BODY:
+    case STAGE_ENDLESS_FAILURE:
+    case STAGE_ENDLESS_CHUNK:
+    case STAGE_ENDLESS_TRAILER:
+        start_endless(self);
+        break;
     case STAGE_STREAM:
     case STAGE_STREAM_LATE:
     case STAGE_STREAM_TRUNCATED:
--- a/tests/gateway/stage.h
+++ b/tests/gateway/stage.h
@@ -44,9 +44,23 @@
     STAGE_CLOSE_DELIMITED_RESET,  /* the same, reset within the body */
     STAGE_EXTRA_RESPONSE,         /* the response, then an unsolicited one */
     STAGE_STRAY_RESPONSE_FIRST, /* another attempt's response, then its own */
-    STAGE_GARBAGE               /* bytes that are not HTTP */
+    STAGE_GARBAGE,              /* bytes that are not HTTP */
+
+    /* Bytes without end, until the gateway closes. */
+    STAGE_ENDLESS_HEAD,
+    STAGE_ENDLESS_INTERIM, /* 1xx responses */
+    STAGE_ENDLESS_STRAY,   /* the body of another attempt's response */
+    STAGE_ENDLESS_STRAYS,  /* responses to another attempt */
+    STAGE_ENDLESS_EVENT,   /* one event of a stream */
+    STAGE_ENDLESS_BODY,    /* in chunks */
+    STAGE_ENDLESS_FAILURE, /* the body of a 500 */
+    STAGE_ENDLESS_CHUNK,   /* an extension of a chunk's size */
+    STAGE_ENDLESS_TRAILER
 } stage_mode;
 
+/* Endless modes stop at this many bytes. */
+#define STAGE_ENDLESS_BYTES ((size_t)64 * 1024 * 1024)
+
 typedef struct stage_endpoint {
     uv_tcp_t listener;
     uv_tcp_t refusal; /* holds the port after stage_refuse_connections */
@@ -55,6 +69,7 @@
     stage_mode mode;
     const char *more_headers; /* of all its responses, each with CRLF; or NULL
                                */
+    size_t endless_bytes;     /* sent in an endless mode */
     const char *crashes_on;   /* text in a request's prompt blocks that it
                                  crashes on; or NULL */
     bool has_crashed;
