Bound the size of an event that is held back

Only new bytes are searched, and an event of over 1 MiB ends the attempt: it counts against the endpoint and is tried elsewhere where the route allows it.

Test: gateway-test-endless, case event; it failed before (no answer).

--- a/packages/gateway/source/gate-attempt.c
+++ b/packages/gateway/source/gate-attempt.c
@@ -13,32 +13,6 @@
 
 static const back_exchange_ops exchange_ops;
 
-static void
-write_request_message(const gate_request *request, buf_buffer *to)
-{
-    const gate_server *gate = request->gate;
-    const http_head *head = request->connection->head;
-    const buf_buffer *body = &request->connection->body;
-    wire_forward forward = {
-        .endpoint =
-            eng_at(&gate->endpoints, request->decision.endpoint)->spec.name,
-        .account = request->account != NULL ? request->account->name : NULL,
-        .last_event_id =
-            request->last_event_id[0] != '\0' ? request->last_event_id : NULL,
-        .timeout = lv_elapsed(request->answer_deadline, io_now())};
-
-    buf_append_text(to, head->method);
-    buf_append_text(to, " ");
-    buf_append_text(to, head->target);
-    buf_append_text(to, " HTTP/1.1\r\n");
-    gate->wire->write_request(to, head, &forward);
-    if (head->framing != HTTP_NO_BODY) {
-        buf_append_format(to, "Content-Length: %zu\r\n", body->size);
-    }
-    buf_append_text(to, "\r\n");
-    buf_append(to, body->data, body->size);
-}
-
 static void
 report_prompt_block(const gate_request *request)
 {
@@ -96,7 +70,7 @@
 
     prepare_exchange(request, &attempt->exchange);
     buf_init(&message);
-    write_request_message(request, &message);
+    gate_write_request(request, &message);
     buf_clear(&attempt->headers);
     buf_clear(&attempt->body);
     buf_clear(&attempt->partial_event);
@@ -263,58 +237,6 @@
     }
 }
 
-static void
-forward_stream_data(gate_attempt *attempt, const char *data, size_t size)
-{
-    gate_request *request = attempt->request;
-
-    gate_note_stream_data(attempt, data, size);
-    if (request->route->is_resumable) {
-        if (!gate_forward_events(attempt, data, size)) {
-            request->ops->fail(request, 502, "no-memory");
-            return;
-        }
-    }
-    else {
-        gate_begin_answer(attempt);
-        front_send_body(request->connection, data, size);
-    }
-    if (request->state == GATE_RUNNING &&
-        io_write_queue_size(&request->connection->stream) > MAX_UNREAD_BYTES) {
-        request->is_paused = true;
-        back_pause_exchange(&attempt->exchange);
-    }
-}
-
-static void
-on_body(back_exchange *exchange, const char *data, size_t size)
-{
-    gate_attempt *attempt = (gate_attempt *)exchange;
-    gate_request *request = attempt->request;
-
-    if (attempt->is_answer_dropped) {
-        return;
-    }
-    attempt->last_data_at = io_now();
-    attempt->is_silence_recorded = false;
-    record_first_output(attempt);
-    if (request->is_stream && is_success(attempt)) {
-        forward_stream_data(attempt, data, size);
-        return;
-    }
-    if (request->has_answer_begun) {
-        front_send_body(request->connection, data, size);
-        return;
-    }
-    buf_append(&attempt->body, data, size);
-    if (attempt->body.size > MAX_BUFFERED_ANSWER) {
-        gate_begin_answer(attempt);
-        front_send_body(request->connection, attempt->body.data,
-                        attempt->body.size);
-        buf_clear(&attempt->body);
-    }
-}
-
 /* Ends the answer to the caller. An answer that ends with its connection may
  * have been cut, so it must not be framed as if it were complete. */
 void
@@ -446,6 +368,78 @@
     }
 }
 
+/* The endpoint is closed to the attempt, which is tried elsewhere if it may
+ * be.
+ */
+static void
+end_endless_attempt(gate_attempt *attempt, const char *reason)
+{
+    back_cancel_exchange(&attempt->exchange);
+    gate_log_cut(attempt, reason);
+    end_attempt(attempt);
+    if (attempt->is_set_aside) {
+        drop_set_aside(attempt, BACK_TRUNCATED);
+        return;
+    }
+    count_run(attempt);
+    record_outcome(attempt, false, false);
+    retry_elsewhere(attempt->request, reason);
+}
+
+static void
+forward_stream_data(gate_attempt *attempt, const char *data, size_t size)
+{
+    gate_request *request = attempt->request;
+
+    gate_note_stream_data(attempt, data, size);
+    if (request->route->is_resumable) {
+        const char *reason = gate_forward_events(attempt, data, size);
+
+        if (reason != NULL) {
+            end_endless_attempt(attempt, reason);
+            return;
+        }
+    }
+    else {
+        gate_begin_answer(attempt);
+        front_send_body(request->connection, data, size);
+    }
+    if (request->state == GATE_RUNNING &&
+        io_write_queue_size(&request->connection->stream) > MAX_UNREAD_BYTES) {
+        request->is_paused = true;
+        back_pause_exchange(&attempt->exchange);
+    }
+}
+
+static void
+on_body(back_exchange *exchange, const char *data, size_t size)
+{
+    gate_attempt *attempt = (gate_attempt *)exchange;
+    gate_request *request = attempt->request;
+
+    if (attempt->is_answer_dropped) {
+        return;
+    }
+    attempt->last_data_at = io_now();
+    attempt->is_silence_recorded = false;
+    record_first_output(attempt);
+    if (request->is_stream && is_success(attempt)) {
+        forward_stream_data(attempt, data, size);
+        return;
+    }
+    if (request->has_answer_begun) {
+        front_send_body(request->connection, data, size);
+        return;
+    }
+    buf_append(&attempt->body, data, size);
+    if (attempt->body.size > MAX_BUFFERED_ANSWER) {
+        gate_begin_answer(attempt);
+        front_send_body(request->connection, attempt->body.data,
+                        attempt->body.size);
+        buf_clear(&attempt->body);
+    }
+}
+
 static void
 on_end(back_exchange *exchange, back_outcome outcome, const char *reason)
 {
--- a/packages/gateway/source/gate-imp.h
+++ b/packages/gateway/source/gate-imp.h
@@ -187,6 +187,10 @@
  * datagrams that wait in its socket first, since grants are among them. */
 void gate_record_tick(gate_server *gate, lv_time now);
 
+/* gate-message.c: writes the message that the endpoint of the decision gets.
+ */
+void gate_write_request(const gate_request *request, buf_buffer *to);
+
 /* gate-attempt.c: one attempt at an endpoint */
 
 /* Returns false when nothing was sent. */
@@ -316,9 +320,10 @@
 /* gate-stream.c: resumable event streams */
 
 /* Forwards the events that are whole and buffers the rest. Of two attempts the
- * one that has the first whole event is chosen. Returns false when out of
- * memory. */
-bool gate_forward_events(gate_attempt *attempt, const char *data, size_t size);
+ * one that has the first whole event is chosen. Returns NULL, or why the
+ * attempt cannot go on. */
+const char *gate_forward_events(gate_attempt *attempt, const char *data,
+                                size_t size);
 
 /* Notes the data of a stream for gate_ends_in_event. */
 void gate_note_stream_data(gate_attempt *attempt, const char *data,
--- /dev/null
+++ b/packages/gateway/source/gate-message.c
@@ -0,0 +1,27 @@
+#include "gate-imp.h"
+
+void
+gate_write_request(const gate_request *request, buf_buffer *to)
+{
+    const gate_server *gate = request->gate;
+    const http_head *head = request->connection->head;
+    const buf_buffer *body = &request->connection->body;
+    wire_forward forward = {
+        .endpoint =
+            eng_at(&gate->endpoints, request->decision.endpoint)->spec.name,
+        .account = request->account != NULL ? request->account->name : NULL,
+        .last_event_id =
+            request->last_event_id[0] != '\0' ? request->last_event_id : NULL,
+        .timeout = lv_elapsed(request->answer_deadline, io_now())};
+
+    buf_append_text(to, head->method);
+    buf_append_text(to, " ");
+    buf_append_text(to, head->target);
+    buf_append_text(to, " HTTP/1.1\r\n");
+    gate->wire->write_request(to, head, &forward);
+    if (head->framing != HTTP_NO_BODY) {
+        buf_append_format(to, "Content-Length: %zu\r\n", body->size);
+    }
+    buf_append_text(to, "\r\n");
+    buf_append(to, body->data, body->size);
+}
--- a/packages/gateway/source/gate-stream.c
+++ b/packages/gateway/source/gate-stream.c
@@ -2,6 +2,10 @@
 
 #include "gate-imp.h"
 
+/* An event of a resumable stream that is larger is taken for one without end.
+ */
+#define MAX_EVENT_BYTES ((size_t)1024 * 1024)
+
 /* Does the text end with an empty line, which ends an event? */
 static bool
 ends_with_empty_line(const char *text, size_t size)
@@ -11,13 +15,14 @@
             (size >= 4 && memcmp(text + size - 4, "\r\n\r\n", 4) == 0));
 }
 
-/* Returns the size of the whole events at the front of a text. */
+/* Returns the size of the whole events at the front of a text, of which the
+ * first `searched` bytes hold none. */
 static size_t
-whole_events_size(const char *text, size_t size)
+whole_events_size(const char *text, size_t size, size_t searched)
 {
     size_t i;
 
-    for (i = size; i >= 2; i--) {
+    for (i = size; i > searched; i--) {
         if (ends_with_empty_line(text, i)) {
             return i;
         }
@@ -89,23 +94,24 @@
 
 /* The caller gets whole events only, since another endpoint may have to resume
  * the stream after the last one. */
-bool
+const char *
 gate_forward_events(gate_attempt *attempt, const char *data, size_t size)
 {
     gate_request *request = attempt->request;
     buf_buffer *partial = &attempt->partial_event;
+    size_t searched = partial->size;
     size_t whole;
 
     buf_append(partial, data, size);
     if (partial->has_failed) {
-        return false;
+        return "no-memory";
     }
-    whole = whole_events_size(partial->data, partial->size);
+    whole = whole_events_size(partial->data, partial->size, searched);
     if (whole > 0) {
         gate_begin_answer(attempt);
         save_last_event_id(request, partial->data, whole);
         front_send_body(request->connection, partial->data, whole);
         buf_consume(partial, whole);
     }
-    return true;
+    return partial->size > MAX_EVENT_BYTES ? "endless-event" : NULL;
 }
--- a/tests/gateway/test-endless.c
+++ b/tests/gateway/test-endless.c
@@ -69,6 +69,7 @@
         {"interim responses", "/once/1", STAGE_ENDLESS_INTERIM},
         {"another response", "/once/1", STAGE_ENDLESS_STRAY},
         {"other responses", "/once/1", STAGE_ENDLESS_STRAYS},
+        {"event", "/resume/1", STAGE_ENDLESS_EVENT},
         {"chunk extension", "/once/1", STAGE_ENDLESS_CHUNK},
         {"trailer", "/once/1", STAGE_ENDLESS_TRAILER},
     };
