Pause an endpoint whose answer the caller does not read, in every answer

Of an answer that is no stream, what comes after the first MiB was written to the caller's connection without regard to how much it left unread: 65 MB for a body without end and a caller that does not read, also for the body of a 500 (gateway-test-endless, two of three cases failed). Streams had the bound.

--- a/packages/gateway/source/gate-attempt.c
+++ b/packages/gateway/source/gate-attempt.c
@@ -386,6 +386,18 @@
     retry_elsewhere(attempt->request, reason);
 }
 
+static void
+pause_for_caller(gate_attempt *attempt)
+{
+    gate_request *request = attempt->request;
+
+    if (request->state == GATE_RUNNING &&
+        io_write_queue_size(&request->connection->stream) > MAX_UNREAD_BYTES) {
+        request->is_paused = true;
+        back_pause_exchange(&attempt->exchange);
+    }
+}
+
 static void
 forward_stream_data(gate_attempt *attempt, const char *data, size_t size)
 {
@@ -404,11 +416,7 @@
         gate_begin_answer(attempt);
         front_send_body(request->connection, data, size);
     }
-    if (request->state == GATE_RUNNING &&
-        io_write_queue_size(&request->connection->stream) > MAX_UNREAD_BYTES) {
-        request->is_paused = true;
-        back_pause_exchange(&attempt->exchange);
-    }
+    pause_for_caller(attempt);
 }
 
 static void
@@ -429,6 +437,7 @@
     }
     if (request->has_answer_begun) {
         front_send_body(request->connection, data, size);
+        pause_for_caller(attempt);
         return;
     }
     buf_append(&attempt->body, data, size);
--- a/tests/gateway/test-endless.c
+++ b/tests/gateway/test-endless.c
@@ -92,3 +92,29 @@
         stage_stop(&stage);
     }
 }
+
+/* An answer that has begun goes on until the route's time-out, at the pace of
+ * its caller. */
+Test(endless, body_waits_for_its_caller, .timeout = 120)
+{
+    static const struct {
+        const char *path;
+        stage_mode mode;
+    } cases[] = {
+        {"/once/1", STAGE_ENDLESS_BODY},
+        {"/stream/1", STAGE_ENDLESS_BODY},
+        {"/once/1", STAGE_ENDLESS_FAILURE},
+    };
+
+    for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+        stage_client client;
+        size_t kept;
+
+        stage_start(&stage, 1);
+        stage.endpoints[0].mode = cases[i].mode;
+        kept = exchange(cases[i].path, false, &client);
+        cr_expect_leq(kept, MAX_KEPT, "case %zu: %zu bytes kept", i, kept);
+        stage_finish_client(&stage, &client);
+        stage_stop(&stage);
+    }
+}
