Name no endpoint in the log of a request that was refused undecided

It had started again, followed a quarantine that its peers claimed, and refused a request before its list of endpoints was there: the line of the end looked up the endpoint of the decision, which is row 0 until one is made.

A request has no endpoint and no share until it is decided and counted.

--- a/packages/gateway/source/gate-request.c
+++ b/packages/gateway/source/gate-request.c
@@ -170,6 +170,8 @@
         request->attempts[i].request = request;
     }
     request->attempt = &request->attempts[0];
+    request->share_row = LV_HANDLE_NONE;
+    request->decision.endpoint = LV_HANDLE_NONE;
     request->connection = connection;
     request->config = rt_ref(gate->config);
     request->route = route;
--- a/tests/gateway/test-quarantine.c
+++ b/tests/gateway/test-quarantine.c
@@ -209,3 +209,34 @@
     cr_expect_eq(send_one("/resume/1", SOUND, &answer), 200);
     stage_stop(&stage);
 }
+
+static bool
+has_config(stage_fixture *self, void *context)
+{
+    (void)context;
+    return self->gate.config != NULL;
+}
+
+/* Guards against a refusal before any endpoint is known, which ended the
+ * process: its log line looked the endpoint of no decision up. */
+Test(quarantine, refusal_without_endpoints)
+{
+    static const qtn_report claim = {.kind = QTN_CLAIMED,
+                                     .block = 0xdead,
+                                     .group = 0xdead,
+                                     .is_for_all_accounts = true};
+    log_settings settings = {.level = LOG_LEVEL_INFO, .file = "/dev/null"};
+    stage_response answer;
+
+    cr_assert(log_open(&settings, NULL));
+    stage_prepare(&stage, 1);
+    stage.is_list_withheld = true;
+    stage_start_gateway(&stage);
+    cr_assert(stage_run_until(&stage, has_config, NULL, 5000));
+    qtn_apply_report(&stage.gate.quarantine, &claim, 1, io_now());
+    qtn_apply_report(&stage.gate.quarantine, &claim, 2, io_now());
+    cr_expect_eq(send_one("/stream/1", DEADLY, &answer), 503);
+    cr_expect_not_null(strstr(answer.body, "quarantined"));
+    stage_stop(&stage);
+    log_close();
+}
