Find the block that causes a storm of crashes

Reports were also repeated every 40 ms for 4 s: 11 to 34 KB/s of datagrams from each gateway.

A block that was in 6 crashes of causes of their own is taken for the cause once 120 answers on others have begun since its first one, and reports are repeated after pauses that double, from 20 ms on; a new fact is sent at once.

--- a/packages/core/include/lavender/quarantine.h
+++ b/packages/core/include/lavender/quarantine.h
@@ -115,6 +115,8 @@
     qtn_report report; /* without its age */
     lv_time at;
     lv_time until; /* 0: unused */
+    lv_time due_at;
+    uint32_t sends;
 } qtn_own_report;
 
 typedef struct qtn_table qtn_table;
@@ -182,8 +184,12 @@
 void qtn_apply_report(qtn_table *table, const qtn_report *report,
                       uint64_t reporter, lv_time now);
 
-/* Writes up to `max` reports for the other instances and returns their
- * number. Successive calls write different ones if there are more. */
+/* Returns whether a report for the other instances is due. */
+bool qtn_has_reports(const qtn_table *table, lv_time now);
+
+/* Writes up to `max` reports for the other instances, which count as sent, and
+ * returns their number. Successive calls write different ones if there are
+ * more. */
 uint32_t qtn_collect_reports(qtn_table *table, lv_time now,
                              qtn_report *reports, uint32_t max);
 
--- a/packages/core/source/quarantine-decide.c
+++ b/packages/core/source/quarantine-decide.c
@@ -14,6 +14,12 @@
  * most this. */
 #define MAX_CHANCE 0.0003
 
+/* In a storm of crashes most requests die, and chance excuses every block. One
+ * that was in this many, of causes of their own, is taken for the cause once
+ * so many answers on others have begun here. */
+#define STORM_CAUSES 6
+#define STORM_ANSWERS 120
+
 /* How long a request may be cut off by a crash before its answer has begun,
  * for an estimate. */
 #define EXPOSED_TIME (500 * LV_MILLISECOND)
@@ -229,6 +235,14 @@
     return chance > MAX_CHANCE;
 }
 
+static bool
+is_cause_of_storm(const qtn_table *table, const qtn_suspect *suspect,
+                  uint32_t causes)
+{
+    return causes >= STORM_CAUSES &&
+           table->answer_count - suspect->answers >= STORM_ANSWERS;
+}
+
 /* Returns the suspect of most of the settled crashes that nothing explains;
  * NULL if it is none of enough. */
 static const qtn_suspect *
@@ -250,8 +264,9 @@
         }
         causes = count_causes(table, suspect->crashes & crashes);
         if (causes > most &&
-            !is_chance(table, suspect, suspect->crashes & crashes, explained,
-                       now)) {
+            (is_cause_of_storm(table, suspect, causes) ||
+             !is_chance(table, suspect, suspect->crashes & crashes, explained,
+                        now))) {
             most = causes;
             culprit = suspect;
         }
--- a/packages/core/source/quarantine.c
+++ b/packages/core/source/quarantine.c
@@ -8,8 +8,9 @@
  * has restarted under its id. */
 #define SAME_CRASH_TIME (2 * LV_SECOND)
 
-/* Own reports are repeated for this long. */
+/* Own reports are repeated for this long, after pauses that double. */
 #define REPORT_TIME (4 * LV_SECOND)
+#define FIRST_REPORT_PAUSE (20 * LV_MILLISECOND)
 
 void
 qtn_init(qtn_table *table, const qtn_ops *ops, void *owner)
@@ -165,6 +166,10 @@
         own = &table->reports[table->next_report];
         table->next_report = (table->next_report + 1) % QTN_REPORTS_MAX;
     }
+    if (own->until <= now || at > own->at) {
+        own->due_at = now;
+        own->sends = 0;
+    }
     own->report = *report;
     own->at = at;
     own->until = now + REPORT_TIME;
@@ -459,6 +464,25 @@
     return count;
 }
 
+static bool
+is_due(const qtn_own_report *own, lv_time now)
+{
+    return own->until > now && own->due_at <= now;
+}
+
+bool
+qtn_has_reports(const qtn_table *table, lv_time now)
+{
+    uint32_t i;
+
+    for (i = 0; i < QTN_REPORTS_MAX; i++) {
+        if (is_due(&table->reports[i], now)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Writes the own reports that are clearances, or that are not. */
 static uint32_t
 collect_own(qtn_table *table, bool is_clearance, lv_time now,
@@ -468,11 +492,12 @@
     uint32_t i;
 
     for (i = 0; i < QTN_REPORTS_MAX && count < max; i++) {
-        const qtn_own_report *own =
+        qtn_own_report *own =
             &table->reports[(table->next_to_send + i) % QTN_REPORTS_MAX];
 
-        if (own->until > now &&
+        if (is_due(own, now) &&
             (own->report.kind == QTN_CLEARED) == is_clearance) {
+            own->due_at = now + (FIRST_REPORT_PAUSE << own->sends++);
             reports[count] = own->report;
             reports[count++].age = lv_elapsed(now, own->at);
         }
--- a/packages/gateway/source/peers-quarantine.c
+++ b/packages/gateway/source/peers-quarantine.c
@@ -74,8 +74,6 @@
 bool
 peers_has_reports(const peers_state *peers, lv_time now)
 {
-    qtn_report report;
-
     return peers->quarantine != NULL &&
-           qtn_collect_reports(peers->quarantine, now, &report, 1) > 0;
+           qtn_has_reports(peers->quarantine, now);
 }
