Teach the soak's endpoints to crash under a block and to name a limit

Two more faults that overlap with the others: an endpoint names a limit of 1 to 40 requests a second, and a block of prompts crashes the endpoint that begins an answer on it, which is another one at its address after 1 to 2 s.

--- a/tests/soak/soak-caller.c
+++ b/tests/soak/soak-caller.c
@@ -178,6 +178,7 @@
     if (call.kind == SOAK_PROBE) {
         call.version = world->version - soak_draw(world, 2);
     }
+    block_draw(world, &call);
     if (self->status == 0 && self->idle_since != 0) {
         call.idle = lv_elapsed(now, self->idle_since);
     }
--- a/tests/soak/soak-endpoint.c
+++ b/tests/soak/soak-endpoint.c
@@ -52,6 +52,7 @@
                       "Lavenderproxy-Runner-Seal: seal-%u\r\n%s",
                       call, call, more);
     notice_write(endpoint, call, to);
+    limit_write(endpoint, call, to);
 }
 
 static void
@@ -109,6 +110,8 @@
         return;
     }
     notice_judge(endpoint, call);
+    limit_judge(endpoint, call);
+    block_judge(endpoint, call);
     if (mood != ENDPOINT_GOOD) {
         world->calls[call].is_treated_badly = true;
     }
@@ -253,6 +256,18 @@
            work->began_at < endpoint->silent_until;
 }
 
+/* The endpoint crashes where it would begin the answer. */
+static void
+crash(soak_endpoint *endpoint)
+{
+    endpoint_work *work;
+
+    for (work = endpoint->works; work != NULL; work = work->next) {
+        endpoint->world->calls[work->call].is_treated_badly = true;
+    }
+    block_crash(endpoint);
+}
+
 /* False: there is more to do. */
 static bool
 do_work(endpoint_work *work, lv_time now)
@@ -269,6 +284,11 @@
         work->endpoint->world->plant == SOAK_PLANT_KEPT) {
         return false;
     }
+    if (block_is_deadly(work->endpoint->world, work->call)) {
+        crash(work->endpoint);
+        front_abort_response(work->connection);
+        return true;
+    }
     if (work->mood == ENDPOINT_FAILS) {
         send_whole(work, 500);
         return true;
@@ -299,6 +319,7 @@
         judge_working(endpoint->world, work->call, endpoint, now);
         at = &work->next;
     }
+    block_tick(endpoint, now);
     link_tick(&endpoint->link, now);
     front_tick(&endpoint->server, now);
 }
--- a/tests/soak/soak-fault.c
+++ b/tests/soak/soak-fault.c
@@ -11,6 +11,14 @@
 #define WORD_LEAST (3 * LV_SECOND)
 #define WORD_MOST (5 * LV_SECOND)
 
+/* A limit and a deadly block last beyond their bounds. */
+#define LONG_LEAST (8 * LV_SECOND)
+#define LONG_MOST (12 * LV_SECOND)
+
+/* Requests a second, in units of the least. */
+#define LIMIT_LEAST 1
+#define LIMIT_MOST 40
+
 /* Between two steps of a series. */
 #define STEP_LEAST (20 * LV_MILLISECOND)
 #define STEP_MOST (400 * LV_MILLISECOND)
@@ -31,13 +39,15 @@
     FAULT_SILENCE,
     FAULT_SERIES, /* at one gateway */
     FAULT_WORD,   /* an endpoint leaves by its own word */
+    FAULT_LIMIT,  /* an endpoint names a limit */
+    FAULT_BLOCK,  /* a block of prompts crashes endpoints */
     FAULT_KINDS
 } fault_kind;
 
 static const char *const names[FAULT_KINDS] = {
-    "none",   "pause",      "kill",          "herd-kill", "terminate",
-    "reload", "store-link", "endpoint-link", "mood",      "leave",
-    "store",  "version",    "silence",       "series",    "word"};
+    "none",       "pause",         "kill", "herd-kill", "terminate", "reload",
+    "store-link", "endpoint-link", "mood", "leave",     "store",     "version",
+    "silence",    "series",        "word", "limit",     "block"};
 
 static link_fault
 draw_link_fault(soak_world *world)
@@ -217,6 +227,14 @@
     case FAULT_WORD:
         notice_set_leaving(endpoint, true);
         break;
+    case FAULT_LIMIT:
+        limit_set(endpoint,
+                  (double)soak_draw_time(world, LIMIT_LEAST, LIMIT_MOST) /
+                      LIMIT_LEAST);
+        break;
+    case FAULT_BLOCK:
+        block_set_deadly(world, true);
+        break;
     default:
         if (daemon != NULL) {
             begin_on_daemon(world, fault->kind, daemon);
@@ -257,6 +275,12 @@
             set_listed(endpoint, true); /* another one at its address */
         }
         break;
+    case FAULT_LIMIT:
+        limit_set(endpoint, 0);
+        break;
+    case FAULT_BLOCK:
+        block_set_deadly(world, false);
+        break;
     case FAULT_STORE:
         store_set(world, STORE_GOOD);
         break;
@@ -274,12 +298,13 @@
         const soak_fault *fault = &world->faults[i];
         bool is_endpoint = kind == FAULT_ENDPOINT_LINK || kind == FAULT_MOOD ||
                            kind == FAULT_LEAVE || kind == FAULT_SILENCE ||
-                           kind == FAULT_WORD;
+                           kind == FAULT_WORD || kind == FAULT_LIMIT;
         bool is_same = is_endpoint ? fault->target % SOAK_ENDPOINTS ==
                                          target % SOAK_ENDPOINTS
                                    : fault->target == target;
 
-        if (fault->kind == kind && (is_same || kind == FAULT_STORE)) {
+        if (fault->kind == kind &&
+            (is_same || kind == FAULT_STORE || kind == FAULT_BLOCK)) {
             return true;
         }
     }
@@ -309,6 +334,9 @@
     uint32_t target = soak_draw(world, world->daemon_count);
     lv_time until = now + soak_draw_time(world, LENGTH_LEAST, LENGTH_MOST);
 
+    if (kind == FAULT_LIMIT || kind == FAULT_BLOCK) {
+        until = now + soak_draw_time(world, LONG_LEAST, LONG_MOST);
+    }
     if (kind == FAULT_WORD) {
         until = now + soak_draw_time(world, WORD_LEAST, WORD_MOST);
         if (soak_draw(world, 3) != 0) {
@@ -363,6 +391,14 @@
             world->endpoints[i].mood = ENDPOINT_OVERLOADED;
         }
         break;
+    case SOAK_PLANT_LIMIT:
+        for (uint32_t i = 0; i < SOAK_ENDPOINTS; i++) {
+            limit_set(&world->endpoints[i], LIMIT_LEAST);
+        }
+        break;
+    case SOAK_PLANT_BLOCK:
+        block_set_deadly(world, true);
+        break;
     case SOAK_PLANT_BUDGET:
         for (uint32_t i = 0; i < SOAK_ENDPOINTS; i++) {
             world->endpoints[i].mood = ENDPOINT_FAILS;
--- a/tests/soak/soak-judge.c
+++ b/tests/soak/soak-judge.c
@@ -34,7 +34,9 @@
     [SOAK_PLANT_CLOSE] =
         "neither an answer nor a refusal from router-0 (paused",
     [SOAK_PLANT_WORD] = "which leaves by its word",
-    [SOAK_PLANT_AGAIN] = "in its back-off"};
+    [SOAK_PLANT_AGAIN] = "in its back-off",
+    [SOAK_PLANT_LIMIT] = "under its limit",
+    [SOAK_PLANT_BLOCK] = "with the block that crashed"};
 
 void
 judge_fault(soak_world *world, const char *format, ...)
@@ -246,6 +248,7 @@
     world->answers++;
     if (status == 200 || status == 500) {
         notice_passed_on(world, number);
+        limit_passed_on(world, number);
     }
     if (status == 200 && !is_right) {
         judge_fault(world, "c%u: not its answer, or not the whole", number);
--- a/tests/soak/soak-request.c
+++ b/tests/soak/soak-request.c
@@ -19,9 +19,10 @@
     buf_append_format(to,
                       "POST /%s/x HTTP/1.1\r\nHost: h\r\n"
                       "Lavenderproxy-Attempt-Id: c%u\r\n"
-                      "Lavenderproxy-Deadline-Ms: 5000\r\n"
-                      "Api-Key: k1\r\nContent-Length: 5\r\n\r\nhello",
+                      "Lavenderproxy-Deadline-Ms: 5000\r\n",
                       prefix, number);
+    block_write(world, number, to);
+    buf_append_text(to, "Api-Key: k1\r\nContent-Length: 5\r\n\r\nhello");
 }
 
 soak_kind
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -74,6 +74,8 @@
     SOAK_PLANT_CLOSE,  /* connections to a paused gateway are closed */
     SOAK_PLANT_WORD,   /* an endpoint that leaves does not say so */
     SOAK_PLANT_AGAIN,  /* a 503 does not say when to come again */
+    SOAK_PLANT_LIMIT,  /* an endpoint does not name its limit */
+    SOAK_PLANT_BLOCK,  /* requests do not name the block that is deadly */
     SOAK_PLANT_COUNT
 } soak_plant;
 
@@ -91,6 +93,8 @@
     uint32_t ran_at;     /* endpoints, a bit for each */
     uint32_t noticed_by; /* 1 + the endpoint that answered, and leaves */
     uint32_t noticed_births;
+    uint32_t limited_by;   /* 1 + the endpoint that named a limit */
+    uint64_t deadly;       /* block that it has; 0: none */
     bool is_treated_badly; /* by an endpoint */
     bool has_arrived;      /* all of it, on a connection not yet closed */
     bool is_refused;       /* said not to have run */
@@ -182,6 +186,21 @@
     lv_time until;
 } soak_backoff;
 
+#define SOAK_ARRIVALS 1024
+
+/* What an endpoint named as its limit, and who was told. */
+typedef struct soak_limit {
+    double per_second; /* 0: none */
+    lv_time named_at;
+    struct {
+        uint32_t life;
+        lv_time at; /* 0: not told */
+    } told[SOAK_DAEMONS_MAX];
+    lv_time arrivals[SOAK_ARRIVALS]; /* of gateways that were told */
+    uint32_t next_arrival;
+    bool is_exceeded;
+} soak_limit;
+
 typedef struct endpoint_work endpoint_work;
 
 typedef struct soak_endpoint {
@@ -200,6 +219,8 @@
         lv_time at; /* an answer that says so was passed on; 0: none */
     } told[SOAK_DAEMONS_MAX];
     soak_backoff backoffs[SOAK_DAEMONS_MAX][SOAK_BACKOFFS];
+    soak_limit limit;
+    lv_time up_at; /* it has crashed; 0: has not */
     endpoint_work *works;
 } soak_endpoint;
 
@@ -220,6 +241,35 @@
 /* A request has reached an endpoint. */
 void notice_judge(soak_endpoint *endpoint, uint32_t call);
 
+/* ---- soak-limit.c: endpoints that name a limit ---- */
+
+void limit_set(soak_endpoint *endpoint, double limit);
+void limit_write(const soak_endpoint *endpoint, uint32_t call, buf_buffer *to);
+
+/* A caller got an endpoint's answer; a request has reached one. */
+void limit_passed_on(soak_world *world, uint32_t call);
+void limit_judge(soak_endpoint *endpoint, uint32_t call);
+
+/* ---- soak-block.c: a prompt block that crashes endpoints ---- */
+
+typedef struct soak_block {
+    uint64_t id; /* of the current or last one */
+    bool is_deadly;
+    uint32_t crashes;
+    lv_time last_crash_at; /* that the bound counts from */
+    lv_time bound_at;
+    uint32_t late; /* requests after the bound */
+} soak_block;
+
+/* Begins with a new block, or ends. */
+void block_set_deadly(soak_world *world, bool is_deadly);
+void block_draw(soak_world *world, soak_call *call);
+void block_write(const soak_world *world, uint32_t call, buf_buffer *to);
+bool block_is_deadly(const soak_world *world, uint32_t call);
+void block_crash(soak_endpoint *endpoint);
+void block_tick(soak_endpoint *endpoint, lv_time now);
+void block_judge(soak_endpoint *endpoint, uint32_t call);
+
 /* ---- soak-daemon.c: the gateways ---- */
 
 typedef enum daemon_state {
@@ -345,6 +395,7 @@
     uint32_t version;   /* newest configuration, shown or not */
     lv_time idle_limit; /* in it */
     lv_time version_at[SOAK_VERSIONS_MAX];
+    soak_block block;
     soak_caller *callers;
     uint32_t caller_count;
     soak_fault faults[SOAK_FAULTS_MAX];
