Split the quarantine and the endless endpoints of the fixture by subject

What instances claim, what they report and which requests are refused have files of their own now; nothing else changes (core- and gateway-test-quarantine, -endless and -answers pass).

--- a/packages/core/source/quarantine-decide.c
+++ b/packages/core/source/quarantine-decide.c
@@ -27,9 +27,6 @@
 /* Rates are taken over this time at least. */
 #define MIN_RATE_TIME LV_SECOND
 
-/* A claim of another instance counts for this long. */
-#define CLAIM_TIME (10 * LV_SECOND)
-
 /* A block that was present in this part of the crashes of another one is
  * quarantined jointly with it. */
 #define JOINT_PERCENT 75
@@ -47,8 +44,8 @@
     return (uint32_t)__builtin_popcountll(set);
 }
 
-static lv_time
-trial_interval(uint32_t trials)
+lv_time
+qtn_trial_interval(uint32_t trials)
 {
     return QTN_FIRST_TRIAL << (trials < MAX_TRIAL_DOUBLINGS
                                    ? trials
@@ -61,7 +58,7 @@
     suspect->is_quarantined = true;
     suspect->group = group;
     suspect->quarantined_at = now;
-    suspect->trial_at = now + trial_interval(suspect->trials);
+    suspect->trial_at = now + qtn_trial_interval(suspect->trials);
     table->quarantined_count++;
     table->counts.quarantined++;
     table->ops->on_change(table, suspect, "begun");
@@ -108,12 +105,6 @@
            table->answer_count - suspect->answers >= MIN_OTHER_ANSWERS;
 }
 
-static bool
-is_needed(const qtn_suspect *suspect)
-{
-    return suspect->is_quarantined && !suspect->is_explained;
-}
-
 /* Returns the crashes that all needed blocks of a group were present in. */
 static uint64_t
 group_crashes(const qtn_table *table, uint64_t group)
@@ -124,7 +115,7 @@
     for (i = 0; i < QTN_SUSPECTS_MAX; i++) {
         const qtn_suspect *suspect = &table->suspects[i];
 
-        if (is_needed(suspect) && suspect->group == group) {
+        if (qtn_is_needed(suspect) && suspect->group == group) {
             crashes &= suspect->crashes;
         }
     }
@@ -139,7 +130,7 @@
     uint32_t i;
 
     for (i = 0; table->quarantined_count > 0 && i < QTN_SUSPECTS_MAX; i++) {
-        if (is_needed(&table->suspects[i])) {
+        if (qtn_is_needed(&table->suspects[i])) {
             explained |= group_crashes(table, table->suspects[i].group);
         }
     }
@@ -316,7 +307,7 @@
 {
     uint64_t crashes;
 
-    if (!is_needed(other) || other->group != one->group) {
+    if (!qtn_is_needed(other) || other->group != one->group) {
         return false;
     }
     crashes = later_crashes(table, one, settled) & other->crashes;
@@ -335,7 +326,7 @@
     for (i = 0; table->quarantined_count > 1 && i < QTN_SUSPECTS_MAX; i++) {
         qtn_suspect *one = &table->suspects[i];
 
-        for (j = 0; is_needed(one) && j < QTN_SUSPECTS_MAX; j++) {
+        for (j = 0; qtn_is_needed(one) && j < QTN_SUSPECTS_MAX; j++) {
             one->is_explained =
                 is_explained_by(table, one, &table->suspects[j], settled);
         }
@@ -410,146 +401,3 @@
         explained |= crashes;
     }
 }
-
-static void
-add_claimant(qtn_suspect *suspect, uint64_t reporter, lv_time now)
-{
-    uint32_t i;
-
-    if (lv_elapsed(now, suspect->claimed_at) >= CLAIM_TIME) {
-        suspect->claimant_count = 0;
-    }
-    suspect->claimed_at = now;
-    for (i = 0; i < suspect->claimant_count; i++) {
-        if (suspect->claimants[i] == reporter) {
-            return;
-        }
-    }
-    if (suspect->claimant_count < QTN_CLAIMANTS_MAX) {
-        suspect->claimants[suspect->claimant_count++] = reporter;
-    }
-}
-
-static void
-merge_claim(qtn_suspect *suspect, const qtn_report *report, lv_time now)
-{
-    lv_time crashed_at = lv_elapsed(now, report->age);
-
-    if (report->trials > suspect->trials) {
-        suspect->trials = report->trials;
-        suspect->trial_at = now + trial_interval(suspect->trials);
-    }
-    if (crashed_at > suspect->last_crash_at) {
-        suspect->last_crash_at = crashed_at;
-    }
-}
-
-void
-qtn_apply_claim(qtn_table *table, const qtn_report *report, uint64_t reporter,
-                lv_time now)
-{
-    lv_time begun_at = qtn_last_answer(table, report->block);
-    qtn_suspect *suspect;
-
-    if (begun_at > lv_elapsed(now, report->age)) {
-        qtn_report cleared = {.kind = QTN_CLEARED, .block = report->block};
-
-        qtn_add_report(table, &cleared, begun_at, now);
-        return;
-    }
-    suspect = qtn_find_or_add(table, report->block);
-    if (suspect == NULL) {
-        return;
-    }
-    if (suspect->is_quarantined) {
-        merge_claim(suspect, report, now);
-        return;
-    }
-    merge_claim(suspect, report, now);
-    add_claimant(suspect, reporter, now);
-    if (suspect->claimant_count + suspect->is_own >= table->claimants_needed) {
-        if (suspect->crashes == 0) {
-            suspect->account = report->account;
-        }
-        suspect->has_other_accounts =
-            suspect->has_other_accounts || report->is_for_all_accounts;
-        qtn_begin(table, suspect, report->group, now);
-    }
-}
-
-static bool
-has_block(const eng_prompt *prompt, uint64_t block)
-{
-    uint32_t count = eng_shared_blocks(prompt);
-    uint32_t i;
-
-    for (i = 0; i < count; i++) {
-        if (prompt->blocks[i].id == block) {
-            return true;
-        }
-    }
-    return false;
-}
-
-/* Does the prompt have all blocks of the group that no other explains? */
-static bool
-has_group(const qtn_table *table, const eng_prompt *prompt, uint64_t group)
-{
-    uint32_t i;
-
-    for (i = 0; i < QTN_SUSPECTS_MAX; i++) {
-        const qtn_suspect *suspect = &table->suspects[i];
-
-        if (is_needed(suspect) && suspect->group == group &&
-            !has_block(prompt, suspect->block)) {
-            return false;
-        }
-    }
-    return true;
-}
-
-static void
-begin_trial(qtn_table *table, uint64_t group, lv_time now)
-{
-    uint32_t i;
-
-    table->counts.trials++;
-    for (i = 0; i < QTN_SUSPECTS_MAX; i++) {
-        qtn_suspect *suspect = &table->suspects[i];
-
-        if (suspect->is_quarantined && suspect->group == group) {
-            suspect->trials++;
-            suspect->trial_at = now + trial_interval(suspect->trials);
-            table->ops->on_change(table, suspect, "trial");
-        }
-    }
-}
-
-bool
-qtn_is_refused(qtn_table *table, const eng_prompt *prompt, lv_id account,
-               bool starts, lv_time now, lv_time *retry_after)
-{
-    uint32_t i;
-
-    for (i = 0; table->quarantined_count > 0 && i < QTN_SUSPECTS_MAX; i++) {
-        const qtn_suspect *suspect = &table->suspects[i];
-
-        if (!is_needed(suspect) ||
-            (!suspect->has_other_accounts && suspect->account != account) ||
-            !has_block(prompt, suspect->block) ||
-            !has_group(table, prompt, suspect->group)) {
-            continue;
-        }
-        if (now < suspect->trial_at ||
-            !table->ops->may_try(table, suspect->group)) {
-            *retry_after = now < suspect->trial_at ? suspect->trial_at - now
-                                                   : QTN_FIRST_TRIAL;
-            return true;
-        }
-        if (starts) {
-            begin_trial(table, suspect->group, now);
-        }
-        return false;
-    }
-    return false;
-}
--- a/packages/core/source/quarantine.c
+++ b/packages/core/source/quarantine.c
@@ -8,10 +8,6 @@
  * has restarted under its id. */
 #define SAME_CRASH_TIME (2 * LV_SECOND)
 
-/* Own reports are repeated for this long, after pauses that double. */
-#define REPORT_TIME (4 * LV_SECOND)
-#define FIRST_REPORT_PAUSE (20 * LV_MILLISECOND)
-
 void
 qtn_init(qtn_table *table, const qtn_ops *ops, void *owner)
 {
@@ -137,44 +133,6 @@
     return answer->block == block ? answer->begun_at : 0;
 }
 
-/* Returns a current report of the same; NULL: there is none. */
-static qtn_own_report *
-find_report(qtn_table *table, const qtn_report *report)
-{
-    uint32_t i;
-
-    for (i = 0; i < QTN_REPORTS_MAX; i++) {
-        qtn_own_report *own = &table->reports[i];
-
-        if (own->until != 0 && own->report.kind == report->kind &&
-            own->report.block == report->block &&
-            own->report.endpoint == report->endpoint &&
-            own->report.account == report->account) {
-            return own;
-        }
-    }
-    return NULL;
-}
-
-void
-qtn_add_report(qtn_table *table, const qtn_report *report, lv_time at,
-               lv_time now)
-{
-    qtn_own_report *own = find_report(table, report);
-
-    if (own == NULL) {
-        own = &table->reports[table->next_report];
-        table->next_report = (table->next_report + 1) % QTN_REPORTS_MAX;
-    }
-    if (own->until <= now || at > own->at) {
-        own->due_at = now;
-        own->sends = 0;
-    }
-    own->report = *report;
-    own->at = at;
-    own->until = now + REPORT_TIME;
-}
-
 /* Empties a row of the crashes, which its suspects lose. */
 static void
 forget_crash(qtn_table *table, uint32_t index)
@@ -328,29 +286,13 @@
     }
 }
 
-/* Ends the own reports that an answer refutes. */
-static void
-void_accusations(qtn_table *table, uint64_t block, lv_time begun_at)
-{
-    uint32_t i;
-
-    for (i = 0; i < QTN_REPORTS_MAX; i++) {
-        qtn_own_report *own = &table->reports[i];
-
-        if (own->until != 0 && own->report.kind == QTN_ACCUSED &&
-            own->report.block == block && own->at < begun_at) {
-            own->until = 0;
-        }
-    }
-}
-
 static void
 note_answer(qtn_table *table, uint64_t block, lv_time begun_at)
 {
     qtn_answer *answer = find_answer(table, block);
 
     if (table->suspect_count > 0) {
-        void_accusations(table, block, begun_at);
+        qtn_void_accusations(table, block, begun_at);
     }
 
     if (answer->block != block || begun_at > answer->begun_at) {
@@ -429,94 +371,3 @@
         break;
     }
 }
-
-static void
-write_claim(const qtn_suspect *suspect, lv_time now, qtn_report *report)
-{
-    memset(report, 0, sizeof *report);
-    report->kind = QTN_CLAIMED;
-    report->block = suspect->block;
-    report->account = suspect->account;
-    report->is_for_all_accounts = suspect->has_other_accounts;
-    report->group = suspect->group;
-    report->trials = suspect->trials;
-    report->age = lv_elapsed(now, suspect->last_crash_at);
-}
-
-static uint32_t
-collect_claims(qtn_table *table, lv_time now, qtn_report *reports,
-               uint32_t max)
-{
-    uint32_t count = 0;
-    uint32_t i;
-
-    for (i = 0;
-         table->quarantined_count > 0 && i < QTN_SUSPECTS_MAX && count < max;
-         i++) {
-        const qtn_suspect *suspect =
-            &table->suspects[(table->next_claim + i) % QTN_SUSPECTS_MAX];
-
-        if (suspect->is_quarantined && !suspect->is_explained) {
-            write_claim(suspect, now, &reports[count++]);
-        }
-    }
-    table->next_claim = (table->next_claim + i) % QTN_SUSPECTS_MAX;
-    return count;
-}
-
-static bool
-is_due(const qtn_own_report *own, lv_time now)
-{
-    return own->until > now && own->due_at <= now;
-}
-
-bool
-qtn_has_reports(const qtn_table *table, lv_time now)
-{
-    uint32_t i;
-
-    for (i = 0; i < QTN_REPORTS_MAX; i++) {
-        if (is_due(&table->reports[i], now)) {
-            return true;
-        }
-    }
-    return false;
-}
-
-/* Writes the own reports that are clearances, or that are not. */
-static uint32_t
-collect_own(qtn_table *table, bool is_clearance, lv_time now,
-            qtn_report *reports, uint32_t max)
-{
-    uint32_t count = 0;
-    uint32_t i;
-
-    for (i = 0; i < QTN_REPORTS_MAX && count < max; i++) {
-        qtn_own_report *own =
-            &table->reports[(table->next_to_send + i) % QTN_REPORTS_MAX];
-
-        if (is_due(own, now) &&
-            (own->report.kind == QTN_CLEARED) == is_clearance) {
-            own->due_at = now + (FIRST_REPORT_PAUSE << own->sends++);
-            reports[count] = own->report;
-            reports[count++].age = lv_elapsed(now, own->at);
-        }
-    }
-    if (!is_clearance) {
-        table->next_to_send = (table->next_to_send + i) % QTN_REPORTS_MAX;
-    }
-    return count;
-}
-
-/* Clearances go before accusations: where room is short, a block is better
- * quarantined late than wrongly. */
-uint32_t
-qtn_collect_reports(qtn_table *table, lv_time now, qtn_report *reports,
-                    uint32_t max)
-{
-    uint32_t count = collect_claims(table, now, reports, max / 4);
-
-    count += collect_own(table, true, now, reports + count, max - count);
-    count += collect_own(table, false, now, reports + count, max - count);
-    return count;
-}
--- a/tests/gateway/stage-endpoint.c
+++ b/tests/gateway/stage-endpoint.c
@@ -8,7 +8,6 @@
 
 #define EVENT_COUNT 6
 #define EVENT_INTERVAL_MS 5
-#define SEAL_HEADER "Lavenderproxy-Runner-Seal: seal-1\r\n"
 
 typedef struct endpoint_connection {
     io_stream stream; /* first member */
@@ -144,53 +143,14 @@
     }
 }
 
-/* How an endless mode begins and what it repeats. */
-typedef struct endless_text {
-    const char *id;     /* of the attempt; NULL: the request's */
-    const char *status; /* NULL: the texts hold the heads */
-    const char *headers;
-    const char *first;
-    const char *repeated;
-} endless_text;
-
-#define CHUNKED "Transfer-Encoding: chunked\r\n"
-#define CHUNK "10\r\n0123456789abcdef\r\n"
-#define STRAY                                                                 \
-    "HTTP/1.1 200 OK\r\nLavenderproxy-Attempt-Id: x\r\n"                      \
-    "Content-Length: 4\r\n\r\nevil"
-
-/* In the order of the modes. */
-static const endless_text endless_texts[] = {
-    {NULL, NULL, "", "HTTP/1.1 200 OK\r\n", "X-Filler: filler\r\n"},
-    {NULL, NULL, "", "", "HTTP/1.1 102 Processing\r\n\r\n"},
-    {"somebody", "200 OK", SEAL_HEADER CHUNKED, "", CHUNK},
-    {NULL, NULL, "", "", STRAY},
-    {NULL, "200 OK", SEAL_HEADER CHUNKED, "b\r\nid: 0\ndata:\r\n", CHUNK},
-    {NULL, "200 OK", SEAL_HEADER CHUNKED, "", CHUNK},
-    {NULL, "500 Error", SEAL_HEADER CHUNKED, "", CHUNK},
-    {NULL, "200 OK", SEAL_HEADER CHUNKED, "4;", "x=0123456789abcdef;"},
-    {NULL, "200 OK", SEAL_HEADER CHUNKED, "4\r\nbody\r\n0\r\n",
-     "X-Filler: filler\r\n"},
-};
-
-static const endless_text *
-find_endless_text(stage_mode mode)
-{
-    return &endless_texts[mode - STAGE_ENDLESS_HEAD];
-}
-
 static void
 send_endlessly(uv_timer_t *timer)
 {
     static char block[256 * 1024];
     endpoint_connection *self = timer->data;
-    const char *text = find_endless_text(self->endpoint->mode)->repeated;
-    size_t size = strlen(text);
-    size_t used;
+    size_t used =
+        stage_repeat_endless(self->endpoint->mode, block, sizeof block);
 
-    for (used = 0; used + size <= sizeof block; used += size) {
-        memcpy(block + used, text, size);
-    }
     if (self->stream.is_closing ||
         self->endpoint->endless_bytes >= STAGE_ENDLESS_BYTES) {
         uv_timer_stop(timer);
@@ -204,7 +164,7 @@
 static void
 start_endless(endpoint_connection *self)
 {
-    const endless_text *text = find_endless_text(self->endpoint->mode);
+    const stage_endless *text = stage_find_endless(self->endpoint->mode);
 
     self->is_busy = true;
     if (text->status != NULL) {
--- a/tests/gateway/stage-imp.h
+++ b/tests/gateway/stage-imp.h
@@ -8,4 +8,20 @@
                           uint32_t number);
 void stage_stop_endpoint(stage_endpoint *endpoint);
 
+#define SEAL_HEADER "Lavenderproxy-Runner-Seal: seal-1\r\n"
+
+/* stage-endless.c: how an endless mode begins and what it repeats. */
+typedef struct stage_endless {
+    const char *id;     /* of the attempt; NULL: the request's */
+    const char *status; /* NULL: the texts hold the heads */
+    const char *headers;
+    const char *first;
+    const char *repeated;
+} stage_endless;
+
+const stage_endless *stage_find_endless(stage_mode mode);
+
+/* Fill a block with repetitions and return the bytes used. */
+size_t stage_repeat_endless(stage_mode mode, char *block, size_t size);
+
 #endif
