--- a/packages/core/source/quarantine-decide.c
+++ b/packages/core/source/quarantine-decide.c
@@ -10,13 +10,13 @@
  * none begin, the endpoints are at fault and not the block. */
 #define MIN_OTHER_ANSWERS 4
 
-/* The probability that a sound block is in all crashes of a suspect must be at
- * most this. */
+/* A block is quarantined if a sound one would be in all of its crashes with at
+ * most this probability. */
 #define MAX_CHANCE 0.0003
 
-/* In a storm of crashes most requests die, and chance excuses every block. One
- * that was in this many, of causes of their own, is taken for the cause once
- * so many answers on others have begun here. */
+/* When crashes end most requests, MAX_CHANCE is not reached. A block is then
+ * quarantined after this many separate crashes without an answer on it, once
+ * this many answers on other blocks have begun here. */
 #define STORM_CAUSES 6
 #define STORM_ANSWERS 120
 
@@ -137,7 +137,7 @@
     return explained;
 }
 
-/* Returns the set of crashes whose suspects would have been cleared by now. */
+/* Returns the crashes that are older than settle_time. */
 static uint64_t
 settled_crashes(const qtn_table *table, lv_time now)
 {
