--- a/packages/gateway/source/peers-imp.h
+++ b/packages/gateway/source/peers-imp.h
@@ -47,10 +47,20 @@
     /* Key of a stream, and the version that began it, or ORG_VERSION_NONE to
      * ask for it. */
     PEERS_FIELD_ORIGINS = PEERS_FIELD_QUARANTINES + PEERS_QUARANTINES,
+
+    /* Zone, store era and revision, and whether it is evacuated. */
+    PEERS_FIELD_EVACUATIONS,
+
+    /* Endpoint, and the time in ms for which it is still cold. */
+    PEERS_FIELD_WARMUPS,
+
+    /* Endpoint, predicted and observed time to first token in us (running
+     * totals), and the estimated prefill rate in tokens per second. */
+    PEERS_FIELD_SPEEDS,
     PEERS_FIELD_COUNT
 };
 
-#define PEERS_FORMAT_VERSION 11
+#define PEERS_FORMAT_VERSION 12
 
 enum {
     PEERS_FLAG_STORE_REACHABLE = 1,
@@ -120,6 +130,9 @@
 bool peers_read_start_reply(const msgpack_object_array *values,
                             peers_start_reply *reply);
 
+/* Does a datagram hold nothing but unsigned numbers and lists of them? */
+bool peers_has_only_numbers(const char *data, size_t size);
+
 /* Is it a list of numbers whose length is a multiple of `stride`? */
 bool peers_is_number_list(const msgpack_object *object, uint32_t stride);
 
@@ -130,6 +143,15 @@
 void peers_apply_reports(peers_state *peers, uint64_t incarnation,
                          const msgpack_object *lists, lv_time now);
 
+/* peers-endpoint-state.c: the lists from PEERS_FIELD_EVACUATIONS on. Datagrams
+ * of single requests carry them empty. */
+void peers_pack_endpoint_state(peers_state *peers, lv_time now,
+                               msgpack_packer *packer);
+void peers_pack_no_endpoint_state(msgpack_packer *packer);
+bool peers_is_endpoint_state(const msgpack_object *lists);
+void peers_apply_endpoint_state(peers_state *peers, peers_peer *peer,
+                                const msgpack_object *lists, lv_time now);
+
 /* peers-origin.c: which version began a stream */
 void peers_apply_origins(peers_state *peers, const peers_peer *peer,
                          const msgpack_object_array *origins);
--- a/packages/gateway/source/peers-receive.c
+++ b/packages/gateway/source/peers-receive.c
@@ -58,7 +58,8 @@
            peers_is_number_list(&fields[PEERS_FIELD_START_REQUEST], 1) &&
            peers_is_number_list(&fields[PEERS_FIELD_START_REPLY], 1) &&
            peers_are_report_lists(&fields[PEERS_FIELD_QUARANTINES]) &&
-           peers_is_number_list(&fields[PEERS_FIELD_ORIGINS], 2);
+           peers_is_number_list(&fields[PEERS_FIELD_ORIGINS], 2) &&
+           peers_is_endpoint_state(&fields[PEERS_FIELD_EVACUATIONS]);
 }
 
 /* Resets a peer's load when the endpoint's row was reused since. Returns
@@ -338,6 +339,8 @@
     }
     peers_apply_reports(peers, peers->peers[index].incarnation,
                         &fields[PEERS_FIELD_QUARANTINES], now);
+    peers_apply_endpoint_state(peers, &peers->peers[index],
+                               &fields[PEERS_FIELD_EVACUATIONS], now);
     add_addresses(peers, addresses);
 }
 
@@ -421,59 +424,6 @@
     return true;
 }
 
-/* The encoded size of an unsigned number, from its first byte; 0 when it is
- * not a number. */
-static size_t
-number_size(unsigned char first)
-{
-    if (first < 0x80) {
-        return 1;
-    }
-    return first >= 0xcc && first <= 0xcf ? 1 + ((size_t)1 << (first - 0xcc))
-                                          : 0;
-}
-
-/* The size of a list's header, whose element count goes to `length`; 0 when it
- * is not a list. */
-static size_t
-list_size(const unsigned char *data, size_t size, size_t *length)
-{
-    if ((data[0] & 0xf0) == 0x90) {
-        *length = data[0] & 0x0f;
-        return 1;
-    }
-    if (data[0] == 0xdc && size >= 3) {
-        *length = (size_t)data[1] << 8 | data[2];
-        return 3;
-    }
-    return 0;
-}
-
-/* Does the datagram hold nothing but unsigned numbers and lists of them? The
- * msgpack decoder allocates memory for as many elements as a list's header
- * announces, so the header must not announce more elements than there are
- * bytes left. */
-static bool
-has_only_numbers(const char *data, size_t size)
-{
-    const unsigned char *at = (const unsigned char *)data;
-
-    while (size > 0) {
-        size_t length = 0;
-        size_t used = number_size(at[0]);
-
-        if (used == 0) {
-            used = list_size(at, size, &length);
-        }
-        if (used == 0 || used + length > size) {
-            return false;
-        }
-        at += used;
-        size -= used;
-    }
-    return true;
-}
-
 bool
 peers_receive(peers_state *peers, const struct sockaddr_in *from,
               const char *data, size_t size, lv_time now)
@@ -483,7 +433,7 @@
     bool is_accepted = false;
 
     msgpack_unpacked_init(&unpacked);
-    if (has_only_numbers(data, size) &&
+    if (peers_has_only_numbers(data, size) &&
         msgpack_unpack_next(&unpacked, data, size, &offset) ==
             MSGPACK_UNPACK_SUCCESS &&
         is_valid_datagram(&unpacked.data)) {
--- a/packages/gateway/source/peers-write.c
+++ b/packages/gateway/source/peers-write.c
@@ -278,6 +278,7 @@
     pack_empty_lists(4, &packer);
     peers_pack_reports(peers, now, &packer);
     pack_empty_lists(1, &packer);
+    peers_pack_endpoint_state(peers, now, &packer);
 }
 
 /* Addresses are most of a datagram of sums. New peers need them, and an
@@ -304,6 +305,7 @@
     pack_empty_lists(2, &packer);
     peers_pack_reports(peers, now, &packer);
     pack_empty_lists(1, &packer);
+    peers_pack_endpoint_state(peers, now, &packer);
 }
 
 void
@@ -431,6 +433,7 @@
         msgpack_pack_uint32(&packer, prompt->blocks[i].tokens);
     }
     pack_empty_lists(2 + PEERS_QUARANTINES, &packer);
+    peers_pack_no_endpoint_state(&packer);
 }
 
 void
@@ -453,6 +456,7 @@
     msgpack_pack_uint32(&packer, reply->uncached_tokens);
     msgpack_pack_uint64(&packer, reply->limit_wait);
     pack_empty_lists(1 + PEERS_QUARANTINES, &packer);
+    peers_pack_no_endpoint_state(&packer);
 }
 
 void
@@ -467,4 +471,5 @@
     msgpack_pack_array(&packer, 2);
     msgpack_pack_uint64(&packer, key);
     msgpack_pack_uint64(&packer, version);
+    peers_pack_no_endpoint_state(&packer);
 }
