--- a/packages/core/include/lavender/engine.h
+++ b/packages/core/include/lavender/engine.h
@@ -13,6 +13,7 @@
 #define LAVENDER_ENGINE_H
 
 #include "lavender/availability.h"
+#include "lavender/evacuation.h"
 #include "lavender/map.h"
 #include "lavender/outlier.h"
 #include "lavender/pace.h"
@@ -65,7 +66,8 @@
     uint32_t generation; /* changes each time the row is reused */
     bool is_used;        /* the row holds an endpoint */
     bool is_published;
-    bool is_listed; /* published and not draining */
+    bool is_listed;    /* published and not draining */
+    bool is_evacuated; /* its zone is; takes no requests */
     bool is_engine;
     uint64_t kv_capacity;     /* in tokens */
     uint32_t reference_count; /* of connections and attempts; the row is not
@@ -157,7 +159,9 @@
     eng_cache_entry *cache_entries;
     uint32_t next_cache_entry; /* index of the entry to overwrite next */
     eng_departed departed[ENG_DEPARTED_MAX];
-    uint32_t departed_count; /* ever; the oldest one is overwritten */
+    uint32_t departed_count;   /* ever; the oldest one is overwritten */
+    const evc_set *evacuation; /* set by the owner; NULL: no zone is
+                                  evacuated */
 } eng_table;
 
 void eng_default_settings(eng_settings *settings);
@@ -194,6 +198,11 @@
 bool eng_begin_backoff(eng_table *table, lv_handle endpoint, lv_time duration,
                        lv_time now);
 
+/* Applies table->evacuation to an endpoint: call it for all of them when the
+ * set has changed. Returns whether the endpoint is evacuated now and was not,
+ * or the reverse. */
+bool eng_update_evacuated(eng_table *table, lv_handle endpoint);
+
 /* Ends a back-off whose slow start is over. Returns its endpoint; call it
  * until it returns LV_HANDLE_NONE. */
 lv_handle eng_end_backoff(eng_table *table, lv_time now);
--- a/packages/core/source/admission.c
+++ b/packages/core/source/admission.c
@@ -233,7 +233,8 @@
     if (reason == AVL_AVAILABLE || reason == AVL_UNLISTED) {
         return reason == AVL_AVAILABLE;
     }
-    if (others->count == 0 || free_at < others->free_at) {
+    if (others->count == 0 || free_at < others->free_at ||
+        (reason == AVL_EVACUATED && others->free_at == LV_TIME_NEVER)) {
         others->free_at = free_at;
         others->reason = reason;
     }
@@ -366,6 +367,10 @@
     if (request->tried_count > 0) {
         reason = "all-tried";
     }
+    else if (others->count > 0 && others->reason == AVL_EVACUATED) {
+        refuse(decision, spread_return(request, now + LV_SECOND, now), reason);
+        return;
+    }
     if (others->tried_free_at != LV_TIME_NEVER &&
         others->tried_free_at > now) {
         refuse(decision, spread_return(request, others->tried_free_at, now),
--- a/packages/core/source/engine-availability.c
+++ b/packages/core/source/engine-availability.c
@@ -11,6 +11,10 @@
         *free_at = LV_TIME_NEVER;
         return AVL_UNLISTED;
     }
+    if (endpoint->is_evacuated) {
+        *free_at = LV_TIME_NEVER;
+        return AVL_EVACUATED;
+    }
     reason = avl_check(&endpoint->availability, now, free_at);
     if (reason == AVL_AVAILABLE &&
         !pace_check(&endpoint->pace, now, free_at)) {
@@ -26,9 +30,28 @@
     uint32_t places = avl_places(&endpoint->availability, until);
     uint32_t paced = pace_places(&endpoint->pace, until);
 
+    if (endpoint->is_evacuated) {
+        return 0;
+    }
     return paced < places ? paced : places;
 }
 
+bool
+eng_update_evacuated(eng_table *table, lv_handle row)
+{
+    eng_endpoint *endpoint = &table->endpoints[row];
+    bool is_evacuated =
+        table->evacuation != NULL &&
+        evc_is_evacuated(table->evacuation, endpoint->spec.zone);
+
+    if (is_evacuated == endpoint->is_evacuated) {
+        return false;
+    }
+    endpoint->is_evacuated = is_evacuated;
+    table->list_version++;
+    return true;
+}
+
 bool
 eng_begin_leaving(eng_table *table, lv_handle row)
 {
--- a/packages/core/source/engine-cache.c
+++ b/packages/core/source/engine-cache.c
@@ -42,8 +42,9 @@
     return map_mix(prefix_hash ^ table->endpoints[endpoint].spec.id) | 1;
 }
 
-/* Rendezvous hashing: sets the listed endpoints of a service with the highest
- * and the second highest weight for a prefix hash. */
+/* Rendezvous hashing: sets the listed endpoints of a service, in zones that
+ * are not evacuated, with the highest and the second highest weight for a
+ * prefix hash. */
 static void
 choose_affinity(const eng_table *table, lv_id service, uint64_t prefix_hash,
                 eng_prompt *prompt)
@@ -57,7 +58,7 @@
         uint64_t weight = hrw_weight(endpoint->spec.id, prefix_hash);
 
         if (!endpoint->is_used || !endpoint->is_listed ||
-            endpoint->spec.service != service) {
+            endpoint->is_evacuated || endpoint->spec.service != service) {
             continue;
         }
         if (weight >= best) {
--- a/packages/core/source/engine.c
+++ b/packages/core/source/engine.c
@@ -117,6 +117,7 @@
         eng_endpoint *endpoint = &table->endpoints[row];
 
         endpoint->spec = *spec;
+        eng_update_evacuated(table, row);
         endpoint->is_published = true;
         endpoint->is_listed =
             !spec->is_draining && !endpoint->availability.is_leaving;
