Keep requests away from evacuated zones on every path

Cause: the gateway read only the configuration of the operator's part of the store and knew no evacuated zones. Change: the feed of the configuration reads all keys below op/ and passes op/evacuate/ZONE to the core's evacuation; relays pass them on. Requests on connections that are being opened are withheld at once, and grants given before are checked again; coordinators grant nothing there. No request is accepted before the list was read once. Conclusion: first attempts, retries, queued requests, resumed streams, grants and opened connections keep out of an evacuated zone.

--- a/packages/gateway/include/lavender-gateway/gate.h
+++ b/packages/gateway/include/lavender-gateway/gate.h
@@ -100,6 +100,9 @@
     uint64_t quarantine_refused;   /* for a block in quarantine */
     uint64_t unknown_origins;      /* resumed streams that were refused */
     uint64_t quarantined_requests_refused;
+    uint64_t evacuations;         /* of zones */
+    uint64_t kept_from_evacuated; /* requests decided again, as the zone of
+                                     their endpoint is evacuated */
 } gate_counts;
 
 struct gate_server {
@@ -114,6 +117,7 @@
     qtn_table request_quarantine; /* by digest */
     org_table origins;            /* of streams */
     crash_detector crashes;       /* of endpoints */
+    evc_set evacuation;           /* of zones */
     peers_state peers;
     reg_registry registry;
     store_feed feeds[WIRE_SUBJECT_COUNT];
--- a/packages/gateway/include/lavender-gateway/peers.h
+++ b/packages/gateway/include/lavender-gateway/peers.h
@@ -166,7 +166,9 @@
     qtn_table *quarantines[PEERS_QUARANTINES]; /* set by the owner; NULL:
                                                   reports of crashes are
                                                   neither sent nor applied */
-    uint64_t incarnation;                      /* of this process */
+    evc_set *evacuation;  /* set by the owner; NULL: notices of zones are
+                             neither sent nor applied */
+    uint64_t incarnation; /* of this process */
     uint32_t sequence;    /* of the latest datagram sent */
     lv_time sent_at;      /* latest update, or tick in a large fleet */
     lv_time last_full_at; /* latest full report; 0: one is due */
@@ -201,6 +203,9 @@
     void (*on_unlisted)(void *owner, lv_id endpoint, uint64_t era,
                         uint64_t revision);
 
+    /* Notices of a peer changed `evacuation`. */
+    void (*on_evacuation)(void *owner);
+
     /* A peer has seen a later era of the store than store_era, which the
      * callback sets. */
     void (*on_store_era)(void *owner, uint64_t era);
--- a/packages/gateway/include/lavender-gateway/wire.h
+++ b/packages/gateway/include/lavender-gateway/wire.h
@@ -58,7 +58,7 @@
 
 /* The parts of the store that the gateway reads. */
 typedef enum wire_subject {
-    WIRE_CONFIG,
+    WIRE_CONFIG, /* and the zones that are evacuated */
     WIRE_ENDPOINTS,
     WIRE_SUBJECT_COUNT
 } wire_subject;
@@ -87,9 +87,15 @@
      * out of memory. */
     const char *text;
 
-    /* WIRE_CONFIG: the receiver calls rt_unref. NULL: deleted or invalid. */
+    /* WIRE_CONFIG: the receiver calls rt_unref. NULL: deleted or invalid, or
+     * the item is about a zone. */
     rt_table *config;
-    bool has_endpoint; /* WIRE_ENDPOINTS: `endpoint` is valid */
+
+    /* WIRE_CONFIG: a zone, which is evacuated unless the key was deleted,
+     * whatever its value. LV_ID_NONE: the item is the configuration. */
+    lv_id zone;
+    char zone_name[LV_NAME_SIZE]; /* the beginning of a longer one */
+    bool has_endpoint;            /* WIRE_ENDPOINTS: `endpoint` is valid */
     eng_spec endpoint;
     uint64_t started_at; /* of the endpoint's process; 0: not given */
     uint64_t sequence;   /* of the endpoint's writes; 0: not given */
--- a/packages/gateway/source/gate-grant.c
+++ b/packages/gateway/source/gate-grant.c
@@ -99,6 +99,8 @@
         gate_start_request(request, reason);
     }
     else {
+        request->gate->counts.kept_from_evacuated +=
+            reason_not == AVL_EVACUATED;
         gate_decide_request(request);
     }
 }
@@ -161,8 +163,8 @@
                              &request, endpoint, now, &prediction);
     /* A back-off is between the endpoint and this instance alone. */
     reason = eng_check_send(&gate->endpoints, endpoint, now, &free_at);
-    answer->is_granted =
-        has_room && reason != AVL_UNLISTED && reason != AVL_LEAVING;
+    answer->is_granted = has_room && reason != AVL_UNLISTED &&
+                         reason != AVL_LEAVING && reason != AVL_EVACUATED;
     if (ask->has_limit_word) {
         pace_hear(pace, ask->limit, ask->sender,
                   lv_elapsed(now, ask->limit_age), now);
--- a/packages/gateway/source/gate-imp.h
+++ b/packages/gateway/source/gate-imp.h
@@ -351,6 +351,25 @@
 void gate_check_origin_deadline(gate_request *request, lv_time now);
 void gate_write_origin_metrics(const gate_server *gate, met_writer *writer);
 
+/* gate-evacuation.c: zones that are evacuated */
+void gate_init_evacuation(gate_server *gate);
+
+/* Follow the feed of the configuration: an item about a zone, the end of a
+ * list, and a position up to which everything is applied. */
+void gate_apply_zone(gate_server *gate, const wire_item *item);
+void gate_end_zone_list(gate_server *gate, wire_position position);
+void gate_note_zone_view(gate_server *gate, wire_position position);
+
+/* Lists the configuration again when a list that was taken for an older copy
+ * is due to be believed. Call it at every tick of the timer. */
+void gate_relist_zones(gate_server *gate, lv_time now);
+
+/* Was a configuration read, and the whole list of evacuated zones? No request
+ * is accepted before: it might go to an evacuated zone. */
+bool gate_has_configuration(const gate_server *gate);
+void gate_write_evacuation_metrics(const gate_server *gate,
+                                   met_writer *writer);
+
 /* gate-stream.c: resumable event streams */
 
 /* Forwards the events that are whole and buffers the rest. Of two attempts the
--- a/packages/gateway/source/gate-monitoring.c
+++ b/packages/gateway/source/gate-monitoring.c
@@ -6,7 +6,7 @@
 static bool
 is_ready(const gate_server *gate)
 {
-    return gate->config != NULL && !gate->is_draining &&
+    return gate_has_configuration(gate) && !gate->is_draining &&
            !gate->overload.is_overloaded &&
            gate->feeds[WIRE_ENDPOINTS].counts.lists_read > 0;
 }
@@ -182,6 +182,7 @@
     gate_write_notice_metrics(gate, writer);
     gate_write_quarantine_metrics(gate, writer);
     gate_write_origin_metrics(gate, writer);
+    gate_write_evacuation_metrics(gate, writer);
 }
 
 static void
--- a/packages/gateway/source/gate-reader.c
+++ b/packages/gateway/source/gate-reader.c
@@ -134,6 +134,9 @@
     gate_server *gate = feed->owner;
 
     gate->peers.own_changes[feed->subject] = feed->last_change;
+    if (feed->subject == WIRE_CONFIG) {
+        gate_note_zone_view(gate, feed->position);
+    }
     rly_publish(&gate->relay, feed->subject, feed->position);
 }
 
--- a/packages/gateway/source/gate-request.c
+++ b/packages/gateway/source/gate-request.c
@@ -238,7 +238,7 @@
     wire_request decoded;
     err_error error;
 
-    if (gate->config == NULL) {
+    if (!gate_has_configuration(gate)) {
         refuse_unrouted(gate, connection, 503, "no-configuration");
         return;
     }
--- a/packages/gateway/source/gate-store.c
+++ b/packages/gateway/source/gate-store.c
@@ -185,7 +185,10 @@
     gate_server *gate = feed->owner;
 
     rly_apply_item(&gate->relay, feed->subject, item);
-    if (feed->subject == WIRE_CONFIG) {
+    if (item->zone != LV_ID_NONE) {
+        gate_apply_zone(gate, item);
+    }
+    else if (feed->subject == WIRE_CONFIG) {
         apply_config(gate, item);
     }
     else {
@@ -202,6 +205,9 @@
     if (feed->subject == WIRE_ENDPOINTS) {
         reg_begin_list(&gate->registry);
     }
+    else {
+        evc_begin_list(&gate->evacuation);
+    }
 }
 
 static void
@@ -213,6 +219,9 @@
     if (feed->subject == WIRE_ENDPOINTS) {
         reg_end_list(&gate->registry, io_now());
     }
+    else {
+        gate_end_zone_list(gate, feed->position);
+    }
     log_event(LOG_LEVEL_NOTICE, io_now(), "store-listed",
               "subject=%s revision=%llu", subject_name(feed),
               (unsigned long long)feed->position.revision);
--- a/packages/gateway/source/gate.c
+++ b/packages/gateway/source/gate.c
@@ -226,6 +226,7 @@
         store_feed_tick(&gate->feeds[i], now);
     }
     gate_relist_after_copy(gate, now);
+    gate_relist_zones(gate, now);
     if (reg_remove_expired(&gate->registry, now) > 0) {
         log_event(LOG_LEVEL_NOTICE, now, "endpoint", "change=lapsed");
     }
@@ -341,6 +342,7 @@
     }
     gate_init_quarantine(gate);
     gate_init_origins(gate);
+    gate_init_evacuation(gate);
     gate->peers.on_change = on_peer_change;
     gate->peers.on_unlisted = on_endpoint_leaving;
     gate->peers.on_store_era = gate_begin_store_era;
--- a/tests/gateway/stage.c
+++ b/tests/gateway/stage.c
@@ -76,6 +76,9 @@
     if (is_config) {
         write_config(stage, &json);
         append_value(to, "op/config", json.data);
+        if (stage->op_items != NULL) {
+            buf_append_text(to, stage->op_items);
+        }
     }
     for (i = 0; !is_config && i < stage->endpoint_count; i++) {
         const stage_endpoint *endpoint = &stage->endpoints[i];
@@ -87,10 +90,11 @@
         }
         snprintf(key, sizeof key, "servers/%s", endpoint->name);
         snprintf(value, sizeof value,
-                 "{\"service\":\"pool\",\"address\":\"%s\",\"zone\":\"z\","
+                 "{\"service\":\"pool\",\"address\":\"%s\",\"zone\":\"%s\","
                  "\"version\":\"%s\",\"slots\":4,\"state\":\"ready\","
                  "\"born\":%llu,\"seq\":1}",
                  endpoint->address,
+                 endpoint->zone != NULL ? endpoint->zone : "z",
                  endpoint->version != NULL ? endpoint->version : "v1",
                  endpoint->born != 0 ? (unsigned long long)endpoint->born
                                      : 1000ULL);
@@ -157,7 +161,7 @@
 {
     stage_fixture *stage = server->owner;
     const char *target = connection->head->target;
-    bool is_config = strstr(target, "op/config") != NULL;
+    bool is_config = strstr(target, "prefix=op/") != NULL;
     const char *after = strstr(target, "after=");
 
     stage->store_calls++;
--- a/tests/gateway/stage.h
+++ b/tests/gateway/stage.h
@@ -75,6 +75,7 @@
     bool has_crashed;
     struct endpoint_connection *open; /* its connections */
     const char *version;              /* of its software; NULL: "v1" */
+    const char *zone;                 /* NULL: "z" */
     uint64_t born;                    /* start time in the store; 0: 1000 */
     char address[LV_ADDRESS_SIZE];
     char name[LV_NAME_SIZE];
@@ -100,6 +101,8 @@
     uint64_t era; /* of the store, in all its responses; 0: not named */
     uint32_t config_version;
     const char *config_extra; /* more routes, JSON; may be NULL */
+    const char *op_items;     /* more items below the configuration's prefix,
+                                 JSON, each after a comma; may be NULL */
     bool is_store_down;       /* the store responds 503 to all requests */
     bool is_store_garbled;    /* it responds 200 with a body that is no JSON */
     bool is_list_withheld;    /* lists of endpoints get no response */
--- a/tests/gateway/test-start-grants.c
+++ b/tests/gateway/test-start-grants.c
@@ -306,6 +306,38 @@
     }
 }
 
+/* Guards against a grant, or the lack of one, that outweighs the evacuation of
+ * the endpoint's zone since. */
+Test(start_grants, an_evacuated_zone_receives_no_request_for_a_grant)
+{
+    static const char text[] =
+        "POST /once/1 HTTP/1.1\r\nHost: h\r\nLavenderproxy-Attempt-Id: "
+        "id-1\r\n"
+        "Lavenderproxy-Deadline-Ms: 3000\r\nApi-Key: k1\r\n"
+        "Content-Length: 5\r\n\r\nhello";
+    static const coordinator_mode modes[] = {COORDINATOR_GRANTS,
+                                             COORDINATOR_IS_SILENT};
+    evc_notice notice = {.zone = lv_hash_name("z"),
+                         .position = {.revision = 500},
+                         .is_evacuated = true};
+
+    for (size_t i = 0; i < sizeof modes / sizeof modes[0]; i++) {
+        stage_client client;
+
+        set_up(modes[i]);
+        stage_send(&stage, &client, text, sizeof text - 1);
+        cr_assert(stage_run_until(&stage, awaits_grant, NULL, 1000));
+        evc_apply_notice(&stage.gate.evacuation, &notice, io_now());
+        stage.gate.peers.on_evacuation(&stage.gate);
+        cr_expect(stage_run_until(&stage, has_answer, &client, 2000));
+        cr_expect_eq(strncmp(client.response.data, "HTTP/1.1 503", 12), 0);
+        cr_expect_eq(stage.endpoints[0].requests, 0, "case %zu", i);
+        cr_expect_eq(stage.gate.counts.kept_from_evacuated, 1, "case %zu", i);
+        stage_finish_client(&stage, &client);
+        tear_down();
+    }
+}
+
 /* The gateway itself as the coordinator. */
 Test(start_grants, a_start_is_granted_to_a_listed_endpoint_without_a_queue)
 {
@@ -314,14 +346,16 @@
         lv_time queue;
         bool is_leaving; /* by its own word */
         lv_time backoff; /* between the endpoint and the coordinator */
+        bool is_evacuated;
         bool is_granted;
     } cases[] = {
-        {true, 0, false, 0, true},
-        {true, 5 * LV_SECOND, false, 0, false},
+        {true, 0, false, 0, false, true},
+        {true, 5 * LV_SECOND, false, 0, false, false},
         /* removed; the requesting peer does not know yet */
-        {false, 0, false, 0, false},
-        {true, 0, true, 0, false},
-        {true, 0, false, LV_SECOND, true},
+        {false, 0, false, 0, false, false},
+        {true, 0, true, 0, false, false},
+        {true, 0, false, LV_SECOND, false, true},
+        {true, 0, false, 0, true, false},
     };
 
     for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
@@ -340,6 +374,7 @@
         }
         eng_begin_backoff(&stage.gate.endpoints, 0, cases[i].backoff,
                           io_now());
+        endpoint->is_evacuated = cases[i].is_evacuated;
         eng_clear_affinity(&request.prompt);
         stage.gate.peers.on_start_request(&stage.gate, 0, &request, &reply);
         cr_expect_eq(reply.is_granted, cases[i].is_granted, "case %zu", i);
--- a/tests/gateway/test-wire-store.c
+++ b/tests/gateway/test-wire-store.c
@@ -141,3 +141,38 @@
         }
     }
 }
+
+/* Guards against a zone that stays in use because the key's value cannot be
+ * read, and against keys of other uses that are taken for one of a zone. */
+Test(wire_store, keys_of_evacuated_zones)
+{
+    static const struct {
+        const char *key;
+        const char *json;
+        const char *zone; /* NULL: the item is not passed on */
+        bool is_valid;
+    } cases[] = {
+        {"op/evacuate/z-1", "{}", "z-1", true},
+        {"op/evacuate/z-1", "{\"version\":5}", "z-1", true},
+        {"op/evacuate/z-1", "[1", "z-1", false},
+        {"op/evacuate/z-1", "", "z-1", false},
+        {"op/evacuate/a/b", "{}", "a/b", true},
+        {"op/evacuate/", "{}", NULL, false},
+        {"op/evacuated/z-1", "{}", NULL, false},
+        {"op/configuration", "{}", NULL, false},
+        {"op/other", "{}", NULL, false},
+    };
+
+    for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+        bool is_read = read_value(cases[i].key, cases[i].json, WIRE_CONFIG);
+
+        cr_expect_eq(is_read, cases[i].zone != NULL, "case %zu", i);
+        if (is_read && cases[i].zone != NULL) {
+            cr_expect_eq(last_item.zone, lv_hash_name(cases[i].zone));
+            cr_expect_str_eq(last_item.zone_name, cases[i].zone);
+            cr_expect_eq(last_item.error.kind == ERR_NONE, cases[i].is_valid,
+                         "case %zu", i);
+            cr_expect_null(last_item.config);
+        }
+    }
+}
--- a/tests/soak/soak-store.c
+++ b/tests/soak/soak-store.c
@@ -171,7 +171,7 @@
     soak_store *store = &world->store;
     const char *target = connection->head->target;
     const char *after = strstr(target, "after=");
-    bool is_config = strstr(target, "op/config") != NULL;
+    bool is_config = strstr(target, "prefix=op/") != NULL;
     bool is_watch = strncmp(target, "/v1/kv-watch", 12) == 0;
 
     if (store->mood == STORE_DOWN) {
