Let relays tell of a zone that a list lacks

Cause: a reader whose history of the store is gone lists again. What the list lacks vanished from its relay without a change, so feeds that watch there never learned that a zone had returned to service. Change: when a list of the configuration's part lacks an item, watches at the relay from before the list end with 410, and their feeds list again there. The list of endpoints is left as it is, as entries that lapse have a grace. Conclusion: instances that read from a relay take the zone back as its reader does.

--- a/packages/gateway/include/lavender-gateway/relay.h
+++ b/packages/gateway/include/lavender-gateway/relay.h
@@ -24,6 +24,7 @@
     uint32_t capacity;
     wire_position position;
     uint64_t history_start; /* changes after this revision are known */
+    bool has_gap; /* a list lacked an item of which no change was told */
     bool is_serving;
 } rly_subject;
 
--- a/packages/gateway/source/relay.c
+++ b/packages/gateway/source/relay.c
@@ -23,6 +23,13 @@
     front_send_error(connection, 503, NULL, "not-a-reader");
 }
 
+/* The feed lists the subject again. */
+static void
+send_gone(front_connection *connection)
+{
+    front_send_error(connection, 410, NULL, "history-gone");
+}
+
 /* Sends the items of a list, or the changes after a revision. */
 static void
 send_reply(rly_relay *relay, front_connection *connection,
@@ -106,7 +113,7 @@
             io_now() + (request->wait < MAX_WAIT ? request->wait : MAX_WAIT)};
 
     if (request->after < state->history_start) {
-        front_send_error(connection, 410, NULL, "history-gone");
+        send_gone(connection);
     }
     else if (has_change_after(state, request->after)) {
         send_reply(relay, connection, request->subject, true, request->after);
@@ -325,8 +332,13 @@
     uint32_t i;
 
     for (i = state->count; i > 0; i--) {
-        if (!state->items[i - 1].is_in_list) {
-            remove_item(state, &state->items[i - 1]);
+        rly_item *item = &state->items[i - 1];
+
+        if (!item->is_in_list) {
+            /* Endpoints lapse in outages of the store, and have a grace. */
+            state->has_gap = state->has_gap ||
+                             (subject == WIRE_CONFIG && !item->is_removed);
+            remove_item(state, item);
         }
     }
     relay->has_failed = false;
@@ -343,6 +355,20 @@
     return watch;
 }
 
+/* A reply in a new era makes the feed list again by itself. */
+static void
+end_watch(rly_relay *relay, const rly_watch *watch, bool is_new_era)
+{
+    if (!is_new_era &&
+        watch->after < relay->subjects[watch->subject].history_start) {
+        send_gone(watch->connection);
+    }
+    else {
+        send_reply(relay, watch->connection, watch->subject, true,
+                   watch->after);
+    }
+}
+
 void
 rly_publish(rly_relay *relay, wire_subject subject, wire_position position)
 {
@@ -351,17 +377,19 @@
     uint32_t i;
 
     state->position = position;
-    if (is_new_era || state->history_start == 0) {
+    if (is_new_era || state->history_start == 0 || state->has_gap) {
         state->history_start = position.revision;
+        state->has_gap = false;
     }
     for (i = relay->watch_count; i > 0; i--) {
         const rly_watch *watch = &relay->watches[i - 1];
 
         if (i <= relay->watch_count && watch->subject == subject &&
-            (is_new_era || has_change_after(state, watch->after))) {
+            (is_new_era || watch->after < state->history_start ||
+             has_change_after(state, watch->after))) {
             rly_watch ended = take_watch(relay, i - 1);
 
-            send_reply(relay, ended.connection, subject, true, ended.after);
+            end_watch(relay, &ended, is_new_era);
         }
     }
 }
--- a/tests/gateway/test-evacuation.c
+++ b/tests/gateway/test-evacuation.c
@@ -406,6 +406,13 @@
     cr_expect_eq(answer.status, 200);
     tell(false, 60);
     cr_expect_eq(count_reached(200), 0);
+
+    /* The list is not whole: a later page may name the zone. */
+    stage.gate.feeds[WIRE_CONFIG].counts.lists_read = 0;
+    stage_probe(&stage, &answer);
+    cr_expect_eq(answer.status, 503);
+    stage_exchange(&stage, "/once/1", "", &answer);
+    cr_expect_eq(answer.status, 503);
     stage_stop(&stage);
 }
 
--- a/tests/gateway/test-relay.c
+++ b/tests/gateway/test-relay.c
@@ -209,6 +209,54 @@
     stop_relayed();
 }
 
+static bool
+is_first_zone_evacuated(stage_fixture *self, void *context)
+{
+    return evc_is_evacuated(&self->gate.evacuation, lv_hash_name("z")) ==
+           *(const bool *)context;
+}
+
+/* The relay's list of its reader; the reader has lost the history before. */
+static void
+list_at_relay(bool has_zone, uint64_t revision)
+{
+    static char text[8192];
+    static wire_item item;
+
+    memset(&item, 0, sizeof item);
+    stage_write_config_item(&stage, 1, text, sizeof text);
+    lv_copy_name(item.key, sizeof item.key, "op/config");
+    item.position.revision = 1;
+    item.text = text;
+    rly_begin_list(&relay, WIRE_CONFIG);
+    rly_apply_item(&relay, WIRE_CONFIG, &item);
+    if (has_zone) {
+        lv_copy_name(item.key, sizeof item.key, "op/evacuate/z");
+        item.text = "{\"key\":\"op/evacuate/z\",\"revision\":101,"
+                    "\"value\":\"e30=\"}";
+        item.position.revision = 101;
+        rly_apply_item(&relay, WIRE_CONFIG, &item);
+    }
+    rly_end_list(&relay, WIRE_CONFIG);
+    rly_publish(&relay, WIRE_CONFIG, (wire_position){.revision = revision});
+}
+
+/* Guards against a zone that stays evacuated at instances that read from a
+ * relay, whose reader saw the return only in a list: no change tells of it. */
+Test(relay, an_item_that_a_list_lacks_is_gone_for_watches)
+{
+    bool wanted = true;
+
+    start_relayed();
+    list_at_relay(true, 101);
+    cr_expect(stage_run_until(&stage, is_first_zone_evacuated, &wanted, 1500));
+    stage_run_for(&stage, 300);
+    list_at_relay(false, 130);
+    wanted = false;
+    cr_expect(stage_run_until(&stage, is_first_zone_evacuated, &wanted, 1500));
+    stop_relayed();
+}
+
 Test(relay, store_is_read_when_the_relay_refuses)
 {
     bool wanted = false;
