Count no view of the store that goes back

Cause: a feed that turns to a relay which is behind reads an earlier list, and notices from between would count again. A notice that is taken in a new era was logged as kept instead of evacuated. Change: the view only advances, and the first change is told. Conclusion: a relay that is behind undoes nothing.

--- a/packages/core/source/evacuation.c
+++ b/packages/core/source/evacuation.c
@@ -94,7 +94,9 @@
     zone->believed_at = believed_at;
     zone->doubted_era = era;
     zone->is_list_due = true;
-    zone->change = EVC_KEPT;
+    if (zone->change == EVC_NO_CHANGE) {
+        zone->change = EVC_KEPT;
+    }
 }
 
 static evc_zone *
@@ -169,8 +171,11 @@
     if (!set->has_view || position.era > set->view.era) {
         set->copy_expires_at = now + EVC_COPY_EXPIRY;
     }
+    /* A relay may be behind the one that was read from before. */
+    if (!set->has_view || evc_is_after(position, set->view)) {
+        set->view = position;
+    }
     set->has_view = true;
-    set->view = position;
 }
 
 /* The notice is from before the view. In a new era the view may be an older
--- a/tests/core/test-evacuation.c
+++ b/tests/core/test-evacuation.c
@@ -186,6 +186,43 @@
     }
 }
 
+/* Guards against a relay that is behind: its list undoes nothing that was read
+ * before, and does not make stale notices count. */
+Test(evacuation, a_list_from_a_relay_that_is_behind)
+{
+    evc_init(&set);
+    list(&set, true, at(1, 200), at(1, 300), NOW);
+    list(&set, false, at(0, 0), at(1, 150), NOW);
+    cr_expect(evc_is_evacuated(&set, ZONE));
+    evc_apply_item(&set, "z", ZONE, false, at(1, 310), NOW);
+    evc_note_view(&set, at(1, 310), NOW);
+    list(&set, true, at(1, 200), at(1, 250), NOW);
+    cr_expect_not(evc_is_evacuated(&set, ZONE));
+    cr_expect_not(tell(&set, true, at(1, 305), NOW));
+}
+
+/* Guards against changes that are not logged, or logged twice. */
+Test(evacuation, each_change_is_told_once)
+{
+    static const evc_change expected[] = {EVC_EVACUATED, EVC_KEPT,
+                                          EVC_RETURNED, EVC_EVACUATED};
+    evc_change change;
+
+    evc_init(&set);
+    for (size_t i = 0; i < sizeof expected / sizeof expected[0]; i++) {
+        lv_time now = NOW + i * EVC_COPY_EXPIRY;
+
+        list(&set, i == 0 || i == 3, at(1 + i / 3, 100 + i),
+             at(i == 0 ? 1 : 2, 200 + i), now);
+        cr_assert_not_null(evc_take_change(&set, &change), "step %zu", i);
+        cr_expect_eq(change, expected[i], "step %zu: %d", i, (int)change);
+        cr_expect_null(evc_take_change(&set, &change), "step %zu", i);
+        list(&set, i == 0 || i == 3, at(1 + i / 3, 100 + i),
+             at(i == 0 ? 1 : 2, 200 + i), now);
+        cr_expect_null(evc_take_change(&set, &change), "step %zu", i);
+    }
+}
+
 /* Guards against an instance that starts with a peer's false word that the
  * zone is in service. */
 Test(evacuation, the_first_list_counts_more_than_earlier_notices)
