--- a/packages/ctl/source/ctl-status.c
+++ b/packages/ctl/source/ctl-status.c
@@ -5,7 +5,7 @@
 
 static const char doc[] =
     "Show the status of routers. ADDRESS is the IP:PORT of a router's "
-    "operator listener.";
+    "operator listener, or of a gateway's readiness listener.";
 
 static long long
 get_integer(json_t *object, const char *key)
@@ -21,6 +21,19 @@
     return text != NULL ? text : "-";
 }
 
+/* Below the row of a gateway that keeps requests away from zones. */
+static void
+print_evacuated_zones(json_t *zones)
+{
+    json_t *zone;
+    size_t i;
+
+    json_array_foreach(zones, i, zone)
+    {
+        printf("  evacuated zone: %s\n", json_string_value(zone));
+    }
+}
+
 static void
 print_status_row(const char *address, json_t *status)
 {
@@ -38,6 +51,7 @@
            get_integer(json_object_get(documents, "lists"), "revision"),
            member_count, dispatcher_count, get_integer(requests, "waiting"),
            get_integer(requests, "running"));
+    print_evacuated_zones(json_object_get(status, "evacuated_zones"));
 }
 
 /* Requests the status of a router; prints the error and returns NULL on
--- a/packages/gateway/source/gate-evacuation.c
+++ b/packages/gateway/source/gate-evacuation.c
@@ -15,9 +15,8 @@
     return result;
 }
 
-/* Writes the name of a zone, or its id if only peers have told of it. */
-static const char *
-zone_name(const evc_zone *zone, char *text, size_t size)
+const char *
+gate_zone_name(const evc_zone *zone, char *text, size_t size)
 {
     if (zone->name[0] == '\0') {
         snprintf(text, size, "%016llx", (unsigned long long)zone->id);
@@ -53,7 +52,7 @@
     log_event(LOG_LEVEL_NOTICE, io_now(), "zone",
               "zone=%s change=%s era=%llu revision=%llu source=%s "
               "endpoints=%u",
-              zone_name(zone, text, sizeof text), names[change],
+              gate_zone_name(zone, text, sizeof text), names[change],
               (unsigned long long)zone->position.era,
               (unsigned long long)zone->position.revision,
               zone->source == EVC_STORE ? "store" : "peer",
@@ -169,7 +168,7 @@
     char name[LV_NAME_SIZE];
     char *cursor;
 
-    zone_name(zone, name, sizeof name);
+    gate_zone_name(zone, name, sizeof name);
     for (cursor = name; *cursor != '\0'; cursor++) {
         if (*cursor == '"' || *cursor == '\\' || *cursor == '\n') {
             *cursor = '_';
--- a/packages/gateway/source/gate-imp.h
+++ b/packages/gateway/source/gate-imp.h
@@ -370,6 +370,10 @@
 void gate_write_evacuation_metrics(const gate_server *gate,
                                    met_writer *writer);
 
+/* Writes the name of a zone, or its id if only peers have told of it. Returns
+ * the text. */
+const char *gate_zone_name(const evc_zone *zone, char *text, size_t size);
+
 /* gate-stream.c: resumable event streams */
 
 /* Forwards the events that are whole and buffers the rest. Of two attempts the
@@ -441,6 +445,11 @@
 /* gate-monitoring.c: readiness probes and metrics */
 extern const front_ops gate_readiness_ops;
 
+/* gate-status.c: answers with the state of the instance as JSON, for
+ * `lavenderctl status`. */
+void gate_send_status(const gate_server *gate, bool is_ready,
+                      front_connection *connection);
+
 /* gate-settings.c */
 
 /* Writes at most PEERS_SEEDS_MAX addresses and their count. Returns false with
--- a/tests/gateway/test-evacuation.c
+++ b/tests/gateway/test-evacuation.c
@@ -466,7 +466,7 @@
     stage_stop(&stage);
 }
 
-Test(evacuation, metrics)
+Test(evacuation, metrics_and_status)
 {
     stage_response answer;
 
@@ -477,9 +477,15 @@
         strstr(answer.body, "lavender_zone_evacuated{zone=\"z\"} 1\n"));
     cr_expect_not_null(
         strstr(answer.body, "lavender_zone_evacuations_total 1\n"));
+    stage_get(&stage, "/v1/status", &answer);
+    cr_expect_eq(answer.status, 200);
+    cr_expect_not_null(strstr(answer.body, "\"evacuated_zones\": [\n"));
+    cr_expect_not_null(strstr(answer.body, "    \"z\"\n"));
     write_keys(NULL);
     stage_get(&stage, "/metrics", &answer);
     cr_expect_not_null(
         strstr(answer.body, "lavender_zone_evacuated{zone=\"z\"} 0\n"));
+    stage_get(&stage, "/v1/status", &answer);
+    cr_expect_not_null(strstr(answer.body, "\"evacuated_zones\": []"));
     stage_stop(&stage);
 }
