--- a/tests/gateway/stage.h
+++ b/tests/gateway/stage.h
@@ -100,6 +100,8 @@
     uint64_t era; /* of the store, in all its responses; 0: not named */
     uint32_t config_version;
     const char *config_extra; /* more routes, JSON; may be NULL */
+    const char *op_items;     /* more items below the configuration's prefix,
+                                 JSON, each after a comma; may be NULL */
     bool is_store_down;       /* the store responds 503 to all requests */
     bool is_store_garbled;    /* it responds 200 with a body that is no JSON */
     bool is_list_withheld;    /* lists of endpoints get no response */
@@ -119,7 +121,8 @@
  * all endpoints. Routes of host "h": /once/ (not idempotent), /many/
  * (idempotent, two attempts), /stream/ (at most once), /resume/ (a stream that
  * may be resumed), /open/ (public, idempotent). Key "k1" belongs to "north".
- * All endpoints serve all routes. */
+ * All endpoints serve all routes; the first one is in zone "z", the others in
+ * "y". */
 void stage_start(stage_fixture *stage, uint32_t endpoints);
 
 /* Start everything but the gateway, so that a test can set how the store
--- a/tests/gateway/test-start-grants.c
+++ b/tests/gateway/test-start-grants.c
@@ -267,7 +267,8 @@
 }
 
 /* The request waits for the coordinator's reply while its endpoint says that
- * it leaves, or for how long it takes no request. */
+ * it leaves, or for how long it takes no request, or while its zone is
+ * evacuated. */
 Test(start_grants, an_endpoint_that_takes_none_by_then_receives_no_request)
 {
     static const char text[] =
@@ -277,13 +278,16 @@
         "Content-Length: 5\r\n\r\nhello";
     static const struct {
         coordinator_mode mode;
-        bool is_leaving;
+        avl_reason reason;
     } cases[] = {
-        {COORDINATOR_GRANTS, true},
-        {COORDINATOR_GRANTS, false},
-        {COORDINATOR_IS_SILENT, true},
-        {COORDINATOR_IS_SILENT, false},
+        {COORDINATOR_GRANTS, AVL_LEAVING},
+        {COORDINATOR_GRANTS, AVL_BACKING_OFF},
+        {COORDINATOR_GRANTS, AVL_EVACUATED},
+        {COORDINATOR_IS_SILENT, AVL_LEAVING},
+        {COORDINATOR_IS_SILENT, AVL_BACKING_OFF},
+        {COORDINATOR_IS_SILENT, AVL_EVACUATED},
     };
+    evc_notice notice = {lv_hash_name("z"), {0, 500}, true};
 
     for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
         stage_client client;
@@ -291,9 +295,13 @@
         set_up(cases[i].mode);
         stage_send(&stage, &client, text, sizeof text - 1);
         cr_assert(stage_run_until(&stage, awaits_grant, NULL, 1000));
-        if (cases[i].is_leaving) {
+        if (cases[i].reason == AVL_LEAVING) {
             eng_begin_leaving(&stage.gate.endpoints, 0);
         }
+        else if (cases[i].reason == AVL_EVACUATED) {
+            evc_apply_notice(&stage.gate.evacuation, &notice, io_now());
+            stage.gate.peers.on_evacuation(&stage.gate);
+        }
         else {
             eng_begin_backoff(&stage.gate.endpoints, 0, 60 * LV_SECOND,
                               io_now());
@@ -314,14 +322,16 @@
         lv_time queue;
         bool is_leaving; /* by its own word */
         lv_time backoff; /* between the endpoint and the coordinator */
+        bool is_evacuated;
         bool is_granted;
     } cases[] = {
-        {true, 0, false, 0, true},
-        {true, 5 * LV_SECOND, false, 0, false},
+        {true, 0, false, 0, false, true},
+        {true, 5 * LV_SECOND, false, 0, false, false},
         /* removed; the requesting peer does not know yet */
-        {false, 0, false, 0, false},
-        {true, 0, true, 0, false},
-        {true, 0, false, LV_SECOND, true},
+        {false, 0, false, 0, false, false},
+        {true, 0, true, 0, false, false},
+        {true, 0, false, LV_SECOND, false, true},
+        {true, 0, false, 0, true, false},
     };
 
     for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
@@ -340,6 +350,7 @@
         }
         eng_begin_backoff(&stage.gate.endpoints, 0, cases[i].backoff,
                           io_now());
+        endpoint->is_evacuated = cases[i].is_evacuated;
         eng_clear_affinity(&request.prompt);
         stage.gate.peers.on_start_request(&stage.gate, 0, &request, &reply);
         cr_expect_eq(reply.is_granted, cases[i].is_granted, "case %zu", i);
