Pace requests to cold endpoints

Cause: the fleet sends endpoints that have just started more requests than they can take. While an endpoint is cold, instances in small and large fleets ask its coordinator for each start, plain endpoints included; the coordinator grants by the module warmup and by the endpoint's own limit. A request that was denied at two cold endpoints is decided among the warm ones. Failed connections and crashes make an endpoint cold until a later entry. A start reply grows by 2 numbers.

--- a/packages/core/include/lavender/admission.h
+++ b/packages/core/include/lavender/admission.h
@@ -62,6 +62,7 @@
     uint32_t first_row; /* any number: the row to begin with; of endpoints with
                            the same cost the first is taken, so different
                            numbers spread the instances over them */
+    bool avoids_cold;   /* cold endpoints count as taking none now */
     uint32_t tried_count;
     lv_handle tried[ADM_TRIED_MAX]; /* endpoints that are excluded */
 } adm_request;
--- a/packages/core/include/lavender/availability.h
+++ b/packages/core/include/lavender/availability.h
@@ -20,7 +20,8 @@
     AVL_LEAVING,       /* draining by its own word */
     AVL_BACKING_OFF,   /* until the time that it named */
     AVL_SLOW_STARTING, /* as many as may start now have started */
-    AVL_LIMITED        /* by the limit that it named (pace.h) */
+    AVL_LIMITED,       /* by the limit that it named (pace.h) */
+    AVL_COLD           /* by the rate of a cold endpoint (warmup.h) */
 } avl_reason;
 
 typedef struct avl_state {
--- a/packages/core/include/lavender/engine.h
+++ b/packages/core/include/lavender/engine.h
@@ -16,6 +16,7 @@
 #include "lavender/map.h"
 #include "lavender/outlier.h"
 #include "lavender/pace.h"
+#include "lavender/warmup.h"
 
 #define ENG_BLOCKS_MAX 16
 
@@ -33,6 +34,7 @@
     lv_id version_id;           /* hash of it */
     uint32_t slots;             /* maximum concurrent requests */
     bool is_draining;
+    wrm_notice cold; /* what the entry says of the remaining cold time */
 } eng_spec;
 
 /* Settings of the model. The defaults describe the engines in use. */
@@ -86,6 +88,7 @@
     out_detector outlier;
     avl_state availability;
     pace_state pace;
+    wrm_state warmup;
 } eng_endpoint;
 
 /* An endpoint that was removed, and what it had said of itself: an older list
@@ -94,6 +97,7 @@
     lv_id id; /* LV_ID_NONE: unused */
     avl_state availability;
     pace_state pace;
+    wrm_state warmup;
 } eng_departed;
 
 /* A block of a prompt. */
--- a/packages/core/include/lavender/routing.h
+++ b/packages/core/include/lavender/routing.h
@@ -58,6 +58,9 @@
     bool is_engine;           /* a model engine with batching */
     uint32_t slots;           /* engines: maximum concurrent requests */
     uint64_t kv_tokens;       /* engines: KV cache capacity in tokens */
+    lv_time cold_time; /* for which endpoints are cold after a start; 0: never
+                          cold */
+    double cold_rate;  /* requests per second that a cold endpoint takes */
 } rt_service;
 
 typedef struct rt_account {
--- a/packages/core/source/admission.c
+++ b/packages/core/source/admission.c
@@ -230,6 +230,10 @@
         }
         return false;
     }
+    if (reason == AVL_AVAILABLE && request->avoids_cold &&
+        wrm_left(&endpoint->warmup, now) > 0) {
+        reason = AVL_COLD;
+    }
     if (reason == AVL_AVAILABLE || reason == AVL_UNLISTED) {
         return reason == AVL_AVAILABLE;
     }
@@ -238,7 +242,9 @@
         others->reason = reason;
     }
     others->count++;
-    places = eng_places(table, row, others->latest_free);
+    places = request->avoids_cold && reason == AVL_COLD
+                 ? 0
+                 : eng_places(table, row, others->latest_free);
     others->places = places > UINT32_MAX - others->places
                          ? UINT32_MAX
                          : others->places + places;
--- a/packages/core/source/availability.c
+++ b/packages/core/source/availability.c
@@ -107,6 +107,8 @@
         return "slow-start";
     case AVL_LIMITED:
         return "limited";
+    case AVL_COLD:
+        return "cold";
     }
     return "";
 }
--- a/packages/core/source/engine-availability.c
+++ b/packages/core/source/engine-availability.c
@@ -16,6 +16,10 @@
         !pace_check(&endpoint->pace, now, free_at)) {
         return AVL_LIMITED;
     }
+    if (reason == AVL_AVAILABLE &&
+        !wrm_check(&endpoint->warmup, now, free_at)) {
+        return AVL_COLD;
+    }
     return reason;
 }
 
@@ -25,8 +29,10 @@
     const eng_endpoint *endpoint = &table->endpoints[row];
     uint32_t places = avl_places(&endpoint->availability, until);
     uint32_t paced = pace_places(&endpoint->pace, until);
+    uint32_t warm = wrm_places(&endpoint->warmup, until);
 
-    return paced < places ? paced : places;
+    places = paced < places ? paced : places;
+    return warm < places ? warm : places;
 }
 
 bool
@@ -68,13 +74,15 @@
     eng_departed *departed;
 
     if (!state->is_leaving && state->backoff_until == 0 &&
-        !pace_is_limited(&endpoint->pace)) {
+        !pace_is_limited(&endpoint->pace) &&
+        endpoint->warmup.service.cold_time == 0) {
         return;
     }
     departed = &table->departed[table->departed_count++ % ENG_DEPARTED_MAX];
     departed->id = endpoint->spec.id;
     departed->availability = *state;
     departed->pace = endpoint->pace;
+    departed->warmup = endpoint->warmup;
 }
 
 void
@@ -90,6 +98,7 @@
         if (departed->id == id) {
             endpoint->availability = departed->availability;
             endpoint->pace = departed->pace;
+            endpoint->warmup = departed->warmup;
             departed->id = LV_ID_NONE;
         }
     }
--- a/packages/core/source/engine.c
+++ b/packages/core/source/engine.c
@@ -335,6 +335,7 @@
     endpoint->local.kv_tokens += use->kv_tokens;
     avl_count_start(&endpoint->availability, now);
     pace_count_start(&endpoint->pace, now);
+    wrm_count_start(&endpoint->warmup, now);
     add_prefill(table, endpoint, prediction->uncached_tokens, now);
     touch_blocks(table, row, prompt);
     eng_ref(table, row);
--- a/packages/gateway/include/lavender-gateway/gate.h
+++ b/packages/gateway/include/lavender-gateway/gate.h
@@ -52,6 +52,9 @@
     lv_time drain_reserve; /* the process exits this long before the end of the
                               grace */
     uint32_t prefill_rate; /* prompt tokens per ms that an engine prefills */
+    uint32_t cold_overshoot_thousandths; /* requests of any second at a cold
+                                            endpoint, relative to its rate */
+    uint32_t cold_slack;                 /* requests beyond that */
     log_settings log;
 } gate_settings;
 
@@ -100,6 +103,10 @@
     uint64_t quarantine_refused;   /* for a block in quarantine */
     uint64_t unknown_origins;      /* resumed streams that were refused */
     uint64_t quarantined_requests_refused;
+    uint64_t cold_denials;       /* as an endpoint was cold */
+    uint64_t cold_grants;        /* as its coordinator */
+    uint64_t cold_refusals;      /* the same, denied */
+    uint64_t invalid_cold_times; /* of endpoints */
 } gate_counts;
 
 struct gate_server {
@@ -143,6 +150,7 @@
                                  connections */
     lv_time worst_delay;      /* of the timer, since it was logged */
     lv_time delay_logged_at;
+    lv_time cold_viewed_at; /* latest look at who coordinates cold endpoints */
     bool is_draining;
     lv_time drain_since;
     uint64_t prng_state;        /* of gate_random */
--- a/packages/gateway/include/lavender-gateway/peers.h
+++ b/packages/gateway/include/lavender-gateway/peers.h
@@ -141,6 +141,8 @@
     uint32_t uncached_tokens; /* prompt tokens to prefill */
     lv_time limit_wait; /* denied for the endpoint's limit: how long to wait;
                            0: not for that */
+    lv_time cold_left;  /* the endpoint is cold for so long; 0: it is warm */
+    lv_time cold_wait;  /* denied as it is cold: how long to wait */
 } peers_start_reply;
 
 /* The quarantines whose reports instances send to each other. */
@@ -189,6 +191,7 @@
     uint64_t own_changes[PEERS_SUBJECTS];
     uint64_t named_changes[PEERS_SUBJECTS];
     bool can_coordinate;     /* this instance can be a coordinator */
+    lv_time ready_at;        /* since then; 0: not noted yet */
     lv_time last_updates_at; /* latest updates sent to coordinators */
     lv_time last_join_at;    /* a peer became live */
     lv_time last_sums_at;    /* latest broadcast of the coordinated sums */
@@ -212,6 +215,10 @@
                              const peers_start_request *request,
                              peers_start_reply *reply);
 
+    /* A peer reports that an endpoint is cold for some time. NULL: ignored. */
+    void (*on_cold)(void *owner, lv_handle endpoint, lv_time left,
+                    uint64_t incarnation);
+
     /* A coordinator granted or denied a start request. */
     void (*on_start_reply)(void *owner, const peers_start_reply *reply);
 
@@ -288,6 +295,14 @@
  * account. */
 bool peers_is_coordinator(const peers_state *peers, lv_id key);
 
+/* Notes when this instance can coordinate; call it at every tick of the
+ * timer. */
+void peers_note_readiness(peers_state *peers, lv_time now);
+
+/* Describes the fleet as it matters for the coordinator of a cold endpoint. */
+void peers_view_coordinator(const peers_state *peers, lv_id endpoint,
+                            lv_time now, wrm_view *view);
+
 /* Requests a start grant from the endpoint's coordinator and writes its
  * address to `address`. Passes over coordinators that recently did not reply,
  * unless the endpoint is limited.
--- a/packages/gateway/include/lavender-gateway/wire.h
+++ b/packages/gateway/include/lavender-gateway/wire.h
@@ -54,6 +54,9 @@
     bool has_limit;        /* the endpoint names a limit */
     bool is_limit_invalid; /* it does, but not as a number */
     double limit; /* requests per second that it takes from all instances */
+    bool has_cold_time;        /* the endpoint names its remaining cold time */
+    bool is_cold_time_invalid; /* it does, but not as a number */
+    lv_time cold_time;
 } wire_response;
 
 /* The parts of the store that the gateway reads. */
--- a/packages/gateway/source/back-pool.c
+++ b/packages/gateway/source/back-pool.c
@@ -151,7 +151,7 @@
         connection->pool->endpoints, connection->endpoint, io_now(), &free_at);
 
     return reason == AVL_AVAILABLE || reason == AVL_SLOW_STARTING ||
-           reason == AVL_LIMITED;
+           reason == AVL_LIMITED || reason == AVL_COLD;
 }
 
 static void
--- a/packages/gateway/source/gate-grant.c
+++ b/packages/gateway/source/gate-grant.c
@@ -55,28 +55,45 @@
            request->limit_denials >= MAX_LIMIT_DENIALS;
 }
 
+bool
+gate_send_grant_request(gate_request *request, bool is_limited, lv_time now)
+{
+    peers_start_request ask;
+
+    fill_grant_request(request, now, &ask);
+    if (!peers_request_start(&request->gate->peers, &ask, is_limited, now,
+                             &request->grant_coordinator)) {
+        return false;
+    }
+    request->state = GATE_AWAITING_GRANT;
+    request->grant_endpoint = ask.endpoint;
+    request->grant_deadline = now + GRANT_TIMEOUT;
+    return true;
+}
+
 bool
 gate_request_grant(gate_request *request)
 {
     gate_server *gate = request->gate;
     lv_time now = io_now();
-    const eng_endpoint *endpoint =
-        eng_at(&gate->endpoints, request->decision.endpoint);
-    bool is_limited = pace_is_limited(&endpoint->pace);
-    peers_start_request ask;
+    lv_handle row = request->decision.endpoint;
+    const eng_endpoint *endpoint = eng_at(&gate->endpoints, row);
+    bool is_limited =
+        pace_is_limited(&endpoint->pace) || gate_is_cold(gate, row, now);
 
     if (!endpoint->is_engine && !is_limited) {
         return false;
     }
     request->grant_number = ++gate->last_grant_number;
-    fill_grant_request(request, now, &ask);
-    if (!peers_request_start(&gate->peers, &ask, is_limited, now,
-                             &request->grant_coordinator)) {
+    request->is_grant_repeated = false;
+    if (gate_send_grant_request(request, is_limited, now)) {
+        return true;
+    }
+    if (gate_may_start_cold(gate, row, now)) {
         return false;
     }
-    request->state = GATE_AWAITING_GRANT;
-    request->grant_endpoint = ask.endpoint;
-    request->grant_deadline = now + GRANT_TIMEOUT;
+    gate_deny_cold(request, row, 0, "cold");
+    gate_decide_request(request);
     return true;
 }
 
@@ -95,7 +112,8 @@
     reason_not = eng_check_send(table, endpoint, io_now(), &free_at);
     if (eng_find(table, request->grant_endpoint) == endpoint &&
         (reason_not == AVL_AVAILABLE ||
-         (reason_not == AVL_LIMITED && is_granted))) {
+         ((reason_not == AVL_LIMITED || reason_not == AVL_COLD) &&
+          is_granted))) {
         gate_start_request(request, reason);
     }
     else {
@@ -116,6 +134,13 @@
     }
     peers_note_unanswered(&gate->peers, &request->grant_coordinator, now);
     endpoint = eng_find(&gate->endpoints, request->grant_endpoint);
+    if (endpoint != LV_HANDLE_NONE && gate_is_cold(gate, endpoint, now)) {
+        if (!gate_repeat_cold_request(request, now)) {
+            gate_deny_cold(request, endpoint, SILENT_CLOSURE, "keeper-silent");
+            gate_decide_request(request);
+        }
+        return;
+    }
     if (endpoint != LV_HANDLE_NONE &&
         pace_is_limited(&eng_at(&gate->endpoints, endpoint)->pace)) {
         request->state = GATE_QUEUED;
@@ -167,10 +192,14 @@
         pace_hear(pace, ask->limit, ask->sender,
                   lv_elapsed(now, ask->limit_age), now);
     }
+    gate_grant_cold(gate, endpoint, ask, answer);
     if (answer->is_granted) {
         answer->is_granted =
             pace_grant(pace, grant_percent(gate, ask->endpoint), now,
                        &answer->limit_wait);
+        if (!answer->is_granted) {
+            gate_return_cold(gate, endpoint);
+        }
     }
     eng_summarize(&gate->endpoints, endpoint, now, &answer->summary);
     answer->service_time = prediction.service_time;
@@ -204,7 +233,11 @@
     eng_table *endpoints = &request->gate->endpoints;
 
     request->state = GATE_QUEUED;
-    if (answer->limit_wait > 0) {
+    if (answer->cold_wait > 0) {
+        gate_deny_cold(request, request->decision.endpoint, answer->cold_wait,
+                       "cold");
+    }
+    else if (answer->limit_wait > 0) {
         request->limit_denials++;
         pace_close(&eng_at(endpoints, request->decision.endpoint)->pace,
                    answer->limit_wait, io_now());
@@ -224,6 +257,7 @@
     gate_request *request = find_awaiting_request(gate, answer);
     eng_prediction *prediction;
 
+    gate_hear_coordinator(gate, answer);
     if (request == NULL) {
         return; /* the caller disconnected, or the deadline passed */
     }
--- a/packages/gateway/source/gate-notice.c
+++ b/packages/gateway/source/gate-notice.c
@@ -97,6 +97,7 @@
                   endpoint_name(gate, row));
     }
     note_limit(gate, row, response, request_id);
+    gate_note_cold_time(gate, row, response);
     if (response->is_draining) {
         begin_leaving(gate, row, request_id);
     }
@@ -157,11 +158,11 @@
     return count;
 }
 
-static void
-write_endpoint_gauge(const gate_server *gate, met_writer *writer,
-                     const char *name, const char *help,
-                     double (*value)(const eng_endpoint *endpoint,
-                                     lv_time now))
+void
+gate_write_endpoint_gauge(const gate_server *gate, met_writer *writer,
+                          const char *name, const char *help,
+                          double (*value)(const eng_endpoint *endpoint,
+                                          lv_time now))
 {
     lv_time now = io_now();
     lv_handle row;
@@ -229,12 +230,12 @@
     };
 
     met_write_scalars(writer, values, sizeof values / sizeof values[0]);
-    write_endpoint_gauge(gate, writer, "lavender_endpoint_leaving",
-                         "1: it said that it leaves", leaving_value);
-    write_endpoint_gauge(gate, writer, "lavender_endpoint_limit",
-                         "requests per second that it takes; -1: no limit",
-                         limit_value);
-    write_endpoint_gauge(gate, writer, "lavender_endpoint_backoff_seconds",
-                         "left of the back-off that it asked for",
-                         backoff_value);
+    gate_write_endpoint_gauge(gate, writer, "lavender_endpoint_leaving",
+                              "1: it said that it leaves", leaving_value);
+    gate_write_endpoint_gauge(
+        gate, writer, "lavender_endpoint_limit",
+        "requests per second that it takes; -1: no limit", limit_value);
+    gate_write_endpoint_gauge(
+        gate, writer, "lavender_endpoint_backoff_seconds",
+        "left of the back-off that it asked for", backoff_value);
 }
--- a/packages/gateway/source/gate-quarantine.c
+++ b/packages/gateway/source/gate-quarantine.c
@@ -39,10 +39,13 @@
 on_crash(crash_detector *detector, lv_id endpoint, uint32_t suspects,
          lv_time at)
 {
-    const gate_server *gate = detector->owner;
+    gate_server *gate = detector->owner;
     lv_handle row = eng_find(&gate->endpoints, endpoint);
     lv_time now = io_now();
 
+    if (row != LV_HANDLE_NONE) {
+        gate_note_unreachable(gate, row);
+    }
     log_event(
         LOG_LEVEL_WARNING, now, "endpoint-crash",
         "endpoint=%s age_ms=%llu suspects=%u",
@@ -222,6 +225,12 @@
     else if (outcome == BACK_NOT_SENT &&
              strcmp(reason, "connect-failed") == 0) {
         note_refused_connection(attempt);
+        gate_note_unreachable(attempt->request->gate,
+                              attempt->reservation.endpoint);
+    }
+    else if (outcome == BACK_NOT_SENT) {
+        gate_note_unreachable(attempt->request->gate,
+                              attempt->reservation.endpoint);
     }
     else if (outcome == BACK_NO_RESPONSE || outcome == BACK_TRUNCATED) {
         gate_log_cut(attempt, reason);
--- a/packages/gateway/source/gate-settings.c
+++ b/packages/gateway/source/gate-settings.c
@@ -62,6 +62,8 @@
     COUNT_KEY("idle_connections", endpoint_connections.max_idle_connections, 0,
               65536),
     COUNT_KEY("prefill_rate", prefill_rate, 1, 1000000),
+    RATIO_KEY("cold_overshoot", cold_overshoot_thousandths, 10),
+    DECIMAL_COUNT_KEY("cold_slack", cold_slack, 0, 1000000),
 };
 
 static const conf_key admission_keys[] = {
@@ -154,6 +156,8 @@
     eng_default_settings(&settings->engine);
     adm_default_settings(&settings->admission);
     settings->prefill_rate = (uint32_t)settings->engine.prefill_tokens_per_ms;
+    settings->cold_overshoot_thousandths = 1500;
+    settings->cold_slack = 5;
     settings->max_watch_time = 3 * LV_SECOND;
     settings->leave_limit = 2 * LV_SECOND;
     settings->expiry_grace = 2200 * LV_MILLISECOND;
--- a/packages/gateway/source/gate-stall.c
+++ b/packages/gateway/source/gate-stall.c
@@ -38,6 +38,7 @@
     request->state = GATE_QUEUED;
     request->grant_denials = 0;
     request->limit_denials = 0;
+    request->cold_denials = 0;
 }
 
 gate_attempt *
--- a/packages/gateway/source/gate-store.c
+++ b/packages/gateway/source/gate-store.c
@@ -59,6 +59,7 @@
             add_budget(gate, service->id);
         }
     }
+    gate_apply_warmup(gate, io_now());
 }
 
 /* Something in the store is older than what is known here. It is listed again
@@ -177,6 +178,9 @@
         gate->has_pending_updates = true;
         report_leaving(gate, previous, item->position, now);
     }
+    if (item->has_endpoint && change != reg_older_copy) {
+        gate_note_entry(gate, item, now);
+    }
 }
 
 static void
--- a/packages/gateway/source/gate.c
+++ b/packages/gateway/source/gate.c
@@ -230,6 +230,7 @@
         log_event(LOG_LEVEL_NOTICE, now, "endpoint", "change=lapsed");
     }
     gate_end_backoffs(gate, now);
+    gate_update_warmup(gate, now);
     gate_update_quarantine(gate, now);
     gate_update_origins(gate, now);
     gate_tick_requests(gate, now);
@@ -346,6 +347,7 @@
     gate->peers.on_store_era = gate_begin_store_era;
     gate->peers.on_start_request = gate_handle_grant_request;
     gate->peers.on_start_reply = gate_handle_grant_answer;
+    gate->peers.on_cold = gate_hear_cold;
     gate->peers.owner = gate;
     return true;
 }
--- a/packages/gateway/source/peers-imp.h
+++ b/packages/gateway/source/peers-imp.h
@@ -35,8 +35,8 @@
     PEERS_FIELD_START_REQUEST,
 
     /* One entry: number, endpoint, granted, requests in flight, KV tokens,
-     * wait and service time in us, uncached tokens, wait for the limit in us.
-     */
+     * wait and service time in us, uncached tokens, wait for the limit in us,
+     * time for which the endpoint is cold and wait for its rate in us. */
     PEERS_FIELD_START_REPLY,
 
     /* Kind, key, endpoint, account, group, trials and whether the claim is
@@ -68,7 +68,10 @@
 };
 
 #define PEERS_START_REQUEST_MIN_SIZE 9 /* numbers, without prompt blocks */
-#define PEERS_START_REPLY_SIZE 9       /* numbers */
+#define PEERS_START_REPLY_SIZE 11      /* numbers */
+
+/* A cold time that is longer is not believed. */
+#define PEERS_COLD_MAX_MS 3600000
 
 /* The limit in a start request. */
 enum {
@@ -152,6 +155,16 @@
 void peers_apply_endpoint_state(peers_state *peers, peers_peer *peer,
                                 const msgpack_object *lists, lv_time now);
 
+/* peers-warmup.c: the list of cold endpoints */
+void peers_pack_warmups(const peers_state *peers, lv_time now,
+                        msgpack_packer *packer);
+void peers_apply_warmups(peers_state *peers, const peers_peer *peer,
+                         const msgpack_object_array *list);
+
+/* peers.c: returns how long a peer may be silent before it is considered
+ * lost. */
+lv_time peers_silence_timeout(const peers_state *peers);
+
 /* peers-origin.c: which version began a stream */
 void peers_apply_origins(peers_state *peers, const peers_peer *peer,
                          const msgpack_object_array *origins);
--- a/packages/gateway/source/peers-start.c
+++ b/packages/gateway/source/peers-start.c
@@ -66,5 +66,7 @@
     reply->service_time = numbers[6].via.u64;
     reply->uncached_tokens = (uint32_t)numbers[7].via.u64;
     reply->limit_wait = numbers[8].via.u64;
+    reply->cold_left = numbers[9].via.u64;
+    reply->cold_wait = numbers[10].via.u64;
     return true;
 }
--- a/packages/gateway/source/peers-write.c
+++ b/packages/gateway/source/peers-write.c
@@ -455,6 +455,8 @@
     msgpack_pack_uint64(&packer, reply->service_time);
     msgpack_pack_uint32(&packer, reply->uncached_tokens);
     msgpack_pack_uint64(&packer, reply->limit_wait);
+    msgpack_pack_uint64(&packer, reply->cold_left);
+    msgpack_pack_uint64(&packer, reply->cold_wait);
     pack_empty_lists(1 + PEERS_QUARANTINES, &packer);
     peers_pack_no_endpoint_state(&packer);
 }
--- a/packages/gateway/source/peers.c
+++ b/packages/gateway/source/peers.c
@@ -55,8 +55,8 @@
 
 /* The silence timeout of the settings, but at least MISSED_HEARTBEATS update
  * intervals, which grow with the fleet. */
-static lv_time
-effective_silence_timeout(const peers_state *peers)
+lv_time
+peers_silence_timeout(const peers_state *peers)
 {
     lv_time heartbeats = peers_broadcast_interval(peers) * MISSED_HEARTBEATS;
 
@@ -100,8 +100,7 @@
         lv_time silence_time = lv_elapsed(now, peer->received_at);
 
         peers_expire_loads(peers, peer, now);
-        if (peer->is_live &&
-            silence_time >= effective_silence_timeout(peers)) {
+        if (peer->is_live && silence_time >= peers_silence_timeout(peers)) {
             peer->is_live = false;
             peer->has_reported_all = false;
             peers->live_count--;
--- a/tests/gateway/test-start-grants.c
+++ b/tests/gateway/test-start-grants.c
@@ -17,6 +17,7 @@
     COORDINATOR_GRANTS,
     COORDINATOR_DENIES,
     COORDINATOR_GRANTS_LATER, /* after DENIALS denials */
+    COORDINATOR_NAMES_COLD,   /* denies as the endpoint is cold */
     COORDINATOR_IS_SILENT
 } coordinator_mode;
 
@@ -38,6 +39,10 @@
     reply->is_granted =
         mode == COORDINATOR_GRANTS ||
         (mode == COORDINATOR_GRANTS_LATER && start_request_count > DENIALS);
+    if (mode == COORDINATOR_NAMES_COLD) {
+        reply->cold_left = 5 * LV_SECOND;
+        reply->cold_wait = LV_SECOND;
+    }
 }
 
 static struct sockaddr_in
@@ -168,6 +173,49 @@
     tear_down();
 }
 
+/* Guards against requests to a cold endpoint, also a plain one in a small
+ * fleet, that its coordinator does not count; and against an endpoint that is
+ * not known to be cold although its coordinator says so. */
+Test(start_grants, a_cold_endpoint_receives_no_uncounted_request)
+{
+    static const struct {
+        coordinator_mode mode;
+        bool is_known; /* to be cold */
+        bool is_engine;
+        uint32_t status;
+    } cases[] = {
+        {COORDINATOR_GRANTS, true, false, 200},
+        {COORDINATOR_GRANTS, true, true, 200},
+        {COORDINATOR_NAMES_COLD, true, false, 503},
+        {COORDINATOR_NAMES_COLD, false, true, 503},
+        {COORDINATOR_IS_SILENT, true, false, 503},
+    };
+
+    for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+        stage_response answer;
+        eng_endpoint *endpoint;
+
+        set_up(cases[i].mode);
+        endpoint = eng_at(&stage.gate.endpoints, 0);
+        endpoint->is_engine = cases[i].is_engine;
+        stage.gate.peers.max_live_count = cases[i].is_known ? 1 : 100;
+        stage.gate.config->services[0].cold_time = 10 * LV_SECOND;
+        stage.gate.config->services[0].cold_rate = 5;
+        endpoint->warmup.notice.word =
+            cases[i].is_known ? WRM_WORD_MISSING : WRM_WORD_GIVEN;
+        gate_apply_warmup(&stage.gate, io_now());
+        stage_exchange(&stage, "/many/1", "", &answer);
+        cr_expect_eq(answer.status, cases[i].status, "case %zu: %u", i,
+                     answer.status);
+        cr_expect_eq(stage.endpoints[0].requests, cases[i].status == 200);
+        cr_expect(gate_is_cold(&stage.gate, 0, io_now()), "case %zu", i);
+        if (cases[i].mode != COORDINATOR_IS_SILENT) {
+            cr_expect_geq(start_request_count, 1, "case %zu", i);
+        }
+        tear_down();
+    }
+}
+
 /* The request waits for the coordinator's reply while its endpoint is removed
  * from the catalogue. */
 Test(start_grants, a_removed_endpoint_receives_no_request)
--- a/tests/gateway/test-wire-response.c
+++ b/tests/gateway/test-wire-response.c
@@ -53,6 +53,38 @@
     }
 }
 
+/* Guards against a malformed cold time that is believed, and one of another
+ * endpoint. */
+Test(wire_response, remaining_cold_time)
+{
+    static const struct {
+        uint32_t status;
+        const char *value;
+        bool is_given, is_invalid;
+        lv_time cold_time;
+    } cases[] = {
+        {200, "1500", true, false, 1500 * LV_MILLISECOND},
+        {200, "0", true, false, 0},
+        {503, "0.5", true, false, LV_MILLISECOND / 2},
+        {200, "99999999999999999999", true, false, 3600 * LV_SECOND},
+        {421, "1500", false, false, 0},
+        {200, "-1", false, true, 0},
+        {200, "", false, true, 0},
+        {200, "soon", false, true, 0},
+    };
+
+    for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+        http_header header = {"Lavenderproxy-Cold-Ms", cases[i].value};
+        wire_response response;
+
+        read_head(cases[i].status, &header, 1, &response);
+        cr_expect_eq(response.has_cold_time, cases[i].is_given, "%zu", i);
+        cr_expect_eq(response.is_cold_time_invalid, cases[i].is_invalid, "%zu",
+                     i);
+        cr_expect_eq(response.cold_time, cases[i].cold_time, "%zu", i);
+    }
+}
+
 Test(wire_response, promises_that_a_request_was_not_executed)
 {
     static const struct {
--- a/tests/gateway/test-wire-store.c
+++ b/tests/gateway/test-wire-store.c
@@ -82,6 +82,36 @@
     }
 }
 
+/* Guards against a malformed cold time that counts as a given one. */
+Test(wire_store, cold_times_of_endpoints)
+{
+    static const struct {
+        const char *field;
+        wrm_word word;
+        lv_time remaining;
+    } cases[] = {
+        {"", WRM_WORD_MISSING, 0},
+        {",\"cold_remaining_ms\":0", WRM_WORD_GIVEN, 0},
+        {",\"cold_remaining_ms\":2500", WRM_WORD_GIVEN, 2500 * LV_MILLISECOND},
+        {",\"cold_remaining_ms\":1e300", WRM_WORD_GIVEN, 3600 * LV_SECOND},
+        {",\"cold_remaining_ms\":-1", WRM_WORD_INVALID, 0},
+        {",\"cold_remaining_ms\":\"2500\"", WRM_WORD_INVALID, 0},
+        {",\"cold_remaining_ms\":null", WRM_WORD_INVALID, 0},
+    };
+
+    for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+        char json[1024];
+
+        snprintf(json, sizeof json,
+                 "{\"service\":\"s\",\"address\":\"10.0.0.1:1\","
+                 "\"zone\":\"z\",\"slots\":4,\"state\":\"ready\"%s}",
+                 cases[i].field);
+        cr_assert(read_value("servers/e", json, WIRE_ENDPOINTS), "%s", json);
+        cr_expect_eq(last_item.endpoint.cold.word, cases[i].word, "%s", json);
+        cr_expect_eq(last_item.endpoint.cold.remaining, cases[i].remaining);
+    }
+}
+
 Test(wire_store, revisions_out_of_range_fail_or_are_zero)
 {
     static const struct {
