Believe other instances about cold endpoints sooner

Cause: an instance that has read an entry within 3 s ignored what others say of the endpoint; endpoints write an entry every 2 s, so one that turned cold again was learned of from the store alone. A late loop also took its own connect timeouts for failures of endpoints, and each endpoint of a decision cost a call. Change: an entry outweighs the word of others for 1 s, as long as entries take to reach them, and less than 1 s of cold time is not taken over; connect timeouts of a late loop do not count; services without a cold time are told apart before the call.

--- a/packages/core/include/lavender/warmup.h
+++ b/packages/core/include/lavender/warmup.h
@@ -118,8 +118,8 @@
 void wrm_note_return(wrm_state *state, lv_time now);
 
 /* Records the word of another instance that the endpoint is cold for some
- * time. Without a recent entry it is believed from a second instance, from the
- * only other one, or from the coordinator in its reply. */
+ * time. Unless an entry has just come, it is believed from a second instance,
+ * from the only other one, or from the coordinator in its reply. */
 void wrm_hear(wrm_state *state, lv_time left, uint64_t reporter,
               bool is_only_one, lv_time now);
 void wrm_hear_coordinator(wrm_state *state, lv_time left, lv_time now);
--- a/packages/core/source/engine-availability.c
+++ b/packages/core/source/engine-availability.c
@@ -16,7 +16,8 @@
         !pace_check(&endpoint->pace, now, free_at)) {
         return AVL_LIMITED;
     }
-    if (reason == AVL_AVAILABLE &&
+    /* Tested here, as this is called for every endpoint of a decision. */
+    if (reason == AVL_AVAILABLE && endpoint->warmup.service.cold_time > 0 &&
         !wrm_check(&endpoint->warmup, now, free_at)) {
         return AVL_COLD;
     }
--- a/packages/core/source/warmup.c
+++ b/packages/core/source/warmup.c
@@ -20,14 +20,11 @@
  * process was paused, and another instance may have taken over. */
 #define ROLE_TIME (500 * LV_MILLISECOND)
 
-/* An entry reaches an instance within this time of being written. One that
- * comes sooner after a failure may be older than that. */
+/* An entry reaches all instances within this time of being written. One that
+ * comes sooner after a failure may be older than that, and other instances may
+ * not have read it yet. */
 #define ENTRY_DELAY LV_SECOND
 
-/* An entry that is not older than this outweighs what other instances say;
- * endpoints write theirs at least every 2 s. */
-#define ENTRY_RECENT (3 * LV_SECOND)
-
 /* The full rate is granted if less than this part of the known instances is
  * missing, otherwise in proportion: two instances that each see three quarters
  * of the fleet, but not each other, then grant 1.5 times the rate. */
@@ -170,7 +167,7 @@
 has_recent_entry(const wrm_state *state, lv_time now)
 {
     return state->notice.word == WRM_WORD_GIVEN &&
-           lv_elapsed(now, state->noticed_at) < ENTRY_RECENT;
+           lv_elapsed(now, state->noticed_at) < ENTRY_DELAY;
 }
 
 void
@@ -180,7 +177,10 @@
     lv_time until = now + earlier(left, state->service.cold_time);
     lv_time left_before = wrm_left(state, now);
 
-    if (!may_be_cold(state) || has_recent_entry(state, now)) {
+    /* The others may have read the entry later, and hold it to be cold for
+     * that much longer. */
+    if (!may_be_cold(state) || left < ENTRY_DELAY ||
+        has_recent_entry(state, now)) {
         return;
     }
     if (is_only_one) {
@@ -235,12 +235,13 @@
 lv_time
 wrm_own_left(const wrm_state *state, lv_time now)
 {
-    lv_time noticed = noticed_until(state);
-    lv_time failed = failed_until(state, now);
+    lv_time noticed, failed;
 
     if (!may_be_cold(state)) {
         return 0;
     }
+    noticed = noticed_until(state);
+    failed = failed_until(state, now);
     return lv_elapsed(noticed > failed ? noticed : failed, now);
 }
 
--- a/packages/gateway/source/gate-quarantine.c
+++ b/packages/gateway/source/gate-quarantine.c
@@ -228,7 +228,8 @@
         gate_note_unreachable(attempt->request->gate,
                               attempt->reservation.endpoint);
     }
-    else if (outcome == BACK_NOT_SENT) {
+    else if (outcome == BACK_NOT_SENT &&
+             !ovl_is_late(&attempt->request->gate->overload)) {
         gate_note_unreachable(attempt->request->gate,
                               attempt->reservation.endpoint);
     }
