Show cold endpoints in the status of a gateway

Cause: lavenderctl status reads /v1/status, which gateways did not serve. Change: the readiness listener of a gateway serves it, with the instance, the configuration's version, peers, requests and cold endpoints; lavenderctl prints the latter under each row. Measured: gateway-test-warmup reads the status of a gateway with a cold endpoint. Conclusion: other paths answer as before.

--- a/packages/ctl/source/ctl-status.c
+++ b/packages/ctl/source/ctl-status.c
@@ -4,8 +4,9 @@
 #include "ctl-router-options.h"
 
 static const char doc[] =
-    "Show the status of routers. ADDRESS is the IP:PORT of a router's "
-    "operator listener.";
+    "Show the status of routers, and the endpoints that are cold. ADDRESS is "
+    "the IP:PORT of a router's operator listener, or of the readiness "
+    "listener of a gateway.";
 
 static long long
 get_integer(json_t *object, const char *key)
@@ -40,6 +41,21 @@
            get_integer(requests, "running"));
 }
 
+/* Gateways list the endpoints that they hold to be cold. */
+static void
+print_cold_endpoints(json_t *status)
+{
+    json_t *endpoint;
+    size_t i;
+
+    json_array_foreach(json_object_get(status, "cold_endpoints"), i, endpoint)
+    {
+        printf("  cold for %.1f s by %s: %s\n",
+               json_number_value(json_object_get(endpoint, "seconds")),
+               get_text(endpoint, "source"), get_text(endpoint, "endpoint"));
+    }
+}
+
 /* Requests the status of a router; prints the error and returns NULL on
  * failure. The caller owns the JSON. */
 static json_t *
@@ -57,9 +73,11 @@
     status = json_loadb(response.body, response.size, 0, NULL);
     free(response.body);
     if (status == NULL) {
-        err_set(&error, ERR_SYNTAX,
-                "check that the address is that of an operator listener",
-                "the response to GET /v1/status is not valid JSON");
+        err_set(
+            &error, ERR_SYNTAX,
+            "check that the address is that of an operator listener, or of "
+            "the readiness listener of a gateway",
+            "the response to GET /v1/status is not valid JSON");
         ctl_print_error(address, &error);
     }
     return status;
@@ -90,6 +108,7 @@
         }
         if (!options.is_json) {
             print_status_row(options.addresses[i], status);
+            print_cold_endpoints(status);
         }
         json_object_set_new(statuses, options.addresses[i], status);
     }
--- a/packages/gateway/source/gate-imp.h
+++ b/packages/gateway/source/gate-imp.h
@@ -483,6 +483,10 @@
 /* gate-monitoring.c: readiness probes and metrics */
 extern const front_ops gate_readiness_ops;
 
+/* gate-status.c: sends the status as JSON, for lavenderctl */
+void gate_send_status(const gate_server *gate, bool is_ready,
+                      front_connection *connection);
+
 /* gate-settings.c */
 
 /* Writes at most PEERS_SEEDS_MAX addresses and their count. Returns false with
--- a/packages/gateway/source/gate-monitoring.c
+++ b/packages/gateway/source/gate-monitoring.c
@@ -211,6 +211,9 @@
     if (strcmp(connection->head->target, "/metrics") == 0) {
         send_metrics(gate, connection);
     }
+    else if (strcmp(connection->head->target, "/v1/status") == 0) {
+        gate_send_status(gate, is_ready(gate), connection);
+    }
     else if (is_ready(gate)) {
         front_begin_response(connection, 200, NULL, 0);
         front_end_response(connection);
--- a/tests/gateway/test-warmup.c
+++ b/tests/gateway/test-warmup.c
@@ -27,6 +27,7 @@
     uint32_t count = 0;
     uint32_t first = 0;
     lv_time began_at;
+    stage_response status;
 
     stage_start(&stage, 1);
     stage.gate.config->services[0].cold_time = 60 * LV_SECOND;
@@ -50,6 +51,12 @@
     }
     cr_expect_eq(stage.endpoints[0].requests, count);
     cr_expect_geq(count, RATE * (SECONDS - 3), "%u", count);
+    stage_get(&stage, "/v1/status", &status);
+    cr_expect_not_null(
+        strstr(status.body, "\"source\":\"entry-without-time\""), "%s",
+        status.body);
+    stage_get(&stage, "/metrics", &status);
+    cr_expect_not_null(strstr(status.body, "lavender_endpoint_cold_seconds{"));
     cr_expect_geq(stage.gate.counts.invalid_cold_times, 1);
     stage_stop(&stage);
 }
