Count only instances that were heard among the known ones

Cause: addresses that an instance knows from others alone are never removed, so in a fleet whose addresses change an old instance would come to see no majority and grant nothing at cold endpoints. Conclusion: a fresh instance still counts all addresses.

--- a/packages/gateway/source/peers-warmup.c
+++ b/packages/gateway/source/peers-warmup.c
@@ -23,6 +23,23 @@
                 peers_silence_timeout(peers) + WRM_TAKEOVER_TIME);
 }
 
+/* Counts the instances that were heard lately. At first also those that are
+ * known by address alone: addresses of instances that ended are kept, too. */
+static uint32_t
+count_known(const peers_state *peers, lv_time joined_for)
+{
+    uint32_t known = 1;
+    uint32_t i;
+
+    if (joined_for < peers->settings.forget_timeout) {
+        return peers->count + 1;
+    }
+    for (i = 0; i < peers->count; i++) {
+        known += peers->peers[i].received_at != 0;
+    }
+    return known;
+}
+
 void
 peers_view_coordinator(const peers_state *peers, lv_id endpoint, lv_time now,
                        wrm_view *view)
@@ -38,7 +55,7 @@
     view->joined_for =
         peers->ready_at != 0 ? lv_elapsed(now, peers->ready_at) : 0;
     view->live = peers->live_count + 1;
-    view->known = peers->count + 1;
+    view->known = count_known(peers, view->joined_for);
     view->max_instances = peers_max_instances(peers);
     for (i = 0; i < peers->count; i++) {
         const peers_peer *peer = &peers->peers[i];
--- a/tests/gateway/test-warmup.c
+++ b/tests/gateway/test-warmup.c
@@ -76,6 +76,60 @@
     stage_stop(&stage);
 }
 
+/* Guards against two instances that grant at the same time: when one joins,
+ * when the coordinator is lost, and when the fleet is cut in parts. */
+Test(warmup, view_of_the_coordinator)
+{
+    static const struct {
+        lv_time since; /* the others were heard */
+        uint32_t live;
+        bool has_coordinator, had_coordinator;
+    } cases[] = {
+        {0, 3, true, true},
+        {LV_SECOND / 2, 3, true, true},
+        {1500 * LV_MILLISECOND, 1, false, true},
+        {2500 * LV_MILLISECOND, 1, false, false},
+    };
+    const lv_time now = 100 * LV_SECOND;
+    peer_node nodes[3];
+    lv_id key = 1;
+
+    for (int i = 0; i < 3; i++) {
+        peer_node_start(&nodes[i], i);
+        nodes[i].peers.can_coordinate = true;
+    }
+    peers_note_readiness(&nodes[0].peers, now);
+    for (int i = 1; i < 3; i++) {
+        buf_buffer datagram;
+
+        buf_init(&datagram);
+        peers_write_datagram(&nodes[i].peers, PEERS_SUMS, now, &datagram);
+        cr_assert(peers_receive(&nodes[0].peers, &nodes[i].address,
+                                datagram.data, datagram.size, now));
+        buf_finish(&datagram);
+    }
+    while (peers_is_coordinator(&nodes[0].peers, key)) {
+        key++;
+    }
+    for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+        lv_time later = now + cases[i].since;
+        wrm_view view;
+
+        nodes[0].peers.expired_at = later; /* the loop was not late */
+        peers_expire(&nodes[0].peers, later);
+        peers_view_coordinator(&nodes[0].peers, key, later, &view);
+        cr_expect_eq(view.live, cases[i].live, "case %zu", i);
+        cr_expect_eq(view.known, 3, "case %zu", i);
+        cr_expect_eq(view.max_instances, 3, "case %zu", i);
+        cr_expect_eq(view.has_coordinator, cases[i].has_coordinator, "%zu", i);
+        cr_expect_eq(view.had_coordinator, cases[i].had_coordinator, "%zu", i);
+        cr_expect_eq(view.joined_for, cases[i].since, "case %zu", i);
+    }
+    for (int i = 0; i < 3; i++) {
+        peer_node_stop(&nodes[i]);
+    }
+}
+
 static void
 on_cold(void *owner, lv_handle endpoint, lv_time left, uint64_t incarnation)
 {
