Merge the warm-up of cold endpoints

Cause: two deployments have cold endpoints and evacuated zones. Change: both lists in datagrams; one status for both (with jansson: the test's text has a space after the colon now).

--- a/packages/core/source/availability.c
+++ b/packages/core/source/availability.c
@@ -109,6 +109,8 @@
         return "limited";
     case AVL_EVACUATED:
         return "evacuated";
+    case AVL_COLD:
+        return "cold";
     }
     return "";
 }
--- a/packages/core/source/engine-availability.c
+++ b/packages/core/source/engine-availability.c
@@ -20,6 +20,11 @@
         !pace_check(&endpoint->pace, now, free_at)) {
         return AVL_LIMITED;
     }
+    /* Tested here, as this is called for every endpoint of a decision. */
+    if (reason == AVL_AVAILABLE && endpoint->warmup.service.cold_time > 0 &&
+        !wrm_check(&endpoint->warmup, now, free_at)) {
+        return AVL_COLD;
+    }
     return reason;
 }
 
@@ -29,11 +34,13 @@
     const eng_endpoint *endpoint = &table->endpoints[row];
     uint32_t places = avl_places(&endpoint->availability, until);
     uint32_t paced = pace_places(&endpoint->pace, until);
+    uint32_t warm = wrm_places(&endpoint->warmup, until);
 
     if (endpoint->is_evacuated) {
         return 0;
     }
-    return paced < places ? paced : places;
+    places = paced < places ? paced : places;
+    return warm < places ? warm : places;
 }
 
 bool
@@ -91,13 +98,15 @@
     eng_departed *departed;
 
     if (!state->is_leaving && state->backoff_until == 0 &&
-        !pace_is_limited(&endpoint->pace)) {
+        !pace_is_limited(&endpoint->pace) &&
+        endpoint->warmup.service.cold_time == 0) {
         return;
     }
     departed = &table->departed[table->departed_count++ % ENG_DEPARTED_MAX];
     departed->id = endpoint->spec.id;
     departed->availability = *state;
     departed->pace = endpoint->pace;
+    departed->warmup = endpoint->warmup;
 }
 
 void
@@ -113,6 +122,7 @@
         if (departed->id == id) {
             endpoint->availability = departed->availability;
             endpoint->pace = departed->pace;
+            endpoint->warmup = departed->warmup;
             departed->id = LV_ID_NONE;
         }
     }
--- a/packages/gateway/source/gate-status.c
+++ b/packages/gateway/source/gate-status.c
@@ -58,6 +58,30 @@
     return zones;
 }
 
+static json_t *
+make_cold_endpoints(const gate_server *gate)
+{
+    json_t *endpoints = json_array();
+    lv_time now = io_now();
+    lv_handle row;
+
+    for (row = 0; row < gate->endpoints.capacity; row++) {
+        const eng_endpoint *endpoint = eng_at(&gate->endpoints, row);
+        lv_time left =
+            endpoint->is_used ? wrm_left(&endpoint->warmup, now) : 0;
+
+        if (left > 0) {
+            json_array_append_new(
+                endpoints,
+                json_pack(
+                    "{s:s, s:f, s:s}", "endpoint", endpoint->spec.name,
+                    "seconds", (double)left / (double)LV_SECOND, "source",
+                    wrm_source_text(wrm_find_source(&endpoint->warmup, now))));
+        }
+    }
+    return endpoints;
+}
+
 static char *
 write_status(const gate_server *gate, bool is_ready)
 {
@@ -68,7 +92,13 @@
 
     json_object_set_new(root, "members", make_members(gate));
     json_object_set_new(root, "requests", make_requests(gate));
+    json_object_set_new(root, "documents",
+                        json_pack("{s:{s:I}}", "catalogue", "revision",
+                                  gate->config != NULL
+                                      ? (json_int_t)gate->config->version
+                                      : 0));
     json_object_set_new(root, "evacuated_zones", make_evacuated_zones(gate));
+    json_object_set_new(root, "cold_endpoints", make_cold_endpoints(gate));
     text = json_dumps(root, JSON_INDENT(2));
     json_decref(root);
     return text;
--- a/packages/gateway/source/peers-endpoint-state.c
+++ b/packages/gateway/source/peers-endpoint-state.c
@@ -58,8 +58,8 @@
                           msgpack_packer *packer)
 {
     pack_evacuations(peers, now, packer);
-    msgpack_pack_array(packer, 0);
-    msgpack_pack_array(packer, 0);
+    peers_pack_warmups(peers, now, packer);
+    msgpack_pack_array(packer, 0); /* PEERS_FIELD_SPEEDS */
 }
 
 void
@@ -89,6 +89,8 @@
 peers_apply_endpoint_state(peers_state *peers, peers_peer *peer,
                            const msgpack_object *lists, lv_time now)
 {
-    (void)peer;
     apply_evacuations(peers, &lists[0].via.array, now);
+    peers_apply_warmups(
+        peers, peer,
+        &lists[PEERS_FIELD_WARMUPS - PEERS_FIELD_EVACUATIONS].via.array);
 }
