Decide from which endpoint cached prompt blocks are fetched

Cause: a request that goes to an endpoint other than the one that has its shared blocks cached has them prefilled again. Change: the core module fetch names a source, known from recorded uses or presumed from rendezvous hashing, or says why there is none, and changes the prediction of the request. Conclusion: the decision is in place; nothing uses it yet.

--- a/packages/core/include/lavender/engine.h
+++ b/packages/core/include/lavender/engine.h
@@ -83,6 +83,7 @@
     lv_time overdue;         /* maximum delay of a running request without its
                                 first token */
     lv_time mean_duration;   /* of requests, from sending to the end */
+    lv_time first_seen_at;   /* fch_note_endpoints saw it first; 0: not yet */
     out_detector outlier;
     avl_state availability;
     pace_state pace;
@@ -248,6 +249,17 @@
 uint32_t eng_cached_tokens(const eng_table *table, lv_handle endpoint,
                            const eng_prompt *prompt);
 
+/* Returns how many of the first `limit` blocks of a prompt are cached at an
+ * endpoint according to recorded uses; `floor` if it is not more. Nothing is
+ * presumed of the affinity endpoints. */
+uint32_t eng_known_blocks(const eng_table *table, lv_handle endpoint,
+                          const eng_prompt *prompt, uint32_t limit,
+                          uint32_t floor);
+
+/* Counts tokens that an endpoint caches without prefilling them: they evict
+ * others as prefilled ones do. */
+void eng_count_fetched(eng_table *table, lv_handle endpoint, uint32_t tokens);
+
 /* Records the use of a block at an endpoint, by any instance. */
 void eng_touch_block(eng_table *table, lv_handle endpoint,
                      uint64_t prefix_hash);
--- a/packages/core/include/lavender/lavender.h
+++ b/packages/core/include/lavender/lavender.h
@@ -10,6 +10,7 @@
 #include "lavender/document.h"
 #include "lavender/entry.h"
 #include "lavender/error.h"
+#include "lavender/fetch.h"
 #include "lavender/hash.h"
 #include "lavender/heap.h"
 #include "lavender/host.h"
--- a/packages/core/include/lavender/routing.h
+++ b/packages/core/include/lavender/routing.h
@@ -58,6 +58,10 @@
     bool is_engine;           /* a model engine with batching */
     uint32_t slots;           /* engines: maximum concurrent requests */
     uint64_t kv_tokens;       /* engines: KV cache capacity in tokens */
+    uint64_t kv_bytes;        /* engines: of one token in the KV cache; 0: not
+                                 given */
+    uint32_t bandwidth_mbps;  /* engines: between two of them, in megabits per
+                                 second; 0: not given */
 } rt_service;
 
 typedef struct rt_account {
--- a/packages/core/source/engine-cache.c
+++ b/packages/core/source/engine-cache.c
@@ -109,9 +109,23 @@
     return prefilled_since + used < usable;
 }
 
-/* Returns the number of cached blocks at the start of a prompt. A block is
- * only used together with all blocks before it, so the last cached block
- * implies that those are cached. */
+/* A block is only used together with all blocks before it, so the last cached
+ * block implies that those are cached. */
+uint32_t
+eng_known_blocks(const eng_table *table, lv_handle endpoint,
+                 const eng_prompt *prompt, uint32_t limit, uint32_t floor)
+{
+    uint32_t count = limit;
+
+    while (
+        count > floor &&
+        !is_cached(table, endpoint, prompt->blocks[count - 1].prefix_hash)) {
+        count--;
+    }
+    return count;
+}
+
+/* Returns the number of cached blocks at the start of a prompt. */
 static uint32_t
 count_cached_blocks(const eng_table *table, lv_handle endpoint,
                     const eng_prompt *prompt)
@@ -124,12 +138,7 @@
         count > 0) {
         presumed = count - 1;
     }
-    while (
-        count > presumed &&
-        !is_cached(table, endpoint, prompt->blocks[count - 1].prefix_hash)) {
-        count--;
-    }
-    return count;
+    return eng_known_blocks(table, endpoint, prompt, count, presumed);
 }
 
 uint32_t
@@ -169,3 +178,9 @@
     entry->key = key;
     entry->prefill_total = table->endpoints[endpoint].prefill_total;
 }
+
+void
+eng_count_fetched(eng_table *table, lv_handle endpoint, uint32_t tokens)
+{
+    table->endpoints[endpoint].prefill_total += tokens;
+}
