--- a/packages/gateway/include/lavender-gateway/wire.h
+++ b/packages/gateway/include/lavender-gateway/wire.h
@@ -34,6 +34,8 @@
     const char *endpoint;      /* the only one that may run the request */
     const char *account;       /* NULL: the request has no account */
     const char *last_event_id; /* resumes a stream after it; NULL: none */
+    const char *fetch_from;    /* IP:PORT of the endpoint that cached prompt
+                                  blocks are fetched from; NULL: none */
     lv_time timeout;           /* time left for the response */
 } wire_forward;
 
