Name the source of cached prompt blocks to endpoints

Cause: endpoints can fetch cached blocks from each other, but were never told from where. Change: the gateway chooses a source for each attempt, checks it again after a wait for a grant, and excludes sources named in attempts that failed. Start requests and replies carry the fetch, so that the coordinator counts the same tokens. New settings fetch_limit and fetch_token_limit, log fields and counters.

--- a/packages/gateway/include/lavender-gateway/gate.h
+++ b/packages/gateway/include/lavender-gateway/gate.h
@@ -17,6 +17,7 @@
 #include "lavender-net/log.h"
 #include "lavender/admission.h"
 #include "lavender/budget.h"
+#include "lavender/fetch.h"
 #include "lavender/metrics.h"
 #include "lavender/overload.h"
 #include "lavender/tally.h"
@@ -42,6 +43,7 @@
     back_settings endpoint_connections;
     eng_settings engine;
     adm_settings admission;
+    fch_settings fetch;
     bud_settings budget;
     uint32_t budget_thousandths; /* the ratio of the budget */
     lv_time quota_window;        /* over which account shares are computed */
@@ -100,6 +102,8 @@
     uint64_t quarantine_refused;   /* for a block in quarantine */
     uint64_t unknown_origins;      /* resumed streams that were refused */
     uint64_t quarantined_requests_refused;
+    uint64_t fetch_decisions[FCH_REASONS]; /* by attempts that were started */
+    uint64_t fetch_tokens;                 /* expected of these fetches */
 } gate_counts;
 
 struct gate_server {
--- a/packages/gateway/include/lavender-gateway/peers.h
+++ b/packages/gateway/include/lavender-gateway/peers.h
@@ -19,6 +19,7 @@
 
 #include "lavender/buffer.h"
 #include "lavender/engine.h"
+#include "lavender/fetch.h"
 #include "lavender/origin.h"
 #include "lavender/quarantine.h"
 #include "lavender/shares.h"
@@ -128,6 +129,7 @@
     double limit;      /* as in pace_state */
     lv_time limit_age; /* of the word */
     uint64_t sender;   /* its incarnation; set by the receiver */
+    fch_offer fetch;   /* cached blocks that the endpoint will fetch */
     eng_prompt prompt;
 } peers_start_request;
 
@@ -139,6 +141,7 @@
     eng_summary summary;      /* without the request */
     lv_time service_time;     /* predicted, as in eng_prediction */
     uint32_t uncached_tokens; /* prompt tokens to prefill */
+    uint32_t spared_tokens;   /* not among these because of a fetch */
     lv_time limit_wait; /* denied for the endpoint's limit: how long to wait;
                            0: not for that */
 } peers_start_reply;
--- a/packages/gateway/source/gate-attempt.c
+++ b/packages/gateway/source/gate-attempt.c
@@ -87,6 +87,7 @@
     attempt->version = eng_at(&gate->endpoints, endpoint)->spec.version_id;
     request->state = GATE_RUNNING;
     request->sends++;
+    gate_count_fetch(request);
     eng_start_predicted(&gate->endpoints, endpoint, &request->decoded.prompt,
                         &request->decision.prediction, io_now(),
                         &attempt->reservation);
@@ -332,6 +333,7 @@
 
     record_outcome(attempt, false, true);
     request->sends--;
+    attempt->fetch_source = LV_ID_NONE;
     gate_exclude_endpoint(request);
     if (request->tried_count == ADM_TRIED_MAX) {
         request->ops->give_up(request, 502, reason);
--- a/packages/gateway/source/gate-grant.c
+++ b/packages/gateway/source/gate-grant.c
@@ -45,6 +45,7 @@
     ask->waited = lv_elapsed(now, gate_waiting_since(request));
     ask->share = request->decision.share_ratio;
     ask->prompt = request->decoded.prompt;
+    ask->fetch = request->fetch.offer;
     fill_limit_word(&endpoint->pace, now, ask);
 }
 
@@ -65,6 +66,7 @@
     bool is_limited = pace_is_limited(&endpoint->pace);
     peers_start_request ask;
 
+    gate_choose_fetch(request);
     if (!endpoint->is_engine && !is_limited) {
         return false;
     }
@@ -96,6 +98,7 @@
     if (eng_find(table, request->grant_endpoint) == endpoint &&
         (reason_not == AVL_AVAILABLE ||
          (reason_not == AVL_LIMITED && is_granted))) {
+        gate_check_fetch(request);
         gate_start_request(request, reason);
     }
     else {
@@ -173,6 +176,10 @@
                        &answer->limit_wait);
     }
     eng_summarize(&gate->endpoints, endpoint, now, &answer->summary);
+    answer->spared_tokens = gate_apply_offer(gate, endpoint, ask, &prediction);
+    if (answer->is_granted) {
+        eng_count_fetched(&gate->endpoints, endpoint, answer->spared_tokens);
+    }
     answer->service_time = prediction.service_time;
     answer->uncached_tokens = prediction.uncached_tokens;
 }
@@ -235,5 +242,6 @@
     prediction->wait = answer->summary.wait;
     prediction->service_time = answer->service_time;
     prediction->uncached_tokens = answer->uncached_tokens;
+    gate_note_spared(request, answer->spared_tokens);
     start_if_available(request, true, "granted");
 }
--- a/packages/gateway/source/gate-imp.h
+++ b/packages/gateway/source/gate-imp.h
@@ -48,6 +48,7 @@
     lv_time last_data_at;
     lv_time first_output_at;   /* 0: no output yet */
     lv_id version;             /* of the endpoint's software */
+    lv_id fetch_source;        /* named to the endpoint; or LV_ID_NONE */
     buf_buffer headers;        /* for the caller */
     buf_buffer body;           /* buffered until the answer is whole */
     buf_buffer partial_event;  /* at the end of a resumable stream's data */
@@ -112,7 +113,12 @@
     lv_time next_attempt_after; /* of one beside a silent one, or for an
                                    answer that was interrupted */
     adm_decision decision;
-    uint32_t grant_number; /* of the latest grant request */
+    fch_choice fetch;      /* for the attempt that was decided */
+    uint32_t fetch_spared; /* prompt tokens that its prediction does not
+                              count as prefilled for it */
+    uint32_t failed_source_count;
+    lv_id failed_sources[GATE_MAX_SENDS]; /* named in attempts that failed */
+    uint32_t grant_number;                /* of the latest grant request */
     lv_id grant_endpoint;
     struct sockaddr_in grant_coordinator;
     lv_time grant_deadline;
@@ -286,6 +292,37 @@
                                peers_start_reply *answer);
 void gate_handle_grant_answer(void *owner, const peers_start_reply *answer);
 
+/* gate-fetch.c: from which endpoint another one fetches cached prompt blocks
+ */
+
+/* Chooses the source for the decision's endpoint, and adjusts the prediction
+ * to it. */
+void gate_choose_fetch(gate_request *request);
+
+/* Notes what the coordinator did not count for the fetch. */
+void gate_note_spared(gate_request *request, uint32_t tokens);
+
+/* Drops the source if it may not be used any more, for a request that has
+ * waited since the choice. */
+void gate_check_fetch(gate_request *request);
+
+/* Counts the fetch, or why there is none, of an attempt that starts. */
+void gate_count_fetch(gate_request *request);
+
+/* Returns the address of the source; NULL: none. */
+const char *gate_fetch_address(const gate_request *request);
+
+/* Excludes the source of the last attempt from further ones. */
+void gate_exclude_source(gate_request *request);
+
+/* Applies the fetch that a peer announces to the prediction of the request
+ * that it asks a grant for. Returns the prompt tokens that do not count as
+ * prefilled for it. */
+uint32_t gate_apply_offer(const gate_server *gate, lv_handle endpoint,
+                          const peers_start_request *ask,
+                          eng_prediction *prediction);
+void gate_write_fetch_metrics(const gate_server *gate, met_writer *writer);
+
 /* gate-notice.c: what endpoints say of themselves in their answers */
 
 /* Callback of the pool: `owner` is the gateway. Records that the endpoint
--- a/packages/gateway/source/gate-message.c
+++ b/packages/gateway/source/gate-message.c
@@ -12,6 +12,7 @@
         .account = request->account != NULL ? request->account->name : NULL,
         .last_event_id =
             request->last_event_id[0] != '\0' ? request->last_event_id : NULL,
+        .fetch_from = gate_fetch_address(request),
         .timeout = lv_elapsed(request->answer_deadline, io_now())};
 
     buf_append_text(to, head->method);
--- a/packages/gateway/source/gate-request.c
+++ b/packages/gateway/source/gate-request.c
@@ -171,7 +171,7 @@
     }
     request->attempt = &request->attempts[0];
     request->share_row = LV_HANDLE_NONE;
-    request->decision.endpoint = LV_HANDLE_NONE;
+    request->decision.endpoint = request->fetch.source = LV_HANDLE_NONE;
     request->connection = connection;
     request->config = rt_ref(gate->config);
     request->route = route;
--- a/packages/gateway/source/gate-retry.c
+++ b/packages/gateway/source/gate-retry.c
@@ -6,6 +6,7 @@
     lv_handle endpoint = request->attempt->reservation.endpoint;
     uint32_t i;
 
+    gate_exclude_source(request);
     for (i = 0; i < request->tried_count; i++) {
         if (request->tried[i] == endpoint) {
             return;
--- a/packages/gateway/source/gate-settings.c
+++ b/packages/gateway/source/gate-settings.c
@@ -62,6 +62,8 @@
     COUNT_KEY("idle_connections", endpoint_connections.max_idle_connections, 0,
               65536),
     COUNT_KEY("prefill_rate", prefill_rate, 1, 1000000),
+    SIZE_KEY("fetch_limit", fetch.limit, 0, 64 * GIB),
+    SIZE_KEY("fetch_token_limit", fetch.token_limit, 0, GIB),
 };
 
 static const conf_key admission_keys[] = {
@@ -153,6 +155,7 @@
     default_endpoint_connections(&settings->endpoint_connections);
     eng_default_settings(&settings->engine);
     adm_default_settings(&settings->admission);
+    fch_default_settings(&settings->fetch);
     settings->prefill_rate = (uint32_t)settings->engine.prefill_tokens_per_ms;
     settings->max_watch_time = 3 * LV_SECOND;
     settings->leave_limit = 2 * LV_SECOND;
--- a/packages/gateway/source/peers-imp.h
+++ b/packages/gateway/source/peers-imp.h
@@ -30,13 +30,15 @@
 
     /* One entry: number, endpoint, latency target and time waited in us, share
      * in percent, prompt tokens, output tokens, limit (0: no word, 1: none,
-     * else 2 and thousandths of requests per second) and its age in us; then
-     * prefix hash and tokens of each prompt block. */
+     * else 2 and thousandths of requests per second) and its age in us, tokens
+     * at the start of the prompt that are fetched from another endpoint's
+     * cache, whether that is only presumed to have them; then prefix hash and
+     * tokens of each prompt block. */
     PEERS_FIELD_START_REQUEST,
 
     /* One entry: number, endpoint, granted, requests in flight, KV tokens,
-     * wait and service time in us, uncached tokens, wait for the limit in us.
-     */
+     * wait and service time in us, uncached tokens, wait for the limit in us,
+     * tokens that are not among the uncached ones because of a fetch. */
     PEERS_FIELD_START_REPLY,
 
     /* Kind, key, endpoint, account, group, trials and whether the claim is
@@ -67,8 +69,8 @@
     PEERS_FLAG_CAN_COORDINATE = 2
 };
 
-#define PEERS_START_REQUEST_MIN_SIZE 9 /* numbers, without prompt blocks */
-#define PEERS_START_REPLY_SIZE 9       /* numbers */
+#define PEERS_START_REQUEST_MIN_SIZE 11 /* numbers, without prompt blocks */
+#define PEERS_START_REPLY_SIZE 10       /* numbers */
 
 /* The limit in a start request. */
 enum {
--- a/packages/gateway/source/peers-start.c
+++ b/packages/gateway/source/peers-start.c
@@ -41,6 +41,8 @@
             ? PACE_NO_LIMIT
             : (double)(numbers[7].via.u64 - PEERS_LIMIT_NAMED) / 1000;
     request->limit_age = numbers[8].via.u64;
+    request->fetch.tokens = (uint32_t)numbers[9].via.u64;
+    request->fetch.is_presumed = numbers[10].via.u64 != 0;
     eng_clear_affinity(&request->prompt);
     return read_blocks(numbers + PEERS_START_REQUEST_MIN_SIZE,
                        values->size - PEERS_START_REQUEST_MIN_SIZE,
@@ -66,5 +68,6 @@
     reply->service_time = numbers[6].via.u64;
     reply->uncached_tokens = (uint32_t)numbers[7].via.u64;
     reply->limit_wait = numbers[8].via.u64;
+    reply->spared_tokens = (uint32_t)numbers[9].via.u64;
     return true;
 }
--- a/packages/gateway/source/peers-write.c
+++ b/packages/gateway/source/peers-write.c
@@ -428,6 +428,8 @@
     msgpack_pack_uint32(&packer, prompt->output_tokens);
     msgpack_pack_uint64(&packer, pack_limit(request));
     msgpack_pack_uint64(&packer, request->limit_age);
+    msgpack_pack_uint32(&packer, request->fetch.tokens);
+    msgpack_pack_uint32(&packer, request->fetch.is_presumed);
     for (i = 0; i < prompt->block_count; i++) {
         msgpack_pack_uint64(&packer, prompt->blocks[i].prefix_hash);
         msgpack_pack_uint32(&packer, prompt->blocks[i].tokens);
@@ -455,6 +457,7 @@
     msgpack_pack_uint64(&packer, reply->service_time);
     msgpack_pack_uint32(&packer, reply->uncached_tokens);
     msgpack_pack_uint64(&packer, reply->limit_wait);
+    msgpack_pack_uint32(&packer, reply->spared_tokens);
     pack_empty_lists(1 + PEERS_QUARANTINES, &packer);
     peers_pack_no_endpoint_state(&packer);
 }
--- a/tests/gateway/stage.c
+++ b/tests/gateway/stage.c
@@ -55,13 +55,14 @@
     if (stage->config_extra != NULL) {
         buf_append_text(to, stage->config_extra);
     }
-    buf_append_text(to,
-                    "],\"services\":[{\"name\":\"pool\",\"max_conns\":100}],"
-                    "\"limits\":{\"max_header_bytes\":4096,"
-                    "\"max_body_bytes\":2048,\"header_timeout_ms\":400,"
-                    "\"idle_timeout_ms\":1000},"
-                    "\"tenants\":[{\"name\":\"north\","
-                    "\"api_keys\":[\"k1\"]}]}");
+    buf_append_format(
+        to, "],\"services\":[{\"name\":\"pool\",\"max_conns\":100%s}],",
+        stage->service_extra != NULL ? stage->service_extra : "");
+    buf_append_text(to, "\"limits\":{\"max_header_bytes\":4096,"
+                        "\"max_body_bytes\":2048,\"header_timeout_ms\":400,"
+                        "\"idle_timeout_ms\":1000},"
+                        "\"tenants\":[{\"name\":\"north\","
+                        "\"api_keys\":[\"k1\"]}]}");
     buf_append(to, "", 1);
 }
 
--- a/tests/gateway/stage.h
+++ b/tests/gateway/stage.h
@@ -99,10 +99,12 @@
     uint64_t revision;
     uint64_t era; /* of the store, in all its responses; 0: not named */
     uint32_t config_version;
-    const char *config_extra; /* more routes, JSON; may be NULL */
-    bool is_store_down;       /* the store responds 503 to all requests */
-    bool is_store_garbled;    /* it responds 200 with a body that is no JSON */
-    bool is_list_withheld;    /* lists of endpoints get no response */
+    const char *config_extra;  /* more routes, JSON; may be NULL */
+    const char *service_extra; /* more members of the service, JSON; may be
+                                  NULL */
+    bool is_store_down;        /* the store responds 503 to all requests */
+    bool is_store_garbled; /* it responds 200 with a body that is no JSON */
+    bool is_list_withheld; /* lists of endpoints get no response */
     uint32_t store_calls;
     stage_endpoint endpoints[STAGE_ENDPOINTS];
     uint32_t endpoint_count;
