--- a/tests/gateway/test-fetch.c
+++ b/tests/gateway/test-fetch.c
@@ -116,6 +116,11 @@
         cr_expect_eq(row_of(1 - home)->local.prefill_total,
                      is_known ? 1000 : 3000);
         cr_expect_eq(row_of(1 - home)->prefill_total, 5000);
+        stage_get(&stage, "/metrics", &answer);
+        cr_expect_not_null(
+            strstr(answer.body,
+                   is_known ? "fetch_decisions_total{reason=\"known\"} 1\n"
+                            : "fetch_decisions_total{reason=\"presumed\"} 1"));
         stage_stop(&stage);
     }
 }
