Measure fetches on emulated engines

Cause: the effect of fetching shared blocks was only known from trials. Engines are started with the decision's prediction, as the gateway does; without fetches that is the same prediction as before.

--- a/tests/core/emulator.c
+++ b/tests/core/emulator.c
@@ -2,6 +2,7 @@
 
 #include <criterion/criterion.h>
 
+#include <stdio.h>
 #include <string.h>
 
 /* The engines of the deployments' sheets. */
@@ -62,6 +63,8 @@
             eng_spec spec = {
                 .id = 1000 + e, .service = SERVICE, .slots = SLOTS};
 
+            snprintf(spec.address, sizeof spec.address, "10.0.0.%u:1",
+                     (unsigned)e);
             cr_assert_eq(eng_publish(&self->engines, &spec), e);
         }
         eng_set_service(&self->engines, SERVICE, true, MEMORY_TOKENS);
@@ -164,8 +167,24 @@
     part->used = ++engine->uses;
 }
 
+/* Is the part kept, or fetched from an engine that keeps it? Transfers take no
+ * time. */
+static bool
+is_at_hand(emu_engine *engine, lv_handle source, const eng_block *block)
+{
+    if (find_part(engine, block->prefix_hash) != NULL) {
+        return true;
+    }
+    if (source == LV_HANDLE_NONE ||
+        find_part(&engines[source], block->prefix_hash) == NULL) {
+        return false;
+    }
+    result->shared_fetched += block->tokens;
+    return true;
+}
+
 static void
-arrive_at_engine(emu_request *request, uint32_t number)
+arrive_at_engine(emu_request *request, uint32_t number, lv_handle source)
 {
     emu_engine *engine = &engines[request->engine];
     const eng_prompt *prompt = &request->prompt;
@@ -175,8 +194,7 @@
     for (uint32_t i = 0; i < prompt->block_count; i++) {
         bool is_shared = i + 1 < prompt->block_count;
 
-        is_kept = is_kept &&
-                  find_part(engine, prompt->blocks[i].prefix_hash) != NULL;
+        is_kept = is_kept && is_at_hand(engine, source, &prompt->blocks[i]);
         if (is_kept) {
             request->unread -= prompt->blocks[i].tokens;
         }
@@ -191,6 +209,33 @@
     engine->reading[engine->reading_count++] = number;
 }
 
+/* Returns the engine that shared parts are fetched from, and adjusts the
+ * prediction to it. */
+static lv_handle
+choose_source(instance *self, const emu_request *request,
+              adm_decision *decision, lv_time now)
+{
+    static const rt_service service = {
+        .is_engine = true, .kv_bytes = 18432, .bandwidth_mbps = 100000};
+    fch_settings settings;
+    fch_choice choice;
+    fch_request asked = {.service = &service,
+                         .prompt = &request->prompt,
+                         .endpoint = decision->endpoint};
+
+    fch_default_settings(&settings);
+    fch_note_endpoints(&self->engines, now);
+    fch_choose(&settings, &self->engines, &asked, &decision->prediction, now,
+               &choice);
+    if (choice.source != LV_HANDLE_NONE) {
+        eng_count_fetched(&self->engines, decision->endpoint,
+                          fch_apply(&settings, &self->engines, &service,
+                                    &request->prompt, &choice.offer,
+                                    &decision->prediction));
+    }
+    return choice.source;
+}
+
 static void
 decide(uint32_t number, lv_time now)
 {
@@ -201,6 +246,7 @@
                          .received = request->received,
                          .target = request->aim};
     adm_decision decision;
+    lv_handle source = LV_HANDLE_NONE;
 
     eng_clear_affinity(&request->prompt);
     if (!load->has_no_homes) {
@@ -221,8 +267,11 @@
     }
     request->is_started = true;
     request->engine = decision.endpoint;
-    eng_start_request(&self->engines, decision.endpoint, &request->prompt, now,
-                      &request->use);
+    if (load->has_fetches) {
+        source = choose_source(self, request, &decision, now);
+    }
+    eng_start_predicted(&self->engines, decision.endpoint, &request->prompt,
+                        &decision.prediction, now, &request->use);
     if (self->chain_count < 256) {
         self->chains[self->chain_count] =
             request->prompt.blocks[1].prefix_hash;
@@ -230,7 +279,7 @@
     }
     shr_add_served(&self->shares, request->account,
                    request->prompt.tokens + 2 * request->output, now);
-    arrive_at_engine(request, number);
+    arrive_at_engine(request, number, source);
 }
 
 static uint32_t
--- a/tests/core/emulator.h
+++ b/tests/core/emulator.h
@@ -8,6 +8,7 @@
 #define EMULATOR_H
 
 #include "lavender/admission.h"
+#include "lavender/fetch.h"
 #include "lavender/shares.h"
 
 #define EMU_INSTANCES 4
@@ -73,6 +74,7 @@
     bool has_no_homes;
     bool has_no_uses; /* instances do not tell where parts were sent */
     bool has_no_shares;
+    bool has_fetches; /* engines fetch shared parts from each other */
 } emu_load;
 
 typedef struct emu_result {
@@ -83,6 +85,7 @@
     uint32_t in_time;           /* ended before the deadline */
     uint64_t shared_tokens;     /* of shared parts in started requests */
     uint64_t shared_read;       /* of these, read and not found kept */
+    uint64_t shared_fetched;    /* of these, fetched from another engine */
     uint64_t got[EMU_ACCOUNTS]; /* tokens, in the last two thirds */
     uint64_t asked_tokens[EMU_ACCOUNTS];
 } emu_result;
