--- a/packages/core/include/lavender/lavender.h
+++ b/packages/core/include/lavender/lavender.h
@@ -11,6 +11,7 @@
 #include "lavender/entry.h"
 #include "lavender/error.h"
 #include "lavender/evacuation.h"
+#include "lavender/fetch.h"
 #include "lavender/hash.h"
 #include "lavender/heap.h"
 #include "lavender/host.h"
--- a/packages/core/include/lavender/routing.h
+++ b/packages/core/include/lavender/routing.h
@@ -61,6 +61,10 @@
     lv_time cold_time; /* for which endpoints are cold after a start; 0: never
                           cold */
     double cold_rate;  /* requests per second that a cold endpoint takes */
+    uint64_t kv_bytes; /* engines: of one token in the KV cache; 0: not
+                          given */
+    uint32_t bandwidth_mbps; /* engines: between two of them, in megabits per
+                                second; 0: not given */
 } rt_service;
 
 typedef struct rt_account {
--- a/packages/gateway/source/gate-settings.c
+++ b/packages/gateway/source/gate-settings.c
@@ -64,6 +64,8 @@
     COUNT_KEY("prefill_rate", prefill_rate, 1, 1000000),
     RATIO_KEY("cold_overshoot", cold_overshoot_thousandths, 10),
     DECIMAL_COUNT_KEY("cold_slack", cold_slack, 0, 1000000),
+    SIZE_KEY("fetch_limit", fetch.limit, 0, 64 * GIB),
+    SIZE_KEY("fetch_token_limit", fetch.token_limit, 0, GIB),
 };
 
 static const conf_key admission_keys[] = {
@@ -155,6 +157,7 @@
     default_endpoint_connections(&settings->endpoint_connections);
     eng_default_settings(&settings->engine);
     adm_default_settings(&settings->admission);
+    fch_default_settings(&settings->fetch);
     settings->prefill_rate = (uint32_t)settings->engine.prefill_tokens_per_ms;
     settings->cold_overshoot_thousandths = 1500;
     settings->cold_slack = 5;
