--- a/tests/core/test-warmup.c
+++ b/tests/core/test-warmup.c
@@ -436,7 +436,7 @@
     double allowed = today->rate * OVERSHOOT + SLACK;
     double due = today->rate < today->demand ? today->rate : today->demand;
 
-    due *= (double)(LENGTH / LV_SECOND - today->gap_s);
+    due *= (double)(LENGTH - today->gap_s * LV_SECOND) / (double)LV_SECOND;
     for (uint32_t e = 0; e < today->endpoints; e++) {
         uint32_t most = most_in_a_second(e);
         uint32_t count = world.arrival_count[e];
