--- a/packages/gateway/source/gate-grant.c
+++ b/packages/gateway/source/gate-grant.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "gate-imp.h"
+#include "gate-warmup-imp.h"
 
 /* A coordinator answers within an iteration of its loop and one network round
  * trip; one that takes longer is paused or cut off. */
--- a/packages/gateway/source/gate-monitoring.c
+++ b/packages/gateway/source/gate-monitoring.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "gate-imp.h"
+#include "gate-warmup-imp.h"
 
 static bool
 is_ready(const gate_server *gate)
--- a/packages/gateway/source/gate-notice.c
+++ b/packages/gateway/source/gate-notice.c
@@ -1,6 +1,7 @@
 #include <stdio.h>
 
 #include "gate-imp.h"
+#include "gate-warmup-imp.h"
 
 /* A peer's notice is repeated in its datagrams for seconds; it counts again
  * only when the failure rate has decayed to this. */
--- a/packages/gateway/source/gate-quarantine.c
+++ b/packages/gateway/source/gate-quarantine.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "gate-imp.h"
+#include "gate-warmup-imp.h"
 
 /* A request that was cut off is not sent to another endpoint in the same
  * attempt of the caller once this many crashes under it were known before. */
--- a/packages/gateway/source/gate-request.c
+++ b/packages/gateway/source/gate-request.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "gate-imp.h"
+#include "gate-warmup-imp.h"
 
 /* How long a caller is assumed to wait if its request does not say so; a later
  * answer would not be read. */
--- a/packages/gateway/source/gate-store.c
+++ b/packages/gateway/source/gate-store.c
@@ -1,6 +1,7 @@
 #include <stdlib.h>
 
 #include "gate-imp.h"
+#include "gate-warmup-imp.h"
 
 /* From the expiry of an older copy to the list that it is judged by: entries
  * of the copy were first seen within this time. */
--- a/packages/gateway/source/gate-warmup.c
+++ b/packages/gateway/source/gate-warmup.c
@@ -1,4 +1,4 @@
-#include "gate-imp.h"
+#include "gate-warmup-imp.h"
 
 /* Between two looks at who coordinates the cold endpoints; the role is also
  * determined for each request that is about to start. */
--- a/packages/gateway/source/gate.c
+++ b/packages/gateway/source/gate.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "gate-imp.h"
+#include "gate-warmup-imp.h"
 
 /* Minimum time between decisions on the queue outside the timer: a busy
  * instance has updates all the time, and each decision weighs all endpoints.
--- a/tests/gateway/test-start-grants.c
+++ b/tests/gateway/test-start-grants.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "gate-imp.h"
+#include "gate-warmup-imp.h"
 #include "stage.h"
 
 #define LARGE_FLEET_INSTANCES 100 /* above the large-fleet threshold */
--- a/tests/gateway/test-warmup.c
+++ b/tests/gateway/test-warmup.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "gate-imp.h"
+#include "gate-warmup-imp.h"
 #include "peer-node.h"
 #include "stage.h"
 
