Weigh the zone of an endpoint in the choice, off by default

Cause: the choice of an endpoint ignored zones, and most traffic crossed one. Change: module locality (cost of leaving the zone, state of the own zone with two thresholds, the zone that takes the excess, uses of shared parts), its use in admission, affinity endpoints within a zone. Conclusion: without the setting nothing changes.

--- a/packages/core/include/lavender/admission.h
+++ b/packages/core/include/lavender/admission.h
@@ -14,11 +14,17 @@
  * If there are no others, the request is queued for one that may be sent
  * requests again in time, as long as there is room for it beside those that
  * wait already.
+ *
+ * An endpoint of another zone costs what the request pays for leaving its zone
+ * (locality.h). This chooses among endpoints where the request may start; it
+ * never decides whether a request starts, so shares of accounts do not depend
+ * on zones.
  */
 #ifndef LAVENDER_ADMISSION_H
 #define LAVENDER_ADMISSION_H
 
 #include "lavender/engine.h"
+#include "lavender/locality.h"
 
 #define ADM_TRIED_MAX 8
 
@@ -45,6 +51,7 @@
     uint32_t prefill_cost_percent; /* weight of the prefill time in the cost of
                                       an endpoint */
     lv_time min_retry_after;       /* minimum Retry-After */
+    loc_settings locality;
 } adm_settings;
 
 typedef struct adm_request {
@@ -64,6 +71,8 @@
                            numbers spread the instances over them */
     uint32_t tried_count;
     lv_handle tried[ADM_TRIED_MAX]; /* endpoints that are excluded */
+    loc_request locality;           /* this instance's zone, and what leaving
+                                       it costs; zeroes: nothing */
 } adm_request;
 
 typedef struct adm_decision {
@@ -76,6 +85,7 @@
     lv_time free_at;    /* when one that may be sent no request now may be sent
                            one; LV_TIME_NEVER: none of them */
     const char *reason; /* a static string for logs and metrics */
+    loc_reason crossing; /* why the endpoint is in another zone */
 } adm_decision;
 
 void adm_default_settings(adm_settings *settings);
--- a/packages/core/include/lavender/engine.h
+++ b/packages/core/include/lavender/engine.h
@@ -29,6 +29,7 @@
     lv_id service;
     char address[LV_ADDRESS_SIZE];
     lv_id zone;
+    char zone_name[LV_NAME_SIZE];
     char version[LV_NAME_SIZE]; /* of its software; "": not published */
     lv_id version_id;           /* hash of it */
     uint32_t slots;             /* maximum concurrent requests */
@@ -240,6 +241,12 @@
 void eng_find_affinity(const eng_table *table, lv_id service,
                        eng_prompt *prompt);
 
+/* The same for the endpoints of one zone. The secondary affinity endpoint is
+ * the affinity endpoint for all zones, which has the blocks for others, unless
+ * it is in the zone. Without endpoints in the zone it is eng_find_affinity. */
+void eng_find_zone_affinity(const eng_table *table, lv_id service, lv_id zone,
+                            eng_prompt *prompt);
+
 /* Clears both affinity endpoints of a prompt: no block is presumed cached. */
 void eng_clear_affinity(eng_prompt *prompt);
 
--- a/packages/core/include/lavender/lavender.h
+++ b/packages/core/include/lavender/lavender.h
@@ -15,6 +15,7 @@
 #include "lavender/host.h"
 #include "lavender/ledger.h"
 #include "lavender/limits.h"
+#include "lavender/locality.h"
 #include "lavender/map.h"
 #include "lavender/membership.h"
 #include "lavender/message.h"
--- a/packages/core/source/admission.c
+++ b/packages/core/source/admission.c
@@ -39,6 +39,14 @@
     uint64_t cost;
 } candidate;
 
+/* The best candidates: at any cost of zones, with them, and in the own zone.
+ */
+typedef struct candidates {
+    candidate any;
+    candidate near;
+    candidate own;
+} candidates;
+
 /* The endpoints that may be sent no request now. */
 typedef struct unavailable {
     uint32_t count;
@@ -57,6 +65,7 @@
     settings->queue_percent = 12;
     settings->prefill_cost_percent = 400;
     settings->min_retry_after = 100 * LV_MILLISECOND;
+    loc_default_settings(&settings->locality);
 }
 
 static bool
@@ -277,12 +286,50 @@
     }
 }
 
-/* Writes the best candidate, whose endpoint is LV_HANDLE_NONE if there is
+static void
+clear_candidates(candidates *best)
+{
+    memset(best, 0, sizeof *best);
+    best->any.endpoint = LV_HANDLE_NONE;
+    best->near.endpoint = LV_HANDLE_NONE;
+    best->own.endpoint = LV_HANDLE_NONE;
+}
+
+static void
+compare_candidate(const adm_request *request, const eng_endpoint *endpoint,
+                  candidate *one, candidates *best)
+{
+    if (is_better(request, one, &best->any)) {
+        best->any = *one;
+    }
+    if (request->locality.zone == LV_ID_NONE) {
+        return;
+    }
+    one->cost += loc_cost(&request->locality, endpoint->spec.zone);
+    if (is_better(request, one, &best->near)) {
+        best->near = *one;
+    }
+    if (endpoint->spec.zone == request->locality.zone &&
+        is_better(request, one, &best->own)) {
+        best->own = *one;
+    }
+}
+
+/* Zones count only among endpoints where the request may start, so that a
+ * request starts whenever it would without them, and no sooner. */
+static const candidate *
+choose_candidate(const candidates *best)
+{
+    return best->any.may_start && best->near.may_start ? &best->near
+                                                       : &best->any;
+}
+
+/* Writes the best candidates, whose endpoints are LV_HANDLE_NONE if there are
  * none, and what is known of the endpoints that may be sent no request.
  * Returns the number of candidates. */
 static uint32_t
 find_best(const adm_settings *settings, const eng_table *table,
-          const adm_request *request, lv_time now, candidate *best,
+          const adm_request *request, lv_time now, candidates *best,
           unavailable *others)
 {
     uint32_t count = 0;
@@ -292,8 +339,7 @@
     others->free_at = LV_TIME_NEVER;
     others->tried_free_at = LV_TIME_NEVER;
     others->latest_free = latest_free(settings, request);
-    memset(best, 0, sizeof *best);
-    best->endpoint = LV_HANDLE_NONE;
+    clear_candidates(best);
     for (i = 0; i < table->capacity; i++) {
         lv_handle row =
             (request->first_row % table->capacity + i) % table->capacity;
@@ -310,9 +356,7 @@
                           row == request->prompt->secondary_affinity, now);
         one.may_start =
             may_start(settings, request, endpoint, &one.prediction, now);
-        if (is_better(request, &one, best)) {
-            *best = one;
-        }
+        compare_candidate(request, endpoint, &one, best);
     }
     return count;
 }
@@ -379,6 +423,7 @@
 adm_decide(const adm_settings *settings, const eng_table *table,
            const adm_request *request, lv_time now, adm_decision *decision)
 {
+    candidates found;
     candidate best;
     unavailable others;
     lv_time allowance;
@@ -389,7 +434,11 @@
 
     decision->share_ratio = request->share_ratio;
     decision->candidate_count =
-        find_best(settings, table, request, now, &best, &others);
+        find_best(settings, table, request, now, &found, &others);
+    best = *choose_candidate(&found);
+    decision->crossing =
+        loc_explain(&request->locality, table, best.endpoint, &best.prediction,
+                    found.own.endpoint, &found.own.prediction, now);
     decision->endpoint = best.endpoint;
     decision->free_at = others.free_at;
     decision->prediction = best.prediction;
--- a/packages/core/source/engine-cache.c
+++ b/packages/core/source/engine-cache.c
@@ -43,10 +43,11 @@
 }
 
 /* Rendezvous hashing: sets the listed endpoints of a service with the highest
- * and the second highest weight for a prefix hash. */
+ * and the second highest weight for a prefix hash, in a zone or, with
+ * LV_ID_NONE, in all of them. */
 static void
-choose_affinity(const eng_table *table, lv_id service, uint64_t prefix_hash,
-                eng_prompt *prompt)
+choose_affinity(const eng_table *table, lv_id service, lv_id zone,
+                uint64_t prefix_hash, eng_prompt *prompt)
 {
     uint64_t best = 0;
     uint64_t second_best = 0;
@@ -57,7 +58,8 @@
         uint64_t weight = hrw_weight(endpoint->spec.id, prefix_hash);
 
         if (!endpoint->is_used || !endpoint->is_listed ||
-            endpoint->spec.service != service) {
+            endpoint->spec.service != service ||
+            (zone != LV_ID_NONE && endpoint->spec.zone != zone)) {
             continue;
         }
         if (weight >= best) {
@@ -85,12 +87,35 @@
 {
     eng_clear_affinity(prompt);
     if (prompt->block_count >= 2) {
-        choose_affinity(table, service,
+        choose_affinity(table, service, LV_ID_NONE,
                         prompt->blocks[prompt->block_count - 2].prefix_hash,
                         prompt);
     }
 }
 
+void
+eng_find_zone_affinity(const eng_table *table, lv_id service, lv_id zone,
+                       eng_prompt *prompt)
+{
+    lv_handle fleet_affinity;
+
+    eng_find_affinity(table, service, prompt);
+    fleet_affinity = prompt->affinity;
+    if (fleet_affinity == LV_HANDLE_NONE) {
+        return;
+    }
+    eng_clear_affinity(prompt);
+    choose_affinity(table, service, zone,
+                    prompt->blocks[prompt->block_count - 2].prefix_hash,
+                    prompt);
+    if (prompt->affinity == LV_HANDLE_NONE) {
+        eng_find_affinity(table, service, prompt);
+    }
+    else if (prompt->affinity != fleet_affinity) {
+        prompt->secondary_affinity = fleet_affinity;
+    }
+}
+
 static bool
 is_cached(const eng_table *table, lv_handle row, uint64_t prefix_hash)
 {
