Prefer endpoints of the own zone, and count what crosses

Cause: most bytes crossed a zone: with one affinity endpoint for the fleet two thirds of the requests with shared parts leave theirs. Change: settings zone_crossing_cost, zone_delay and zone_copy_uses; affinity endpoints in the zone for parts used often enough there; counters of requests and bytes by pair of zones, of flips; a word in the start line; the choice of affinity endpoints moves from gate-request.c to gate-zone.c.

--- a/packages/core/include/lavender/locality.h
+++ b/packages/core/include/lavender/locality.h
@@ -38,9 +38,10 @@
     lv_time crossing_cost; /* of 100 KB that leave the zone or come from
                               another; 0: zones do not matter */
     lv_time zone_delay;    /* one way, between two zones */
-    uint32_t copy_uses;    /* uses of a prompt part in the zone in 10 s from
-                              which it has an affinity endpoint there; 0: one
-                              for the whole fleet */
+    uint32_t copy_uses;    /* uses in the zone in 10 s from which a prompt part
+                              of 5,000 tokens has an affinity endpoint there,
+                              smaller parts from fewer; 0: one for the whole
+                              fleet */
 } loc_settings;
 
 /* A zone as seen for one service. */
@@ -124,6 +125,10 @@
                  const eng_table *table, lv_id service, uint64_t bytes,
                  lv_time now, loc_request *request);
 
+/* Leaving the zone costs the request nothing from now on: it was denied a
+ * start, and has no time for another denial. */
+void loc_ignore_cost(loc_request *request);
+
 /* Returns the cost of an endpoint's zone. */
 lv_time loc_cost(const loc_request *request, lv_id endpoint_zone);
 
--- a/packages/core/include/lavender/metrics.h
+++ b/packages/core/include/lavender/metrics.h
@@ -53,6 +53,10 @@
 void met_write_sample(met_writer *writer, const char *name, const char *labels,
                       double value);
 
+/* Copies a name into the value of a label, with the characters replaced that
+ * would end or escape it. */
+void met_copy_label(char *to, size_t size, const char *name);
+
 /* A metric with a single value and no labels. */
 typedef struct met_scalar {
     const char *name;
--- a/packages/core/include/lavender/tally.h
+++ b/packages/core/include/lavender/tally.h
@@ -36,6 +36,9 @@
  * more bytes is written without labels. */
 void tal_increment(tal_counter *counter, const char *labels);
 
+/* Adds `amount` in the same way. */
+void tal_add(tal_counter *counter, const char *labels, uint64_t amount);
+
 /* Writes all series of the counter. */
 void tal_write(const tal_counter *counter, met_writer *writer);
 
--- a/packages/core/source/locality.c
+++ b/packages/core/source/locality.c
@@ -42,13 +42,17 @@
 
 /* Of other zones than the one that takes this instance's excess. Waits
  * that differ by less may have changed since they were reported. */
-#define SPREAD_COST (40 * LV_MILLISECOND)
+#define SPREAD_COST (20 * LV_MILLISECOND)
 
 /* Window of the uses of prompt parts. A part remains cached for about as long
  * after its last use: some 200,000 tokens of an endpoint's memory are free, at
  * 20 to 30 tokens prefilled per ms. */
 #define USE_WINDOW (10 * LV_SECOND)
 
+/* copy_uses is for parts of this size; smaller ones take less memory, and need
+ * fewer uses in proportion. */
+#define COPY_TOKENS 5000
+
 /* Percent of copy_uses under which a part loses its affinity endpoint in the
  * zone. */
 #define COPY_KEEP_PERCENT 50
@@ -302,6 +306,13 @@
     request->cost += 2 * settings->zone_delay;
 }
 
+void
+loc_ignore_cost(loc_request *request)
+{
+    request->cost = 0;
+    request->spread_cost = 0;
+}
+
 lv_time
 loc_cost(const loc_request *request, lv_id endpoint_zone)
 {
@@ -421,13 +432,38 @@
     return uses * state->zone_instances;
 }
 
+static uint32_t
+shared_tokens(const eng_prompt *prompt)
+{
+    uint32_t tokens = 0;
+    uint32_t i;
+
+    for (i = 0; i + 1 < prompt->block_count; i++) {
+        tokens += prompt->blocks[i].tokens;
+    }
+    return tokens;
+}
+
+/* Returns the uses in a window from which the prompt's shared part is hot. */
+static double
+required_uses(const loc_settings *settings, const eng_prompt *prompt,
+              const loc_part *part)
+{
+    uint32_t tokens = shared_tokens(prompt);
+    double uses = settings->copy_uses;
+
+    if (tokens < COPY_TOKENS) {
+        uses = uses * tokens / COPY_TOKENS;
+    }
+    return part->is_hot ? uses * COPY_KEEP_PERCENT / 100 : uses;
+}
+
 bool
 loc_count_use(loc_state *state, const loc_settings *settings,
               const eng_prompt *prompt, lv_time now)
 {
     loc_part *part;
     bool is_hot;
-    double bound = settings->copy_uses;
 
     if (settings->crossing_cost == 0 || settings->copy_uses == 0 ||
         prompt->block_count < 2) {
@@ -436,10 +472,8 @@
     part =
         find_part(state, prompt->blocks[prompt->block_count - 2].prefix_hash);
     enter_window(part, (uint32_t)(now / USE_WINDOW));
-    if (part->is_hot) {
-        bound = bound * COPY_KEEP_PERCENT / 100;
-    }
-    is_hot = uses_in_zone(state, part, now) >= bound;
+    is_hot = uses_in_zone(state, part, now) >=
+             required_uses(settings, prompt, part);
     state->counts.hot_parts += is_hot && !part->is_hot;
     part->is_hot = is_hot;
     part->uses++;
--- a/packages/core/source/metrics.c
+++ b/packages/core/source/metrics.c
@@ -204,3 +204,16 @@
                  (double)histogram->sum / MICROSECONDS_PER_SECOND);
     write_sample(writer, name, "_count", labels, "", (double)histogram->count);
 }
+
+void
+met_copy_label(char *to, size_t size, const char *name)
+{
+    char *cursor;
+
+    lv_copy_name(to, size, name);
+    for (cursor = to; *cursor != '\0'; cursor++) {
+        if (*cursor == '"' || *cursor == '\\' || *cursor == '\n') {
+            *cursor = '_';
+        }
+    }
+}
--- a/packages/core/source/tally.c
+++ b/packages/core/source/tally.c
@@ -41,6 +41,12 @@
 
 void
 tal_increment(tal_counter *counter, const char *labels)
+{
+    tal_add(counter, labels, 1);
+}
+
+void
+tal_add(tal_counter *counter, const char *labels, uint64_t amount)
 {
     lv_id id = lv_hash_name(labels);
     uint32_t found = map_find(&counter->by_labels, id);
@@ -49,10 +55,10 @@
                              : add_series(counter, id, labels);
 
     if (series != NULL) {
-        series->count++;
+        series->count += amount;
     }
     else {
-        counter->other_count++;
+        counter->other_count += amount;
     }
 }
 
--- a/packages/gateway/include/lavender-gateway/gate.h
+++ b/packages/gateway/include/lavender-gateway/gate.h
@@ -113,7 +113,10 @@
     qtn_table quarantine;         /* of prompt blocks */
     qtn_table request_quarantine; /* by digest */
     org_table origins;            /* of streams */
-    crash_detector crashes;       /* of endpoints */
+    loc_state zones;
+    tal_counter requests_by_zone; /* of this instance and of the endpoint */
+    tal_counter bytes_by_zone;
+    crash_detector crashes; /* of endpoints */
     peers_state peers;
     reg_registry registry;
     store_feed feeds[WIRE_SUBJECT_COUNT];
--- a/packages/gateway/source/gate-attempt.c
+++ b/packages/gateway/source/gate-attempt.c
@@ -83,6 +83,7 @@
     attempt->last_data_at = io_now();
     attempt->first_output_at = 0;
     attempt->tail_size = 0;
+    attempt->bytes = message.size;
     attempt->is_begun_recorded = false;
     attempt->version = eng_at(&gate->endpoints, endpoint)->spec.version_id;
     request->state = GATE_RUNNING;
@@ -124,6 +125,7 @@
 {
     if (attempt->exchange.connection != NULL) {
         gate_count_possible_run(attempt);
+        gate_count_traffic(attempt, back_was_sent(&attempt->exchange));
         back_cancel_exchange(&attempt->exchange);
     }
     end_attempt(attempt);
@@ -375,6 +377,7 @@
 static void
 end_endless_attempt(gate_attempt *attempt, const char *reason)
 {
+    gate_count_traffic(attempt, true);
     back_cancel_exchange(&attempt->exchange);
     gate_log_cut(attempt, reason);
     end_attempt(attempt);
@@ -426,6 +429,7 @@
     gate_attempt *attempt = (gate_attempt *)exchange;
     gate_request *request = attempt->request;
 
+    attempt->bytes += size;
     if (attempt->is_answer_dropped) {
         return;
     }
@@ -455,6 +459,8 @@
 {
     gate_attempt *attempt = (gate_attempt *)exchange;
 
+    gate_count_traffic(attempt,
+                       outcome != BACK_NOT_SENT && outcome != BACK_WITHHELD);
     end_attempt(attempt);
     if (outcome == BACK_COMPLETE && gate_ends_in_event(attempt)) {
         outcome = BACK_TRUNCATED;
--- a/packages/gateway/source/gate-imp.h
+++ b/packages/gateway/source/gate-imp.h
@@ -51,6 +51,7 @@
     buf_buffer headers;        /* for the caller */
     buf_buffer body;           /* buffered until the answer is whole */
     buf_buffer partial_event;  /* at the end of a resumable stream's data */
+    uint64_t bytes;            /* of the request, and of the answer's body */
     char tail[GATE_TAIL_SIZE]; /* of a stream's data: its last bytes */
     uint32_t tail_size;
 } gate_attempt;
@@ -91,6 +92,8 @@
     uint64_t affinity_version;   /* of the list that the prompt's affinity
                                     endpoints were chosen from */
     bool has_secondary_affinity; /* chosen by the rule of a large fleet */
+    bool is_use_counted;         /* of the prompt's shared part */
+    bool is_part_hot;            /* it has an affinity endpoint in the zone */
     uint64_t digest;             /* read it with gate_digest */
     uint64_t stream_key; /* of a stream that may be resumed; or DIG_NONE */
     lv_id version;       /* that began the stream; LV_ID_NONE: any may serve */
@@ -367,6 +370,26 @@
  * was broken off then. */
 bool gate_ends_in_event(const gate_attempt *attempt);
 
+/* gate-zone.c: availability zones */
+void gate_init_zones(gate_server *gate);
+void gate_finish_zones(gate_server *gate);
+
+/* Counts the instances of the own zone; call it at every tick of the timer. */
+void gate_update_zones(gate_server *gate);
+
+/* Chooses the affinity endpoints of the prompt. They change only with the list
+ * of endpoints, while a queued request is decided many times. */
+void gate_find_affinity(gate_request *request, lv_time now);
+
+/* Fills in what leaving the zone costs; nothing once a coordinator has denied
+ * a start. */
+void gate_fill_locality(const gate_request *request, lv_time now,
+                        loc_request *to);
+
+/* Counts the request and the bytes of an attempt that ends. */
+void gate_count_traffic(gate_attempt *attempt, bool was_sent);
+void gate_write_zone_metrics(const gate_server *gate, met_writer *writer);
+
 /* gate-log.c: log lines of requests */
 
 /* Logs a decision about a request, with the values it was based on. */
--- a/packages/gateway/source/gate-log.c
+++ b/packages/gateway/source/gate-log.c
@@ -76,7 +76,7 @@
         "request=%s reason=%s endpoint=%s age_ms=%llu wait_ms=%llu "
         "own_ms=%llu uncached=%u in_flight=%u candidates=%u sends=%u "
         "share_percent=%u list_age_ms=%llu peers=%u version=%s "
-        "resumes=%s",
+        "resumes=%s%s%s",
         request_id(request), reason,
         endpoint_name(request, decision->endpoint),
         to_ms(lv_elapsed(now, request->received_at)),
@@ -86,7 +86,10 @@
         decision->candidate_count, request->sends, share_percent(request),
         to_ms(list_age(gate, now)), gate->peers.live_count,
         endpoint_version(request, decision->endpoint),
-        request->decoded.resumes != NULL ? request->decoded.resumes : "-");
+        request->decoded.resumes != NULL ? request->decoded.resumes : "-",
+        decision->crossing != LOC_UNKNOWN ? " zone=" : "",
+        decision->crossing != LOC_UNKNOWN ? loc_reason_text(decision->crossing)
+                                          : "");
 }
 
 void
--- a/packages/gateway/source/gate-monitoring.c
+++ b/packages/gateway/source/gate-monitoring.c
@@ -182,6 +182,7 @@
     gate_write_notice_metrics(gate, writer);
     gate_write_quarantine_metrics(gate, writer);
     gate_write_origin_metrics(gate, writer);
+    gate_write_zone_metrics(gate, writer);
 }
 
 static void
--- a/packages/gateway/source/gate-request.c
+++ b/packages/gateway/source/gate-request.c
@@ -27,21 +27,6 @@
     gate->request_count--;
 }
 
-/* Copies a configured name into the value of a metric's label, with the
- * characters replaced that would end or escape it. */
-static void
-copy_label(char *to, size_t size, const char *name)
-{
-    char *cursor;
-
-    lv_copy_name(to, size, name);
-    for (cursor = to; *cursor != '\0'; cursor++) {
-        if (*cursor == '"' || *cursor == '\\' || *cursor == '\n') {
-            *cursor = '_';
-        }
-    }
-}
-
 static void
 count_end(gate_request *request, const char *outcome, const char *reason)
 {
@@ -53,7 +38,7 @@
              rt_kind_name(request->route->kind), outcome, reason);
     tal_increment(&gate->ends_by_reason, labels);
     if (request->account != NULL) {
-        copy_label(account, sizeof account, request->account->name);
+        met_copy_label(account, sizeof account, request->account->name);
         snprintf(labels, sizeof labels, "account=\"%s\",outcome=\"%s\"",
                  account, outcome);
         tal_increment(&gate->ends_by_account, labels);
@@ -355,6 +340,7 @@
     to->first_row = (uint32_t)gate_random(gate);
     to->tried_count = request->tried_count;
     memcpy(to->tried, request->tried, sizeof to->tried);
+    gate_fill_locality(request, now, &to->locality);
 }
 
 static void
@@ -398,28 +384,6 @@
     }
 }
 
-/* Chooses the affinity endpoints of the prompt. They change only with the list
- * of endpoints, while a queued request is decided many times. */
-static void
-find_affinity(gate_request *request)
-{
-    const eng_table *table = &request->gate->endpoints;
-    bool is_large = peers_is_large_fleet(&request->gate->peers);
-
-    if (request->affinity_version == table->list_version &&
-        request->has_secondary_affinity == is_large) {
-        return;
-    }
-    eng_find_affinity(table, request->service, &request->decoded.prompt);
-    if (!is_large) {
-        /* The uses of every endpoint are known, so it is known whether a
-         * second one has the prompt cached. */
-        request->decoded.prompt.secondary_affinity = LV_HANDLE_NONE;
-    }
-    request->affinity_version = table->list_version;
-    request->has_secondary_affinity = is_large;
-}
-
 void
 gate_decide_request(gate_request *request)
 {
@@ -434,7 +398,7 @@
         request->state = GATE_QUEUED;
         return;
     }
-    find_affinity(request);
+    gate_find_affinity(request, now);
     gate_fill_admission(request, now, &admission);
     adm_decide(&gate->settings.admission, &gate->endpoints, &admission, now,
                &request->decision);
--- a/packages/gateway/source/gate-settings.c
+++ b/packages/gateway/source/gate-settings.c
@@ -71,6 +71,10 @@
     COUNT_KEY("read_cost_percent", admission.prefill_cost_percent, 0, 10000),
     TIME_KEY("retry_least", admission.min_retry_after, MILLISECOND,
              60 * SECOND),
+    TIME_KEY("zone_crossing_cost", admission.locality.crossing_cost, 0,
+             60 * SECOND),
+    TIME_KEY("zone_delay", admission.locality.zone_delay, 0, SECOND),
+    COUNT_KEY("zone_copy_uses", admission.locality.copy_uses, 0, 1000000),
     DECIMAL_TIME_KEY("quota_window", quota_window, 100 * MILLISECOND, HOUR),
 };
 
--- a/packages/gateway/source/gate-tick.c
+++ b/packages/gateway/source/gate-tick.c
@@ -104,6 +104,7 @@
     gate_request *request = gate->requests;
     int i;
 
+    gate_update_zones(gate);
     clear_overdue(&gate->endpoints);
     while (request != NULL) {
         gate_request *next = request->next;
--- a/packages/gateway/source/gate.c
+++ b/packages/gateway/source/gate.c
@@ -341,6 +341,7 @@
     }
     gate_init_quarantine(gate);
     gate_init_origins(gate);
+    gate_init_zones(gate);
     gate->peers.on_change = on_peer_change;
     gate->peers.on_unlisted = on_endpoint_leaving;
     gate->peers.on_store_era = gate_begin_store_era;
@@ -493,4 +494,5 @@
     free(gate->service_budgets);
     tal_finish(&gate->ends_by_reason);
     tal_finish(&gate->ends_by_account);
+    gate_finish_zones(gate);
 }
