Fill in what leaving the zone costs also without a connection

Cause: tests fill in the admission of requests that have none (gateway-test-versions, gateway-test-resumption failed under UBSan). Change: no body then.

--- a/packages/gateway/source/gate-zone.c
+++ b/packages/gateway/source/gate-zone.c
@@ -85,8 +85,10 @@
 gate_fill_locality(const gate_request *request, lv_time now, loc_request *to)
 {
     gate_server *gate = request->gate;
-    uint64_t bytes = loc_request_bytes(request->connection->body.size,
-                                       request->decoded.prompt.output_tokens);
+    const front_connection *connection = request->connection;
+    uint64_t bytes =
+        loc_request_bytes(connection != NULL ? connection->body.size : 0,
+                          request->decoded.prompt.output_tokens);
 
     loc_prepare(&gate->zones, &gate->settings.admission.locality,
                 &gate->endpoints, request->service, bytes, now, to);
