--- a/packages/gateway/source/gate-fetch.c
+++ b/packages/gateway/source/gate-fetch.c
@@ -59,7 +59,8 @@
 bool
 gate_is_fetchable(const gate_request *request)
 {
-    return fch_is_enabled(&request->gate->settings.fetch,
+    return request->config != NULL &&
+           fch_is_enabled(&request->gate->settings.fetch,
                           find_service(request), &request->decoded.prompt);
 }
 
--- a/packages/gateway/source/gate-monitoring.c
+++ b/packages/gateway/source/gate-monitoring.c
@@ -186,6 +186,7 @@
     gate_write_origin_metrics(gate, writer);
     gate_write_evacuation_metrics(gate, writer);
     gate_write_fetch_metrics(gate, writer);
+    gate_write_zone_metrics(gate, writer);
 }
 
 static void
