--- a/packages/core/source/admission.c
+++ b/packages/core/source/admission.c
@@ -1,7 +1,7 @@
-#include "lavender/admission.h"
-
 #include <string.h>
 
+#include "admission-imp.h"
+
 /* Cost of an endpoint with a failure rate of 1: a failure costs the caller the
  * response, so such an endpoint is as bad as one with a wait of this time. */
 #define FAILURE_COST (2 * LV_SECOND)
@@ -11,19 +11,6 @@
  * time. */
 #define SECONDARY_AFFINITY_COST (300 * LV_MILLISECOND)
 
-/* Percent of the usual wait allowance for an account over its fair share. The
- * allowance drops in one step at the share, which keeps all accounts near it;
- * with less than a step, accounts with a high demand stayed above
- * (core-test-admission-gap). */
-#define OVER_SHARE_WAIT_PERCENT 30
-
-/* An account that was served less than this fraction of its fair share has
- * FAR_UNDER_SHARE_WAIT_PERCENT of the usual allowance, which is as long as the
- * queues of requests with long latency targets: a late response is better than
- * none. */
-#define FAR_UNDER_SHARE 0.5
-#define FAR_UNDER_SHARE_WAIT_PERCENT 200
-
 /* Fraction of the fair share above which an account waits until an engine has
  * been idle for some time (required_idle_time). */
 #define FAR_OVER_SHARE 1.2
@@ -101,55 +88,6 @@
     return cost;
 }
 
-static bool
-is_over_share(const adm_request *request)
-{
-    return request->share_ratio > 1;
-}
-
-/* Returns the fraction of the usual wait allowance for an account that was
- * served `share_ratio` times its fair share. Over the share it is
- * OVER_SHARE_WAIT_PERCENT divided by the square of the ratio, so that of two
- * such accounts the one with the lower ratio is served first. */
-static double
-allowance_factor(double share_ratio)
-{
-    if (share_ratio > 1) {
-        return OVER_SHARE_WAIT_PERCENT / 100.0 / (share_ratio * share_ratio);
-    }
-    return 1;
-}
-
-static bool
-is_far_under_share(const adm_request *request)
-{
-    return request->share_ratio > 0 && request->share_ratio < FAR_UNDER_SHARE;
-}
-
-/* Returns how long the request may wait at the endpoint and still meet its
- * latency target, up to the usual allowance. The minimum is half of the usual
- * allowance: a request whose own prefill takes most of the target will be
- * late, but must not starve. */
-static lv_time
-wait_allowance(const adm_settings *settings, const adm_request *request,
-               const eng_prediction *prediction, lv_time now)
-{
-    lv_time allowance = request->target * settings->wait_percent / 100;
-    lv_time used =
-        prediction->service_time + lv_elapsed(now, request->received);
-    lv_time remaining = lv_elapsed(request->target, used);
-
-    if (is_far_under_share(request)) {
-        return allowance * FAR_UNDER_SHARE_WAIT_PERCENT / 100;
-    }
-    allowance =
-        (lv_time)((double)allowance * allowance_factor(request->share_ratio));
-    if (remaining > allowance) {
-        return allowance;
-    }
-    return remaining > allowance / 2 ? remaining : allowance / 2;
-}
-
 /* Returns how long an engine must have been idle before it starts a request of
  * an account far over its fair share: a fraction of the request's own prefill
  * time, during which the other accounts can use the engine. */
@@ -177,7 +115,7 @@
         return false;
     }
     return prediction->wait <=
-               wait_allowance(settings, request, prediction, now) &&
+               adm_wait_allowance(settings, request, prediction, now) &&
            prediction->idle_time >= required_idle_time(request, prediction);
 }
 
@@ -198,7 +136,7 @@
 prefers_start(const adm_request *request, const candidate *one,
               const candidate *other)
 {
-    return !is_over_share(request) ||
+    return !adm_is_over_share(request) ||
            (request->is_fetchable && (is_idle(one) || is_idle(other)));
 }
 
@@ -221,21 +159,6 @@
     return one->cost < other->cost;
 }
 
-/* Returns until when the request may wait for an endpoint that takes none now:
- * as long as at one with a queue, and not beyond its deadline. */
-static lv_time
-latest_free(const adm_settings *settings, const adm_request *request)
-{
-    lv_time usual = request->target * settings->wait_percent / 100;
-    lv_time latest =
-        request->received +
-        (lv_time)((double)usual * allowance_factor(request->share_ratio));
-
-    return request->deadline != 0 && request->deadline < latest
-               ? request->deadline
-               : latest;
-}
-
 /* Returns whether the endpoint may be sent the request now; adds it to those
  * that may not. */
 static bool
@@ -281,17 +204,6 @@
     return false;
 }
 
-/* Returns an upper limit of wait_allowance for any prediction. */
-static lv_time
-max_wait_allowance(const adm_settings *settings, const adm_request *request)
-{
-    lv_time usual = request->target * settings->wait_percent / 100;
-
-    return is_far_under_share(request)
-               ? usual * FAR_UNDER_SHARE_WAIT_PERCENT / 100
-               : usual;
-}
-
 /* Looks the prompt up in the cache model only for endpoints where the request
  * may start and for the affinity endpoints: with 100 busy endpoints the
  * lookups for all of them would take most of an instance's CPU time. */
@@ -305,7 +217,7 @@
     if (row != prompt->affinity && row != prompt->secondary_affinity &&
         settings->mode == ADM_MODE_MODEL &&
         eng_predict_wait(table, row, now) >
-            max_wait_allowance(settings, request)) {
+            adm_max_wait_allowance(settings, request)) {
         eng_predict_uncached(table, row, prompt, now, &one->prediction);
     }
     else {
@@ -365,7 +277,7 @@
     memset(others, 0, sizeof *others);
     others->free_at = LV_TIME_NEVER;
     others->tried_free_at = LV_TIME_NEVER;
-    others->latest_free = latest_free(settings, request);
+    others->latest_free = adm_latest_free(settings, request);
     clear_candidates(best);
     for (i = 0; i < table->capacity; i++) {
         lv_handle row =
@@ -477,7 +389,7 @@
         decide_unavailable(request, &others, now, decision);
         return;
     }
-    allowance = wait_allowance(settings, request, &best.prediction, now);
+    allowance = adm_wait_allowance(settings, request, &best.prediction, now);
     if (best.may_start) {
         decision->verdict = ADM_START;
         decision->reason = "room";
@@ -500,7 +412,7 @@
         return;
     }
     refuse(decision, retry_after,
-           is_over_share(request)         ? "over-share"
+           adm_is_over_share(request)     ? "over-share"
            : best.prediction.has_capacity ? "queue"
                                           : "slots");
 }
