--- a/tests/gateway/test-settings.c
+++ b/tests/gateway/test-settings.c
@@ -104,11 +104,30 @@
     const char *ratio;
     const char *slack;
     const char *grace_s;
+    const char *cold_overshoot; /* NULL: neither this nor the slack */
+    const char *cold_slack;
     uint32_t slack_read;
     lv_time quota_window_read;
     lv_time grace_read;
+    uint32_t cold_overshoot_read; /* thousandths */
+    uint32_t cold_slack_read;
 } rendered_case;
 
+#define COLD_SECTION "{{#bounds.cold_overshoot}}"
+#define COLD_SECTION_END "{{/bounds.cold_overshoot}}"
+
+/* Returns the text after the tag of a section, or after the section if its
+ * field has no value. */
+static const char *
+enter_section(const char *template, const char *value)
+{
+    const char *end = strstr(template, COLD_SECTION_END);
+
+    cr_assert_not_null(end);
+    return value != NULL ? template + strlen(COLD_SECTION)
+                         : end + strlen(COLD_SECTION_END);
+}
+
 static void
 render(const char *template, const rendered_case *values, char *to)
 {
@@ -131,6 +150,9 @@
         {"{{bounds.retry_budget_ratio}}", values->ratio},
         {"{{bounds.retry_budget_slack}}", values->slack},
         {"{{bounds.grace_s}}", values->grace_s},
+        {"{{bounds.cold_overshoot}}", values->cold_overshoot},
+        {"{{bounds.cold_slack}}", values->cold_slack},
+        {COLD_SECTION_END, ""},
     };
 
     while (*template != '\0') {
@@ -140,6 +162,10 @@
             *to++ = *template ++;
             continue;
         }
+        if (strncmp(template, COLD_SECTION, strlen(COLD_SECTION)) == 0) {
+            template = enter_section(template, values->cold_overshoot);
+            continue;
+        }
         while (i < sizeof fields / sizeof fields[0] &&
                strncmp(template, fields[i].name, strlen(fields[i].name)) !=
                    0) {
@@ -156,17 +182,20 @@
 Test(gate_settings, template_takes_the_values_of_every_deployment)
 {
     static const rendered_case cases[] = {
-        {"4100", "3000", "2000", "4", "10", "0.2", "54", "8", 54,
-         4 * LV_SECOND, 8 * LV_SECOND},
-        {"8192", "4000", "3000", "4", "10", "0.2", "206", "8", 206,
-         4 * LV_SECOND, 8 * LV_SECOND},
-        {"8192", "5000", "4000", "4", "10", "0.2", "430", "8", 430,
-         4 * LV_SECOND, 8 * LV_SECOND},
+        {"4100", "3000", "2000", "4", "10", "0.2", "54", "8", NULL, NULL, 54,
+         4 * LV_SECOND, 8 * LV_SECOND, 1500, 5},
+        {"8192", "4000", "3000", "4", "10", "0.2", "206", "8", NULL, NULL, 206,
+         4 * LV_SECOND, 8 * LV_SECOND, 1500, 5},
+        {"8192", "5000", "4000", "4", "10", "0.2", "430", "8", NULL, NULL, 430,
+         4 * LV_SECOND, 8 * LV_SECOND, 1500, 5},
         /* a small twin of the large deployment */
-        {"4100", "5000", "4000", "4", "10", "0.2", "35.83", "8", 35,
-         4 * LV_SECOND, 8 * LV_SECOND},
+        {"4100", "5000", "4000", "4", "10", "0.2", "35.83", "8", NULL, NULL,
+         35, 4 * LV_SECOND, 8 * LV_SECOND, 1500, 5},
         {"4100.0", "3000.5", "2000.25", "4.5", "10.0", "0.25", "0.99", "8.9",
-         0, 4500 * LV_MILLISECOND, 8900 * LV_MILLISECOND},
+         NULL, NULL, 0, 4500 * LV_MILLISECOND, 8900 * LV_MILLISECOND, 1500, 5},
+        /* cold endpoints */
+        {"8192", "4000", "3000", "4", "10", "0.2", "162", "8", "1.25", "3",
+         162, 4 * LV_SECOND, 8 * LV_SECOND, 1250, 3},
     };
     char *template;
 
@@ -189,6 +218,10 @@
                      "case %zu", i);
         cr_expect_eq(settings.shutdown_grace, cases[i].grace_read, "case %zu",
                      i);
+        cr_expect_eq(settings.cold_overshoot_thousandths,
+                     cases[i].cold_overshoot_read, "case %zu", i);
+        cr_expect_eq(settings.cold_slack, cases[i].cold_slack_read, "case %zu",
+                     i);
     }
     free(template);
 }
