Estimate the prefill rate of each endpoint with few slots

Cause: one configured rate for all endpoints is wrong for engines with 12 and 16 slots, for services with endpoints of different speeds, and for endpoints whose speed changes. Change: module speed estimates the prompt tokens per ms of an endpoint from first tokens, as a weighted median of the latest samples, one for each other instance; it falls at once and rises at most twofold with each sample. The engine model uses it for endpoints with at most learn_speed_slots slots (0, off, unless set), and learns no first token lag beside it. Admission predicts the pause between two events from it (pause_tokens; 0: off), and lets a request wait where streams would pause for longer than the route's target.

--- a/packages/core/include/lavender/admission.h
+++ b/packages/core/include/lavender/admission.h
@@ -45,6 +45,9 @@
     uint32_t prefill_cost_percent; /* weight of the prefill time in the cost of
                                       an endpoint */
     lv_time min_retry_after;       /* minimum Retry-After */
+    uint32_t pause_tokens; /* prompt tokens that an engine prefills, when it
+                              prefills without a break, while it generates one
+                              event of a stream; 0: pauses are not predicted */
 } adm_settings;
 
 typedef struct adm_request {
@@ -54,6 +57,7 @@
     const eng_prompt *prompt;
     lv_time received;
     lv_time target;     /* latency target */
+    lv_time gap_target; /* of the time between two events; 0: none */
     lv_time deadline;   /* an answer after it is of no use; 0: none */
     uint32_t waiting;   /* requests of the service that this instance queues;
                            0 for one of them */
--- a/packages/core/include/lavender/engine.h
+++ b/packages/core/include/lavender/engine.h
@@ -16,6 +16,7 @@
 #include "lavender/map.h"
 #include "lavender/outlier.h"
 #include "lavender/pace.h"
+#include "lavender/speed.h"
 
 #define ENG_BLOCKS_MAX 16
 
@@ -42,6 +43,8 @@
                                      token */
     uint64_t default_kv_tokens;   /* KV cache capacity of endpoints whose
                                      service has none configured */
+    uint32_t learn_speed_slots;   /* the prefill rate is estimated for engines
+                                     with up to this many slots */
 } eng_settings;
 
 /* The load of one instance at one endpoint. */
@@ -50,6 +53,7 @@
     uint32_t prefill_total; /* uncached prompt tokens sent since the instance's
                                process started; wraps */
     uint32_t kv_tokens;     /* KV cache usage of the requests in flight */
+    spd_sums speed;
 } eng_load;
 
 /* The load of all instances at one endpoint, as summed up by the endpoint's
@@ -86,6 +90,7 @@
     out_detector outlier;
     avl_state availability;
     pace_state pace;
+    spd_state speed;
 } eng_endpoint;
 
 /* An endpoint that was removed, and what it had said of itself: an older list
@@ -127,6 +132,7 @@
     lv_time service_time; /* from the end of `wait` to the first token, or to
                              the response of a plain service */
     uint32_t uncached_tokens; /* prompt tokens to prefill */
+    double learned_rate;      /* prompt tokens per ms; 0: not estimated */
 } eng_prediction;
 
 /* The resources of a running request at an endpoint. The owner of the request
@@ -136,6 +142,8 @@
     lv_time started_at;
     lv_time first_token_due;  /* predicted time of the first token */
     uint32_t uncached_tokens; /* prompt tokens to prefill */
+    uint32_t work_tokens;     /* with those queued before it; 0: tells nothing
+                                 of the endpoint's speed */
     uint32_t kv_tokens;
     bool has_first_token; /* the first token has arrived */
 } eng_reservation;
@@ -158,6 +166,7 @@
     uint32_t next_cache_entry; /* index of the entry to overwrite next */
     eng_departed departed[ENG_DEPARTED_MAX];
     uint32_t departed_count; /* ever; the oldest one is overwritten */
+    lv_time speeds_updated_at;
 } eng_table;
 
 void eng_default_settings(eng_settings *settings);
@@ -303,6 +312,27 @@
                          const eng_load *before, const eng_load *after,
                          lv_time now);
 
+/* Is the prefill rate of the endpoint estimated? */
+bool eng_learns_speed(const eng_table *table, lv_handle endpoint);
+
+/* Returns the prefill rate of an endpoint in prompt tokens per ms: the
+ * estimate, or the setting. */
+double eng_prefill_rate(const eng_table *table, const eng_endpoint *endpoint);
+
+/* Applies a change of another instance's samples of an endpoint's speed.
+ * `source` is the instance, not SPD_LOCAL. */
+void eng_apply_peer_speed(eng_table *table, lv_handle endpoint,
+                          uint64_t source, const spd_sums *before,
+                          const spd_sums *after, lv_time now);
+
+/* Stores the prefill rate that the endpoint's coordinator estimates. */
+void eng_apply_speed(eng_table *table, lv_handle endpoint, double rate,
+                     lv_time now);
+
+/* Moves the rates of endpoints without recent samples towards those of the
+ * others of their service. Call it at every tick of a timer. */
+void eng_update_speeds(eng_table *table, lv_time now);
+
 /* Returns the number of requests in flight of all instances. */
 uint32_t eng_in_flight(const eng_endpoint *endpoint);
 
--- a/packages/core/source/admission.c
+++ b/packages/core/source/admission.c
@@ -57,6 +57,7 @@
     settings->queue_percent = 12;
     settings->prefill_cost_percent = 400;
     settings->min_retry_after = 100 * LV_MILLISECOND;
+    settings->pause_tokens = 0;
 }
 
 static bool
@@ -156,6 +157,30 @@
     return (lv_time)((double)prediction->service_time * excess);
 }
 
+/* Returns for how long the request must wait before it starts, so that the
+ * streams at the engine do not pause for longer than the target between two
+ * events: an engine that prefills without a break generates one token per
+ * chunk. At most half of the target counts of the request's own prefill, and
+ * an idle engine takes any request, so that the largest ones do not starve;
+ * nor do accounts far under their share. */
+static lv_time
+pause_excess(const adm_settings *settings, const adm_request *request,
+             const eng_prediction *prediction)
+{
+    lv_time target = request->gap_target;
+    lv_time own = prediction->service_time;
+
+    if (settings->pause_tokens == 0 || target == 0 ||
+        prediction->learned_rate <= 0 || prediction->wait == 0 ||
+        is_far_under_share(request) ||
+        settings->pause_tokens <= prediction->learned_rate * (double)target /
+                                      (double)LV_MILLISECOND) {
+        return 0;
+    }
+    return lv_elapsed(prediction->wait + (own < target / 2 ? own : target / 2),
+                      target);
+}
+
 static bool
 may_start(const adm_settings *settings, const adm_request *request,
           const eng_endpoint *endpoint, const eng_prediction *prediction,
@@ -164,7 +189,9 @@
     if (settings->mode == ADM_MODE_LEAST_LOADED) {
         return prediction->has_capacity;
     }
-    if (endpoint->is_engine && !prediction->has_capacity) {
+    if (endpoint->is_engine &&
+        (!prediction->has_capacity ||
+         pause_excess(settings, request, prediction) > 0)) {
         return false;
     }
     return prediction->wait <=
@@ -375,6 +402,15 @@
     refuse(decision, LV_SECOND, reason);
 }
 
+static const char *
+waiting_reason(const candidate *best, lv_time pause)
+{
+    if (!best->prediction.has_capacity) {
+        return "slots";
+    }
+    return pause > 0 ? "pause" : "queue";
+}
+
 void
 adm_decide(const adm_settings *settings, const eng_table *table,
            const adm_request *request, lv_time now, adm_decision *decision)
@@ -384,7 +420,7 @@
     lv_time allowance;
     lv_time queued_time = lv_elapsed(now, request->received);
     lv_time max_queue_time = request->target * settings->queue_percent / 100;
-    lv_time excess;
+    lv_time excess, pause;
     lv_time retry_after;
 
     decision->share_ratio = request->share_ratio;
@@ -404,6 +440,8 @@
         return;
     }
     excess = lv_elapsed(best.prediction.wait, allowance);
+    pause = pause_excess(settings, request, &best.prediction);
+    excess = pause > excess ? pause : excess;
     retry_after = excess > settings->min_retry_after
                       ? excess
                       : settings->min_retry_after;
@@ -416,11 +454,10 @@
     if (queued_time < max_queue_time &&
         excess < max_queue_time - queued_time) {
         decision->verdict = ADM_QUEUE;
-        decision->reason = best.prediction.has_capacity ? "queue" : "slots";
+        decision->reason = waiting_reason(&best, pause);
         return;
     }
     refuse(decision, retry_after,
-           is_over_share(request)         ? "over-share"
-           : best.prediction.has_capacity ? "queue"
-                                          : "slots");
+           is_over_share(request) ? "over-share"
+                                  : waiting_reason(&best, pause));
 }
--- a/packages/core/source/engine-imp.h
+++ b/packages/core/source/engine-imp.h
@@ -25,4 +25,18 @@
 void eng_recall_availability(eng_table *table, eng_endpoint *endpoint,
                              lv_id id);
 
+/* engine-speed.c: returns the estimated prefill rate of an endpoint; 0: there
+ * is none. */
+double eng_learned_rate(const eng_table *table, const eng_endpoint *endpoint);
+
+/* engine-speed.c: returns the prompt tokens that a request of this prediction
+ * waits for, its own included; 0: tells nothing of the endpoint's speed. */
+uint32_t eng_predicted_work(const eng_table *table,
+                            const eng_endpoint *endpoint,
+                            const eng_prediction *prediction);
+
+/* engine-speed.c: samples the speed of an endpoint at a first token. */
+void eng_observe_speed(eng_table *table, const eng_reservation *use,
+                       lv_time now);
+
 #endif
--- a/packages/core/source/engine.c
+++ b/packages/core/source/engine.c
@@ -22,6 +22,7 @@
     settings->prefill_tokens_per_ms = 30;
     settings->first_token_overhead = 10 * LV_MILLISECOND;
     settings->default_kv_tokens = 500000;
+    settings->learn_speed_slots = 0;
 }
 
 bool
@@ -208,9 +209,10 @@
 }
 
 static lv_time
-prefill_time(const eng_table *table, uint64_t tokens)
+prefill_time(const eng_table *table, const eng_endpoint *endpoint,
+             uint64_t tokens)
 {
-    return (lv_time)((double)tokens / table->settings.prefill_tokens_per_ms *
+    return (lv_time)((double)tokens / eng_prefill_rate(table, endpoint) *
                      (double)LV_MILLISECOND);
 }
 
@@ -234,6 +236,7 @@
     uint64_t kv_used = eng_kv_used(endpoint);
 
     prediction->uncached_tokens = prompt->tokens - cached;
+    prediction->learned_rate = eng_learned_rate(table, endpoint);
     prediction->has_capacity =
         eng_in_flight(endpoint) < endpoint->spec.slots &&
         kv_used + prompt->tokens + prompt->output_tokens <=
@@ -243,7 +246,7 @@
     prediction->wait = eng_predict_wait(table, row, now);
     prediction->idle_time = lv_elapsed(now, endpoint->prefill_until);
     prediction->service_time =
-        prefill_time(table, prediction->uncached_tokens) +
+        prefill_time(table, endpoint, prediction->uncached_tokens) +
         table->settings.first_token_overhead;
 }
 
@@ -258,6 +261,7 @@
     uint32_t slots = endpoint->spec.slots > 0 ? endpoint->spec.slots : 1;
 
     prediction->uncached_tokens = 0;
+    prediction->learned_rate = 0;
     prediction->unmodelled_wait = endpoint->overdue;
     prediction->has_capacity = in_flight < slots;
     prediction->wait = endpoint->overdue;
@@ -303,7 +307,7 @@
     if (endpoint->prefill_until < now) {
         endpoint->prefill_until = now;
     }
-    endpoint->prefill_until += prefill_time(table, tokens);
+    endpoint->prefill_until += prefill_time(table, endpoint, tokens);
     endpoint->prefill_total += tokens;
 }
 
@@ -328,6 +332,7 @@
     use->started_at = now;
     use->first_token_due = now + prediction->wait + prediction->service_time;
     use->uncached_tokens = prediction->uncached_tokens;
+    use->work_tokens = eng_predicted_work(table, endpoint, prediction);
     use->kv_tokens = prompt->tokens + prompt->output_tokens;
     use->has_first_token = false;
     endpoint->local.in_flight++;
@@ -374,6 +379,12 @@
         return;
     }
     use->has_first_token = true;
+    if (eng_learns_speed(table, use->endpoint)) {
+        /* The rate explains the delay; a lag would count it twice. */
+        endpoint->first_token_lag = 0;
+        eng_observe_speed(table, use, now);
+        return;
+    }
     endpoint->first_token_lag += error / MEAN_DIVISOR;
     /* Early first tokens must not raise the prefill rate: the setting is a
      * maximum. */
