Report samples of endpoints' speeds to coordinators, and their rates back

Cause: in a large fleet an instance sees one request in sixty of an endpoint, too few to estimate its speed. Only first tokens of successful streams that are not taken up are samples. Conclusion: an endpoint's speed is known to the whole fleet.

--- a/packages/gateway/include/lavender-gateway/gate.h
+++ b/packages/gateway/include/lavender-gateway/gate.h
@@ -100,6 +100,7 @@
     uint64_t quarantine_refused;   /* for a block in quarantine */
     uint64_t unknown_origins;      /* resumed streams that were refused */
     uint64_t quarantined_requests_refused;
+    uint64_t speed_changes; /* of endpoints, as logged */
 } gate_counts;
 
 struct gate_server {
--- a/packages/gateway/include/lavender-gateway/peers.h
+++ b/packages/gateway/include/lavender-gateway/peers.h
@@ -174,8 +174,11 @@
     uint32_t count;
     uint32_t capacity;
     uint32_t live_count;
-    uint32_t max_live_count;    /* since the process started */
-    peers_loads reported_loads; /* as last sent, to find changes */
+    uint32_t max_live_count;        /* since the process started */
+    peers_loads reported_loads;     /* as last sent, to find changes */
+    const peers_load *packed_loads; /* in the datagram that is being written;
+                                       NULL: it is one of sums */
+    uint32_t packed_load_count;
     peers_accounts reported_accounts;
     peers_block_use block_uses[PEERS_BLOCK_USES_MAX]; /* not yet sent */
     uint32_t block_use_count;
--- a/packages/gateway/source/gate-attempt.c
+++ b/packages/gateway/source/gate-attempt.c
@@ -161,6 +161,10 @@
                           lv_elapsed(now, request->received_at));
         met_histogram_add(&gate->prediction_errors,
                           lv_elapsed(now, reservation->first_token_due));
+        if (!request->is_stream || attempt->status / 100 != 2 ||
+            request->has_answer_begun || request->decoded.resumes != NULL) {
+            reservation->work_tokens = 0; /* it was more than prefill */
+        }
         eng_record_first_token(&gate->endpoints, reservation, now);
         gate->has_pending_updates = true;
     }
--- a/packages/gateway/source/gate-grant.c
+++ b/packages/gateway/source/gate-grant.c
@@ -233,6 +233,7 @@
     }
     prediction = &request->decision.prediction;
     prediction->wait = answer->summary.wait;
+    prediction->unmodelled_wait = 0;
     prediction->service_time = answer->service_time;
     prediction->uncached_tokens = answer->uncached_tokens;
     start_if_available(request, true, "granted");
--- a/packages/gateway/source/gate-imp.h
+++ b/packages/gateway/source/gate-imp.h
@@ -307,6 +307,11 @@
 bool gate_is_leaving(const gate_server *gate, lv_id endpoint);
 void gate_write_notice_metrics(const gate_server *gate, met_writer *writer);
 
+/* gate-speed.c: the estimated speeds of endpoints; call the first at every
+ * tick of the timer. */
+void gate_update_speeds(gate_server *gate, lv_time now);
+void gate_write_speed_metrics(const gate_server *gate, met_writer *writer);
+
 /* gate-quarantine.c: crashes of endpoints, and the blocks and requests that
  * cause them */
 void gate_init_quarantine(gate_server *gate);
--- a/packages/gateway/source/gate-monitoring.c
+++ b/packages/gateway/source/gate-monitoring.c
@@ -180,6 +180,7 @@
     tal_write(&gate->ends_by_account, writer);
     write_endpoint_metrics(gate, writer);
     gate_write_notice_metrics(gate, writer);
+    gate_write_speed_metrics(gate, writer);
     gate_write_quarantine_metrics(gate, writer);
     gate_write_origin_metrics(gate, writer);
 }
--- a/packages/gateway/source/gate-request.c
+++ b/packages/gateway/source/gate-request.c
@@ -342,17 +342,16 @@
 void
 gate_fill_admission(const gate_request *request, lv_time now, adm_request *to)
 {
-    gate_server *gate = request->gate;
-
     memset(to, 0, sizeof *to);
     to->service = request->service;
     to->version = request->version;
     to->prompt = &request->decoded.prompt;
     to->received = gate_waiting_since(request);
     to->target = request->route->target;
+    to->gap_target = request->route->gap_target;
     to->deadline = request->answer_deadline;
     to->share_ratio = admission_share(request, now);
-    to->first_row = (uint32_t)gate_random(gate);
+    to->first_row = (uint32_t)gate_random(request->gate);
     to->tried_count = request->tried_count;
     memcpy(to->tried, request->tried, sizeof to->tried);
 }
--- a/packages/gateway/source/gate-settings.c
+++ b/packages/gateway/source/gate-settings.c
@@ -62,6 +62,7 @@
     COUNT_KEY("idle_connections", endpoint_connections.max_idle_connections, 0,
               65536),
     COUNT_KEY("prefill_rate", prefill_rate, 1, 1000000),
+    COUNT_KEY("learn_speed_slots", engine.learn_speed_slots, 0, 65536),
 };
 
 static const conf_key admission_keys[] = {
@@ -69,6 +70,7 @@
     COUNT_KEY("wait_percent", admission.wait_percent, 1, 1000),
     COUNT_KEY("hold_percent", admission.queue_percent, 0, 1000),
     COUNT_KEY("read_cost_percent", admission.prefill_cost_percent, 0, 10000),
+    COUNT_KEY("pause_tokens", admission.pause_tokens, 0, 100000000),
     TIME_KEY("retry_least", admission.min_retry_after, MILLISECOND,
              60 * SECOND),
     DECIMAL_TIME_KEY("quota_window", quota_window, 100 * MILLISECOND, HOUR),
@@ -153,6 +155,9 @@
     default_endpoint_connections(&settings->endpoint_connections);
     eng_default_settings(&settings->engine);
     adm_default_settings(&settings->admission);
+    /* With fewer slots prefill is a larger part of each step of an engine, so
+     * a wrong rate costs more. */
+    settings->engine.learn_speed_slots = 16;
     settings->prefill_rate = (uint32_t)settings->engine.prefill_tokens_per_ms;
     settings->max_watch_time = 3 * LV_SECOND;
     settings->leave_limit = 2 * LV_SECOND;
--- a/packages/gateway/source/gate.c
+++ b/packages/gateway/source/gate.c
@@ -230,6 +230,7 @@
         log_event(LOG_LEVEL_NOTICE, now, "endpoint", "change=lapsed");
     }
     gate_end_backoffs(gate, now);
+    gate_update_speeds(gate, now);
     gate_update_quarantine(gate, now);
     gate_update_origins(gate, now);
     gate_tick_requests(gate, now);
--- a/packages/gateway/source/peers-endpoint-state.c
+++ b/packages/gateway/source/peers-endpoint-state.c
@@ -9,9 +9,9 @@
 peers_pack_endpoint_state(peers_state *peers, lv_time now,
                           msgpack_packer *packer)
 {
-    (void)peers;
-    (void)now;
-    peers_pack_no_endpoint_state(packer);
+    msgpack_pack_array(packer, 0); /* evacuations */
+    msgpack_pack_array(packer, 0); /* warm-ups */
+    peers_pack_speeds(peers, now, packer);
 }
 
 void
@@ -41,8 +41,8 @@
 peers_apply_endpoint_state(peers_state *peers, peers_peer *peer,
                            const msgpack_object *lists, lv_time now)
 {
-    (void)peers;
-    (void)peer;
-    (void)lists;
-    (void)now;
+    const msgpack_object_array *speeds =
+        &lists[PEERS_FIELD_SPEEDS - PEERS_FIELD_EVACUATIONS].via.array;
+
+    peers_apply_speeds(peers, peer, speeds, now);
 }
--- a/packages/gateway/source/peers-imp.h
+++ b/packages/gateway/source/peers-imp.h
@@ -54,8 +54,9 @@
     /* Endpoint, and the time in ms for which it is still cold. */
     PEERS_FIELD_WARMUPS,
 
-    /* Endpoint, predicted and observed time to first token in us (running
-     * totals), and the estimated prefill rate in tokens per second. */
+    /* Endpoint, prompt tokens and time to first token in us of the sender's
+     * recent samples (spd_sums; 0: none), and the prefill rate that it
+     * estimates as the coordinator, in tokens per second (0: none). */
     PEERS_FIELD_SPEEDS,
     PEERS_FIELD_COUNT
 };
@@ -152,6 +153,14 @@
 void peers_apply_endpoint_state(peers_state *peers, peers_peer *peer,
                                 const msgpack_object *lists, lv_time now);
 
+/* peers-speed.c: the list PEERS_FIELD_SPEEDS. Updates carry the samples of the
+ * endpoints whose loads they carry, sums the rates of the endpoints that this
+ * instance coordinates. */
+void peers_pack_speeds(peers_state *peers, lv_time now,
+                       msgpack_packer *packer);
+void peers_apply_speeds(peers_state *peers, peers_peer *peer,
+                        const msgpack_object_array *speeds, lv_time now);
+
 /* peers-origin.c: which version began a stream */
 void peers_apply_origins(peers_state *peers, const peers_peer *peer,
                          const msgpack_object_array *origins);
--- a/packages/gateway/source/peers-receive.c
+++ b/packages/gateway/source/peers-receive.c
@@ -101,6 +101,7 @@
     if (begin_generation(peers, load, endpoint)) {
         load->load.prefill_total = is_baseline ? after.prefill_total : 0;
     }
+    after.speed = load->load.speed; /* peers_apply_speeds changes it */
     /* The datagram may predate a grant that this coordinator just gave. */
     if ((int32_t)(after.prefill_total - load->load.prefill_total) < 0) {
         after.prefill_total = load->load.prefill_total;
--- a/packages/gateway/source/peers-write.c
+++ b/packages/gateway/source/peers-write.c
@@ -278,7 +278,10 @@
     pack_empty_lists(4, &packer);
     peers_pack_reports(peers, now, &packer);
     pack_empty_lists(1, &packer);
+    peers->packed_loads = collected->loads;
+    peers->packed_load_count = collected->load_count;
     peers_pack_endpoint_state(peers, now, &packer);
+    peers->packed_loads = NULL;
 }
 
 /* Addresses are most of a datagram of sums. New peers need them, and an
