Take an endpoint's rate from its coordinator only

Cause: any peer could name a rate for any endpoint, which bypasses the median. Change: a rate counts only if this instance takes its sender for the endpoint's coordinator. Measured: gateway-test-speeds passes (4 tests). Conclusion: what one instance says wrongly of endpoints that others coordinate has no effect.

--- a/packages/gateway/source/peers-speed.c
+++ b/packages/gateway/source/peers-speed.c
@@ -120,7 +120,7 @@
         if (samples.tokens > 0) {
             apply_samples(peers, peer, row, &samples, now);
         }
-        if (rate > 0 && !peers_is_coordinator(peers, id)) {
+        if (rate > 0 && peers_find_coordinator(peers, id) == peer) {
             eng_apply_speed(peers->endpoints, row,
                             (double)rate / TOKENS_PER_SECOND, now);
         }
