Merge the estimated speed of endpoints

Cause: one prefill rate holds for endpoints of different speeds. Change: the merge; the pause between events is in admission-allowance.c.

--- a/packages/core/source/admission-allowance.c
+++ b/packages/core/source/admission-allowance.c
@@ -81,3 +81,21 @@
                ? usual * FAR_UNDER_SHARE_WAIT_PERCENT / 100
                : usual;
 }
+
+lv_time
+adm_pause_excess(const adm_settings *settings, const adm_request *request,
+                 const eng_prediction *prediction)
+{
+    lv_time target = request->gap_target;
+    lv_time own = prediction->service_time;
+
+    if (settings->pause_tokens == 0 || target == 0 ||
+        prediction->learned_rate <= 0 || prediction->wait == 0 ||
+        is_far_under_share(request) ||
+        settings->pause_tokens <= prediction->learned_rate * (double)target /
+                                      (double)LV_MILLISECOND) {
+        return 0;
+    }
+    return lv_elapsed(prediction->wait + (own < target / 2 ? own : target / 2),
+                      target);
+}
--- a/packages/core/source/admission-imp.h
+++ b/packages/core/source/admission-imp.h
@@ -24,4 +24,14 @@
 lv_time adm_latest_free(const adm_settings *settings,
                         const adm_request *request);
 
+/* Returns for how long the request must wait before it starts, so that the
+ * streams at the engine do not pause for longer than the target between two
+ * events: an engine that prefills without a break generates one token per
+ * chunk. At most half of the target counts of the request's own prefill, and
+ * an idle engine takes any request, so that the largest ones do not starve;
+ * nor do accounts far under their share. */
+lv_time adm_pause_excess(const adm_settings *settings,
+                         const adm_request *request,
+                         const eng_prediction *prediction);
+
 #endif
--- a/packages/core/source/admission.c
+++ b/packages/core/source/admission.c
@@ -53,6 +53,7 @@
     settings->prefill_cost_percent = 400;
     settings->min_retry_after = 100 * LV_MILLISECOND;
     loc_default_settings(&settings->locality);
+    settings->pause_tokens = 0;
 }
 
 static bool
@@ -111,7 +112,9 @@
     if (settings->mode == ADM_MODE_LEAST_LOADED) {
         return prediction->has_capacity;
     }
-    if (endpoint->is_engine && !prediction->has_capacity) {
+    if (endpoint->is_engine &&
+        (!prediction->has_capacity ||
+         adm_pause_excess(settings, request, prediction) > 0)) {
         return false;
     }
     return prediction->wait <=
@@ -362,6 +365,15 @@
     refuse(decision, LV_SECOND, reason);
 }
 
+static const char *
+waiting_reason(const candidate *best, lv_time pause)
+{
+    if (!best->prediction.has_capacity) {
+        return "slots";
+    }
+    return pause > 0 ? "pause" : "queue";
+}
+
 void
 adm_decide(const adm_settings *settings, const eng_table *table,
            const adm_request *request, lv_time now, adm_decision *decision)
@@ -372,7 +384,7 @@
     lv_time allowance;
     lv_time queued_time = lv_elapsed(now, request->received);
     lv_time max_queue_time = request->target * settings->queue_percent / 100;
-    lv_time excess;
+    lv_time excess, pause;
     lv_time retry_after;
 
     decision->share_ratio = request->share_ratio;
@@ -396,6 +408,8 @@
         return;
     }
     excess = lv_elapsed(best.prediction.wait, allowance);
+    pause = adm_pause_excess(settings, request, &best.prediction);
+    excess = pause > excess ? pause : excess;
     retry_after = excess > settings->min_retry_after
                       ? excess
                       : settings->min_retry_after;
@@ -408,11 +422,10 @@
     if (queued_time < max_queue_time &&
         excess < max_queue_time - queued_time) {
         decision->verdict = ADM_QUEUE;
-        decision->reason = best.prediction.has_capacity ? "queue" : "slots";
+        decision->reason = waiting_reason(&best, pause);
         return;
     }
     refuse(decision, retry_after,
-           adm_is_over_share(request)     ? "over-share"
-           : best.prediction.has_capacity ? "queue"
-                                          : "slots");
+           adm_is_over_share(request) ? "over-share"
+                                      : waiting_reason(&best, pause));
 }
--- a/packages/gateway/include/lavender-gateway/gate.h
+++ b/packages/gateway/include/lavender-gateway/gate.h
@@ -114,6 +114,7 @@
     uint64_t invalid_cold_times;  /* of endpoints */
     uint64_t fetch_decisions[FCH_REASONS]; /* by attempts that were started */
     uint64_t fetch_tokens;                 /* expected of these fetches */
+    uint64_t speed_changes;                /* of endpoints, as logged */
 } gate_counts;
 
 struct gate_server {
--- a/packages/gateway/source/gate-grant.c
+++ b/packages/gateway/source/gate-grant.c
@@ -286,6 +286,7 @@
     }
     prediction = &request->decision.prediction;
     prediction->wait = answer->summary.wait;
+    prediction->unmodelled_wait = 0;
     prediction->service_time = answer->service_time;
     prediction->uncached_tokens = answer->uncached_tokens;
     gate_note_spared(request, answer->spared_tokens);
--- a/packages/gateway/source/gate-imp.h
+++ b/packages/gateway/source/gate-imp.h
@@ -360,6 +360,10 @@
                                const char *name, const char *help,
                                double (*value)(const eng_endpoint *endpoint,
                                                lv_time now));
+/* gate-speed.c: the estimated speeds of endpoints; call the first at every
+ * tick of the timer. */
+void gate_update_speeds(gate_server *gate, lv_time now);
+void gate_write_speed_metrics(const gate_server *gate, met_writer *writer);
 
 /* gate-quarantine.c: crashes of endpoints, and the blocks and requests that
  * cause them */
--- a/packages/gateway/source/gate-request.c
+++ b/packages/gateway/source/gate-request.c
@@ -334,6 +334,7 @@
     to->prompt = &request->decoded.prompt;
     to->received = gate_waiting_since(request);
     to->target = request->route->target;
+    to->gap_target = request->route->gap_target;
     to->deadline = request->answer_deadline;
     to->share_ratio = admission_share(request, now);
     to->is_fetchable = gate_is_fetchable(request);
--- a/packages/gateway/source/gate-settings.c
+++ b/packages/gateway/source/gate-settings.c
@@ -66,6 +66,7 @@
     DECIMAL_COUNT_KEY("cold_slack", cold_slack, 0, 1000000),
     SIZE_KEY("fetch_limit", fetch.limit, 0, 64 * GIB),
     SIZE_KEY("fetch_token_limit", fetch.token_limit, 0, GIB),
+    COUNT_KEY("learn_speed_slots", engine.learn_speed_slots, 0, 65536),
 };
 
 static const conf_key admission_keys[] = {
@@ -73,6 +74,7 @@
     COUNT_KEY("wait_percent", admission.wait_percent, 1, 1000),
     COUNT_KEY("hold_percent", admission.queue_percent, 0, 1000),
     COUNT_KEY("read_cost_percent", admission.prefill_cost_percent, 0, 10000),
+    COUNT_KEY("pause_tokens", admission.pause_tokens, 0, 100000000),
     TIME_KEY("retry_least", admission.min_retry_after, MILLISECOND,
              60 * SECOND),
     TIME_KEY("zone_crossing_cost", admission.locality.crossing_cost, 0,
@@ -162,6 +164,9 @@
     eng_default_settings(&settings->engine);
     adm_default_settings(&settings->admission);
     fch_default_settings(&settings->fetch);
+    /* With fewer slots prefill is a larger part of each step of an engine, so
+     * a wrong rate costs more. */
+    settings->engine.learn_speed_slots = 16;
     settings->prefill_rate = (uint32_t)settings->engine.prefill_tokens_per_ms;
     settings->cold_overshoot_thousandths = 1500;
     settings->cold_slack = 5;
--- a/packages/gateway/source/gate.c
+++ b/packages/gateway/source/gate.c
@@ -233,6 +233,7 @@
     }
     gate_end_backoffs(gate, now);
     gate_update_warmup(gate, now);
+    gate_update_speeds(gate, now);
     gate_update_quarantine(gate, now);
     gate_update_origins(gate, now);
     fch_note_endpoints(&gate->endpoints, now);
--- a/packages/gateway/source/peers-endpoint-state.c
+++ b/packages/gateway/source/peers-endpoint-state.c
@@ -59,7 +59,7 @@
 {
     pack_evacuations(peers, now, packer);
     peers_pack_warmups(peers, now, packer);
-    msgpack_pack_array(packer, 0); /* PEERS_FIELD_SPEEDS */
+    peers_pack_speeds(peers, now, packer);
 }
 
 void
@@ -93,4 +93,7 @@
     peers_apply_warmups(
         peers, peer,
         &lists[PEERS_FIELD_WARMUPS - PEERS_FIELD_EVACUATIONS].via.array);
+    peers_apply_speeds(
+        peers, peer,
+        &lists[PEERS_FIELD_SPEEDS - PEERS_FIELD_EVACUATIONS].via.array, now);
 }
