Estimate speeds of endpoints only where a deployment asks for it

Change: learn_speed_slots is 0 by default. Measured: gateway-test-settings and core-test-speed pass. Conclusion: a right rate alone lets engines fill up; the lag of first tokens that it replaces held requests back. It needs a rule for the decode side before it pays.

--- a/packages/gateway/source/gate-settings.c
+++ b/packages/gateway/source/gate-settings.c
@@ -164,9 +164,6 @@
     eng_default_settings(&settings->engine);
     adm_default_settings(&settings->admission);
     fch_default_settings(&settings->fetch);
-    /* With fewer slots prefill is a larger part of each step of an engine, so
-     * a wrong rate costs more. */
-    settings->engine.learn_speed_slots = 16;
     settings->prefill_rate = (uint32_t)settings->engine.prefill_tokens_per_ms;
     settings->cold_overshoot_thousandths = 1500;
     settings->cold_slack = 5;
