--- a/packages/core/include/lavender/admission.h
+++ b/packages/core/include/lavender/admission.h
@@ -70,8 +70,6 @@
                            0 for one of them */
     double share_ratio; /* tokens served to the account as a fraction of its
                            fair share (shr_ratio); 0: not limited */
-    bool is_fetchable;  /* the prompt's shared blocks can be fetched by an
-                           endpoint that lacks them (fetch.h) */
     uint32_t first_row; /* any number: the row to begin with; of endpoints with
                            the same cost the first is taken, so different
                            numbers spread the instances over them */
--- a/packages/core/include/lavender/fetch.h
+++ b/packages/core/include/lavender/fetch.h
@@ -60,11 +60,6 @@
 
 void fch_default_settings(fch_settings *settings);
 
-/* Returns whether shared blocks of the prompt may be fetched at all, by the
- * settings and the service's configuration. `service` may be NULL. */
-bool fch_is_enabled(const fch_settings *settings, const rt_service *service,
-                    const eng_prompt *prompt);
-
 /* Records when endpoints are seen first; call it at every tick. */
 void fch_note_endpoints(eng_table *table, lv_time now);
 
--- a/packages/core/source/admission.c
+++ b/packages/core/source/admission.c
@@ -122,29 +122,10 @@
            prediction->idle_time >= required_idle_time(request, prediction);
 }
 
-/* Returns whether an engine has been idle for as long as it will prefill the
- * request, so that nobody else needs it. */
-static bool
-is_idle(const candidate *one)
-{
-    return one->may_start &&
-           one->prediction.idle_time >= one->prediction.service_time;
-}
-
-/* Returns whether the request prefers an endpoint where it may start to one
- * where it may not. Prompts of accounts over their fair share are not
- * prefilled again elsewhere only to avoid a queue; an idle engine may fetch
- * them. */
-static bool
-prefers_start(const adm_request *request, const candidate *one,
-              const candidate *other)
-{
-    return !adm_is_over_share(request) ||
-           (request->is_fetchable && (is_idle(one) || is_idle(other)));
-}
-
 /* An endpoint where the request may start is better than one where it may not,
- * even if it has to prefill more tokens. */
+ * even if it has to prefill more tokens. This does not apply to accounts over
+ * their fair share: their prompts are not prefilled again elsewhere only to
+ * avoid a queue. */
 static bool
 is_better(const adm_request *request, const candidate *one,
           const candidate *other)
@@ -152,8 +133,7 @@
     if (other->endpoint == LV_HANDLE_NONE) {
         return true;
     }
-    if (one->may_start != other->may_start &&
-        prefers_start(request, one, other)) {
+    if (one->may_start != other->may_start && !adm_is_over_share(request)) {
         return one->may_start;
     }
     if (one->prediction.has_capacity != other->prediction.has_capacity) {
--- a/packages/core/source/engine-summary.c
+++ b/packages/core/source/engine-summary.c
@@ -36,11 +36,7 @@
 
     endpoint->reported = *summary;
     endpoint->reported_at = now;
-    /* Without a queue the engine has been idle since its last prefill, and not
-     * only since the report. */
-    if (summary->wait > 0 || endpoint->prefill_until > now) {
-        endpoint->prefill_until = now + summary->wait;
-    }
+    endpoint->prefill_until = now + summary->wait;
 }
 
 void
--- a/packages/core/source/fetch.c
+++ b/packages/core/source/fetch.c
@@ -278,13 +278,6 @@
                                                      : FCH_UNDECIDED;
 }
 
-bool
-fch_is_enabled(const fch_settings *settings, const rt_service *service,
-               const eng_prompt *prompt)
-{
-    return check_configuration(settings, service, prompt) == FCH_UNDECIDED;
-}
-
 static fch_reason
 check_transfer(const fch_settings *settings, const eng_table *table,
                const fch_request *request, const eng_prediction *prediction,
@@ -367,7 +360,8 @@
     uint32_t fetched = offered_tokens(prompt, offer);
     uint32_t spared;
 
-    if (!fch_is_enabled(settings, service, prompt) || fetched <= cached) {
+    if (check_configuration(settings, service, prompt) != FCH_UNDECIDED ||
+        fetched <= cached) {
         return 0;
     }
     fetched -= cached;
--- a/packages/gateway/source/gate-fetch.c
+++ b/packages/gateway/source/gate-fetch.c
@@ -56,14 +56,6 @@
     }
 }
 
-bool
-gate_is_fetchable(const gate_request *request)
-{
-    return request->config != NULL &&
-           fch_is_enabled(&request->gate->settings.fetch,
-                          find_service(request), &request->decoded.prompt);
-}
-
 void
 gate_note_spared(gate_request *request, uint32_t tokens)
 {
--- a/packages/gateway/source/gate-imp.h
+++ b/packages/gateway/source/gate-imp.h
@@ -304,9 +304,6 @@
 /* gate-fetch.c: from which endpoint another one fetches cached prompt blocks
  */
 
-/* May shared blocks of the prompt be fetched at all? */
-bool gate_is_fetchable(const gate_request *request);
-
 /* Chooses the source for the decision's endpoint, and adjusts the prediction
  * to it. */
 void gate_choose_fetch(gate_request *request);
--- a/packages/gateway/source/gate-request.c
+++ b/packages/gateway/source/gate-request.c
@@ -337,7 +337,6 @@
     to->gap_target = request->route->gap_target;
     to->deadline = request->answer_deadline;
     to->share_ratio = admission_share(request, now);
-    to->is_fetchable = gate_is_fetchable(request);
     to->first_row = (uint32_t)gate_random(request->gate);
     to->tried_count = request->tried_count;
     memcpy(to->tried, request->tried, sizeof to->tried);
