Do not repeat a request whose large answer has begun

Cause: an answer of more than 1 MB is passed on before it is whole. When it broke off on a repeatable route, the request was repeated, and the whole answer of the repeat followed in the same body, which then ended as if it were complete.

Change: of an answer that has begun, only a stream with a known last event goes on at another endpoint; any other one is cut off for the caller. A new fake endpoint for tests sends the bytes of a script.

Conclusion: an answer that breaks off never looks whole here, also when it is too large to be buffered.

--- a/packages/gateway/source/gate-imp.h
+++ b/packages/gateway/source/gate-imp.h
@@ -127,7 +127,7 @@
                                 connection */
     bool has_answer_begun;   /* the caller was sent the head */
     bool is_paused;          /* the caller reads too slowly */
-    char last_event_id[64];  /* of the last event sent to the caller */
+    char last_event_id[64];  /* of the last event sent to the caller, or "" */
 };
 
 /* gate-request.c: from the receipt of a request to its end */
--- a/packages/gateway/source/gate-retry.c
+++ b/packages/gateway/source/gate-retry.c
@@ -16,6 +16,13 @@
     }
 }
 
+/* Of an answer that has begun only a stream can go on at another endpoint. */
+static bool
+can_go_on(const gate_request *request)
+{
+    return !request->has_answer_begun || request->last_event_id[0] != '\0';
+}
+
 bool
 gate_may_retry(gate_request *request)
 {
@@ -27,7 +34,8 @@
     if (request->may_have_run && !rt_may_retry(request->route)) {
         return false;
     }
-    if (!has_attempt_left || request->sends >= GATE_MAX_SENDS ||
+    if (!can_go_on(request) || !has_attempt_left ||
+        request->sends >= GATE_MAX_SENDS ||
         request->tried_count == ADM_TRIED_MAX ||
         now + request->route->target / 4 >= request->answer_deadline) {
         return false;
--- /dev/null
+++ b/tests/gateway/script-endpoint.h
@@ -0,0 +1,48 @@
+/*
+ * A fake endpoint that answers each request with the bytes of a script, at the
+ * times and with the end of the connection that the script names.
+ */
+#ifndef SCRIPT_ENDPOINT_H
+#define SCRIPT_ENDPOINT_H
+
+#include "stage.h"
+
+#define SCRIPT_STEPS 8
+
+typedef enum script_end {
+    SCRIPT_GO_ON, /* the connection stays open */
+    SCRIPT_CLOSE,
+    SCRIPT_RESET
+} script_end;
+
+typedef struct script_step {
+    uint64_t after_ms; /* since the step before */
+    const char *text;  /* "$" stands for the id of the request's attempt; NULL:
+                          the script is over */
+    uint32_t repeat;   /* how often the step is done; 0: once */
+    script_end end;
+} script_step;
+
+typedef struct script_endpoint {
+    uv_tcp_t listener;
+    const script_step *steps;      /* SCRIPT_STEPS at most */
+    const script_step *next_steps; /* of all requests after the first at any
+                                      endpoint; NULL: the same */
+    uint32_t *order;               /* of the requests at all endpoints */
+    struct script_connection *open;
+    uint32_t requests;
+    uint32_t connections;
+    char last_head[4096]; /* "name: value" lines of the last request */
+} script_endpoint;
+
+/* Listen in place of the fake endpoint `row` of a stage that is prepared but
+ * whose gateway is not started. */
+void script_start(stage_fixture *stage, uint32_t row, script_endpoint *script);
+
+/* Call it before stage_stop. */
+void script_stop(stage_fixture *stage, script_endpoint *script);
+
+/* Start the gateway and wait until it has listed all endpoints. */
+void script_start_gateway(stage_fixture *stage);
+
+#endif
--- /dev/null
+++ b/tests/gateway/test-broken-answers.c
@@ -0,0 +1,197 @@
+/*
+ * Answers that break off, come twice or trickle: what their callers get. Each
+ * case has one failure of one endpoint.
+ */
+#include <criterion/criterion.h>
+
+#include <stdio.h>
+#include <string.h>
+
+#include "script-endpoint.h"
+
+#define HEAD                                                                  \
+    "HTTP/1.1 200 OK\r\nLavenderproxy-Attempt-Id: $\r\n"                      \
+    "Lavenderproxy-Runner-Seal: seal-1\r\n"
+#define CHUNKED HEAD "Transfer-Encoding: chunked\r\n\r\n"
+#define LENGTH(n) HEAD "Content-Length: " #n "\r\n\r\n"
+#define EVENT(n) "15\r\nid: " #n "\ndata: piece-" #n "\n\n\r\n"
+#define NAMELESS_EVENT(n) "11\r\ndata: nameless" #n "\n\n\r\n"
+#define LONG_ID                                                               \
+    "abcdefghijabcdefghijabcdefghijabcdefghijabcdefghijabcdefghijabcdefghij"
+#define SIXTEEN "0123456789abcdef"
+#define BLOCK SIXTEEN SIXTEEN SIXTEEN SIXTEEN
+
+/* Blocks of 64 bytes: more than the gateway buffers of an answer (1 MB). */
+#define MANY_BLOCKS 20000
+
+static stage_fixture stage;
+static script_endpoint scripts[2];
+static uint32_t request_count;
+
+/* The first endpoint that gets the request breaks off; the answer of the other
+ * one would be taken. */
+static void
+start(const script_step *steps, const script_step *next_steps)
+{
+    uint32_t i;
+
+    request_count = 0;
+    stage_prepare(&stage, 2);
+    for (i = 0; i < 2; i++) {
+        scripts[i].order = &request_count;
+        scripts[i].steps = steps;
+        scripts[i].next_steps = next_steps;
+        script_start(&stage, i, &scripts[i]);
+    }
+    script_start_gateway(&stage);
+}
+
+static void
+stop(void)
+{
+    script_stop(&stage, &scripts[0]);
+    script_stop(&stage, &scripts[1]);
+    stage_stop(&stage);
+}
+
+typedef struct cut_case {
+    const char *what;
+    const char *path;
+    script_step steps[SCRIPT_STEPS];
+    uint32_t status;
+    bool is_complete;
+} cut_case;
+
+/* Guards against an answer that broke off and looks whole to its caller. */
+Test(broken_answers, an_answer_that_breaks_off_does_not_look_whole)
+{
+    static const cut_case cases[] = {
+        {"short of its length",
+         "/once/1",
+         {{0, LENGTH(9) "body", 0, SCRIPT_CLOSE}},
+         502,
+         true},
+        {"reset one byte short",
+         "/once/1",
+         {{0, LENGTH(5) "body", 0, SCRIPT_GO_ON}, {20, "", 0, SCRIPT_RESET}},
+         502,
+         true},
+        {"longer than its length",
+         "/once/1",
+         {{0, LENGTH(4) "bodybody", 0, SCRIPT_GO_ON}},
+         200,
+         true},
+        {"chunks without the last one",
+         "/once/1",
+         {{0, CHUNKED "4\r\nbody\r\n", 0, SCRIPT_CLOSE}},
+         502,
+         true},
+        {"a last chunk without its end",
+         "/once/1",
+         {{0, CHUNKED "4\r\nbody\r\n0\r\n", 0, SCRIPT_CLOSE}},
+         502,
+         true},
+        {"a reset after the last byte of data",
+         "/once/1",
+         {{0, CHUNKED "4\r\nbody\r\n", 0, SCRIPT_GO_ON},
+          {20, "", 0, SCRIPT_RESET}},
+         502,
+         true},
+        {"a stream without its last chunk",
+         "/stream/1",
+         {{0, CHUNKED EVENT(0), 0, SCRIPT_CLOSE}},
+         200,
+         false},
+        {"a stream that is reset after its last event",
+         "/stream/1",
+         {{0, CHUNKED EVENT(0), 0, SCRIPT_GO_ON}, {20, "", 0, SCRIPT_RESET}},
+         200,
+         false},
+        {"a stream that is short of its length",
+         "/stream/1",
+         {{0, LENGTH(50) "id: 0\ndata: piece-0\n\n", 0, SCRIPT_CLOSE}},
+         200,
+         false},
+    };
+
+    for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+        stage_response answer;
+
+        start(cases[i].steps, NULL);
+        stage_exchange(&stage, cases[i].path, "", &answer);
+        cr_expect_eq(answer.status, cases[i].status, "%s: %u", cases[i].what,
+                     answer.status);
+        cr_expect_eq(answer.is_complete, cases[i].is_complete, "%s",
+                     cases[i].what);
+        cr_expect_eq(request_count, 1, "%s", cases[i].what);
+        stop();
+    }
+}
+
+/* Sends a request that closes its connection, and waits until it is closed. */
+static void
+send_last(const char *path, stage_client *client)
+{
+    static char request[512];
+
+    snprintf(request, sizeof request,
+             "POST %s HTTP/1.1\r\nHost: h\r\nApi-Key: k1\r\n"
+             "Connection: close\r\nLavenderproxy-Attempt-Id: id-1\r\n"
+             "Content-Length: 0\r\n\r\n",
+             path);
+    stage_send(&stage, client, request, strlen(request));
+    stage_run_until(&stage, stage_is_closed, client, 4000);
+}
+
+static bool
+ends_with(const stage_client *client, const char *text)
+{
+    size_t size = strlen(text);
+
+    return client->response.size >= size &&
+           memcmp(client->response.data + client->response.size - size, text,
+                  size) == 0;
+}
+
+/* Guards against an answer too large to be buffered that breaks off and is
+ * followed, in the same body, by the whole answer of a repeat. */
+Test(broken_answers, a_large_answer_that_breaks_off_is_not_repeated)
+{
+    static const script_step whole[SCRIPT_STEPS] = {
+        {0, LENGTH(1280000), 0, SCRIPT_GO_ON},
+        {0, BLOCK, MANY_BLOCKS, SCRIPT_GO_ON}};
+    static const struct {
+        const char *path;
+        script_step steps[SCRIPT_STEPS];
+        bool is_complete;
+    } cases[] = {
+        {"/many/1",
+         {{0, LENGTH(1280001), 0, SCRIPT_GO_ON},
+          {0, BLOCK, MANY_BLOCKS, SCRIPT_GO_ON},
+          {100, "", 0, SCRIPT_CLOSE}},
+         false},
+        {"/once/1",
+         {{0, CHUNKED, 0, SCRIPT_GO_ON},
+          {0, "40\r\n" BLOCK "\r\n", MANY_BLOCKS, SCRIPT_GO_ON},
+          {100, "", 0, SCRIPT_CLOSE}},
+         false},
+        {"/many/1",
+         {{0, LENGTH(1280000), 0, SCRIPT_GO_ON},
+          {0, BLOCK, MANY_BLOCKS, SCRIPT_GO_ON}},
+         true},
+    };
+
+    for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+        stage_client client;
+
+        start(cases[i].steps, whole);
+        send_last(cases[i].path, &client);
+        cr_expect(client.is_closed, "case %zu", i);
+        cr_expect_eq(ends_with(&client, "\r\n0\r\n\r\n"), cases[i].is_complete,
+                     "case %zu: %zu bytes", i, client.response.size);
+        cr_expect_lt(client.response.size, 2000000, "case %zu: %zu bytes", i,
+                     client.response.size);
+        stage_finish_client(&stage, &client);
+        stop();
+    }
+}
