Resume a stream only after the last event that its caller got

Cause: the id of the last event with an id was kept, and used to resume also when events without an id, or with one of 64 characters or more, had been passed on since, or none had an id. The caller then got events twice.

Change: an event with data and without a usable id leaves no id, and a stream without one is not resumed.

--- a/packages/gateway/source/gate-stream.c
+++ b/packages/gateway/source/gate-stream.c
@@ -57,6 +57,7 @@
            !ends_with_empty_line(attempt->tail, attempt->tail_size);
 }
 
+/* An id that is too long to be kept is as none. */
 static void
 save_event_id(gate_request *request, const char *value, size_t size)
 {
@@ -64,29 +65,43 @@
         value++;
         size--;
     }
-    if (size > 0 && value[size - 1] == '\r') {
-        size--;
-    }
-    if (size > 0 && size < sizeof request->last_event_id) {
-        memcpy(request->last_event_id, value, size);
-        request->last_event_id[size] = '\0';
+    if (size >= sizeof request->last_event_id) {
+        size = 0;
     }
+    memcpy(request->last_event_id, value, size);
+    request->last_event_id[size] = '\0';
 }
 
-/* Saves the id of the last event in the text. */
+/* Saves the id of the last event in whole events. One with data and without an
+ * id leaves none: the stream cannot be resumed right after it. */
 static void
 save_last_event_id(gate_request *request, const char *text, size_t size)
 {
     const char *end = text + size;
+    bool has_id = false;
+    bool has_data = false;
 
     while (text < end) {
         const char *line_end = memchr(text, '\n', (size_t)(end - text));
+        size_t length;
 
         if (line_end == NULL) {
             return;
         }
-        if (line_end - text > 3 && memcmp(text, "id:", 3) == 0) {
-            save_event_id(request, text + 3, (size_t)(line_end - text) - 3);
+        length = (size_t)(line_end - text);
+        length -= length > 0 && text[length - 1] == '\r';
+        if (length >= 3 && memcmp(text, "id:", 3) == 0) {
+            save_event_id(request, text + 3, length - 3);
+            has_id = true;
+        }
+        else if (length >= 4 && memcmp(text, "data", 4) == 0) {
+            has_data = true;
+        }
+        else if (length == 0) {
+            if (has_data && !has_id) {
+                request->last_event_id[0] = '\0';
+            }
+            has_id = has_data = false;
         }
         text = line_end + 1;
     }
--- a/tests/gateway/test-broken-answers.c
+++ b/tests/gateway/test-broken-answers.c
@@ -195,3 +195,56 @@
         stop();
     }
 }
+
+/* Guards against events that a caller gets twice, as its stream was resumed
+ * after an event before the last one that it got. */
+Test(broken_answers, a_stream_is_resumed_after_its_last_event_only)
+{
+    static const script_step rest[SCRIPT_STEPS] = {
+        {0, CHUNKED EVENT(9) "0\r\n\r\n", 0, SCRIPT_GO_ON}};
+    static const struct {
+        const char *what;
+        script_step steps[SCRIPT_STEPS];
+        const char *resumed_after; /* NULL: not resumed */
+    } cases[] = {
+        {"events with ids",
+         {{0, CHUNKED EVENT(0) EVENT(1), 0, SCRIPT_CLOSE}},
+         "Last-Event-Id: 1\n"},
+        {"a comment after the last event",
+         {{0, CHUNKED EVENT(0) "3\r\n:\n\n\r\n", 0, SCRIPT_CLOSE}},
+         "Last-Event-Id: 0\n"},
+        {"half an event after the last one",
+         {{0, CHUNKED EVENT(0) "6\r\nid: 1\n\r\n", 0, SCRIPT_CLOSE}},
+         "Last-Event-Id: 0\n"},
+        {"events without ids",
+         {{0, CHUNKED NAMELESS_EVENT(0), 0, SCRIPT_CLOSE}},
+         NULL},
+        {"an event without an id after one with an id",
+         {{0, CHUNKED EVENT(0) NAMELESS_EVENT(1), 0, SCRIPT_CLOSE}},
+         NULL},
+        {"an id that is not kept",
+         {{0, CHUNKED EVENT(0) "5a\r\nid: " LONG_ID "\ndata: piece-1\n\n\r\n",
+           0, SCRIPT_CLOSE}},
+         NULL},
+    };
+
+    for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+        const char *expected = cases[i].resumed_after;
+        const char *head = NULL;
+        stage_client client;
+
+        start(cases[i].steps, rest);
+        send_last("/resume/1", &client);
+        cr_expect_eq(request_count, expected != NULL ? 2 : 1, "%s: %u",
+                     cases[i].what, request_count);
+        for (int k = 0; k < 2 && expected != NULL; k++) {
+            head =
+                head != NULL ? head : strstr(scripts[k].last_head, expected);
+        }
+        cr_expect(expected == NULL || head != NULL, "%s", cases[i].what);
+        cr_expect_eq(ends_with(&client, "\r\n0\r\n\r\n"), expected != NULL,
+                     "%s", cases[i].what);
+        stage_finish_client(&stage, &client);
+        stop();
+    }
+}
