Refuse requests that have arrived in part when the process stops

Cause: at the end of a drain, connections without unread bytes were closed, also those whose request head, or a part of the body, had been read; one that was read in part during the stop was closed 200 ms later. Their callers got neither an answer nor a refusal.

Change: such requests are answered with 503 and 'Connection: close'; nothing of them was forwarded.

Conclusion: callers learn that such a request was not run.

--- a/packages/gateway/source/front-connection.c
+++ b/packages/gateway/source/front-connection.c
@@ -69,9 +69,9 @@
     }
 }
 
-static void
-reject_request(front_connection *connection, uint32_t status,
-               const char *reason)
+void
+front_reject_request(front_connection *connection, uint32_t status,
+                     const char *reason)
 {
     front_server *server = connection->server;
 
@@ -131,12 +131,12 @@
 
     front_set_phase(connection, FRONT_PROCESSING);
     if (server->is_stopping) {
-        reject_request(connection, 503, "stopped");
+        front_reject_request(connection, 503, "stopped");
         return;
     }
     if (connection->is_over_limit &&
         server->connection_count > server->max_connections) {
-        reject_request(connection, 503, "too-many-connections");
+        front_reject_request(connection, 503, "too-many-connections");
         return;
     }
     server->ops->on_request(server, connection);
@@ -156,26 +156,29 @@
     result = http_reader_feed(&connection->reader, data, size, &consumed);
     switch (result) {
     case HTTP_INCOMPLETE:
+        if (connection->server->is_stopping) {
+            front_reject_request(connection, 503, "stopped");
+        }
         break;
     case HTTP_COMPLETE:
         process_request(connection);
         return consumed;
     case HTTP_HEAD_TOO_LARGE:
-        reject_request(connection, 431, "head-too-large");
+        front_reject_request(connection, 431, "head-too-large");
         break;
     case HTTP_STOPPED:
         if (connection->body.has_failed) {
-            reject_request(connection, 503, "no-memory");
+            front_reject_request(connection, 503, "no-memory");
         }
         else {
-            reject_request(connection, 413, "body-too-large");
+            front_reject_request(connection, 413, "body-too-large");
         }
         break;
     case HTTP_NO_MEMORY:
-        reject_request(connection, 503, "no-memory");
+        front_reject_request(connection, 503, "no-memory");
         break;
     case HTTP_MALFORMED:
-        reject_request(connection, 400, "not-a-proper-request");
+        front_reject_request(connection, 400, "not-a-proper-request");
         break;
     }
     return size;
@@ -333,7 +336,7 @@
     size_t used = connection->pipelined_used;
 
     if (connection->pipelined.has_failed) {
-        reject_request(connection, 503, "no-memory");
+        front_reject_request(connection, 503, "no-memory");
         return;
     }
     if (connection->is_reading_pipelined ||
--- a/packages/gateway/source/front-imp.h
+++ b/packages/gateway/source/front-imp.h
@@ -23,6 +23,11 @@
  * if there is unread input. */
 void front_close(front_connection *connection, const char *reason);
 
+/* Answers a request that is not passed on, as it is malformed, incomplete or
+ * too much, and ends the connection. */
+void front_reject_request(front_connection *connection, uint32_t status,
+                          const char *reason);
+
 /* Sends a FIN and reads until the caller's, because closing a socket with
  * unread bytes resets the connection and the caller may lose the response. */
 void front_begin_lingering(front_connection *connection);
--- a/packages/gateway/source/front-server.c
+++ b/packages/gateway/source/front-server.c
@@ -219,6 +219,10 @@
     server->is_stopping = true;
     for (connection = server->connections; connection != NULL;
          connection = connection->next) {
+        if (!connection->stream.is_closing &&
+            connection->phase == FRONT_READING) {
+            front_reject_request(connection, 503, "stopped");
+        }
         if (connection->stream.is_closing ||
             connection->phase == FRONT_LINGERING ||
             io_unread_size(&connection->stream) > 0 ||
