Take a stream for silent while no whole event arrives

Cause: the silence of a stream that may be resumed was counted from the last byte of its endpoint. One that sent a byte of an event now and then was never taken for silent, and its caller, who gets whole events only, waited until the deadline.

Change: it is counted from the last whole event.

Streams with an event every 150 ms and comments in pieces of one byte run once, as before.

Conclusion: whatever trickles is replaced if the route allows it, or ends at the deadline.

--- a/packages/gateway/source/gate-attempt.c
+++ b/packages/gateway/source/gate-attempt.c
@@ -429,8 +429,10 @@
     if (attempt->is_answer_dropped) {
         return;
     }
-    attempt->last_data_at = io_now();
-    attempt->is_silence_recorded = false;
+    if (attempt->first_output_at == 0 || !request->route->is_resumable) {
+        attempt->last_data_at = io_now();
+        attempt->is_silence_recorded = false;
+    }
     record_first_output(attempt);
     if (request->is_stream && is_success(attempt)) {
         forward_stream_data(attempt, data, size);
--- a/packages/gateway/source/gate-imp.h
+++ b/packages/gateway/source/gate-imp.h
@@ -45,7 +45,7 @@
     bool is_unframed;            /* the answer ends with its connection */
     bool is_answer_dropped;      /* the answer is not forwarded */
     uint32_t status;             /* of the answer; 0: not the endpoint's */
-    lv_time last_data_at;
+    lv_time last_data_at; /* of a resumable stream: of its last whole event */
     lv_time first_output_at;   /* 0: no output yet */
     lv_id version;             /* of the endpoint's software */
     buf_buffer headers;        /* for the caller */
--- a/packages/gateway/source/gate-stream.c
+++ b/packages/gateway/source/gate-stream.c
@@ -123,6 +123,8 @@
     }
     whole = whole_events_size(partial->data, partial->size, searched);
     if (whole > 0) {
+        attempt->last_data_at = io_now();
+        attempt->is_silence_recorded = false;
         gate_record_origin(attempt);
         gate_begin_answer(attempt);
         save_last_event_id(request, partial->data, whole);
--- a/tests/gateway/test-broken-answers.c
+++ b/tests/gateway/test-broken-answers.c
@@ -248,3 +248,150 @@
         stop();
     }
 }
+
+/* The routes' timeout, and what a busy machine may add to it. */
+#define TIMEOUT (1500 * LV_MILLISECOND)
+#define TIMEOUT_MARGIN (500 * LV_MILLISECOND)
+
+/* A byte now and then for 4 s, more often than the routes' gap of 100 ms. */
+#define TRICKLE(text)                                                         \
+    {                                                                         \
+        40, text, 100, SCRIPT_GO_ON                                           \
+    }
+
+typedef struct trickle_case {
+    const char *what;
+    const char *path;
+    script_step steps[SCRIPT_STEPS];
+    bool is_replaced; /* by another endpoint, before the timeout */
+    const char *status;
+} trickle_case;
+
+static const trickle_case trickle_cases[] = {
+    {"a head",
+     "/once/1",
+     {{0, HEAD, 0, SCRIPT_GO_ON}, TRICKLE("X: y\r\n")},
+     false,
+     "HTTP/1.1 504"},
+    {"a head, repeatable",
+     "/many/1",
+     {{0, HEAD, 0, SCRIPT_GO_ON}, TRICKLE("X: y\r\n")},
+     true,
+     "HTTP/1.1 200"},
+    {"interim responses",
+     "/many/1",
+     {TRICKLE("HTTP/1.1 102 Processing\r\n\r\n")},
+     true,
+     "HTTP/1.1 200"},
+    {"a body",
+     "/many/1",
+     {{0, LENGTH(900), 0, SCRIPT_GO_ON}, TRICKLE("x")},
+     false,
+     "HTTP/1.1 504"},
+    {"a chunk's size",
+     "/once/1",
+     {{0, CHUNKED "4\r\nbody\r\n", 0, SCRIPT_GO_ON}, TRICKLE("0")},
+     false,
+     "HTTP/1.1 504"},
+    {"trailers",
+     "/once/1",
+     {{0, CHUNKED "4\r\nbody\r\n0\r\n", 0, SCRIPT_GO_ON}, TRICKLE("X: y\r\n")},
+     false,
+     "HTTP/1.1 504"},
+    {"an event of a stream that cannot be resumed",
+     "/stream/1",
+     {{0, CHUNKED EVENT(0), 0, SCRIPT_GO_ON}, TRICKLE("1\r\nd\r\n")},
+     false,
+     "HTTP/1.1 200"},
+    {"the first event of a stream",
+     "/resume/1",
+     {{0, CHUNKED, 0, SCRIPT_GO_ON}, TRICKLE("1\r\nd\r\n")},
+     true,
+     "HTTP/1.1 200"},
+    {"an event of a stream",
+     "/resume/1",
+     {{0, CHUNKED EVENT(0), 0, SCRIPT_GO_ON}, TRICKLE("1\r\nd\r\n")},
+     true,
+     "HTTP/1.1 200"},
+    {"a chunk's size of a stream",
+     "/resume/1",
+     {{0, CHUNKED EVENT(0), 0, SCRIPT_GO_ON}, TRICKLE("0")},
+     true,
+     "HTTP/1.1 200"},
+};
+
+/* Guards against an endpoint that sends a byte now and then and so holds its
+ * caller, although another one can take over or the time is up. */
+Test(broken_answers, an_answer_that_trickles_is_replaced_or_ends_in_time)
+{
+    static const script_step body[SCRIPT_STEPS] = {
+        {0, LENGTH(4) "body", 0, SCRIPT_GO_ON}};
+    static const script_step rest[SCRIPT_STEPS] = {
+        {0, CHUNKED EVENT(9) "0\r\n\r\n", 0, SCRIPT_GO_ON}};
+
+    for (size_t i = 0; i < sizeof trickle_cases / sizeof trickle_cases[0];
+         i++) {
+        const trickle_case *one = &trickle_cases[i];
+        bool is_stream = strcmp(one->path, "/resume/1") == 0;
+        lv_time started_at;
+        lv_time duration;
+        stage_client client;
+
+        start(one->steps, is_stream ? rest : body);
+        started_at = io_now();
+        send_last(one->path, &client);
+        duration = io_now() - started_at;
+        cr_expect_eq(stage_count_responses(&client, one->status), 1,
+                     "%s: %.20s", one->what, client.response.data);
+        if (one->is_replaced) {
+            cr_expect_lt(duration, TIMEOUT, "%s: not replaced", one->what);
+            cr_expect(!is_stream || ends_with(&client, "\r\n0\r\n\r\n"), "%s",
+                      one->what);
+        }
+        else {
+            cr_expect_lt(duration, TIMEOUT + TIMEOUT_MARGIN, "%s: %llu us",
+                         one->what, (unsigned long long)duration);
+            cr_expect_eq(request_count, 1, "%s", one->what);
+        }
+        stage_finish_client(&stage, &client);
+        stop();
+    }
+}
+
+/* Guards against a stream that is cut or started again although it goes on, at
+ * the pace of its route or in small pieces. */
+Test(broken_answers, a_slow_stream_goes_on)
+{
+    static const struct {
+        const char *path;
+        script_step steps[SCRIPT_STEPS];
+    } cases[] = {
+        {"/resume/1",
+         {{0, CHUNKED, 0, SCRIPT_GO_ON},
+          {150, EVENT(0), 6, SCRIPT_GO_ON},
+          {0, "0\r\n\r\n", 0, SCRIPT_GO_ON}}},
+        {"/resume/1",
+         {{0, CHUNKED, 0, SCRIPT_GO_ON},
+          {20, "1\r\n:\r\n", 8, SCRIPT_GO_ON},
+          {0, "2\r\n\n\n\r\n", 0, SCRIPT_GO_ON},
+          {20, "1\r\n:\r\n", 8, SCRIPT_GO_ON},
+          {0, "2\r\n\n\n\r\n", 0, SCRIPT_GO_ON},
+          {20, EVENT(1), 8, SCRIPT_GO_ON},
+          {0, "0\r\n\r\n", 0, SCRIPT_GO_ON}}},
+        {"/stream/1",
+         {{0, CHUNKED, 0, SCRIPT_GO_ON},
+          {400, EVENT(0), 3, SCRIPT_GO_ON},
+          {0, "0\r\n\r\n", 0, SCRIPT_GO_ON}}},
+    };
+
+    for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+        stage_client client;
+
+        start(cases[i].steps, NULL);
+        send_last(cases[i].path, &client);
+        cr_expect(ends_with(&client, "\r\n0\r\n\r\n"), "case %zu", i);
+        cr_expect_eq(request_count, 1, "case %zu: %u", i, request_count);
+        stage_finish_client(&stage, &client);
+        stop();
+    }
+}
