Do not use a connection again whose answer names no request

Cause: answers are matched to requests by an id. An answer without one counts as the answer to the present request, so that a late copy of it would be taken for the answer to the next request on the connection.

Change: a connection is closed after an answer without an id.

Result: gateway-test-late-copies: 1 connection for two requests before, 2 after; 1 if the answers have ids, as before. Copies with an id, with the end of the answer, on an idle connection, and after or within the next request's, reached nobody before either.

Conclusion: only copies that can be told from answers can arrive on a connection that is used again.

--- a/packages/gateway/source/back-response.c
+++ b/packages/gateway/source/back-response.c
@@ -36,8 +36,11 @@
         /* No other response follows a body that ends with the connection. */
         return head->framing != HTTP_UNTIL_CLOSE;
     }
-    connection->is_keep_alive =
-        head->is_keep_alive && head->framing != HTTP_UNTIL_CLOSE;
+    /* A copy of a response without an id cannot be told from the response to
+     * the next request. */
+    connection->is_keep_alive = head->is_keep_alive &&
+                                head->framing != HTTP_UNTIL_CLOSE &&
+                                response.attempt_id != NULL;
     if (response.keep_alive_timeout > 0) {
         lv_time margin = connection->pool->settings.idle_margin;
         lv_time max_idle = lv_elapsed(response.keep_alive_timeout, margin);
