Skip a late copy also before the answer to a request without an id

Cause: a caller's request without an id took whatever answer came first, also a late copy of the answer to the request before it on the connection.

Change: a connection keeps the id of the last request that had one; an answer with that id is skipped.

Conclusion: callers without ids get their own answers as well.

--- a/packages/gateway/source/back-response.c
+++ b/packages/gateway/source/back-response.c
@@ -7,15 +7,22 @@
 #define MAX_SKIPPED_BYTES ((size_t)1024 * 1024)
 
 /* Does a response belong to the request of the connection? One without an id
- * does. */
+ * does. To a request without an id all do, except for copies of the response
+ * to the request before it. */
 static bool
 matches_request(const back_connection *connection,
                 const wire_response *response)
 {
-    const back_exchange *exchange = connection->exchange;
+    const char *id = connection->exchange->id;
 
-    return response->attempt_id == NULL || exchange->id[0] == '\0' ||
-           strcmp(response->attempt_id, exchange->id) == 0;
+    if (response->attempt_id == NULL) {
+        return true;
+    }
+    if (id[0] == '\0') {
+        return connection->last_id[0] == '\0' ||
+               strcmp(response->attempt_id, connection->last_id) != 0;
+    }
+    return strcmp(response->attempt_id, id) == 0;
 }
 
 static bool
