Tell instances that have just started of departures that a copy lacks

Cause: when the store comes back from an older copy, instances keep an endpoint unused that left before, until it has written again or for 5 s. One that started in this time knew of no departure. Reports of peers were ignored, as they are of an earlier era than the entry, and ended 3 s after the departure.

Change: a report of an earlier era counts for an entry first read less than 5 s ago and not written since, as if the instance had seen the departure itself; instances report again when they read such a copy.

Conclusion: a restart does not undo a departure while others know it. An instance that starts more than 3 s after the copy was read by all others does not learn it.

--- a/packages/gateway/include/lavender-gateway/registry.h
+++ b/packages/gateway/include/lavender-gateway/registry.h
@@ -17,8 +17,10 @@
     lv_id endpoint;     /* id in the table of endpoints */
     bool is_in_list;    /* seen since reg_begin_list */
     lv_time expires_at; /* end of its grace period; 0: it is in the store */
-    wire_position position; /* of the item that it was read from */
-    uint64_t sequence;      /* of the endpoint's writes, as in that item */
+    wire_position position;  /* of the item that it was read from */
+    uint64_t sequence;       /* of the endpoint's writes, as in that item */
+    uint64_t first_sequence; /* the first one that was seen in its era */
+    lv_time first_seen_at;   /* when that was; 0: it had left before */
 } reg_entry;
 
 /* An endpoint that left, by what the store said in an era. */
@@ -68,6 +70,13 @@
 bool reg_apply_unlisted(reg_registry *registry, lv_id endpoint,
                         wire_position position);
 
+/* Applies such a report from an earlier era than that of the entry. An
+ * instance that started since then read the entry from an older copy; the
+ * departure counts as if this instance had seen it. Returns whether the
+ * endpoint gets no new requests because of it. */
+bool reg_apply_earlier_departure(reg_registry *registry, lv_id endpoint,
+                                 wire_position position, lv_time now);
+
 /* How long the departure of an endpoint outweighs an older copy of its entry:
  * the store drops the entry of an endpoint that writes no more before. */
 #define REG_COPY_EXPIRY (5 * LV_SECOND)
--- a/packages/gateway/source/gate-imp.h
+++ b/packages/gateway/source/gate-imp.h
@@ -39,9 +39,8 @@
     eng_reservation reservation; /* the current or last one */
     bool is_begun_recorded;      /* in the quarantine's evidence */
     bool was_not_run;            /* according to the answer */
-    bool is_false_promise;       /* its status tells callers that the request
-                                    was not run, which the endpoint does not
-                                    say; set if it must not run twice */
+    bool is_false_promise;       /* its status alone says that the request was
+                                    not run; set if it must not run twice */
     bool is_unframed;            /* the answer ends with its connection */
     bool is_answer_dropped;      /* the answer is not forwarded */
     uint32_t status;             /* of the answer; 0: not the endpoint's */
@@ -123,8 +122,7 @@
     bool has_logged_queueing;
     bool may_have_run;
     bool is_stream;
-    bool is_close_delimited; /* the answer to the caller ends with its
-                                connection */
+    bool is_close_delimited; /* the answer ends with its connection */
     bool has_answer_begun;   /* the caller was sent the head */
     bool is_paused;          /* the caller reads too slowly */
     char last_event_id[64];  /* of the last event sent to the caller, or "" */
@@ -482,6 +480,8 @@
  * an older copy: both feeds list again, and entries that the copy lacks are
  * kept for a grace. Callback of peers too. */
 void gate_begin_store_era(void *owner, uint64_t era);
+/* Another instance says that the store unlisted an endpoint at a revision. */
+void gate_handle_departure(void *owner, lv_id id, uint64_t era, uint64_t at);
 
 /* Lists again what an older copy of the store was not believed about. */
 void gate_relist_after_copy(gate_server *gate, lv_time now);
--- a/packages/gateway/source/gate-store.c
+++ b/packages/gateway/source/gate-store.c
@@ -146,6 +146,40 @@
     }
 }
 
+void
+gate_handle_departure(void *owner, lv_id id, uint64_t era, uint64_t at)
+{
+    gate_server *gate = owner;
+    wire_position position = {.era = era, .revision = at};
+    lv_time now = io_now();
+    bool is_copy;
+
+    if (at == 0) {
+        gate_handle_peer_notice(gate, id);
+        return;
+    }
+    is_copy = reg_apply_earlier_departure(&gate->registry, id, position, now);
+    if (is_copy) {
+        expect_expiry_of_copy(gate, now);
+    }
+    if (is_copy || reg_apply_unlisted(&gate->registry, id, position)) {
+        log_event(LOG_LEVEL_NOTICE, now, "endpoint",
+                  "key=%s change=leaving revision=%llu source=peer",
+                  eng_at(&gate->endpoints, eng_find(&gate->endpoints, id))
+                      ->spec.name,
+                  (unsigned long long)at);
+    }
+}
+
+/* Instances that started since then read the copy only, and know of no
+ * departure. */
+static void
+report_older_copy(gate_server *gate, const wire_item *item, lv_time now)
+{
+    peers_report_unlisted(&gate->peers, item->endpoint.id,
+                          item->position.era - 1, 1, now);
+}
+
 static void
 apply_endpoint(gate_server *gate, const wire_item *item)
 {
@@ -164,6 +198,7 @@
     }
     if (change == reg_older_copy) {
         expect_expiry_of_copy(gate, now);
+        report_older_copy(gate, item, now);
     }
     if (change != NULL) {
         log_event(LOG_LEVEL_NOTICE, now, "endpoint",
--- a/packages/gateway/source/gate.c
+++ b/packages/gateway/source/gate.c
@@ -97,25 +97,6 @@
               address);
 }
 
-static void
-on_endpoint_leaving(void *owner, lv_id id, uint64_t era, uint64_t revision)
-{
-    gate_server *gate = owner;
-    wire_position position = {.era = era, .revision = revision};
-
-    if (revision == 0) {
-        gate_handle_peer_notice(gate, id);
-        return;
-    }
-    if (reg_apply_unlisted(&gate->registry, id, position)) {
-        log_event(LOG_LEVEL_NOTICE, io_now(), "endpoint",
-                  "key=%s change=leaving revision=%llu source=peer",
-                  eng_at(&gate->endpoints, eng_find(&gate->endpoints, id))
-                      ->spec.name,
-                  (unsigned long long)revision);
-    }
-}
-
 static void
 reload_settings(gate_server *gate)
 {
@@ -345,7 +326,7 @@
     gate_init_origins(gate);
     gate_init_evacuation(gate);
     gate->peers.on_change = on_peer_change;
-    gate->peers.on_unlisted = on_endpoint_leaving;
+    gate->peers.on_unlisted = gate_handle_departure;
     gate->peers.on_store_era = gate_begin_store_era;
     gate->peers.on_start_request = gate_handle_grant_request;
     gate->peers.on_start_reply = gate_handle_grant_answer;
--- a/packages/gateway/source/registry.c
+++ b/packages/gateway/source/registry.c
@@ -71,7 +71,7 @@
 }
 
 /* Remembers that an endpoint drains or is gone. */
-static void
+static reg_departure *
 add_departure(reg_registry *registry, const reg_entry *entry)
 {
     reg_departure *departure = find_departure(registry, entry->endpoint);
@@ -84,6 +84,7 @@
     departure->era = entry->position.era;
     departure->sequence = entry->sequence;
     departure->believed_until = 0;
+    return departure;
 }
 
 static void
@@ -158,6 +159,13 @@
                  : spec->is_draining               ? "draining"
                                                    : "ready";
     }
+    if (entry->endpoint != spec->id ||
+        entry->position.era != item->position.era) {
+        bool is_judged = find_departure(registry, spec->id) != NULL;
+
+        entry->first_sequence = item->sequence;
+        entry->first_seen_at = is_judged ? 0 : now;
+    }
     entry->endpoint = spec->id;
     entry->is_in_list = true;
     entry->expires_at = 0;
@@ -228,6 +236,41 @@
     return true;
 }
 
+static reg_entry *
+find_endpoint(reg_registry *registry, lv_id endpoint)
+{
+    uint32_t i;
+
+    for (i = 0; i < registry->count; i++) {
+        if (registry->entries[i].endpoint == endpoint) {
+            return &registry->entries[i];
+        }
+    }
+    return NULL;
+}
+
+bool
+reg_apply_earlier_departure(reg_registry *registry, lv_id endpoint,
+                            wire_position position, lv_time now)
+{
+    const reg_entry *entry = find_endpoint(registry, endpoint);
+    lv_handle row = eng_find(registry->endpoints, endpoint);
+    reg_departure *departure;
+
+    if (entry == NULL || position.era >= entry->position.era ||
+        entry->sequence > entry->first_sequence ||
+        lv_elapsed(now, entry->first_seen_at) >= REG_COPY_EXPIRY ||
+        find_departure(registry, endpoint) != NULL || row == LV_HANDLE_NONE ||
+        !eng_at(registry->endpoints, row)->is_listed) {
+        return false;
+    }
+    departure = add_departure(registry, entry);
+    departure->era = position.era;
+    departure->believed_until = entry->first_seen_at + REG_COPY_EXPIRY;
+    eng_unlist(registry->endpoints, row);
+    return true;
+}
+
 void
 reg_begin_list(reg_registry *registry)
 {
--- /dev/null
+++ b/tests/gateway/test-restart.c
@@ -0,0 +1,165 @@
+/*
+ * A gateway that has just started and that the store shows an older copy of
+ * the endpoints: what other instances know of their leaving counts.
+ */
+#include <criterion/criterion.h>
+
+#include <string.h>
+
+#include "gate-imp.h"
+#include "peer-node.h"
+#include "stage.h"
+
+#define REQUESTS 6
+
+/* The store's copy expires 5 s after it was first read, and is listed again
+ * 1 s later; what a busy machine may add. */
+#define RETURN_MS 9000
+
+static stage_fixture stage;
+static peer_node node; /* another instance */
+
+static lv_handle
+find_row(const stage_endpoint *endpoint)
+{
+    const eng_table *table = &stage.gate.endpoints;
+    lv_handle row = 0;
+
+    while (row < table->capacity &&
+           strcmp(table->endpoints[row].spec.name, endpoint->name) != 0) {
+        row++;
+    }
+    return row;
+}
+
+static bool
+is_listed(stage_fixture *self, void *context)
+{
+    lv_handle row = find_row(&self->endpoints[0]);
+
+    (void)context;
+    return row < self->gate.endpoints.capacity &&
+           self->gate.endpoints.endpoints[row].is_listed;
+}
+
+static bool
+has_seen_older_copy(stage_fixture *self, void *context)
+{
+    (void)context;
+    return self->gate.peers.unlisted_count > 0;
+}
+
+/* Another instance tells that endpoint 0 left. */
+static void
+tell(uint64_t era, uint64_t revision)
+{
+    lv_id id =
+        eng_at(&stage.gate.endpoints, find_row(&stage.endpoints[0]))->spec.id;
+    buf_buffer datagram;
+
+    buf_init(&datagram);
+    peers_report_unlisted(&node.peers, id, era, revision, io_now());
+    peers_write_datagram(&node.peers, PEERS_FULL, io_now(), &datagram);
+    cr_expect(peers_receive(&stage.gate.peers, &node.address, datagram.data,
+                            datagram.size, io_now()));
+    buf_finish(&datagram);
+}
+
+static uint32_t
+count_reached(void)
+{
+    uint32_t before = stage.endpoints[0].requests;
+
+    for (int i = 0; i < REQUESTS; i++) {
+        stage_response answer;
+
+        stage_exchange(&stage, "/many/1", "", &answer);
+        cr_expect_eq(answer.status, 200);
+    }
+    return stage.endpoints[0].requests - before;
+}
+
+static void
+start(uint64_t era)
+{
+    peer_node_start(&node, 1);
+    stage_prepare(&stage, 2);
+    stage.era = era;
+    stage_start_gateway(&stage);
+    cr_assert(stage_run_until(&stage, is_listed, NULL, 5000));
+    stage_run_for(&stage, 100);
+}
+
+static void
+stop(void)
+{
+    peer_node_stop(&node);
+    stage_stop(&stage);
+}
+
+static bool
+is_unlisted(stage_fixture *self, void *context)
+{
+    return !is_listed(self, context);
+}
+
+/* Guards against a restarted gateway that uses an endpoint that left, since
+ * the store shows an old list or came back from an older copy. */
+Test(restart, an_endpoint_that_left_stays_unused)
+{
+    static const struct {
+        uint64_t era; /* of the store */
+        uint64_t told_era;
+        uint64_t told_revision;
+        bool is_used;
+    } cases[] = {
+        {0, 0, 200, false}, /* an old list */
+        {2, 2, 200, false},
+        {2, 1, 200, false}, /* an older copy, in a new era */
+        {2, 1, 1, false},
+        {2, 2, 1, true}, /* the entry is not older */
+    };
+
+    for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+        uint32_t reached = 0;
+
+        start(cases[i].era);
+        for (int k = 0; k < 2; k++) {
+            tell(cases[i].told_era, cases[i].told_revision);
+            reached += count_reached();
+        }
+        cr_expect_eq(reached > 0, cases[i].is_used, "case %zu: %u", i,
+                     reached);
+        stop();
+    }
+}
+
+/* Guards against an endpoint that is never used again since it was said to
+ * have left before the store's copy was made. */
+Test(restart, an_endpoint_that_stays_in_the_copy_is_used_again)
+{
+    start(2);
+    tell(1, 200);
+    cr_assert_not(is_listed(&stage, NULL));
+    cr_expect(stage_run_until(&stage, is_listed, NULL, RETURN_MS));
+    tell(1, 200);
+    cr_expect(is_listed(&stage, NULL), "reports repeat for seconds");
+    stop();
+}
+
+/* Guards against instances that know of the leaving and say it only when it
+ * happens: one that starts after the store's return would not learn it. */
+Test(restart, an_older_copy_is_reported)
+{
+    start(1);
+    stage.is_unlisted[0] = true;
+    stage_advance_revision(&stage);
+    cr_assert(stage_run_until(&stage, is_unlisted, NULL, 3000));
+    stage.gate.peers.unlisted_count = 0; /* its time is over */
+    stage.is_unlisted[0] = false;
+    stage_begin_era(&stage, 50);
+    cr_expect(stage_run_until(&stage, has_seen_older_copy, NULL, 3000));
+    cr_expect_not(is_listed(&stage, NULL));
+    cr_expect_lt(stage.gate.peers.unlisted[0].era, 2);
+    stop();
+}
