Test that late answers of a coordinator change nothing

Cause: a coordinator that was paused answers start requests when it goes on, after their instances have started the requests without it.

Change: a test; no fault was found.

Conclusion: running work stays where it is.

--- a/tests/gateway/test-start-grants.c
+++ b/tests/gateway/test-start-grants.c
@@ -159,6 +159,45 @@
     }
 }
 
+static bool
+has_run(stage_fixture *self, void *context)
+{
+    (void)context;
+    return self->endpoints[0].runs > 0;
+}
+
+/* Guards against a request that is started again, or ended, by the answer of a
+ * coordinator that was paused and goes on: running work stays where it is. */
+Test(start_grants, a_late_answer_changes_nothing)
+{
+    static const char request[] =
+        "POST /many/1 HTTP/1.1\r\nHost: h\r\nApi-Key: k1\r\n"
+        "Connection: close\r\nContent-Length: 0\r\n\r\n";
+
+    for (int is_granted = 0; is_granted <= 1; is_granted++) {
+        peers_start_reply late = {.is_granted = is_granted};
+        stage_client client;
+
+        set_up(COORDINATOR_IS_SILENT);
+        stage.endpoints[0].mode = STAGE_STREAM_PAUSE;
+        stage_send(&stage, &client, request, sizeof request - 1);
+        cr_assert(stage_run_until(&stage, has_run, NULL, 1000));
+        late.number = stage.gate.last_grant_number;
+        late.endpoint = stage.gate.requests->grant_endpoint;
+        gate_handle_grant_answer(&stage.gate, &late);
+        cr_expect(stage_run_until(&stage, stage_is_closed, &client, 3000));
+        gate_handle_grant_answer(&stage.gate, &late);
+        stage_run_for(&stage, 50);
+        cr_expect_eq(stage_count_responses(&client, "HTTP/1.1 200"), 1,
+                     "granted %d", is_granted);
+        cr_expect_eq(stage_count_responses(&client, "piece-5"), 1,
+                     "granted %d", is_granted);
+        cr_expect_eq(stage.endpoints[0].runs, 1, "granted %d", is_granted);
+        stage_finish_client(&stage, &client);
+        tear_down();
+    }
+}
+
 /* Guards against sending requests to a limited endpoint that nobody counts. */
 Test(start_grants, a_limited_endpoint_receives_no_uncounted_request)
 {
