Read what has arrived before a drained router ends

Cause: the router of packages/net ended as soon as no request that it had read whole was in hand. One whose body was on the way was cut off without an answer.

Change: a drain lasts half a second at least; requests that are whole by then are refused with 'draining', or served as before.

--- a/packages/net/include/lavender-net/daemon.h
+++ b/packages/net/include/lavender-net/daemon.h
@@ -29,7 +29,8 @@
     bool has_link;    /* link is initialised */
     bool is_watching; /* the platform client watches the documents */
     bool is_draining;
-    bool is_forced; /* stopped with requests in progress */
+    bool has_drained_long; /* for the least time of a drain */
+    bool is_forced;        /* stopped with requests in progress */
     bool is_finished;
 } daemon_router;
 
@@ -42,8 +43,8 @@
  * when it stopped with accepted requests unanswered. */
 bool daemon_run(daemon_router *daemon);
 
-/* Refuses new requests from now on and stops the loop when idle. Does nothing
- * when already draining. */
+/* Refuses new requests from now on and stops the loop when idle, after half a
+ * second at the earliest. Does nothing when already draining. */
 void daemon_drain(daemon_router *daemon);
 
 /* Closes and frees what daemon_init opened, also after it failed. A second
--- a/packages/net/source/daemon.c
+++ b/packages/net/source/daemon.c
@@ -11,6 +11,10 @@
  * within a few iterations. */
 #define CLOSE_ITERATIONS 16
 
+/* A drain lasts at least this long, so that requests that have arrived by then
+ * are read, and the rest of those that have arrived in part. */
+#define MIN_DRAIN (500 * LV_MILLISECOND)
+
 lv_time
 daemon_now(void)
 {
@@ -67,7 +71,7 @@
 static void
 stop_when_idle(daemon_router *daemon)
 {
-    if (daemon->is_draining && node_is_idle(&daemon->node) &&
+    if (daemon->has_drained_long && node_is_idle(&daemon->node) &&
         call_active_requests(daemon->callers) == 0) {
         uv_stop(daemon->loop);
     }
@@ -131,6 +135,17 @@
     uv_stop(daemon->loop);
 }
 
+static void
+on_min_drain(uv_timer_t *timer)
+{
+    daemon_router *daemon = timer->data;
+    lv_time timeout = daemon->settings.drain_timeout;
+
+    daemon->has_drained_long = true;
+    uv_timer_start(timer, on_drain_timeout,
+                   lv_elapsed(timeout, MIN_DRAIN) / LV_MILLISECOND, 0);
+}
+
 void
 daemon_drain(daemon_router *daemon)
 {
@@ -142,8 +157,8 @@
               call_active_requests(daemon->callers));
     node_drain(&daemon->node, daemon_now());
     call_drain(daemon->callers);
-    uv_timer_start(&daemon->drain_timer, on_drain_timeout,
-                   daemon->settings.drain_timeout / LV_MILLISECOND, 0);
+    uv_timer_start(&daemon->drain_timer, on_min_drain,
+                   MIN_DRAIN / LV_MILLISECOND, 0);
 }
 
 static void
