--- a/packages/gateway/source/back-response.c
+++ b/packages/gateway/source/back-response.c
@@ -7,15 +7,22 @@
 #define MAX_SKIPPED_BYTES ((size_t)1024 * 1024)
 
 /* Does a response belong to the request of the connection? One without an id
- * does. */
+ * does. To a request without an id all do, except for copies of the response
+ * to the request before it. */
 static bool
 matches_request(const back_connection *connection,
                 const wire_response *response)
 {
-    const back_exchange *exchange = connection->exchange;
+    const char *id = connection->exchange->id;
 
-    return response->attempt_id == NULL || exchange->id[0] == '\0' ||
-           strcmp(response->attempt_id, exchange->id) == 0;
+    if (response->attempt_id == NULL) {
+        return true;
+    }
+    if (id[0] == '\0') {
+        return connection->last_id[0] == '\0' ||
+               strcmp(response->attempt_id, connection->last_id) != 0;
+    }
+    return strcmp(response->attempt_id, id) == 0;
 }
 
 static bool
@@ -36,8 +43,11 @@
         /* No other response follows a body that ends with the connection. */
         return head->framing != HTTP_UNTIL_CLOSE;
     }
-    connection->is_keep_alive =
-        head->is_keep_alive && head->framing != HTTP_UNTIL_CLOSE;
+    /* A copy of a response without an id cannot be told from the response to
+     * the next request. */
+    connection->is_keep_alive = head->is_keep_alive &&
+                                head->framing != HTTP_UNTIL_CLOSE &&
+                                response.attempt_id != NULL;
     if (response.keep_alive_timeout > 0) {
         lv_time margin = connection->pool->settings.idle_margin;
         lv_time max_idle = lv_elapsed(response.keep_alive_timeout, margin);
