--- a/packages/gateway/source/gate-attempt.c
+++ b/packages/gateway/source/gate-attempt.c
@@ -173,49 +173,6 @@
     }
 }
 
-void
-gate_begin_answer(gate_attempt *attempt)
-{
-    gate_request *request = attempt->request;
-
-    gate_choose_attempt(attempt);
-    if (!request->has_answer_begun) {
-        request->has_answer_begun = true;
-        request->is_close_delimited = attempt->is_unframed;
-        front_begin_response(request->connection, attempt->status,
-                             &attempt->headers,
-                             attempt->is_unframed ? FRONT_SIZE_UNTIL_CLOSE
-                                                  : FRONT_SIZE_UNKNOWN);
-    }
-}
-
-static bool
-is_success(const gate_attempt *attempt)
-{
-    return attempt->status / 100 == 2;
-}
-
-static bool
-is_failure(const gate_attempt *attempt)
-{
-    return attempt->status >= 500 || attempt->status == 0;
-}
-
-bool
-gate_must_drop_answer(const gate_attempt *attempt)
-{
-    const gate_request *request = attempt->request;
-    const gate_attempt *other = gate_find_set_aside(request);
-
-    if (request->has_answer_begun &&
-        (!is_success(attempt) ||
-         (attempt->is_unframed && !request->is_close_delimited))) {
-        return true;
-    }
-    return attempt->was_not_run || attempt->is_false_promise ||
-           (is_failure(attempt) && (attempt->is_set_aside || other != NULL));
-}
-
 static void
 on_head(back_exchange *exchange, const http_head *head,
         const wire_response *answer)
@@ -229,7 +186,7 @@
     attempt->is_false_promise = answer->promises_not_executed &&
                                 !attempt->was_not_run &&
                                 !rt_may_retry(request->route);
-    if (is_success(attempt) && !answer->is_sealed) {
+    if (gate_is_success(attempt) && !answer->is_sealed) {
         /* Without a seal it is not the endpoint's own answer. */
         attempt->is_answer_dropped = true;
         attempt->status = 0;
@@ -245,52 +202,6 @@
     }
 }
 
-/* Ends the answer to the caller. An answer that ends with its connection may
- * have been cut, so it must not be framed as if it were complete. */
-void
-gate_finish_answer(gate_attempt *attempt)
-{
-    gate_request *request = attempt->request;
-    front_connection *connection = request->connection;
-    gate_server *gate = request->gate;
-    bool is_served = attempt->status < 500;
-
-    gate_choose_attempt(attempt);
-    if (attempt->is_unframed || attempt->partial_event.size > 0) {
-        gate_begin_answer(attempt);
-    }
-    if (attempt->is_unframed) {
-        if (!request->is_close_delimited) {
-            request->ops->fail(request, 502, "no-frame");
-            return;
-        }
-        front_send_body(request->connection, attempt->body.data,
-                        attempt->body.size);
-    }
-    if (request->has_answer_begun) {
-        if (attempt->partial_event.size > 0) {
-            front_send_body(request->connection, attempt->partial_event.data,
-                            attempt->partial_event.size);
-        }
-    }
-    else {
-        front_begin_response(request->connection, attempt->status,
-                             &attempt->headers, attempt->body.size);
-        front_send_body(request->connection, attempt->body.data,
-                        attempt->body.size);
-    }
-    if (is_served) {
-        gate->counts.served++;
-    }
-    else {
-        gate->counts.failed++;
-    }
-    /* The end of the response may read the next request over this one's. */
-    request->ops->end(request, is_served ? "served" : "endpoint-error",
-                      "whole");
-    front_end_response(connection);
-}
-
 static void
 retry_elsewhere(gate_request *request, const char *reason)
 {
@@ -312,7 +223,7 @@
         return;
     }
     count_run(attempt);
-    record_outcome(attempt, !is_failure(attempt), false);
+    record_outcome(attempt, !gate_is_failure(attempt), false);
     if (attempt->is_answer_dropped) {
         retry_elsewhere(request, attempt->is_false_promise ? "unmarked-refusal"
                                  : attempt->status >= 500
@@ -320,7 +231,7 @@
                                      : "not-the-endpoints-answer");
         return;
     }
-    if (is_failure(attempt) && request->ops->may_retry(request)) {
+    if (gate_is_failure(attempt) && request->ops->may_retry(request)) {
         gate_exclude_endpoint(request);
         attempt->is_whole = true;
         gate_set_attempt_aside(request);
@@ -444,7 +355,7 @@
         attempt->is_silence_recorded = false;
     }
     record_first_output(attempt);
-    if (request->is_stream && is_success(attempt)) {
+    if (request->is_stream && gate_is_success(attempt)) {
         forward_stream_data(attempt, data, size);
         return;
     }
--- a/packages/gateway/source/gate-imp.h
+++ b/packages/gateway/source/gate-imp.h
@@ -220,6 +220,11 @@
 /* Counts an attempt in progress as a run if its endpoint may run it. */
 void gate_count_possible_run(gate_attempt *attempt);
 
+/* gate-answer.c: the answer that the caller gets */
+
+bool gate_is_success(const gate_attempt *attempt);
+bool gate_is_failure(const gate_attempt *attempt);
+
 /* May the answer of an attempt not go to the caller? A failure may not, while
  * another attempt may still succeed, nor after an answer has begun. */
 bool gate_must_drop_answer(const gate_attempt *attempt);
@@ -299,37 +304,6 @@
                                peers_start_reply *answer);
 void gate_handle_grant_answer(void *owner, const peers_start_reply *answer);
 
-/* gate-fetch.c: from which endpoint another one fetches cached prompt blocks
- */
-
-/* Chooses the source for the decision's endpoint, and adjusts the prediction
- * to it. */
-void gate_choose_fetch(gate_request *request);
-
-/* Notes what the coordinator did not count for the fetch. */
-void gate_note_spared(gate_request *request, uint32_t tokens);
-
-/* Drops the source if it may not be used any more, for a request that has
- * waited since the choice. */
-void gate_check_fetch(gate_request *request);
-
-/* Counts the fetch, or why there is none, of an attempt that starts. */
-void gate_count_fetch(gate_request *request);
-
-/* Returns the address of the source; NULL: none. */
-const char *gate_fetch_address(const gate_request *request);
-
-/* Excludes the source of the last attempt from further ones. */
-void gate_exclude_source(gate_request *request);
-
-/* Applies the fetch that a peer announces to the prediction of the request
- * that it asks a grant for. Returns the prompt tokens that do not count as
- * prefilled for it. */
-uint32_t gate_apply_offer(const gate_server *gate, lv_handle endpoint,
-                          const peers_start_request *ask,
-                          eng_prediction *prediction);
-void gate_write_fetch_metrics(const gate_server *gate, met_writer *writer);
-
 /* gate-notice.c: what endpoints say of themselves in their answers */
 
 /* Callback of the pool: `owner` is the gateway. Records that the endpoint
@@ -355,78 +329,6 @@
                                const char *name, const char *help,
                                double (*value)(const eng_endpoint *endpoint,
                                                lv_time now));
-/* gate-speed.c: the estimated speeds of endpoints; call the first at every
- * tick of the timer. */
-void gate_update_speeds(gate_server *gate, lv_time now);
-void gate_write_speed_metrics(const gate_server *gate, met_writer *writer);
-
-/* gate-quarantine.c: crashes of endpoints, and the blocks and requests that
- * cause them */
-void gate_init_quarantine(gate_server *gate);
-
-/* Notes what the end of an attempt tells of its endpoint: that it crashed, or
- * that it began the answer. */
-void gate_note_outcome(gate_attempt *attempt, back_outcome outcome,
-                       const char *reason);
-
-/* Records, once, that the endpoint has begun the answer: when it is whole, or
- * has lasted for a while. */
-void gate_record_begun(gate_attempt *attempt, bool is_whole, lv_time now);
-
-/* Was the attempt cut off before its answer had begun, as attempts with the
- * same request were before at endpoints that crashed? */
-bool gate_is_cause_of_crashes(const gate_attempt *attempt);
-
-/* Ends a request that is in quarantine, or a block of whose prompt is; one
- * that `starts` now may be the trial of it. Returns whether it did. */
-bool gate_refuse_quarantined(gate_request *request, bool starts);
-
-/* Decides on the evidence; call it at every tick of the timer. */
-void gate_update_quarantine(gate_server *gate, lv_time now);
-void gate_write_quarantine_metrics(const gate_server *gate,
-                                   met_writer *writer);
-
-/* gate-origin.c: which software version a stream may go on at */
-void gate_init_origins(gate_server *gate);
-
-/* Note the version of an endpoint that is listed, and of all of them; call the
- * latter at every tick of the timer. */
-void gate_note_version(gate_server *gate, const eng_spec *spec, lv_time now);
-void gate_update_origins(gate_server *gate, lv_time now);
-
-/* Notes that the first event of a stream is about to be sent. */
-void gate_record_origin(gate_attempt *attempt);
-
-/* Finds the version that a stream may go on at which its caller takes up.
- * Returns false if the request waits for an answer of other instances, or was
- * refused. */
-bool gate_find_origin(gate_request *request);
-void gate_check_origin_deadline(gate_request *request, lv_time now);
-void gate_write_origin_metrics(const gate_server *gate, met_writer *writer);
-
-/* gate-evacuation.c: zones that are evacuated */
-void gate_init_evacuation(gate_server *gate);
-
-/* Follow the feed of the configuration: an item about a zone, the end of a
- * list, and a position up to which everything is applied. */
-void gate_apply_zone(gate_server *gate, const wire_item *item);
-void gate_end_zone_list(gate_server *gate, wire_position position);
-void gate_note_zone_view(gate_server *gate, wire_position position);
-
-/* Lists the configuration again when a list that was taken for an older copy
- * is due to be believed. Call it at every tick of the timer. */
-void gate_relist_zones(gate_server *gate, lv_time now);
-
-/* Was a configuration read, and the whole list of evacuated zones? No request
- * is accepted before: it might go to an evacuated zone. */
-bool gate_has_configuration(const gate_server *gate);
-void gate_write_evacuation_metrics(const gate_server *gate,
-                                   met_writer *writer);
-
-/* Writes the name of a zone, or its id if only peers have told of it. Returns
- * the text. */
-const char *gate_zone_name(const evc_zone *zone, char *text, size_t size);
-
 /* gate-stream.c: resumable event streams */
 
 /* Forwards the events that are whole and buffers the rest. Of two attempts the
@@ -443,26 +345,6 @@
  * was broken off then. */
 bool gate_ends_in_event(const gate_attempt *attempt);
 
-/* gate-zone.c: availability zones */
-void gate_init_zones(gate_server *gate);
-void gate_finish_zones(gate_server *gate);
-
-/* Counts the instances of the own zone; call it at every tick of the timer. */
-void gate_update_zones(gate_server *gate);
-
-/* Chooses the affinity endpoints of the prompt. They change only with the list
- * of endpoints, while a queued request is decided many times. */
-void gate_find_affinity(gate_request *request, lv_time now);
-
-/* Fills in what leaving the zone costs; nothing once a coordinator has denied
- * a start. */
-void gate_fill_locality(const gate_request *request, lv_time now,
-                        loc_request *to);
-
-/* Counts the request and the bytes of an attempt that ends. */
-void gate_count_traffic(gate_attempt *attempt, bool was_sent);
-void gate_write_zone_metrics(const gate_server *gate, met_writer *writer);
-
 /* gate-log.c: log lines of requests */
 
 /* Logs a decision about a request, with the values it was based on. */
@@ -543,4 +425,6 @@
  * runs the loop until all are closed. */
 void gate_stop_listeners(gate_server *gate);
 
+#include "gate-parts-imp.h"
+
 #endif
--- a/tests/core/emulator-cache.c
+++ b/tests/core/emulator-cache.c
@@ -44,3 +44,28 @@
     }
     part->used = ++engine->uses;
 }
+
+lv_handle
+emu_choose_source(emu_instance *self, const emu_request *request,
+                  adm_decision *decision, lv_time now)
+{
+    static const rt_service service = {
+        .is_engine = true, .kv_bytes = 18432, .bandwidth_mbps = 100000};
+    fch_settings settings;
+    fch_choice choice;
+    fch_request asked = {.service = &service,
+                         .prompt = &request->prompt,
+                         .endpoint = decision->endpoint};
+
+    fch_default_settings(&settings);
+    fch_note_endpoints(&self->engines, now);
+    fch_choose(&settings, &self->engines, &asked, &decision->prediction, now,
+               &choice);
+    if (choice.source != LV_HANDLE_NONE) {
+        eng_count_fetched(&self->engines, decision->endpoint,
+                          fch_apply(&settings, &self->engines, &service,
+                                    &request->prompt, &choice.offer,
+                                    &decision->prediction));
+    }
+    return choice.source;
+}
--- a/tests/core/emulator-imp.h
+++ b/tests/core/emulator-imp.h
@@ -31,6 +31,11 @@
 void emu_keep_part(emu_engine *engine, uint32_t memory_tokens, uint64_t chain,
                    uint32_t tokens);
 
+/* emulator-cache.c: returns the engine that shared parts are fetched from, and
+ * adjusts the prediction to it. */
+lv_handle emu_choose_source(emu_instance *self, const emu_request *request,
+                            adm_decision *decision, lv_time now);
+
 /* emulator-fleet.c: asks the engine's coordinator for a start; writes its
  * prediction. */
 bool emu_ask_start(uint32_t instance, uint32_t engine,
--- a/tests/core/emulator.c
+++ b/tests/core/emulator.c
@@ -185,33 +185,6 @@
     engine->reading[engine->reading_count++] = number;
 }
 
-/* Returns the engine that shared parts are fetched from, and adjusts the
- * prediction to it. */
-static lv_handle
-choose_source(emu_instance *self, const emu_request *request,
-              adm_decision *decision, lv_time now)
-{
-    static const rt_service service = {
-        .is_engine = true, .kv_bytes = 18432, .bandwidth_mbps = 100000};
-    fch_settings settings;
-    fch_choice choice;
-    fch_request asked = {.service = &service,
-                         .prompt = &request->prompt,
-                         .endpoint = decision->endpoint};
-
-    fch_default_settings(&settings);
-    fch_note_endpoints(&self->engines, now);
-    fch_choose(&settings, &self->engines, &asked, &decision->prediction, now,
-               &choice);
-    if (choice.source != LV_HANDLE_NONE) {
-        eng_count_fetched(&self->engines, decision->endpoint,
-                          fch_apply(&settings, &self->engines, &service,
-                                    &request->prompt, &choice.offer,
-                                    &decision->prediction));
-    }
-    return choice.source;
-}
-
 static void
 decide(uint32_t number, lv_time now)
 {
@@ -259,7 +232,7 @@
     request->is_started = true;
     request->engine = decision.endpoint;
     if (emu_playing->has_fetches) {
-        source = choose_source(self, request, &decision, now);
+        source = emu_choose_source(self, request, &decision, now);
     }
     eng_start_predicted(&self->engines, decision.endpoint, &request->prompt,
                         &decision.prediction, now, &request->use);
