--- a/packages/gateway/source/gate-grant.c
+++ b/packages/gateway/source/gate-grant.c
@@ -11,10 +11,12 @@
  * milliseconds of its latency target. */
 #define MAX_GRANT_DENIALS 2
 
-/* The same for an account within its share: where all slots are in use most of
- * the time, what this instance knows of free ones is out of date, and another
- * endpoint may have one. */
-#define MAX_GRANT_DENIALS_WITHIN_SHARE 6
+/* The same for an account that got less than LOW_SHARE of its share: where all
+ * slots are in use most of the time, what this instance knows of free ones is
+ * out of date, and another endpoint may have one. Further tries of all
+ * accounts would have more prompts prefilled again elsewhere. */
+#define LOW_SHARE 0.75
+#define MAX_GRANT_DENIALS_LOW_SHARE 6
 
 /* The same for denials by the limits of endpoints, each of another one: it is
  * passed over afterwards. */
@@ -58,9 +60,10 @@
 bool
 gate_is_denial_limit_reached(const gate_request *request)
 {
-    uint32_t max_denials = request->decision.share_ratio > 1
-                               ? MAX_GRANT_DENIALS
-                               : MAX_GRANT_DENIALS_WITHIN_SHARE;
+    double share = request->decision.share_ratio;
+    uint32_t max_denials = share > 0 && share < LOW_SHARE
+                               ? MAX_GRANT_DENIALS_LOW_SHARE
+                               : MAX_GRANT_DENIALS;
 
     return request->grant_denials >= max_denials ||
            request->limit_denials >= MAX_LIMIT_DENIALS;
