--- a/packages/gateway/source/gate-grant.c
+++ b/packages/gateway/source/gate-grant.c
@@ -60,12 +60,7 @@
 bool
 gate_is_denial_limit_reached(const gate_request *request)
 {
-    double share = request->decision.share_ratio;
-    uint32_t max_denials = share > 0 && share < LOW_SHARE
-                               ? MAX_GRANT_DENIALS_LOW_SHARE
-                               : MAX_GRANT_DENIALS;
-
-    return request->grant_denials >= max_denials ||
+    return request->grant_denials >= MAX_GRANT_DENIALS ||
            request->limit_denials >= MAX_LIMIT_DENIALS;
 }
 
