--- a/packages/gateway/source/gate-grant.c
+++ b/packages/gateway/source/gate-grant.c
@@ -11,13 +11,6 @@
  * milliseconds of its latency target. */
 #define MAX_GRANT_DENIALS 2
 
-/* The same for an account that got less than LOW_SHARE of its share: where all
- * slots are in use most of the time, what this instance knows of free ones is
- * out of date, and another endpoint may have one. Further tries of all
- * accounts would have more prompts prefilled again elsewhere. */
-#define LOW_SHARE 0.75
-#define MAX_GRANT_DENIALS_LOW_SHARE 6
-
 /* The same for denials by the limits of endpoints, each of another one: it is
  * passed over afterwards. */
 #define MAX_LIMIT_DENIALS 6
