Let the soak's operator evacuate zones

Cause: the soak did not know evacuated zones. Change: its endpoints are in two zones; one of them is evacuated for 8 to 12 s and returns; no request may reach its endpoints from 5 s after the store shows the key, for gateways that are calm and while the store is good.

--- a/tests/soak/soak-endpoint.c
+++ b/tests/soak/soak-endpoint.c
@@ -154,6 +154,7 @@
     notice_judge(endpoint, call);
     limit_judge(endpoint, call);
     block_judge(endpoint, call);
+    zone_judge(endpoint, call);
     if (mood != ENDPOINT_GOOD) {
         world->calls[call].is_treated_badly = true;
     }
--- a/tests/soak/soak-fault.c
+++ b/tests/soak/soak-fault.c
@@ -11,7 +11,7 @@
 #define WORD_LEAST (3 * LV_SECOND)
 #define WORD_MOST (5 * LV_SECOND)
 
-/* A limit and a deadly block last beyond their bounds. */
+/* A limit, a deadly block and an evacuation last beyond their bounds. */
 #define LONG_LEAST (8 * LV_SECOND)
 #define LONG_MOST (12 * LV_SECOND)
 
@@ -42,6 +42,7 @@
     FAULT_BLOCK,   /* a block of prompts crashes endpoints */
     FAULT_REPEAT,  /* so does a request that comes again and again */
     FAULT_RELEASE, /* half of the endpoints get new software */
+    FAULT_ZONE,    /* a zone is evacuated */
     FAULT_KINDS
 } fault_kind;
 
@@ -49,7 +50,7 @@
     "none",   "pause",      "kill",          "herd-kill", "terminate",
     "reload", "store-link", "endpoint-link", "mood",      "leave",
     "store",  "version",    "silence",       "series",    "word",
-    "limit",  "block",      "repeat",        "release"};
+    "limit",  "block",      "repeat",        "release",   "zone"};
 
 static link_fault
 draw_link_fault(soak_world *world)
@@ -265,6 +266,9 @@
     case FAULT_RELEASE:
         fault_release(world);
         break;
+    case FAULT_ZONE:
+        zone_set_evacuated(world, fault->target % SOAK_ZONES, true);
+        break;
     default:
         if (daemon != NULL) {
             begin_on_daemon(world, fault->kind, daemon);
@@ -317,6 +321,9 @@
     case FAULT_STORE:
         store_set(world, STORE_GOOD);
         break;
+    case FAULT_ZONE:
+        zone_set_evacuated(world, fault->target % SOAK_ZONES, false);
+        break;
     default:
         break;
     }
@@ -338,7 +345,7 @@
 
         if (fault->kind == kind &&
             (is_same || kind == FAULT_STORE || kind == FAULT_BLOCK ||
-             kind == FAULT_REPEAT)) {
+             kind == FAULT_REPEAT || kind == FAULT_ZONE)) {
             return true;
         }
     }
@@ -368,7 +375,8 @@
     uint32_t target = soak_draw(world, world->daemon_count);
     lv_time until = now + soak_draw_time(world, LENGTH_LEAST, LENGTH_MOST);
 
-    if (kind == FAULT_LIMIT || kind == FAULT_BLOCK || kind == FAULT_REPEAT) {
+    if (kind == FAULT_LIMIT || kind == FAULT_BLOCK || kind == FAULT_REPEAT ||
+        kind == FAULT_ZONE) {
         until = now + soak_draw_time(world, LONG_LEAST, LONG_MOST);
     }
     if (kind == FAULT_WORD) {
--- a/tests/soak/soak-judge.c
+++ b/tests/soak/soak-judge.c
@@ -38,7 +38,8 @@
     [SOAK_PLANT_LIMIT] = "under its limit",
     [SOAK_PLANT_BLOCK] = "with the block that crashed",
     [SOAK_PLANT_REPEAT] = "repeat of the request that crashed",
-    [SOAK_PLANT_MIXED] = "goes on at software"};
+    [SOAK_PLANT_MIXED] = "goes on at software",
+    [SOAK_PLANT_ZONE] = "whose zone is evacuated"};
 
 void
 judge_fault(soak_world *world, const char *format, ...)
--- a/tests/soak/soak-plant.c
+++ b/tests/soak/soak-plant.c
@@ -56,6 +56,9 @@
     case SOAK_PLANT_REPEAT:
         block_set_deadly(&world->request, true);
         break;
+    case SOAK_PLANT_ZONE:
+        zone_set_evacuated(world, 0, true);
+        break;
     case SOAK_PLANT_MIXED:
         fault_release(world);
         for (uint32_t i = 0; i < SOAK_ENDPOINTS; i++) {
--- a/tests/soak/soak-store.c
+++ b/tests/soak/soak-store.c
@@ -76,6 +76,18 @@
     buf_finish(&json);
 }
 
+static void
+append_evacuation(const soak_world *world, buf_buffer *to)
+{
+    char key[32];
+
+    zone_write_key(world, key, sizeof key);
+    if (key[0] != '\0') {
+        buf_append_text(to, ",");
+        append_value(&world->store, to, key, "{}");
+    }
+}
+
 static void
 append_endpoints(const soak_world *world, buf_buffer *to)
 {
@@ -93,10 +105,10 @@
         endpoint_write_name(endpoint, name, sizeof name);
         snprintf(key, sizeof key, "servers/%s", name);
         snprintf(value, sizeof value,
-                 "{\"service\":\"pool\",\"address\":\"%s\",\"zone\":\"z\","
+                 "{\"service\":\"pool\",\"address\":\"%s\",\"zone\":\"z%u\","
                  "\"version\":\"v%u\",\"slots\":64,\"state\":\"ready\","
                  "\"born\":%u,\"seq\":1}",
-                 endpoint->link.address,
+                 endpoint->link.address, zone_of(endpoint),
                  world->plant == SOAK_PLANT_MIXED ? 1 : endpoint->software,
                  1000 + endpoint->births);
         buf_append_text(to, comma);
@@ -114,6 +126,7 @@
     buf_append_text(&body, "{\"items\":[");
     if (is_config) {
         append_config(&world->store, &body);
+        append_evacuation(world, &body);
     }
     else {
         append_endpoints(world, &body);
@@ -263,6 +276,7 @@
              world->version, (unsigned long long)store->revision);
     store->version = world->version;
     store->idle_limit = world->idle_limit;
+    zone_show(world);
     for (uint32_t i = 0; i < SOAK_ENDPOINTS; i++) {
         store->is_shown[i] = world->endpoints[i].is_listed;
     }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -19,11 +19,13 @@
 #define SOAK_VERSIONS_MAX 256
 #define SOAK_TICK_MS 5
 #define SOAK_EVENTS 6 /* of a stream */
+#define SOAK_ZONES 2  /* of endpoints */
 
 /* What the platform's configuration of the soak says. */
 #define SOAK_TIMEOUT (1500 * LV_MILLISECOND)
 #define SOAK_LONG_TIMEOUT (5 * LV_SECOND) /* outlasts a silence */
 #define SOAK_LEAVE_BOUND (2 * LV_SECOND)
+#define SOAK_EVACUATION_BOUND (5 * LV_SECOND)
 #define SOAK_CONFIG_BOUND (3 * LV_SECOND)
 #define SOAK_GRACE (8 * LV_SECOND)
 #define SOAK_ATTEMPTS 2 /* of requests that may be repeated */
@@ -81,6 +83,7 @@
     SOAK_PLANT_BLOCK,  /* requests do not name the block that is deadly */
     SOAK_PLANT_REPEAT, /* a deadly request has another body each time */
     SOAK_PLANT_MIXED,  /* the store shows one software version of all */
+    SOAK_PLANT_ZONE,   /* the store does not show that a zone is evacuated */
     SOAK_PLANT_COUNT
 } soak_plant;
 
@@ -159,6 +162,8 @@
     uint32_t version;   /* of the configuration, shown */
     lv_time idle_limit; /* likewise */
     bool is_shown[SOAK_ENDPOINTS];
+    uint32_t evacuated;   /* 1 + the zone, shown; 0: none */
+    lv_time evacuated_at; /* since then */
     struct {
         front_connection *connection; /* NULL: free */
         bool is_config;
@@ -265,6 +270,20 @@
 void limit_passed_on(soak_world *world, uint32_t call);
 void limit_judge(soak_endpoint *endpoint, uint32_t call);
 
+/* ---- soak-zone.c: zones of endpoints that the operator evacuates ---- */
+
+uint32_t zone_of(const soak_endpoint *endpoint);
+void zone_set_evacuated(soak_world *world, uint32_t zone, bool is_evacuated);
+
+/* The store shows what has changed. */
+void zone_show(soak_world *world);
+
+/* Writes the key that the store shows; "": none. */
+void zone_write_key(const soak_world *world, char *key, size_t size);
+
+/* A request has reached an endpoint. */
+void zone_judge(soak_endpoint *endpoint, uint32_t call);
+
 /* ---- soak-block.c: blocks and requests that crash endpoints ---- */
 
 typedef struct soak_culprit {
@@ -429,6 +448,7 @@
     soak_store store;
     uint32_t version;   /* newest configuration, shown or not */
     lv_time idle_limit; /* in it */
+    uint32_t evacuated; /* 1 + the zone, shown or not; 0: none */
     lv_time version_at[SOAK_VERSIONS_MAX];
     soak_culprit block;
     soak_culprit request;
