--- a/packages/core/source/engine-speed.c
+++ b/packages/core/source/engine-speed.c
@@ -31,8 +31,8 @@
     return learned > 0 ? learned : table->settings.prefill_tokens_per_ms;
 }
 
-/* The tokens that are queued stay the same when the rate changes, and the time
- * that they take does not. */
+/* Recomputes the end of the prefill queue at the new rate: the same tokens are
+ * queued, but they take another time. */
 static void
 adjust_queue(const eng_table *table, eng_endpoint *endpoint, double before,
              lv_time now)
--- a/packages/core/source/locality.c
+++ b/packages/core/source/locality.c
@@ -49,8 +49,8 @@
  * 20 to 30 tokens prefilled per ms. */
 #define USE_WINDOW (10 * LV_SECOND)
 
-/* copy_uses is for parts of this size; smaller ones take less memory, and need
- * fewer uses in proportion. */
+/* Prompt blocks of this size need copy_uses uses. Smaller ones take less
+ * memory and need proportionally fewer. */
 #define COPY_TOKENS 5000
 
 /* Percent of copy_uses under which a part loses its affinity endpoint in the
@@ -177,9 +177,9 @@
     }
 }
 
-/* Weighted rendezvous hashing: the zone with the lowest -ln(u) / room, where u
- * is a hash of instance and zone in (0, 1], wins with a probability in
- * proportion to its room. */
+/* Weighted rendezvous hashing: chooses a zone with a probability in proportion
+ * to its room. u is the hash of instance and zone as a number in (0, 1]; the
+ * lowest -ln(u) / room wins. */
 static lv_id
 choose_spill_zone(const loc_state *state, const loc_service *service)
 {
