Review: a machine without the store joins streams of two versions

A machine that is cut off from the store infers the version that began a stream from its own list, which is old. Streams that the other machines began at a newer version go on there at the old one.

--- a/review/standin/rig.c
+++ b/review/standin/rig.c
@@ -464,6 +464,14 @@
     pthread_mutex_unlock(&server->mutex);
 }
 
+void
+rig_stop(rig_server *server)
+{
+    shutdown(server->listener, SHUT_RDWR);
+    close(server->listener);
+    rig_cut(server);
+}
+
 int
 rig_connect(uint16_t port)
 {
@@ -482,6 +490,74 @@
     return fd;
 }
 
+typedef struct linked_pair {
+    rig_link *link;
+    int fds[2];
+} linked_pair;
+
+/* Passes bytes on. Those that came before the cut, and were not passed on,
+ * are lost with it. */
+static void *
+pass_bytes(void *context)
+{
+    linked_pair pair = *(linked_pair *)context;
+    bool goes_on = true;
+
+    free(context);
+    while (goes_on) {
+        struct pollfd waits[2] = {{.fd = pair.fds[0], .events = POLLIN},
+                                  {.fd = pair.fds[1], .events = POLLIN}};
+        int i;
+
+        if (pair.link->is_cut) {
+            rig_sleep(10);
+            continue;
+        }
+        poll(waits, 2, 10);
+        for (i = 0; i < 2 && goes_on && !pair.link->is_cut; i++) {
+            char bytes[4096];
+            ssize_t count;
+
+            if (waits[i].revents == 0) {
+                continue;
+            }
+            count = recv(pair.fds[i], bytes, sizeof bytes, 0);
+            goes_on = count > 0 && send(pair.fds[1 - i], bytes, (size_t)count,
+                                        MSG_NOSIGNAL) == count;
+        }
+    }
+    close(pair.fds[0]);
+    close(pair.fds[1]);
+    return NULL;
+}
+
+static void *
+accept_linked(void *context)
+{
+    rig_link *link = context;
+
+    for (;;) {
+        int fd = accept4(link->listener, NULL, NULL, SOCK_CLOEXEC);
+        linked_pair *pair;
+
+        if (fd < 0) {
+            return NULL;
+        }
+        pair = malloc(sizeof *pair);
+        *pair = (linked_pair){link, {fd, rig_connect(link->target)}};
+        rig_start_thread(pass_bytes, pair);
+    }
+}
+
+void
+rig_link_start(rig_link *link, uint16_t target)
+{
+    link->target = target;
+    link->is_cut = false;
+    link->listener = listen_on_free_port(&link->port);
+    rig_start_thread(accept_linked, link);
+}
+
 /* Below the ports that the system gives to clients, so that none of them takes
  * a port before its gateway does. */
 uint16_t
@@ -546,7 +622,8 @@
             "history = 20s\n\n\n[admission]\nquota_window = 4s\n\n"
             "[budget]\nwindow = 10s\nratio = 0.2\nslack = 56\n\n"
             "[shutdown]\ngrace = 8s\n",
-            store->server.port);
+            gateway->store_port != 0 ? gateway->store_port
+                                     : store->server.port);
     fclose(file);
 }
 
--- a/review/standin/rig.h
+++ b/review/standin/rig.h
@@ -102,6 +102,9 @@
 /* Closes all connections. */
 void rig_cut(rig_server *server);
 
+/* Closes the listening socket and all connections, as when a process ends. */
+void rig_stop(rig_server *server);
+
 /* Returns -1 when the connection is refused. */
 int rig_connect(uint16_t port);
 uint16_t rig_free_port(void);
@@ -143,6 +146,19 @@
 /* Closes the connections, with the watches that wait. */
 void rig_store_cut(rig_store *store);
 
+/* ---- links ---- */
+
+/* A link to a server, which can be cut: bytes and connections then stay
+ * unanswered, as behind a partition. */
+typedef struct rig_link {
+    int listener;
+    uint16_t port;
+    uint16_t target;
+    volatile bool is_cut;
+} rig_link;
+
+void rig_link_start(rig_link *link, uint16_t target);
+
 /* ---- gateways ---- */
 
 typedef struct rig_gateway {
@@ -153,7 +169,8 @@
     uint16_t front;
     uint16_t readiness;
     uint16_t control;
-    pid_t pid; /* 0: not running */
+    uint16_t store_port; /* of a link to the store; 0: the store's own */
+    pid_t pid;           /* 0: not running */
 } rig_gateway;
 
 /* Chooses the ports. */
