Review: a restart of all gateways forgets a deadly request

What is known of a request that crashes runners lives in the gateways alone. After a restart of all of them three more runners crash, and trials follow.

--- a/review/4/case.c
+++ b/review/4/case.c
@@ -51,10 +51,10 @@
 static pthread_mutex_t mutex = PTHREAD_MUTEX_INITIALIZER;
 static volatile bool is_over;
 static uint32_t crashes;
-static long third_at;  /* time of the third crash; 0: not yet */
-static uint32_t late;  /* deadly requests that count */
+static long third_at; /* time of the third crash; 0: not yet */
+static uint32_t late; /* deadly requests that count */
 static uint32_t served;
-static uint32_t lost;  /* sound bookings that a late crash broke off */
+static uint32_t lost; /* sound bookings that a late crash broke off */
 static uint32_t sequence;
 
 static const char config[] =
@@ -74,8 +74,7 @@
 }
 
 static void
-write_entry(const app_runner *runner, unsigned written, char *key,
-            char *entry)
+write_entry(const app_runner *runner, unsigned written, char *key, char *entry)
 {
     char name[RIG_TEXT_SIZE / 2];
 
@@ -101,8 +100,8 @@
     rig_store_remove(&store, key);
     pthread_mutex_lock(&mutex);
     runner->start++;
-    rig_serve(&runner->servers[runner->start],
-              runner->servers[0].handle, runner);
+    rig_serve(&runner->servers[runner->start], runner->servers[0].handle,
+              runner);
     runner->is_up = true;
     write_entry(runner, 1, key, entry);
     pthread_mutex_unlock(&mutex);
@@ -130,7 +129,8 @@
     }
 }
 
-/* Ids are KIND-GATEWAY-TIME-NUMBER, with the time at which the client sends. */
+/* Ids are KIND-GATEWAY-TIME-NUMBER, with the time at which the client sends.
+ */
 static void
 judge(const app_runner *runner, const char *id)
 {
@@ -274,8 +274,7 @@
         int fd = rig_connect(gateways[number].front);
         rig_message answer = {.body = NULL};
 
-        if (fd >= 0 &&
-            send_booking(fd, number, "deadly", "wish", "deadly") &&
+        if (fd >= 0 && send_booking(fd, number, "deadly", "wish", "deadly") &&
             rig_read(fd, &answer, true, 3000) == RIG_COMPLETE) {
             rig_note("client: deadly request at front-%u is answered %d",
                      number, rig_status(&answer));
--- a/review/standin/rig-store.c
+++ b/review/standin/rig-store.c
@@ -180,6 +180,9 @@
     int status = 200;
     bool goes_on = true;
 
+    if (store->is_down) {
+        return false;
+    }
     pthread_mutex_lock(&store->mutex);
     if (strncmp(request->head, "GET /v1/kv-watch?", 17) == 0) {
         goes_on = watch(store, prefix, read_parameter(request->head, "after="),
@@ -296,3 +299,40 @@
     pthread_cond_broadcast(&store->changed);
     pthread_mutex_unlock(&store->mutex);
 }
+
+void
+rig_store_copy(rig_store *store, rig_copy *copy)
+{
+    uint32_t i;
+
+    pthread_mutex_lock(&store->mutex);
+    copy->revision = store->revision;
+    copy->item_count = store->item_count;
+    for (i = 0; i < store->item_count; i++) {
+        copy->items[i] = store->items[i];
+        if (copy->items[i].value != NULL) {
+            copy->items[i].value = strdup(copy->items[i].value);
+        }
+    }
+    pthread_mutex_unlock(&store->mutex);
+}
+
+void
+rig_store_restore(rig_store *store, const rig_copy *copy)
+{
+    uint32_t i;
+
+    pthread_mutex_lock(&store->mutex);
+    store->revision = copy->revision;
+    store->history_start = copy->revision;
+    store->event_count = 0;
+    store->item_count = copy->item_count;
+    for (i = 0; i < copy->item_count; i++) {
+        store->items[i] = copy->items[i];
+        if (copy->items[i].value != NULL) {
+            store->items[i].value = strdup(copy->items[i].value);
+        }
+    }
+    store->era++;
+    pthread_mutex_unlock(&store->mutex);
+}
--- a/review/standin/rig.h
+++ b/review/standin/rig.h
@@ -126,6 +126,7 @@
     uint64_t history_start; /* watches after less get 410 */
     uint64_t era;           /* 0: not named */
     uint64_t cuts;
+    volatile bool is_down; /* closes connections without an answer */
     rig_item items[RIG_ITEMS_MAX];
     uint32_t item_count;
     rig_item events[RIG_EVENTS_MAX];
@@ -146,6 +147,17 @@
 /* Closes the connections, with the watches that wait. */
 void rig_store_cut(rig_store *store);
 
+/* Takes a copy, and comes back from it: what was written since is gone, the
+ * revisions go back, and the era rises by one. */
+typedef struct rig_copy {
+    uint64_t revision;
+    rig_item items[RIG_ITEMS_MAX];
+    uint32_t item_count;
+} rig_copy;
+
+void rig_store_copy(rig_store *store, rig_copy *copy);
+void rig_store_restore(rig_store *store, const rig_copy *copy);
+
 /* ---- links ---- */
 
 /* A link to a server, which can be cut: bytes and connections then stay
