Review: a discarded history counts as one without changes

After a restart the gateways compute the version that began a stream from the past of the list. Where the store has discarded its history after old runners drained, they take the part that is left for 18 s without changes.

--- a/review/1/case.c
+++ b/review/1/case.c
@@ -47,7 +47,8 @@
     uint32_t number;
     int last_event;
     int versions; /* seen in its events, a bit for each */
-    char id[RIG_TEXT_SIZE / 2]; /* of the attempt that brought the first event */
+    char id[RIG_TEXT_SIZE /
+            2]; /* of the attempt that brought the first event */
     bool is_whole;
 } stream_call;
 
--- a/review/2/case.c
+++ b/review/2/case.c
@@ -1,40 +1,68 @@
 /*
- * A stream without a length, and a gateway that is killed while it passes the
- * stream on. The client must see that the answer is not complete.
+ * Runners of two software versions serve side by side. Some of them drain, the
+ * store discards its history, and all gateways are killed. Clients take their
+ * streams up at the gateways that have started again.
  */
+#define _GNU_SOURCE
+
 #include "rig.h"
 
 #include <signal.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
+#include <time.h>
 #include <unistd.h>
 
-#define EVENTS 30
-#define EVENT_PAUSE 50  /* ms */
-#define KILLED_AFTER 10 /* events, until the gateway is killed */
-#define STREAMS 8
+#define GATEWAYS 6
+#define RUNNERS 12 /* every other one is of the newer version */
+#define DRAINING 3 /* the first ones */
+#define STREAMS 60
+#define EVENTS 60
+#define EVENT_PAUSE 100 /* ms */
+#define TRIES 5         /* of a client that gets an answer, in all */
+#define CONNECT_PAUSE 100
+
+#define HEARTBEAT 1200
+#define BORN_BEFORE 60000 /* the runners have run for so long */
+
+/* In ms from the start of the streams on. */
+#define DRAIN_TIME 1000
+#define FORGET_TIME 1150
+#define KILL_TIME 1250
+#define RESTART_TIME 1750
+
+typedef struct lm_runner {
+    rig_server server;
+    uint32_t number;
+    int version;
+    bool is_listed;
+    bool is_draining;
+} lm_runner;
 
 typedef struct stream_call {
     pthread_t thread;
     uint32_t number;
-    uint16_t port;
-    rig_end end;
-    int status;
-    bool has_seal;
-    bool has_length; /* or chunks */
-    int events;
+    int last_event;
+    int versions; /* seen in its events, a bit for each */
+    char id[RIG_TEXT_SIZE /
+            2]; /* of the attempt that brought the first event */
+    bool is_whole;
 } stream_call;
 
 static rig_store store;
-static rig_server runner;
-static rig_gateway gateway;
+static lm_runner runners[RUNNERS];
+static rig_gateway gateways[GATEWAYS];
 static stream_call calls[STREAMS];
+static pthread_mutex_t mutex = PTHREAD_MUTEX_INITIALIZER;
+static volatile bool is_over;
+static long long born;
 
 static const char config[] =
     "{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"a.example\","
-    "\"prefix\":\"/s/\",\"kind\":\"stream\",\"timeout_ms\":15000,"
-    "\"target_latency_ms\":800,\"priority\":1,\"service\":\"lm\","
-    "\"max_attempts\":1,\"public\":true,\"sticky\":true,\"resumable\":false,"
+    "\"prefix\":\"/s/\",\"kind\":\"stream\",\"timeout_ms\":12000,"
+    "\"target_latency_ms\":400,\"priority\":1,\"service\":\"lm\","
+    "\"max_attempts\":2,\"public\":true,\"sticky\":true,\"resumable\":true,"
     "\"target_gap_ms\":400}],\"services\":[{\"name\":\"lm\","
     "\"health_path\":\"/health\",\"max_conns\":240,\"protocol\":\"h1\","
     "\"tls\":false,\"engine\":{\"slots\":32,\"kv_capacity\":530410,"
@@ -43,126 +71,278 @@
     "\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,"
     "\"idle_timeout_ms\":15000}}";
 
-/* An answer with neither a length nor chunks, which ends with its connection.
- */
 static bool
 handle_stream(rig_server *server, int fd, rig_message *request)
 {
+    const lm_runner *runner = server->owner;
     char id[RIG_TEXT_SIZE] = "";
-    int i;
+    char expected[RIG_TEXT_SIZE] = "";
+    char own[RIG_TEXT_SIZE];
+    char last[RIG_TEXT_SIZE] = "0";
+    int event;
 
-    (void)server;
     rig_header(request, "Lavenderproxy-Attempt-Id", id, sizeof id);
-    rig_note("runner: runs %s", id);
+    rig_header(request, "Lavenderproxy-Expect-Runner", expected,
+               sizeof expected);
+    rig_header(request, "Last-Event-Id", last, sizeof last);
+    snprintf(own, sizeof own, "i-%u", runner->number);
+    if (strcmp(expected, own) != 0) {
+        return rig_send(fd, "HTTP/1.1 421 Misdirected Request\r\n"
+                            "Content-Length: 0\r\n\r\n");
+    }
+    rig_note("runner %s (v%d): runs %s after event %s", own, runner->version,
+             id, last);
     rig_send(fd,
              "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-             "Connection: close\r\nLavenderproxy-Attempt-Id: %s\r\n"
-             "Lavenderproxy-Runner-Seal: 3e1b.07.5a2.600.0.c9f2a4d1\r\n\r\n",
+             "Lavenderproxy-Attempt-Id: %s\r\n"
+             "Lavenderproxy-Runner-Seal: 3e1b.07.5a2\r\n"
+             "Transfer-Encoding: chunked\r\n\r\n",
              id);
-    for (i = 1; i <= EVENTS; i++) {
-        if (!rig_send(fd, "id: %d\ndata: piece %d of %d\n\n", i, i, EVENTS)) {
-            rig_note("runner: %s was broken off after %d events", id, i - 1);
+    for (event = atoi(last) + 1; event <= EVENTS; event++) {
+        char text[RIG_TEXT_SIZE];
+
+        snprintf(text, sizeof text, "id: %d\ndata: piece of v%d\n\n", event,
+                 runner->version);
+        if (!rig_send(fd, "%zx\r\n%s\r\n", strlen(text), text)) {
             return false;
         }
         rig_sleep(EVENT_PAUSE);
     }
-    rig_note("runner: %s is whole, %d events", id, EVENTS);
-    return false;
+    return rig_send(fd, "0\r\n\r\n");
+}
+
+static void
+write_entry(const lm_runner *runner, unsigned written, char *key, char *entry)
+{
+    snprintf(key, RIG_TEXT_SIZE, "servers/i-%u", runner->number);
+    snprintf(entry, 512,
+             "{\"service\":\"lm\",\"address\":\"127.0.0.1:%u\",\"zone\":\"z\","
+             "\"version\":\"v%d\",\"slots\":32,\"state\":\"%s\","
+             "\"cold_remaining_ms\":0,\"seq\":%u,\"born\":%lld}",
+             runner->server.port, runner->version,
+             runner->is_draining ? "draining" : "ready", written, born);
 }
 
+static void
+publish(lm_runner *runner, bool is_draining)
+{
+    char key[RIG_TEXT_SIZE];
+    char entry[512];
+
+    pthread_mutex_lock(&mutex);
+    runner->is_draining = is_draining;
+    runner->is_listed = true;
+    write_entry(runner, 1, key, entry);
+    rig_store_put(&store, key, entry);
+    pthread_mutex_unlock(&mutex);
+    rig_note("store: %s (v%d) is written, %s", key, runner->version,
+             is_draining ? "draining" : "ready");
+}
+
+static void *
+write_heartbeats(void *context)
+{
+    unsigned written = 1;
+    char key[RIG_TEXT_SIZE];
+    char entry[512];
+    int i;
+
+    (void)context;
+    while (!is_over) {
+        rig_sleep(HEARTBEAT);
+        written++;
+        pthread_mutex_lock(&mutex);
+        for (i = 0; i < RUNNERS; i++) {
+            if (runners[i].is_listed) {
+                write_entry(&runners[i], written, key, entry);
+                rig_store_beat(&store, key, entry);
+            }
+        }
+        pthread_mutex_unlock(&mutex);
+    }
+    return NULL;
+}
+
+/* Notes the events of an answer, whole or not. */
+static void
+note_events(stream_call *call, const char *id, const char *body)
+{
+    const char *event = body;
+
+    while ((event = strstr(event, "id: ")) != NULL) {
+        const char *version = strstr(event, "of v");
+
+        if (version == NULL || strstr(version, "\n\n") == NULL) {
+            return;
+        }
+        if (call->versions == 0) {
+            snprintf(call->id, sizeof call->id, "%s", id);
+        }
+        call->last_event = atoi(event + strlen("id: "));
+        call->versions |= 1 << atoi(version + strlen("of v"));
+        event = version;
+    }
+}
+
+/* Returns a connection to the next gateway that accepts one. */
 static int
-count_events(const char *text)
+connect_to_gateway(uint32_t first)
 {
-    int count = 0;
+    long deadline = rig_now() + 8000;
+    int i = 0;
+
+    while (rig_now() < deadline) {
+        int fd = rig_connect(gateways[(first + i++) % GATEWAYS].front);
 
-    while ((text = strstr(text, "data: ")) != NULL) {
-        count++;
-        text++;
+        if (fd >= 0) {
+            return fd;
+        }
+        rig_sleep(CONNECT_PAUSE);
     }
-    return count;
+    return -1;
 }
 
-static void *
-call_stream(void *context)
+static void
+try_stream(stream_call *call, int attempt)
 {
-    stream_call *call = context;
+    char id[RIG_TEXT_SIZE / 2];
+    char taken_up[RIG_TEXT_SIZE * 2] = "";
     rig_message answer;
-    char value[RIG_TEXT_SIZE];
-    int fd = rig_connect(call->port);
-
-    rig_send(
-        fd,
-        "POST /s/2f HTTP/1.1\r\nHost: a.example\r\n"
-        "Lavenderproxy-Attempt-Id: stream-%u\r\nLavenderproxy-Model: m\r\n"
-        "Lavenderproxy-Token-Counts: 100,80\r\n"
-        "Lavenderproxy-Prompt-Prefix: 5c1e07a2:60,%x:40\r\n"
-        "Lavenderproxy-Deadline-Ms: 15000\r\nContent-Length: 4\r\n\r\n"
-        "body",
-        call->number, 0x9000 + call->number);
-    call->end = rig_read(fd, &answer, true, 15000);
-    call->status = rig_status(&answer);
-    call->has_seal =
-        rig_header(&answer, "Lavenderproxy-Runner-Seal", value, sizeof value);
-    call->has_length =
-        rig_header(&answer, "Content-Length", value, sizeof value) ||
-        rig_header(&answer, "Transfer-Encoding", value, sizeof value);
-    call->events = count_events(answer.body);
-    rig_note("client: stream-%u: status %d, seal %d, length or chunks %d, "
-             "%d of %d events, %s",
-             call->number, call->status, call->has_seal, call->has_length,
-             call->events, EVENTS,
-             call->end == RIG_COMPLETE  ? "ended as complete"
-             : call->end == RIG_RESET   ? "reset"
-             : call->end == RIG_TIMEOUT ? "not ended in time"
-                                        : "broken off");
+    rig_end end;
+    int fd = connect_to_gateway(call->number % GATEWAYS);
+
+    snprintf(id, sizeof id, "stream-%u-%d", call->number, attempt);
+    if (call->last_event > 0) {
+        snprintf(taken_up, sizeof taken_up,
+                 "Last-Event-Id: %d\r\nResumes: %s\r\n", call->last_event,
+                 call->id);
+    }
+    rig_send(fd,
+             "POST /s/2f HTTP/1.1\r\nHost: a.example\r\n"
+             "Lavenderproxy-Attempt-Id: %s\r\nLavenderproxy-Model: m\r\n"
+             "Lavenderproxy-Token-Counts: 100,240\r\n"
+             "Lavenderproxy-Prompt-Prefix: %x:60,%x:40\r\n"
+             "Lavenderproxy-Deadline-Ms: 12000\r\n%sContent-Length: 4\r\n\r\n"
+             "body",
+             id, 0x5c00 + call->number * 77, 0x9000 + call->number, taken_up);
+    end = rig_read(fd, &answer, true, 12000);
+    note_events(call, id, answer.body);
+    call->is_whole = end == RIG_COMPLETE && rig_status(&answer) == 200;
+    rig_note("client: %s: status %d, %s, last event %d, versions%s%s", id,
+             rig_status(&answer), end == RIG_COMPLETE ? "whole" : "cut",
+             call->last_event, (call->versions & 2) != 0 ? " v1" : "",
+             (call->versions & 4) != 0 ? " v2" : "");
     rig_free(&answer);
     close(fd);
+}
+
+static void *
+call_stream(void *context)
+{
+    stream_call *call = context;
+    int attempt;
+
+    for (attempt = 0; attempt < TRIES && !call->is_whole; attempt++) {
+        if (attempt > 0) {
+            rig_sleep(attempt == 1 ? 20 : 1000);
+        }
+        try_stream(call, attempt);
+    }
     return NULL;
 }
 
+static void
+start_gateways(void)
+{
+    int i;
+
+    for (i = 0; i < GATEWAYS; i++) {
+        rig_gateway_start(&gateways[i], gateways, 3, &store);
+    }
+}
+
+static void
+start_world(void)
+{
+    char name[RIG_TEXT_SIZE];
+    int i;
+
+    born = (long long)time(NULL) * 1000 - BORN_BEFORE;
+    rig_store_start(&store);
+    rig_store_put(&store, "op/config", config);
+    for (i = 0; i < RUNNERS; i++) {
+        runners[i].number = (uint32_t)i;
+        runners[i].version = 1 + i % 2;
+        rig_serve(&runners[i].server, handle_stream, &runners[i]);
+        publish(&runners[i], false);
+    }
+    rig_start_thread(write_heartbeats, NULL);
+    for (i = 0; i < GATEWAYS; i++) {
+        snprintf(name, sizeof name, "front-%d", i);
+        rig_gateway_init(&gateways[i], name, "z");
+    }
+    start_gateways();
+    for (i = 0; i < GATEWAYS; i++) {
+        if (!rig_gateway_await(&gateways[i], 10000)) {
+            rig_fail("front-%d is not ready", i);
+        }
+    }
+    /* Longer than the store keeps its history. */
+    rig_sleep(22000);
+}
+
+static void
+kill_gateways(void)
+{
+    int i;
+
+    for (i = 0; i < GATEWAYS; i++) {
+        rig_gateway_signal(&gateways[i], SIGKILL, false);
+    }
+    for (i = 0; i < GATEWAYS; i++) {
+        rig_gateway_signal(&gateways[i], SIGKILL, true);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
-    char entry[512];
-    int false_ends = 0;
+    long begun_at;
+    int joined = 0;
     int whole = 0;
     int i;
 
     rig_init(argc > 1 ? argv[1] : ".");
-    rig_store_start(&store);
-    rig_serve(&runner, handle_stream, NULL);
-    snprintf(entry, sizeof entry,
-             "{\"service\":\"lm\",\"address\":\"127.0.0.1:%u\",\"zone\":\"z\","
-             "\"version\":\"v1\",\"slots\":32,\"state\":\"ready\","
-             "\"cold_remaining_ms\":0,\"seq\":4}",
-             runner.port);
-    rig_store_put(&store, "op/config", config);
-    rig_store_put(&store, "servers/i-1", entry);
-    rig_gateway_init(&gateway, "front-z-1", "z");
-    rig_gateway_start(&gateway, &gateway, 1, &store);
-    if (!rig_gateway_await(&gateway, 10000)) {
-        rig_fail("the gateway is not ready");
-    }
+    start_world();
+    begun_at = rig_now();
     for (i = 0; i < STREAMS; i++) {
         calls[i].number = (uint32_t)i;
-        calls[i].port = gateway.front;
         pthread_create(&calls[i].thread, NULL, call_stream, &calls[i]);
     }
-    rig_sleep(KILLED_AFTER * EVENT_PAUSE);
+    rig_sleep(begun_at + DRAIN_TIME - rig_now());
+    for (i = 0; i < DRAINING; i++) {
+        publish(&runners[i], true);
+    }
     if (!rig_is_calm()) {
-        rig_gateway_signal(&gateway, SIGKILL, true);
+        rig_sleep(begun_at + FORGET_TIME - rig_now());
+        rig_store_forget(&store);
+        rig_note("store: the history is discarded");
+        rig_sleep(begun_at + KILL_TIME - rig_now());
+        kill_gateways();
+        rig_sleep(begun_at + RESTART_TIME - rig_now());
+        start_gateways();
     }
     for (i = 0; i < STREAMS; i++) {
         pthread_join(calls[i].thread, NULL);
-        if (calls[i].end == RIG_COMPLETE && calls[i].status == 200) {
-            whole += calls[i].events == EVENTS;
-            false_ends += calls[i].events < EVENTS;
-        }
+        whole += calls[i].is_whole;
+        joined += calls[i].versions == 6;
     }
-    rig_note("%d streams whole, %d ended as complete before their last event",
-             whole, false_ends);
+    is_over = true;
+    rig_note("%d of %d streams ended as whole; %d hold events of both "
+             "versions, 2 are allowed",
+             whole, STREAMS, joined);
     if (rig_is_calm() && whole < STREAMS) {
         rig_fail("streams are not whole without the disruption");
     }
-    rig_finish(false_ends > 0 ? RIG_BROKEN : RIG_HELD);
+    rig_finish(joined > 2 ? RIG_BROKEN : RIG_HELD);
 }
