Review: give each script a range of ports of its own

Scripts that ran at the same time chose the same ports, since case 4 takes 78 and each process had 20: case 2 did not run in one of ten runs side by side. Ranges have 88 ports now.

--- a/review/standin/rig.c
+++ b/review/standin/rig.c
@@ -19,8 +19,11 @@
 
 #define GATEWAYS_MAX 64
 #define STACK_SIZE ((size_t)256 * 1024)
+/* Three ports for each of up to 29 gateways; scripts that run at the same time
+ * have ranges of their own. */
 #define FIRST_PORT 10000
-#define PORTS_PER_PROCESS 20
+#define PORTS_PER_PROCESS 88
+#define PORT_RANGES 250
 #define PROGRAM "target/packages/daemon/lavenderd"
 
 static FILE *record;
@@ -568,7 +571,8 @@
     bool is_free = false;
 
     if (next == 0) {
-        next = (uint16_t)(FIRST_PORT + getpid() % 1000 * PORTS_PER_PROCESS);
+        next = (uint16_t)(FIRST_PORT +
+                          getpid() % PORT_RANGES * PORTS_PER_PROCESS);
     }
     while (!is_free) {
         int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
