Log how a configuration was learned, and that peers name a later change

The hypotheses of docs/incidents/2026-12-late-configuration.md could not be told apart from the logs: no line said whether a version came with a list or a watch, how long the request had waited, that other instances named a later change, or which status the store gave.

"config" has source, relayed, asked_ms and quiet_ms; "store-behind" and "store-caught-up" are new, as are lavender_store_behind_seconds and lavender_store_renewals_total; "store-lost" names the status. While a list is read an instance stays behind, so that the time is counted to its end.

--- a/packages/gateway/include/lavender-gateway/gate.h
+++ b/packages/gateway/include/lavender-gateway/gate.h
@@ -117,6 +117,8 @@
     uint64_t fetch_decisions[FCH_REASONS]; /* by attempts that were started */
     uint64_t fetch_tokens;                 /* expected of these fetches */
     uint64_t speed_changes;                /* of endpoints, as logged */
+    uint64_t store_renewals; /* requests sent again, as peers named a later
+                                change than the store had told here */
 } gate_counts;
 
 struct gate_server {
--- a/packages/gateway/include/lavender-gateway/store.h
+++ b/packages/gateway/include/lavender-gateway/store.h
@@ -119,9 +119,10 @@
     uint64_t noted_era; /* highest that others have seen */
     lv_time next_request_at;
     lv_time last_request_at;
-    lv_time deadline; /* of the connection attempt or pending reply */
-    lv_time backoff;  /* after the next failure */
-    lv_time lost_at;  /* start of the outage; 0: the store is reachable */
+    lv_time last_reply_at; /* that could be used; 0: none yet */
+    lv_time deadline;      /* of the connection attempt or pending reply */
+    lv_time backoff;       /* after the next failure */
+    lv_time lost_at;       /* start of the outage; 0: the store is reachable */
     store_past past;
     bool is_closing;
     store_counts counts;
--- a/packages/gateway/source/gate-imp.h
+++ b/packages/gateway/source/gate-imp.h
@@ -393,6 +393,7 @@
 void gate_update_readers(gate_server *gate, lv_time now);
 
 /* Callbacks of the feeds. */
+const char *gate_subject_name(wire_subject subject);
 void gate_handle_applied(store_feed *feed);
 void gate_handle_relay_failed(store_feed *feed, const char *reason);
 
--- a/packages/gateway/source/gate-monitoring.c
+++ b/packages/gateway/source/gate-monitoring.c
@@ -32,6 +32,23 @@
     }
 }
 
+/* Since when peers name a change that did not arrive here. */
+static lv_time
+behind_time(const gate_server *gate, lv_time now)
+{
+    lv_time longest = 0;
+    int i;
+
+    for (i = 0; i < WIRE_SUBJECT_COUNT; i++) {
+        lv_time since = gate->behind_since[i];
+
+        if (since != 0 && lv_elapsed(now, since) > longest) {
+            longest = lv_elapsed(now, since);
+        }
+    }
+    return longest;
+}
+
 static void
 write_store_metrics(const gate_server *gate, met_writer *writer)
 {
@@ -58,6 +75,12 @@
          "feeds that the store does not answer",
          (double)((gate->feeds[WIRE_CONFIG].lost_at != 0) +
                   (gate->feeds[WIRE_ENDPOINTS].lost_at != 0))},
+        {"lavender_store_behind_seconds", "gauge",
+         "since peers name a change that did not arrive here",
+         (double)behind_time(gate, now) / (double)LV_SECOND},
+        {"lavender_store_renewals_total", "counter",
+         "requests sent again for such a change",
+         (double)gate->counts.store_renewals},
     };
 
     met_write_scalars(writer, values, sizeof values / sizeof values[0]);
--- a/packages/gateway/source/gate-reader.c
+++ b/packages/gateway/source/gate-reader.c
@@ -33,6 +33,12 @@
 /* Attempts are spread over this time. */
 #define ATTEMPT_SPREAD LV_SECOND
 
+static unsigned long long
+to_ms(lv_time time)
+{
+    return (unsigned long long)(time / LV_MILLISECOND);
+}
+
 static void
 set_pace(gate_server *gate, peers_reader reader)
 {
@@ -134,8 +140,8 @@
 {
     peers_note_relay_failed(&gate->peers, &feed->source, now);
     log_event(LOG_LEVEL_NOTICE, now, "relay-failed",
-              "subject=%s reason=\"%s\"",
-              feed->subject == WIRE_CONFIG ? "config" : "endpoints", reason);
+              "subject=%s reason=\"%s\"", gate_subject_name(feed->subject),
+              reason);
 }
 
 void
@@ -144,6 +150,37 @@
     fail_relay(feed->owner, feed, reason, io_now());
 }
 
+static void
+log_behind(const gate_server *gate, const store_feed *feed, uint64_t named,
+           lv_time now)
+{
+    log_event(LOG_LEVEL_WARNING, now, "store-behind",
+              "subject=%s revision=%llu named=%llu behind_ms=%llu "
+              "asked_ms=%llu relayed=%d",
+              gate_subject_name(feed->subject),
+              (unsigned long long)feed->position.revision,
+              (unsigned long long)named,
+              to_ms(lv_elapsed(now, gate->behind_since[feed->subject])),
+              to_ms(lv_elapsed(now, feed->last_request_at)), feed->is_relayed);
+}
+
+/* Ends the time in which peers name a later change, if there was one. */
+static void
+note_caught_up(gate_server *gate, const store_feed *feed, lv_time now)
+{
+    lv_time *since = &gate->behind_since[feed->subject];
+
+    if (*since != 0 && gate->renewed_for[feed->subject] != 0) {
+        log_event(LOG_LEVEL_NOTICE, now, "store-caught-up",
+                  "subject=%s revision=%llu behind_ms=%llu",
+                  gate_subject_name(feed->subject),
+                  (unsigned long long)feed->position.revision,
+                  to_ms(lv_elapsed(now, *since)));
+    }
+    *since = 0;
+    gate->renewed_for[feed->subject] = 0;
+}
+
 /* Looks for a change that peers name and that did not arrive here. */
 static void
 check_changes(gate_server *gate, wire_subject subject, lv_time now)
@@ -154,9 +191,11 @@
         CHANGE_TIMEOUT + gate->settings.store.min_watch_interval[subject];
 
     gate->peers.own_changes[subject] = feed->last_change;
-    if (named <= feed->position.revision || !feed->has_list ||
-        feed->past.is_reading) {
-        gate->behind_since[subject] = 0;
+    if (named <= feed->position.revision) {
+        note_caught_up(gate, feed, now);
+        return;
+    }
+    if (!feed->has_list || feed->past.is_reading) {
         return;
     }
     if (gate->behind_since[subject] == 0) {
@@ -167,6 +206,8 @@
         return;
     }
     gate->renewed_for[subject] = named;
+    gate->counts.store_renewals++;
+    log_behind(gate, feed, named, now);
     if (feed->is_relayed) {
         fail_relay(gate, feed, "behind", now);
     }
--- a/packages/gateway/source/gate-store.c
+++ b/packages/gateway/source/gate-store.c
@@ -7,10 +7,10 @@
  * of the copy were first seen within this time. */
 #define COPY_RELIST_DELAY LV_SECOND
 
-static const char *
-subject_name(const store_feed *feed)
+const char *
+gate_subject_name(wire_subject subject)
 {
-    return feed->subject == WIRE_CONFIG ? "config" : "endpoints";
+    return subject == WIRE_CONFIG ? "config" : "endpoints";
 }
 
 gate_service_budget *
@@ -95,6 +95,31 @@
     return now < gate->copy_expires_at;
 }
 
+/* How a new version was learned: `asked_ms` after the request, and
+ * `quiet_ms` after the reply before. */
+static void
+log_config(const gate_server *gate, const wire_item *item)
+{
+    const store_feed *feed = &gate->feeds[WIRE_CONFIG];
+    const rt_table *config = gate->config;
+    lv_time now = io_now();
+
+    log_event(LOG_LEVEL_NOTICE, now, "config",
+              "version=%llu era=%llu revision=%llu routes=%u services=%u "
+              "accounts=%u source=%s relayed=%d asked_ms=%llu quiet_ms=%llu",
+              (unsigned long long)config->version,
+              (unsigned long long)item->position.era,
+              (unsigned long long)item->position.revision, config->route_count,
+              config->service_count, config->account_count,
+              feed->is_listing ? "list" : "watch", feed->is_relayed,
+              (unsigned long long)(lv_elapsed(now, feed->last_request_at) /
+                                   LV_MILLISECOND),
+              (unsigned long long)(feed->last_reply_at != 0
+                                       ? lv_elapsed(now, feed->last_reply_at) /
+                                             LV_MILLISECOND
+                                       : 0));
+}
+
 static void
 apply_config(gate_server *gate, wire_item *item)
 {
@@ -123,13 +148,7 @@
     gate->callers.limits = config->limits;
     gate_apply_services(gate);
     gate->has_pending_updates = true;
-    log_event(LOG_LEVEL_NOTICE, now, "config",
-              "version=%llu era=%llu revision=%llu routes=%u services=%u "
-              "accounts=%u",
-              (unsigned long long)config->version,
-              (unsigned long long)item->position.era,
-              (unsigned long long)item->position.revision, config->route_count,
-              config->service_count, config->account_count);
+    log_config(gate, item);
 }
 
 /* Reports to the peers that an endpoint gets no new requests, if it was
@@ -268,7 +287,7 @@
         gate_end_zone_list(gate, feed->position);
     }
     log_event(LOG_LEVEL_NOTICE, io_now(), "store-listed",
-              "subject=%s revision=%llu", subject_name(feed),
+              "subject=%s revision=%llu", gate_subject_name(feed->subject),
               (unsigned long long)feed->position.revision);
 }
 
@@ -324,14 +343,15 @@
 on_store_lost(store_feed *feed, const char *reason)
 {
     log_event(LOG_LEVEL_WARNING, io_now(), "store-lost",
-              "subject=%s reason=\"%s\"", subject_name(feed), reason);
+              "subject=%s reason=\"%s\"", gate_subject_name(feed->subject),
+              reason);
 }
 
 static void
 on_store_regained(store_feed *feed, lv_time outage)
 {
     log_event(LOG_LEVEL_NOTICE, io_now(), "store-regained",
-              "subject=%s outage_ms=%llu", subject_name(feed),
+              "subject=%s outage_ms=%llu", gate_subject_name(feed->subject),
               (unsigned long long)(outage / LV_MILLISECOND));
 }
 
--- a/packages/gateway/source/store.c
+++ b/packages/gateway/source/store.c
@@ -1,3 +1,4 @@
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -79,6 +80,7 @@
 {
     lv_time lost_at = feed->lost_at;
 
+    feed->last_reply_at = now;
     feed->backoff = feed->settings->backoff;
     feed->lost_at = 0;
     if (lost_at != 0) {
@@ -176,6 +178,15 @@
     return is_first_page;
 }
 
+static void
+fail_on_status(store_feed *feed, uint32_t status)
+{
+    char reason[32];
+
+    snprintf(reason, sizeof reason, "status-%u", status);
+    fail_feed(feed, reason);
+}
+
 static void
 handle_reply(store_feed *feed, uint32_t status, uint64_t era,
              const buf_buffer *body)
@@ -196,7 +207,7 @@
         return;
     }
     if (status != STORE_OK) {
-        fail_feed(feed, "status");
+        fail_on_status(feed, status);
         return;
     }
     err_clear(&error);
