--- a/tests/gateway/stage.c
+++ b/tests/gateway/stage.c
@@ -80,7 +80,8 @@
     buf_init(&json);
     if (is_config) {
         write_config(stage, &json);
-        append_value(to, "op/config", json.data, 1);
+        append_value(to, "op/config", json.data,
+                     stage->config_revision != 0 ? stage->config_revision : 1);
         if (stage->op_items != NULL) {
             buf_append_text(to, stage->op_items);
         }
@@ -181,16 +182,61 @@
     front_end_response(connection);
 }
 
+static uint64_t
+read_wait_ms(const char *target)
+{
+    const char *wait = strstr(target, "wait_ms=");
+
+    return wait != NULL ? strtoull(wait + 8, NULL, 10) : 0;
+}
+
+static void
+add_watch(stage_fixture *stage, front_connection *connection, bool is_config,
+          uint64_t end)
+{
+    for (int i = 0; i < STAGE_WATCHES; i++) {
+        if (stage->watches[i] == NULL) {
+            stage->watches[i] = connection;
+            stage->watch_subjects[i] = is_config ? 'c' : 'e';
+            stage->watch_ends[i] = end;
+            return;
+        }
+    }
+    cr_assert_fail("too many watches");
+}
+
+/* The store keeps no history, so that a watch ends with 410. */
+static void
+end_deaf_watches(stage_fixture *stage)
+{
+    uint64_t now = uv_now(&stage->loop);
+
+    for (int i = 0; i < STAGE_WATCHES; i++) {
+        front_connection *connection = stage->watches[i];
+
+        if (connection != NULL && stage->watch_ends[i] != 0 &&
+            now >= stage->watch_ends[i]) {
+            stage->watches[i] = NULL;
+            send_gone(stage, connection);
+        }
+    }
+}
+
 static void
 on_store_request(front_server *server, front_connection *connection)
 {
     stage_fixture *stage = server->owner;
     const char *target = connection->head->target;
     bool is_config = strstr(target, "prefix=op/") != NULL;
+    wire_subject subject = is_config ? WIRE_CONFIG : WIRE_ENDPOINTS;
     const char *after = strstr(target, "after=");
     uint64_t revision;
 
     stage->store_calls++;
+    if (stage->is_store_silent) {
+        stage->unheard_requests[subject]++;
+        return;
+    }
     if (stage->is_store_down) {
         front_send_error(connection, 503, NULL, "down");
         return;
@@ -206,6 +252,12 @@
         send_store_list(stage, connection, is_config, "items");
         return;
     }
+    if (stage->is_store_deaf) {
+        stage->unheard_requests[subject]++;
+        add_watch(stage, connection, is_config,
+                  uv_now(&stage->loop) + read_wait_ms(target));
+        return;
+    }
     revision = strtoull(after + 6, NULL, 10);
     if (revision < stage->past_before && revision >= stage->past_since) {
         send_past(stage, connection);
@@ -217,14 +269,7 @@
         send_gone(stage, connection);
         return;
     }
-    for (int i = 0; i < STAGE_WATCHES; i++) {
-        if (stage->watches[i] == NULL) {
-            stage->watches[i] = connection;
-            stage->watch_subjects[i] = is_config ? 'c' : 'e';
-            return;
-        }
-    }
-    cr_assert_fail("too many watches");
+    add_watch(stage, connection, is_config, 0);
 }
 
 static void
@@ -266,13 +311,26 @@
     for (int i = 0; i < STAGE_WATCHES; i++) {
         front_connection *connection = stage->watches[i];
 
-        stage->watches[i] = NULL;
-        if (connection != NULL) {
+        if (connection != NULL && stage->watch_ends[i] == 0) {
+            stage->watches[i] = NULL;
             send_gone(stage, connection);
         }
     }
 }
 
+void
+stage_lose_watches(stage_fixture *stage)
+{
+    memset(stage->watches, 0, sizeof stage->watches);
+}
+
+void
+stage_cut_store(stage_fixture *stage)
+{
+    stage_lose_watches(stage);
+    front_close_all(&stage->store);
+}
+
 void
 stage_format_address(const uv_tcp_t *listener, char *text)
 {
@@ -306,8 +364,7 @@
     stage->era++;
     stage->revision = revision;
     stage->past_before = 0;
-    memset(stage->watches, 0, sizeof stage->watches);
-    front_close_all(&stage->store);
+    stage_cut_store(stage);
 }
 
 static void start_step(stage_fixture *stage);
@@ -322,6 +379,7 @@
     uint64_t most =
         computed > STAGE_PAUSE_MAX_MS ? computed : STAGE_PAUSE_MAX_MS;
 
+    end_deaf_watches(stage);
     if (elapsed > most) {
         elapsed = most;
     }
--- a/tests/gateway/stage.h
+++ b/tests/gateway/stage.h
@@ -100,7 +100,10 @@
     front_connection *watches[STAGE_WATCHES];
     char
         watch_subjects[STAGE_WATCHES]; /* 'c': configuration, 'e': endpoints */
+    uint64_t watch_ends[STAGE_WATCHES]; /* of deaf ones, on the loop's clock;
+                                           0: it hears changes */
     uint64_t revision;
+    uint64_t config_revision; /* of the configuration's last change; 0: 1 */
     uint64_t era; /* of the store, in all its responses; 0: not named */
     uint32_t config_version;
     const char *config_extra;  /* more routes, JSON; may be NULL */
@@ -109,8 +112,13 @@
     const char *op_items;      /* more items below the configuration's prefix,
                                   JSON, each after a comma; may be NULL */
     bool is_store_down;        /* the store responds 503 to all requests */
-    bool is_store_garbled;   /* it responds 200 with a body that is no JSON */
-    bool is_list_withheld;   /* lists of endpoints get no response */
+    bool is_store_garbled; /* it responds 200 with a body that is no JSON */
+    bool is_list_withheld; /* lists of endpoints get no response */
+    bool is_store_silent;  /* requests get no response, also later */
+    bool is_store_deaf;    /* watches that arrive are told nothing before
+                              their wait is over */
+    uint32_t unheard_requests[WIRE_SUBJECT_COUNT]; /* that arrived at a silent
+                                                      or deaf store */
     uint64_t past_since;     /* the store has all changes after it ... */
     uint64_t past_before;    /* ... and before this one */
     const char *past_events; /* changes before the first list: items of the
@@ -160,6 +168,12 @@
  * gateway lists the configuration and the endpoints again. */
 void stage_advance_revision(stage_fixture *stage);
 
+/* The connections of the watches become silent for good, without a reset. */
+void stage_lose_watches(stage_fixture *stage);
+
+/* The store ends all connections. */
+void stage_cut_store(stage_fixture *stage);
+
 /* The store was away and comes back from an older copy: a new era begins at
  * another revision, and all connections to it end. */
 void stage_begin_era(stage_fixture *stage, uint64_t revision);
