Name changes of the configuration that a list told

What callers saw: instances that had a watch at the store which heard nothing kept an older configuration, while others had the newer one for seconds (CONFIG).

Cause: datagrams name the latest change that a watch told, so that who is behind asks again. After a dropped history all instances list, and what a list tells was not named: nobody knew to be behind. Revisions in a list of endpoints rise with heartbeats, of which no watch tells; those of the configuration do not.

--- a/packages/gateway/include/lavender-gateway/store.h
+++ b/packages/gateway/include/lavender-gateway/store.h
@@ -114,7 +114,8 @@
     uint64_t list_revision;        /* of the first page */
     char after_key[WIRE_KEY_SIZE]; /* last key of the previous page */
     wire_position position;        /* after which the next watch starts */
-    uint64_t last_change;          /* highest revision that a watch told */
+    uint64_t last_change;          /* highest revision of an item that a watch
+                                      tells of */
     struct sockaddr_in source;     /* of the store, or of a relay */
     bool is_relayed;
     uint64_t noted_era; /* highest that others have seen */
--- a/packages/gateway/source/store.c
+++ b/packages/gateway/source/store.c
@@ -105,15 +105,22 @@
     feed->next_request_at = feed->last_request_at + interval;
 }
 
+/* Does a watch tell of each revision of the feed's items? In lists the
+ * revisions of endpoints rise with heartbeats, of which no watch tells. */
+static bool
+has_watched_revisions(const store_feed *feed)
+{
+    return !feed->is_listing || feed->subject == WIRE_CONFIG;
+}
+
 static void
 on_item(void *context, wire_item *item)
 {
     store_feed *feed = context;
 
     item->position.era = feed->position.era;
-    /* Not from lists: there the revisions of endpoints rise with heartbeats,
-     * of which no watch tells. */
-    if (!feed->is_listing && item->position.revision > feed->last_change) {
+    if (has_watched_revisions(feed) &&
+        item->position.revision > feed->last_change) {
         feed->last_change = item->position.revision;
     }
     feed->ops->on_item(feed, item);
