Let the soak's store lose connections, hear nothing and come back older

Change: settings and bounds are the users', with 0.5 s added; links to the store may lose connections for good; the store may be deaf before it cuts its watches, and may come back from a copy without the newest configuration.

--- a/tests/soak/soak-daemon.c
+++ b/tests/soak/soak-daemon.c
@@ -48,7 +48,8 @@
     fprintf(file, "[peers]\nseeds = %s, %s\n", world->daemons[0].peer,
             world->daemons[world->daemon_count - 1].peer);
     fprintf(file, "[store]\naddress = %s\n", daemon->store.address);
-    fprintf(file, "lost_answer_bound = 1s\n");
+    fprintf(file, "lost_answer_bound = %ums\n",
+            (unsigned)(SOAK_CONTACT / LV_MILLISECOND));
     fprintf(file, "leave_bound = %ums\n",
             (unsigned)(SOAK_LEAVE_BOUND / LV_MILLISECOND));
     if (world->plant == SOAK_PLANT_NONE &&
@@ -281,24 +282,41 @@
     }
 }
 
+static bool
+is_store_there(const soak_daemon *daemon)
+{
+    const soak_store *store = &daemon->world->store;
+
+    return store->mood == STORE_GOOD ||
+           (store->mood == STORE_OLD &&
+            daemon->begun_at < store->good_since) ||
+           daemon->world->plant == SOAK_PLANT_STALE;
+}
+
 lv_time
-daemon_calm_since(const soak_daemon *daemon)
+daemon_reached_since(const soak_daemon *daemon)
 {
     const soak_store *store = &daemon->world->store;
     lv_time since = daemon->good_since;
 
     if (daemon->state != DAEMON_RUNNING || daemon->store.fault != LINK_GOOD ||
-        (store->mood != STORE_GOOD &&
-         daemon->world->plant != SOAK_PLANT_STALE)) {
+        !is_store_there(daemon)) {
         return LV_TIME_NEVER;
     }
     if (daemon->store.good_since > since) {
         since = daemon->store.good_since;
     }
-    if (store->good_since > since) {
-        since = store->good_since;
-    }
-    return since + SETTLE_TIME;
+    return store->good_since > since ? store->good_since : since;
+}
+
+lv_time
+daemon_calm_since(const soak_daemon *daemon)
+{
+    lv_time since = daemon->world->store.mood != STORE_OLD
+                        ? daemon_reached_since(daemon)
+                        : LV_TIME_NEVER;
+
+    return since != LV_TIME_NEVER ? since + SETTLE_TIME : since;
 }
 
 static int
--- a/tests/soak/soak-fault.c
+++ b/tests/soak/soak-fault.c
@@ -11,6 +11,10 @@
 #define WORD_LEAST (3 * LV_SECOND)
 #define WORD_MOST (5 * LV_SECOND)
 
+/* The operator writes again this long after the store came back. */
+#define OLD_LEAST LV_SECOND
+#define OLD_MOST (9 * LV_SECOND)
+
 /* A limit, a deadly block and an evacuation last beyond their bounds. */
 #define LONG_LEAST (8 * LV_SECOND)
 #define LONG_MOST (12 * LV_SECOND)
@@ -53,11 +57,21 @@
     "limit",  "block",      "repeat",        "release",   "zone"};
 
 static link_fault
-draw_link_fault(soak_world *world)
+draw_store_link_fault(soak_world *world)
 {
     return LINK_DELAYED + soak_draw(world, LINK_REFUSES - LINK_DELAYED + 1);
 }
 
+/* Of endpoints: a kept connection that carries nothing after the fault is not
+ * told from a silent endpoint. */
+static link_fault
+draw_link_fault(soak_world *world)
+{
+    link_fault fault = draw_store_link_fault(world);
+
+    return fault == LINK_LOSES ? LINK_SILENT : fault;
+}
+
 /* A paused or ending one too. */
 static soak_daemon *
 live_daemon(soak_world *world, uint32_t target)
@@ -97,6 +111,9 @@
     static const lv_time idle_limits[] = {SOAK_IDLE_LEAST, LV_SECOND,
                                           5 * LV_SECOND, SOAK_IDLE_LONGEST};
 
+    if (world->store.mood == STORE_OLD) {
+        return; /* it is written again first */
+    }
     world->version++;
     if (world->plant == SOAK_PLANT_NONE) {
         world->idle_limit = idle_limits[soak_draw(world, 4)];
@@ -189,6 +206,19 @@
     }
 }
 
+/* Only a store that names its era comes back from an older copy. */
+static void
+disturb_store(soak_world *world, soak_fault *fault)
+{
+    uint32_t moods = world->store.era != 0 ? STORE_OLD : STORE_DEAF;
+    store_mood mood = STORE_DOWN + soak_draw(world, moods);
+
+    if (mood == STORE_OLD) {
+        fault->until = io_now() + soak_draw_time(world, OLD_LEAST, OLD_MOST);
+    }
+    store_set(world, mood);
+}
+
 static void
 begin_on_daemon(soak_world *world, fault_kind kind, soak_daemon *daemon)
 {
@@ -206,7 +236,7 @@
         daemon_reload(daemon);
         break;
     default:
-        link_set(&daemon->store, draw_link_fault(world),
+        link_set(&daemon->store, draw_store_link_fault(world),
                  soak_draw_time(world, 0, DELAY_MOST));
         break;
     }
@@ -238,7 +268,7 @@
         set_listed(endpoint, false);
         break;
     case FAULT_STORE:
-        store_set(world, STORE_DOWN + soak_draw(world, 3));
+        disturb_store(world, fault);
         break;
     case FAULT_VERSION:
         fault_show_version(world);
--- a/tests/soak/soak-judge.c
+++ b/tests/soak/soak-judge.c
@@ -203,13 +203,14 @@
 static bool
 is_in_force(const soak_world *world, const soak_call *call)
 {
-    const soak_daemon *daemon = &world->daemons[call->daemon];
-    lv_time calm_since = daemon_calm_since(daemon);
-    lv_time told_at = later(
-        calm_since, world->version_at[call->version % SOAK_VERSIONS_MAX]);
-
-    return call->version == world->version && calm_since != LV_TIME_NEVER &&
-           call->sent_at > told_at + SOAK_CONFIG_BOUND + SOAK_MARGIN;
+    lv_time reached_since =
+        daemon_reached_since(&world->daemons[call->daemon]);
+    lv_time written_at = world->version_at[call->version % SOAK_VERSIONS_MAX];
+
+    return call->version == world->version && reached_since != LV_TIME_NEVER &&
+           call->sent_at > later(reached_since + SOAK_CONTACT,
+                                 written_at + SOAK_CONFIG_BOUND) +
+                               SOAK_CONFIG_MARGIN;
 }
 
 static void
--- a/tests/soak/soak-link.c
+++ b/tests/soak/soak-link.c
@@ -17,6 +17,7 @@
 struct link_pair {
     link_transport *link;
     link_side sides[2];
+    bool is_lost; /* it carries nothing any more */
     link_pair *next;
 };
 
@@ -72,6 +73,12 @@
     link_transport *link = side->pair->link;
     lv_time now = io_now();
 
+    if (link->fault == LINK_LOSES) {
+        side->pair->is_lost = true;
+    }
+    if (side->pair->is_lost) {
+        return;
+    }
     buf_append(&side->held, data, size);
     if (link->fault == LINK_DELAYED) {
         side->due_at = now + link->delay;
--- a/tests/soak/soak-store.c
+++ b/tests/soak/soak-store.c
@@ -7,6 +7,9 @@
 #define SLOW_LEAST (300 * LV_MILLISECOND)
 #define SLOW_MOST (900 * LV_MILLISECOND)
 
+/* From the cut of the watches until the history is dropped. */
+#define CUT_GAP (100 * LV_MILLISECOND)
+
 static const rt_limits limits = {.head_bytes = 16384,
                                  .body_bytes = 1024,
                                  .head_timeout = 10 * LV_SECOND,
@@ -117,6 +120,41 @@
     }
 }
 
+static void
+append_era(const soak_store *store, buf_buffer *headers)
+{
+    if (store->era != 0) {
+        buf_append_format(headers, "Store-Era: %llu\r\n",
+                          (unsigned long long)store->era);
+    }
+}
+
+static void
+send_body(const soak_store *store, front_connection *connection,
+          const char *body, size_t size)
+{
+    buf_buffer headers;
+
+    buf_init(&headers);
+    append_era(store, &headers);
+    front_begin_response(connection, 200, &headers, size);
+    front_send_body(connection, body, size);
+    front_end_response(connection);
+    buf_finish(&headers);
+}
+
+static void
+send_status(const soak_store *store, front_connection *connection,
+            uint32_t status, const char *reason)
+{
+    buf_buffer headers;
+
+    buf_init(&headers);
+    append_era(store, &headers);
+    front_send_error(connection, status, &headers, reason);
+    buf_finish(&headers);
+}
+
 static void
 answer_list(soak_world *world, front_connection *connection, bool is_config)
 {
@@ -133,9 +171,7 @@
     }
     buf_append_format(&body, "],\"has_more\":false,\"at\":%llu}",
                       (unsigned long long)world->store.revision);
-    front_begin_response(connection, 200, NULL, body.size);
-    front_send_body(connection, body.data, body.size);
-    front_end_response(connection);
+    send_body(&world->store, connection, body.data, body.size);
     buf_finish(&body);
 }
 
@@ -148,9 +184,7 @@
                         "{\"events\":[],\"has_more\":false,\"at\":%llu}",
                         (unsigned long long)store->revision);
 
-    front_begin_response(connection, 200, NULL, (uint64_t)size);
-    front_send_body(connection, body, (size_t)size);
-    front_end_response(connection);
+    send_body(store, connection, body, (size_t)size);
 }
 
 static lv_time
@@ -170,6 +204,8 @@
             store->waiting[i].connection = connection;
             store->waiting[i].is_config = is_config;
             store->waiting[i].is_watch = is_watch;
+            store->waiting[i].is_deaf = store->mood == STORE_DEAF;
+            store->waiting[i].arrived_at = io_now();
             store->waiting[i].due_at = due_at;
             return;
         }
@@ -188,11 +224,11 @@
     bool is_watch = strncmp(target, "/v1/kv-watch", 12) == 0;
 
     if (store->mood == STORE_DOWN) {
-        front_send_error(connection, 503, NULL, "down");
+        send_status(store, connection, 503, "down");
     }
-    else if (is_watch && after != NULL &&
-             strtoull(after + 6, NULL, 10) < store->revision) {
-        front_send_error(connection, 410, NULL, "gone"); /* a short history */
+    else if (is_watch && after != NULL && store->mood != STORE_DEAF &&
+             strtoull(after + 6, NULL, 10) != store->revision) {
+        send_status(store, connection, 410, "gone"); /* a short history */
     }
     else if (is_watch) {
         wait(store, connection, is_config, true, io_now() + read_wait(target));
@@ -244,6 +280,7 @@
     struct sockaddr_in address;
 
     store->revision = 100;
+    store->era = soak_draw(world, 2);
     io_parse_address("127.0.0.1:0", &address, NULL);
     front_listen(&store->server, &world->loop, &server_ops, &address,
                  SOAK_DAEMONS_MAX * 8, world, NULL);
@@ -256,9 +293,10 @@
     for (int i = 0; i < STORE_WAITING_MAX; i++) {
         front_connection *connection = store->waiting[i].connection;
 
-        if (connection != NULL && store->waiting[i].is_watch) {
+        if (connection != NULL && store->waiting[i].is_watch &&
+            !store->waiting[i].is_deaf) {
             store->waiting[i].connection = NULL;
-            front_send_error(connection, status, NULL, "changed");
+            send_status(store, connection, status, "changed");
         }
     }
 }
@@ -268,7 +306,7 @@
 {
     soak_store *store = &world->store;
 
-    if (store->mood == STORE_STALE) {
+    if (store->mood == STORE_STALE || store->mood == STORE_OLD) {
         return;
     }
     store->revision++;
@@ -280,20 +318,71 @@
     for (uint32_t i = 0; i < SOAK_ENDPOINTS; i++) {
         store->is_shown[i] = world->endpoints[i].is_listed;
     }
-    end_watches(store, 410);
+    if (store->mood != STORE_DEAF) {
+        end_watches(store, 410);
+    }
+}
+
+/* Watches from now on wait for longer than the gap between the cut and the
+ * loss of the history; those that arrived in it hear nothing until they end.
+ */
+static void
+set_deaf(soak_store *store, bool is_deaf)
+{
+    lv_time now = io_now();
+
+    for (int i = 0; i < STORE_WAITING_MAX; i++) {
+        front_connection *connection = store->waiting[i].connection;
+
+        if (connection == NULL || !store->waiting[i].is_watch) {
+            continue;
+        }
+        if (is_deaf) {
+            store->waiting[i].is_deaf = true;
+        }
+        else if (lv_elapsed(now, store->waiting[i].arrived_at) > CUT_GAP) {
+            store->waiting[i].connection = NULL;
+            io_reset(&connection->stream);
+        }
+    }
+}
+
+/* The copy lacks the newest configuration, and revisions are given out again.
+ */
+static void
+go_back(soak_world *world)
+{
+    soak_store *store = &world->store;
+
+    soak_log(world, "the store is back in era %llu with version %u",
+             (unsigned long long)store->era + 1, store->version - 1);
+    store->era++;
+    store->version--;
+    store->revision -= soak_draw(world, 3);
+    end_watches(store, 503);
 }
 
 void
 store_set(soak_world *world, store_mood mood)
 {
     soak_store *store = &world->store;
+    bool was_deaf = store->mood == STORE_DEAF;
 
     store->mood = mood;
     store->good_since = io_now();
     if (mood == STORE_DOWN) {
         end_watches(store, 503);
     }
+    else if (mood == STORE_DEAF) {
+        set_deaf(store, true);
+    }
+    else if (mood == STORE_OLD) {
+        go_back(world);
+    }
     else if (mood == STORE_GOOD) {
+        if (was_deaf) {
+            set_deaf(store, false);
+        }
         store_show(world);
     }
 }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -26,7 +26,14 @@
 #define SOAK_LONG_TIMEOUT (5 * LV_SECOND) /* outlasts a silence */
 #define SOAK_LEAVE_BOUND (2 * LV_SECOND)
 #define SOAK_EVACUATION_BOUND (5 * LV_SECOND)
-#define SOAK_CONFIG_BOUND (3 * LV_SECOND)
+#define SOAK_CONFIG_BOUND (2 * LV_SECOND)
+
+/* After a trouble of the store or of the way to it, until changes that were
+ * missed must be in force. */
+#define SOAK_CONTACT (3 * LV_SECOND)
+
+/* Added to these two bounds. */
+#define SOAK_CONFIG_MARGIN (500 * LV_MILLISECOND)
 #define SOAK_GRACE (8 * LV_SECOND)
 #define SOAK_ATTEMPTS 2 /* of requests that may be repeated */
 #define SOAK_BUDGET_PERCENT 20
@@ -122,6 +129,8 @@
     LINK_HOLDS_FORWARD, /* bytes from the connecting side stay here */
     LINK_HOLDS_BACK,
     LINK_SILENT, /* both */
+    LINK_LOSES,  /* connections with traffic carry nothing from now on, also
+                    after the fault */
     LINK_REFUSES /* open connections and new ones are reset */
 } link_fault;
 
@@ -149,7 +158,10 @@
     STORE_GOOD,
     STORE_DOWN,
     STORE_SLOW,
-    STORE_STALE /* changes are not shown */
+    STORE_STALE, /* changes are not shown */
+    STORE_DEAF,  /* watches hear of no change; at the end they are cut */
+    STORE_OLD    /* back from an older copy, in a new era: the operator has not
+                    written the newest configuration again */
 } store_mood;
 
 #define STORE_WAITING_MAX 128
@@ -159,6 +171,7 @@
     store_mood mood;
     lv_time good_since;
     uint64_t revision;  /* shown; grows with each change */
+    uint64_t era;       /* 0: not named */
     uint32_t version;   /* of the configuration, shown */
     lv_time idle_limit; /* likewise */
     bool is_shown[SOAK_ENDPOINTS];
@@ -168,6 +181,8 @@
         front_connection *connection; /* NULL: free */
         bool is_config;
         bool is_watch;
+        bool is_deaf; /* it arrived while the store was */
+        lv_time arrived_at;
         lv_time due_at; /* a slow answer, or the end of a watch */
     } waiting[STORE_WAITING_MAX];
 } soak_store;
@@ -352,6 +367,11 @@
 /* Since when nothing was done to it that its promises make exceptions for. */
 lv_time daemon_calm_since(const soak_daemon *daemon);
 
+/* The same without the time that it has to read what it missed. A store that
+ * came back from an older copy is no exception, unless the process is younger.
+ */
+lv_time daemon_reached_since(const soak_daemon *daemon);
+
 /* ---- soak-request.c ---- */
 
 #define SOAK_ANSWER_SIZE 1024
