--- a/tests/gateway/stage.c
+++ b/tests/gateway/stage.c
@@ -108,6 +108,9 @@
                      endpoint->created != 0 ? endpoint->created : 1);
         comma = ",";
     }
+    if (!is_config && stage->endpoint_items != NULL) {
+        buf_append_text(to, stage->endpoint_items);
+    }
     buf_finish(&json);
 }
 
--- a/tests/gateway/stage.h
+++ b/tests/gateway/stage.h
@@ -106,12 +106,14 @@
     uint64_t config_revision; /* of the configuration's last change; 0: 1 */
     uint64_t era; /* of the store, in all its responses; 0: not named */
     uint32_t config_version;
-    const char *config_extra;  /* more routes, JSON; may be NULL */
-    const char *service_extra; /* more members of the service, JSON; may be
-                                  NULL */
-    const char *op_items;      /* more items below the configuration's prefix,
-                                  JSON, each after a comma; may be NULL */
-    bool is_store_down;        /* the store responds 503 to all requests */
+    const char *config_extra;   /* more routes, JSON; may be NULL */
+    const char *service_extra;  /* more members of the service, JSON; may be
+                                   NULL */
+    const char *op_items;       /* more items below the configuration's prefix,
+                                   JSON, each after a comma; may be NULL */
+    const char *endpoint_items; /* more items of the list of endpoints, JSON,
+                                   each after a comma; may be NULL */
+    bool is_store_down;         /* the store responds 503 to all requests */
     bool is_store_garbled; /* it responds 200 with a body that is no JSON */
     bool is_list_withheld; /* lists of endpoints get no response */
     bool is_store_silent;  /* requests get no response, also later */
