Believe no refusal that may be a copy of an earlier one

Report: a faulty endpoint wrote an earlier refusal once more on a kept connection, and callers were told 'not run, try again' for requests that ran (REFUSED), or these ran at a second endpoint (TWICE).

Cause here: copies are told by the id of the attempt, which left two gaps. To a request without an id only the id of the request just before counted as another's, so that a copy of an older one was its answer. A refusal without an id counted as the word on whatever request was on the connection, also where the answers before had ids.

Change: on a connection that has answered, a response with an id is no answer to a request without one, and a refusal without an id does not say that the request was not run: it ends as one that may have run. An empty id is none.

Evidence: gateway-test-late-copies, a_copy_of_a_refusal_refuses_no_other_request; two of its four cases failed before, all pass now; copies with ids, before an answer and on an idle connection, were told apart already. gateway tests 45 of 45. Open: a refusal without an id is still believed on a new connection.

--- a/packages/gateway/source/back-imp.h
+++ b/packages/gateway/source/back-imp.h
@@ -19,13 +19,12 @@
     lv_time max_idle;    /* closed after so much idle time */
     size_t skipped;      /* bytes of 1xx responses and of other requests' ones
                             since the request */
-    char last_id[WIRE_ATTEMPT_ID_SIZE]; /* of the last request that had one and
-                                           was answered; or "" */
-    bool is_probe;                      /* opened without a request */
-    bool has_sent;                      /* a request was sent */
-    bool is_keep_alive; /* the endpoint keeps it open after the response */
-    bool is_unmatched;  /* the current message belongs to another request */
-    bool is_interim;    /* the current message is a 1xx response */
+    bool is_probe;       /* opened without a request */
+    bool has_sent;       /* a request was sent */
+    bool has_answered;   /* an earlier request */
+    bool is_keep_alive;  /* the endpoint keeps it open after the response */
+    bool is_unmatched;   /* the current message belongs to another request */
+    bool is_interim;     /* the current message is a 1xx response */
 };
 
 typedef struct back_result {
--- a/packages/gateway/source/back-pool.c
+++ b/packages/gateway/source/back-pool.c
@@ -87,14 +87,6 @@
     close_idle(connection);
 }
 
-static void
-note_last_id(back_connection *connection, const back_exchange *exchange)
-{
-    if (exchange->id[0] != '\0') {
-        memcpy(connection->last_id, exchange->id, sizeof connection->last_id);
-    }
-}
-
 /* Ends an exchange and keeps its connection for reuse or closes it. */
 static void
 finish_exchange(back_connection *connection, back_outcome outcome,
@@ -111,7 +103,7 @@
     connection->exchange = NULL;
     exchange->connection = NULL;
     if (is_reusable) {
-        note_last_id(connection, exchange);
+        connection->has_answered = true;
         connection->state_since = io_now();
         link_idle(connection, idle);
         io_read_start(&connection->stream);
--- a/packages/gateway/source/back-response.c
+++ b/packages/gateway/source/back-response.c
@@ -7,8 +7,8 @@
 #define MAX_SKIPPED_BYTES ((size_t)1024 * 1024)
 
 /* Does a response belong to the request of the connection? One without an id
- * does. To a request without an id all do, except for copies of the response
- * to the request before it. */
+ * does. To a request without an id one with an id does only if it is the first
+ * on the connection: later the id is that of an earlier request. */
 static bool
 matches_request(const back_connection *connection,
                 const wire_response *response)
@@ -19,12 +19,21 @@
         return true;
     }
     if (id[0] == '\0') {
-        return connection->last_id[0] == '\0' ||
-               strcmp(response->attempt_id, connection->last_id) != 0;
+        return !connection->has_answered;
     }
     return strcmp(response->attempt_id, id) == 0;
 }
 
+/* A refusal without an id may be a copy of an earlier one, so that it does not
+ * say that this request did not run. */
+static void
+distrust_refusal(const back_connection *connection, wire_response *response)
+{
+    if (response->attempt_id == NULL && connection->has_answered) {
+        response->was_not_executed = false;
+    }
+}
+
 static bool
 on_head(http_reader *reader, const http_head *head)
 {
@@ -43,6 +52,7 @@
         /* No other response follows a body that ends with the connection. */
         return head->framing != HTTP_UNTIL_CLOSE;
     }
+    distrust_refusal(connection, &response);
     /* A copy of a response without an id cannot be told from the response to
      * the next request. */
     connection->is_keep_alive = head->is_keep_alive &&
--- a/tests/gateway/test-late-copies.c
+++ b/tests/gateway/test-late-copies.c
@@ -14,6 +14,9 @@
     "Content-Length: 4\r\n\r\n" body
 #define NAMED "Lavenderproxy-Attempt-Id: $\r\n"
 #define NAMED_BEFORE "Lavenderproxy-Attempt-Id: id-0\r\n"
+#define REFUSAL(id)                                                           \
+    "HTTP/1.1 503 Busy\r\n" id "Lavenderproxy-Not-Executed: 1\r\n"            \
+    "Content-Length: 0\r\n\r\n"
 
 static stage_fixture stage;
 static script_endpoint script;
@@ -29,15 +32,15 @@
 /* Sends a request with an id, or without one, on a connection of its own and
  * returns how its answer ends. */
 static void
-send_one(const char *id, char *body)
+send_to(const char *path, const char *id, char *body)
 {
     char request[512];
     stage_client client;
 
     snprintf(request, sizeof request,
-             "POST /many/1 HTTP/1.1\r\nHost: h\r\nApi-Key: k1\r\n"
+             "POST %s HTTP/1.1\r\nHost: h\r\nApi-Key: k1\r\n"
              "Connection: close\r\n%s%s%sContent-Length: 0\r\n\r\n",
-             id != NULL ? "Lavenderproxy-Attempt-Id: " : "",
+             path, id != NULL ? "Lavenderproxy-Attempt-Id: " : "",
              id != NULL ? id : "", id != NULL ? "\r\n" : "");
     stage_send(&stage, &client, request, strlen(request));
     stage_run_until(&stage, is_answered, &client, 3000);
@@ -49,6 +52,12 @@
     stage_finish_client(&stage, &client);
 }
 
+static void
+send_one(const char *id, char *body)
+{
+    send_to("/many/1", id, body);
+}
+
 /* Guards against a copy that is taken for the answer to the next request on
  * the connection. */
 Test(late_copies, the_next_request_gets_its_own_answer)
@@ -148,3 +157,71 @@
         stage_stop(&stage);
     }
 }
+
+/* Guards against a second copy of a refusal that is taken for the endpoint's
+ * word that a later request on the connection did not run. */
+Test(late_copies, a_copy_of_a_refusal_refuses_no_other_request)
+{
+    static const struct {
+        const char *what;
+        script_step first[SCRIPT_STEPS]; /* the refusal */
+        script_step next[SCRIPT_STEPS];
+        const char *ids[3]; /* of the requests */
+        int count;
+        const char *body; /* of the later ones' answers; NULL: a failure */
+    } cases[] = {
+        {"before the answer",
+         {{0, REFUSAL(NAMED), 0, SCRIPT_GO_ON}},
+         {{0, REFUSAL(NAMED_BEFORE), 0, SCRIPT_GO_ON},
+          {50, ANSWER(NAMED, "two."), 0, SCRIPT_GO_ON}},
+         {"id-0", "id-1", "id-2"},
+         3,
+         "two."},
+        {"on an idle connection",
+         {{0, REFUSAL(NAMED), 0, SCRIPT_GO_ON},
+          {20, REFUSAL(NAMED), 0, SCRIPT_GO_ON}},
+         {{0, ANSWER(NAMED, "two."), 0, SCRIPT_GO_ON}},
+         {"id-0", "id-1", "id-2"},
+         3,
+         "two."},
+        {"of a request before the last, and this one has no id",
+         {{0, REFUSAL(NAMED), 0, SCRIPT_GO_ON}},
+         {{0, REFUSAL(NAMED_BEFORE), 0, SCRIPT_GO_ON},
+          {50, ANSWER(NAMED, "two."), 0, SCRIPT_GO_ON}},
+         {"id-0", "id-1", NULL},
+         3,
+         "two."},
+        {"without its id",
+         {{0, REFUSAL(NAMED), 0, SCRIPT_GO_ON}},
+         {{0, REFUSAL(""), 0, SCRIPT_GO_ON},
+          {50, ANSWER(NAMED, "two."), 0, SCRIPT_GO_ON}},
+         {"id-0", "id-1"},
+         2,
+         NULL},
+    };
+
+    for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+        char body[5];
+        uint64_t refused;
+
+        request_count = 0;
+        stage_prepare(&stage, 1);
+        script.order = &request_count;
+        script.steps = cases[i].first;
+        script.next_steps = cases[i].next;
+        script_start(&stage, 0, &script);
+        script_start_gateway(&stage);
+        send_to("/once/1", cases[i].ids[0], body);
+        stage_run_for(&stage, 40);
+        refused = stage.gate.counts.refused;
+        for (int k = 1; k < cases[i].count; k++) {
+            send_to("/once/1", cases[i].ids[k], body);
+            cr_expect(cases[i].body == NULL ||
+                          strcmp(body, cases[i].body) == 0,
+                      "%s, request %d: '%s'", cases[i].what, k, body);
+        }
+        cr_expect_eq(stage.gate.counts.refused, refused, "%s", cases[i].what);
+        script_stop(&stage, &script);
+        stage_stop(&stage);
+    }
+}
