Ask the store before a stream's version is computed

Report: during a release one machine was out of step for some seconds (cut off, or standing still); streams that others had begun at the new version were taken up there and went on at the old one (ORDER).

Cause: the version of a stream that no instance knows follows from the list's history, which was taken as known up to now also where the list was old; and a peer's word on the only version of a service was believed before the own list.

Change: the store itself is asked for the list's changes first (a watch that does not wait, one for all requests that wait, within its timeout). Without an answer the stream is refused, as not run, unless nobody else reaches the store either. A peer's only version counts where the own list does not reach back, and has no other one.

The test fixture's store ends watches after their wait now, as the platform's does.

--- a/packages/gateway/include/lavender-gateway/store.h
+++ b/packages/gateway/include/lavender-gateway/store.h
@@ -122,9 +122,13 @@
     lv_time next_request_at;
     lv_time last_request_at;
     lv_time last_reply_at; /* that could be used; 0: none yet */
-    lv_time deadline;      /* of the connection attempt or pending reply */
-    lv_time backoff;       /* after the next failure */
-    lv_time lost_at;       /* start of the outage; 0: the store is reachable */
+    lv_time asked_at;      /* the list or watch in progress was sent */
+    lv_time known_at; /* all that the store had then is known; 0: nothing is */
+    lv_time checked_at; /* latest check; it is in progress if is_checking */
+    bool is_checking;
+    lv_time deadline; /* of the connection attempt or pending reply */
+    lv_time backoff;  /* after the next failure */
+    lv_time lost_at;  /* start of the outage; 0: the store is reachable */
     store_past past;
     bool is_closing;
     store_counts counts;
@@ -151,6 +155,10 @@
  * lost. A watch that is sent then does not wait, so that it is answered. */
 void store_feed_renew(store_feed *feed);
 
+/* Asks the store itself at once, so that known_at reaches `since`, unless it
+ * has been asked since then. */
+void store_feed_check(store_feed *feed, lv_time since);
+
 /* Lists the subject again at once. */
 void store_feed_relist(store_feed *feed);
 
--- a/packages/gateway/source/gate-imp.h
+++ b/packages/gateway/source/gate-imp.h
@@ -99,6 +99,8 @@
     lv_id version;       /* that began the stream; LV_ID_NONE: any may serve */
     lv_id chosen_version; /* that is to begin it; LV_ID_NONE: any may */
     lv_time origin_asked_at;
+    lv_time list_awaited_at; /* the store is asked for the list's changes; 0:
+                                it is not */
     uint32_t origin_questions;
     lv_id sole_version;       /* that the service has had, as peers say */
     bool has_awaited_past;    /* of the list */
--- a/packages/gateway/source/gate-origin.c
+++ b/packages/gateway/source/gate-origin.c
@@ -88,20 +88,98 @@
     }
 }
 
+/* May another instance have a newer list, and have begun streams at endpoints
+ * that this one does not know? Not while nobody reaches the store. */
+static bool
+may_others_know_more(const peers_state *peers)
+{
+    uint32_t i;
+
+    if (peers->live_count == 0) {
+        return peers->max_live_count > 0 || peers->settings.seed_count > 0;
+    }
+    for (i = 0; i < peers->count; i++) {
+        if (peers->peers[i].is_live && peers->peers[i].is_store_reachable) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* The stream may have begun at any time before it is taken up, so all changes
+ * of the list until then count. Returns whether they are known, or are asked
+ * for until the store's timeout. */
+static bool
+await_list(gate_request *request, lv_time now)
+{
+    gate_server *gate = request->gate;
+    store_feed *feed = &gate->feeds[WIRE_ENDPOINTS];
+
+    if (request->list_awaited_at == 0) {
+        request->list_awaited_at = now;
+    }
+    if (feed->lost_at != 0 || lv_elapsed(now, request->list_awaited_at) >=
+                                  gate->settings.store.timeout) {
+        return false;
+    }
+    store_feed_check(feed, request->received_at);
+    request->state = GATE_AWAITING_ORIGIN;
+    return true;
+}
+
+/* Uses the only version that peers say the service has had, if it is the only
+ * one on the list. */
+static bool
+use_sole_version(gate_request *request, lv_time now)
+{
+    lv_id listed;
+
+    ver_find(&request->gate->versions, request->service, DIG_NONE, now,
+             &listed);
+    if (request->sole_version == LV_ID_NONE || request->is_sole_conflicting ||
+        request->sole_version != listed) {
+        return false;
+    }
+    request->version = listed;
+    return true;
+}
+
+static ver_verdict
+find_version(gate_request *request, lv_time now)
+{
+    gate_server *gate = request->gate;
+
+    if (org_is_conflicting(&gate->origins, request->stream_key)) {
+        return VER_AMBIGUOUS;
+    }
+    return ver_find(&gate->versions, request->service,
+                    gate_version_key(request),
+                    gate_earliest_begin(request, now), &request->version);
+}
+
 /* No instance knows which version began the stream, so it follows from the
  * versions that the list had. Refuses the request if it does not. Returns
- * false also if it waits for the past of the list. */
+ * false also if it waits for the list or its past. */
 static bool
 compute_origin(gate_request *request, lv_time now)
 {
     gate_server *gate = request->gate;
-    ver_verdict verdict =
-        org_is_conflicting(&gate->origins, request->stream_key)
-            ? VER_AMBIGUOUS
-            : ver_find(&gate->versions, request->service,
-                       gate_version_key(request),
-                       gate_earliest_begin(request, now), &request->version);
+    ver_verdict verdict;
 
+    if (gate->feeds[WIRE_ENDPOINTS].known_at < request->received_at) {
+        if (await_list(request, now)) {
+            return false;
+        }
+        if (may_others_know_more(&gate->peers)) {
+            gate_log_step(request, "origin", "list-unknown");
+            gate_refuse_request(request, 503, LV_SECOND, "version-unknown");
+            return false;
+        }
+    }
+    verdict = find_version(request, now);
+    if (verdict == VER_NOT_COVERED && use_sole_version(request, now)) {
+        verdict = VER_CERTAIN;
+    }
     if (verdict == VER_NOT_COVERED && gate_await_past(request)) {
         request->state = GATE_AWAITING_ORIGIN;
         return false;
@@ -168,10 +246,6 @@
     }
     request->version =
         org_find_reported(&request->gate->origins, request->stream_key);
-    if (request->version == ORG_VERSION_NONE &&
-        !request->is_sole_conflicting) {
-        request->version = request->sole_version;
-    }
     if (request->version != ORG_VERSION_NONE || compute_origin(request, now)) {
         gate_decide_request(request);
     }
--- a/packages/gateway/source/gate-reader.c
+++ b/packages/gateway/source/gate-reader.c
@@ -137,8 +137,8 @@
     for (i = 0; i < WIRE_SUBJECT_COUNT; i++) {
         store_feed *feed = &gate->feeds[i];
 
-        if (feed->past.is_reading) {
-            continue; /* relays have no past */
+        if (feed->past.is_reading || feed->is_checking) {
+            continue; /* the store itself was asked */
         }
         if (reader != PEERS_READS_RELAY) {
             store_feed_set_relay(feed, NULL);
--- a/packages/gateway/source/store-imp.h
+++ b/packages/gateway/source/store-imp.h
@@ -7,6 +7,14 @@
 #define STORE_OK 200
 #define STORE_GONE 410 /* the history since the revision is gone */
 
+/* store.c */
+
+void store_abandon_connection(store_feed *feed);
+
+/* store-source.c */
+
+lv_time store_watch_wait(const store_feed *feed);
+
 /* store-past.c: changes from before the feed's position */
 
 /* Writes the target of a watch, which may be one for past changes. */
--- a/packages/gateway/source/store-source.c
+++ b/packages/gateway/source/store-source.c
@@ -1,5 +1,20 @@
-/* Where a feed reads from, and from when on. */
-#include "lavender-gateway/store.h"
+/* Where a feed reads from, from when on, and for how long a watch waits. */
+#include "store-imp.h"
+
+/* The first watch after a failure: a source that does not reply, or hears of
+ * no changes yet, must not hold the feed for the wait of a watch. */
+#define FIRST_WAIT LV_MILLISECOND
+
+lv_time
+store_watch_wait(const store_feed *feed)
+{
+    const store_settings *settings = feed->settings;
+
+    if (feed->is_unproven) {
+        return FIRST_WAIT;
+    }
+    return feed->is_relayed ? settings->relay_wait : settings->watch_wait;
+}
 
 void
 store_feed_hold(store_feed *feed, lv_time until)
@@ -20,6 +35,19 @@
     feed->ops->on_regained(feed, outage);
 }
 
+void
+store_feed_renew(store_feed *feed)
+{
+    if (!feed->is_closing) {
+        store_abandon_connection(feed);
+        store_cancel_past(feed);
+        feed->phase = STORE_IDLE;
+        feed->is_listing = false;
+        feed->is_unproven = true;
+        feed->next_request_at = 0;
+    }
+}
+
 void
 store_feed_set_relay(store_feed *feed, const struct sockaddr_in *relay)
 {
@@ -39,6 +67,19 @@
     store_feed_renew(feed);
 }
 
+void
+store_feed_check(store_feed *feed, lv_time since)
+{
+    if (feed->is_checking || feed->checked_at >= since ||
+        feed->past.is_reading || feed->is_closing) {
+        return;
+    }
+    store_feed_set_relay(feed, NULL);
+    store_feed_renew(feed);
+    feed->checked_at = io_now();
+    feed->is_checking = true;
+}
+
 void
 store_feed_relist(store_feed *feed)
 {
--- a/packages/gateway/source/store.c
+++ b/packages/gateway/source/store.c
@@ -10,10 +10,6 @@
  * unacknowledged for this long. */
 #define STORE_SILENCE_TIMEOUT (2 * LV_SECOND)
 
-/* The first watch after a failure: a source that does not reply, or hears of
- * no changes yet, must not hold the feed for the wait of a watch. */
-#define FIRST_WAIT LV_MILLISECOND
-
 /* Time for the owner to choose another source. */
 #define RELAY_FAILURE_PAUSE (100 * LV_MILLISECOND)
 
@@ -30,8 +26,8 @@
     bool is_keep_alive;
 };
 
-static void
-abandon_connection(store_feed *feed)
+void
+store_abandon_connection(store_feed *feed)
 {
     if (feed->connection != NULL) {
         feed->connection->feed = NULL;
@@ -55,10 +51,11 @@
 {
     lv_time now = io_now();
 
-    abandon_connection(feed);
+    store_abandon_connection(feed);
     store_cancel_past(feed);
     feed->counts.failures++;
     feed->is_unproven = true;
+    feed->is_checking = false;
     if (feed->is_relayed) {
         feed->phase = STORE_IDLE;
         feed->is_listing = false;
@@ -126,6 +123,16 @@
     feed->ops->on_item(feed, item);
 }
 
+/* What a relay has may be older than its reply. */
+static void
+note_known(store_feed *feed)
+{
+    if (!feed->is_relayed) {
+        feed->known_at = feed->asked_at;
+        feed->is_checking = false;
+    }
+}
+
 static void
 apply_page(store_feed *feed, const wire_store_reply *reply)
 {
@@ -148,6 +155,7 @@
     /* The pages are no snapshot. Watching from the first page's revision also
      * reports what changed while later pages were read. */
     feed->position.revision = feed->list_revision;
+    note_known(feed);
     feed->ops->on_list_end(feed);
     feed->ops->on_applied(feed);
     schedule_next_request(feed);
@@ -237,6 +245,7 @@
     if (reply.revision > feed->position.revision) {
         feed->position.revision = reply.revision;
     }
+    note_known(feed);
     feed->ops->on_applied(feed);
     schedule_next_request(feed);
 }
@@ -269,7 +278,7 @@
     store_feed *feed = connection->feed;
 
     if (!connection->is_keep_alive) {
-        abandon_connection(feed);
+        store_abandon_connection(feed);
     }
     handle_reply(feed, connection->status, connection->era, &connection->body);
     return true;
@@ -309,7 +318,8 @@
         return;
     }
     if (feed->phase == STORE_IDLE) {
-        abandon_connection(feed); /* the store may close an idle connection */
+        store_abandon_connection(
+            feed); /* the store may close an idle connection */
         feed->is_unproven = true;
         if (!feed->is_relayed) {
             expect_new_era(feed);
@@ -323,32 +333,23 @@
     fail_feed(feed, is_error ? "connection-failed" : "connection-closed");
 }
 
-static lv_time
-watch_wait(const store_feed *feed)
-{
-    const store_settings *settings = feed->settings;
-
-    if (feed->is_unproven) {
-        return FIRST_WAIT;
-    }
-    return feed->is_relayed ? settings->relay_wait : settings->watch_wait;
-}
-
 static void
 send_request(store_feed *feed)
 {
     const store_settings *settings = feed->settings;
-    lv_time wait = watch_wait(feed);
+    lv_time wait = store_watch_wait(feed);
     buf_buffer request;
     bool is_watch = feed->has_list && !feed->is_listing;
 
     buf_init(&request);
     buf_append_text(&request, "GET ");
     if (is_watch) {
+        feed->asked_at = io_now();
         store_write_watch(feed, wait, &request);
     }
     else {
         if (!feed->is_listing) {
+            feed->asked_at = io_now();
             feed->is_listing = true;
             feed->after_key[0] = '\0';
             feed->counts.lists++;
@@ -478,23 +479,10 @@
     }
 }
 
-void
-store_feed_renew(store_feed *feed)
-{
-    if (!feed->is_closing) {
-        abandon_connection(feed);
-        store_cancel_past(feed);
-        feed->phase = STORE_IDLE;
-        feed->is_listing = false;
-        feed->is_unproven = true;
-        feed->next_request_at = 0;
-    }
-}
-
 void
 store_feed_close(store_feed *feed)
 {
     feed->is_closing = true;
     feed->phase = STORE_IDLE;
-    abandon_connection(feed);
+    store_abandon_connection(feed);
 }
--- a/tests/gateway/stage.c
+++ b/tests/gateway/stage.c
@@ -195,33 +195,56 @@
 
 static void
 add_watch(stage_fixture *stage, front_connection *connection, bool is_config,
-          uint64_t end)
+          bool is_deaf)
 {
     for (int i = 0; i < STAGE_WATCHES; i++) {
         if (stage->watches[i] == NULL) {
             stage->watches[i] = connection;
             stage->watch_subjects[i] = is_config ? 'c' : 'e';
-            stage->watch_ends[i] = end;
+            stage->is_watch_deaf[i] = is_deaf;
+            stage->watch_ends[i] =
+                uv_now(&stage->loop) + read_wait_ms(connection->head->target);
             return;
         }
     }
     cr_assert_fail("too many watches");
 }
 
-/* The store keeps no history, so that a watch ends with 410. */
 static void
-end_deaf_watches(stage_fixture *stage)
+send_no_events(const stage_fixture *stage, front_connection *connection)
+{
+    buf_buffer headers;
+    char body[64];
+    int size = snprintf(body, sizeof body, "{\"events\":[],\"at\":%llu}",
+                        (unsigned long long)stage->revision);
+
+    buf_init(&headers);
+    append_era(stage, &headers);
+    front_begin_response(connection, 200, &headers, (uint64_t)size);
+    front_send_body(connection, body, (size_t)size);
+    front_end_response(connection);
+    buf_finish(&headers);
+}
+
+/* A deaf watch has missed a change, and the store keeps no history. */
+static void
+end_watches(stage_fixture *stage)
 {
     uint64_t now = uv_now(&stage->loop);
 
     for (int i = 0; i < STAGE_WATCHES; i++) {
         front_connection *connection = stage->watches[i];
 
-        if (connection != NULL && stage->watch_ends[i] != 0 &&
-            now >= stage->watch_ends[i]) {
-            stage->watches[i] = NULL;
+        if (connection == NULL || now < stage->watch_ends[i]) {
+            continue;
+        }
+        stage->watches[i] = NULL;
+        if (stage->is_watch_deaf[i]) {
             send_gone(stage, connection);
         }
+        else {
+            send_no_events(stage, connection);
+        }
     }
 }
 
@@ -257,8 +280,7 @@
     }
     if (stage->is_store_deaf) {
         stage->unheard_requests[subject]++;
-        add_watch(stage, connection, is_config,
-                  uv_now(&stage->loop) + read_wait_ms(target));
+        add_watch(stage, connection, is_config, true);
         return;
     }
     revision = strtoull(after + 6, NULL, 10);
@@ -272,7 +294,7 @@
         send_gone(stage, connection);
         return;
     }
-    add_watch(stage, connection, is_config, 0);
+    add_watch(stage, connection, is_config, false);
 }
 
 static void
@@ -314,7 +336,7 @@
     for (int i = 0; i < STAGE_WATCHES; i++) {
         front_connection *connection = stage->watches[i];
 
-        if (connection != NULL && stage->watch_ends[i] == 0) {
+        if (connection != NULL && !stage->is_watch_deaf[i]) {
             stage->watches[i] = NULL;
             send_gone(stage, connection);
         }
@@ -382,7 +404,7 @@
     uint64_t most =
         computed > STAGE_PAUSE_MAX_MS ? computed : STAGE_PAUSE_MAX_MS;
 
-    end_deaf_watches(stage);
+    end_watches(stage);
     if (elapsed > most) {
         elapsed = most;
     }
--- a/tests/gateway/stage.h
+++ b/tests/gateway/stage.h
@@ -100,8 +100,8 @@
     front_connection *watches[STAGE_WATCHES];
     char
         watch_subjects[STAGE_WATCHES]; /* 'c': configuration, 'e': endpoints */
-    uint64_t watch_ends[STAGE_WATCHES]; /* of deaf ones, on the loop's clock;
-                                           0: it hears changes */
+    uint64_t watch_ends[STAGE_WATCHES]; /* on the loop's clock */
+    bool is_watch_deaf[STAGE_WATCHES];  /* it is told nothing before its end */
     uint64_t revision;
     uint64_t config_revision; /* of the configuration's last change; 0: 1 */
     uint64_t era; /* of the store, in all its responses; 0: not named */
--- /dev/null
+++ b/tests/gateway/test-stale-list.c
@@ -0,0 +1,162 @@
+/*
+ * An instance that was out of step: its list of endpoints is old, and other
+ * instances began streams at endpoints of a newer software version. A stream
+ * that is taken up here goes on at its version or is refused.
+ */
+#include <criterion/criterion.h>
+
+#include <stdio.h>
+#include <string.h>
+
+#include "gate-imp.h"
+#include "peer-node.h"
+#include "stage.h"
+
+#define ENDPOINTS 4
+#define STREAMS 12
+
+/* The list covers streams that may have begun before the route's timeout and
+ * the leave limit. */
+#define COVERED_MS 4000
+
+static stage_fixture stage;
+static peer_node node; /* another instance, which reaches the store */
+
+static bool
+has_listed(stage_fixture *self, void *context)
+{
+    (void)context;
+    return self->gate.config != NULL &&
+           self->gate.feeds[WIRE_ENDPOINTS].has_list;
+}
+
+static void
+hear_peer(void)
+{
+    buf_buffer datagram;
+
+    buf_init(&datagram);
+    peers_write_datagram(&node.peers, PEERS_FULL, io_now(), &datagram);
+    cr_expect(peers_receive(&stage.gate.peers, &node.address, datagram.data,
+                            datagram.size, io_now()));
+    buf_finish(&datagram);
+}
+
+/* All endpoints have one version; half of them are replaced, and the gateway
+ * does not hear of it. */
+static void
+start(void)
+{
+    peer_node_start(&node, 1);
+    node.peers.is_store_reachable = true;
+    stage_prepare(&stage, ENDPOINTS);
+    stage_start_gateway(&stage);
+    cr_assert(stage_run_until(&stage, has_listed, NULL, 5000));
+    stage_run_for(&stage, COVERED_MS);
+    stage_lose_watches(&stage);
+    for (uint32_t i = 0; i < ENDPOINTS; i++) {
+        stage.endpoints[i].mode = STAGE_STREAM;
+        if (i >= ENDPOINTS / 2) {
+            stage.endpoints[i].version = "v2";
+            stage.endpoints[i].created = ++stage.revision;
+            stage.endpoints[i].born = 2000;
+        }
+    }
+    stage.revision++;
+}
+
+static void
+stop(void)
+{
+    peer_node_stop(&node);
+    stage_stop(&stage);
+}
+
+/* Takes a stream up and returns the version that went on with it, or NULL. */
+static const char *
+take_up(uint32_t number)
+{
+    stage_response answer;
+    char headers[64];
+
+    for (uint32_t i = 0; i < ENDPOINTS; i++) {
+        stage.endpoints[i].runs = 0;
+    }
+    hear_peer();
+    snprintf(headers, sizeof headers, "Last-Event-Id: 1\r\nResumes: s-%u\r\n",
+             number);
+    stage_exchange(&stage, "/resume/1", headers, &answer);
+    cr_expect(answer.status == 200 || answer.status == 503, "%u",
+              answer.status);
+    for (uint32_t i = 0; i < ENDPOINTS; i++) {
+        if (stage.endpoints[i].runs > 0) {
+            return i < ENDPOINTS / 2 ? "v1" : "v2";
+        }
+    }
+    return NULL;
+}
+
+/* Returns the version that an instance with the newer list begins a stream at.
+ */
+static const char *
+begun_at(uint32_t number)
+{
+    const eng_table *table = &stage.gate.endpoints;
+    char id[16];
+    lv_id version;
+
+    snprintf(id, sizeof id, "s-%u", number);
+    version = ver_choose(&stage.gate.versions, lv_hash_name("pool"),
+                         dig_stream(id, "north"));
+    for (uint32_t i = 0; i < table->capacity; i++) {
+        if (table->endpoints[i].is_used &&
+            table->endpoints[i].spec.version_id == version) {
+            return table->endpoints[i].spec.version;
+        }
+    }
+    return "";
+}
+
+/* Guards against streams of two versions joined by an instance that cannot
+ * reach the store, while others can. */
+Test(stale_list, without_the_store_no_version_is_computed)
+{
+    start();
+    stage.is_store_silent = true;
+    for (uint32_t i = 0; i < STREAMS / 2; i++) {
+        cr_expect_null(take_up(i), "stream %u", i);
+    }
+    stop();
+}
+
+/* Guards against the same by an instance that stood still, or whose watch is
+ * lost, and that can ask. */
+Test(stale_list, the_store_is_asked_before_a_version_is_computed)
+{
+    const char *versions[STREAMS];
+    uint32_t gone_on = 0;
+
+    start();
+    for (uint32_t i = 0; i < STREAMS; i++) {
+        versions[i] = take_up(i);
+    }
+    for (uint32_t i = 0; i < STREAMS; i++) {
+        if (versions[i] != NULL) {
+            gone_on++;
+            cr_expect_str_eq(versions[i], begun_at(i), "stream %u", i);
+        }
+    }
+    cr_expect_geq(gone_on, STREAMS / 5, "%u go on", gone_on);
+    stop();
+}
+
+/* Guards against streams that are refused in an outage of the store, in which
+ * nobody can know of another version. */
+Test(stale_list, streams_go_on_while_nobody_reaches_the_store)
+{
+    start();
+    node.peers.is_store_reachable = false;
+    stage.is_store_silent = true;
+    cr_expect_not_null(take_up(1));
+    stop();
+}
