Tell watches at a relay of endpoints that a list lacks

Cause: an entry that vanishes between two lists of the reader is no change, so that watches at its relay heard nothing. For the operator's keys such a gap ends the relay's history; for endpoints it did not, as entries lapse in outages of the store. Each instance keeps those for its own grace, as when it reads the store itself.

--- a/packages/gateway/source/relay.c
+++ b/packages/gateway/source/relay.c
@@ -335,9 +335,7 @@
         rly_item *item = &state->items[i - 1];
 
         if (!item->is_in_list) {
-            /* Endpoints lapse in outages of the store, and have a grace. */
-            state->has_gap = state->has_gap ||
-                             (subject == WIRE_CONFIG && !item->is_removed);
+            state->has_gap = state->has_gap || !item->is_removed;
             remove_item(state, item);
         }
     }
--- a/tests/gateway/test-relay.c
+++ b/tests/gateway/test-relay.c
@@ -5,6 +5,7 @@
  */
 #include <criterion/criterion.h>
 
+#include <openssl/evp.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -319,6 +320,90 @@
     stop_relayed();
 }
 
+static void
+apply_endpoint(const char *name, uint64_t revision)
+{
+    static char text[2048];
+    static wire_item item;
+    unsigned char encoded[512];
+    char value[256];
+
+    snprintf(
+        value, sizeof value,
+        "{\"service\":\"pool\",\"address\":\"%s\",\"zone\":\"z\","
+        "\"version\":\"v1\",\"slots\":4,\"state\":\"ready\",\"born\":1000,"
+        "\"seq\":1}",
+        stage.endpoints[0].address);
+    EVP_EncodeBlock(encoded, (const unsigned char *)value, (int)strlen(value));
+    memset(&item, 0, sizeof item);
+    snprintf(item.key, sizeof item.key, "servers/%.63s", name);
+    snprintf(text, sizeof text,
+             "{\"key\":\"%s\",\"revision\":%llu,\"value\":\"%s\"}", item.key,
+             (unsigned long long)revision, (const char *)encoded);
+    item.position.revision = revision;
+    item.text = text;
+    rly_apply_item(&relay, WIRE_ENDPOINTS, &item);
+}
+
+static bool
+has_listed(stage_fixture *self, void *context)
+{
+    uint32_t listed = 0;
+
+    for (uint32_t i = 0; i < self->gate.endpoints.capacity; i++) {
+        listed += self->gate.endpoints.endpoints[i].is_listed;
+    }
+    return listed == *(const uint32_t *)context;
+}
+
+static bool
+never(stage_fixture *self, void *context)
+{
+    (void)self;
+    (void)context;
+    return false;
+}
+
+/* The same as stage_run_until; watches at the relay end after their wait. */
+static bool
+run_relay_until(stage_condition *condition, void *context, uint64_t ms)
+{
+    uint64_t passed;
+
+    for (passed = 0; passed < ms; passed += 20) {
+        if (stage_run_until(&stage, condition, context, 20)) {
+            return true;
+        }
+        rly_tick(&relay, io_now());
+    }
+    return false;
+}
+
+/* Guards against an endpoint that instances which read from a relay use on
+ * after it has left, as its reader saw that only in a list. */
+Test(relay, an_endpoint_that_a_list_lacks_is_gone_for_watches)
+{
+    uint32_t wanted = 2;
+
+    start_relayed();
+    rly_begin_list(&relay, WIRE_ENDPOINTS);
+    apply_endpoint(stage.endpoints[0].name, 1);
+    apply_endpoint("other", 101);
+    rly_end_list(&relay, WIRE_ENDPOINTS);
+    rly_publish(&relay, WIRE_ENDPOINTS, (wire_position){.revision = 101});
+    cr_expect(run_relay_until(has_listed, &wanted, 2000));
+    run_relay_until(never, NULL, 1000);
+    cr_assert(stage.gate.feeds[WIRE_ENDPOINTS].is_relayed);
+    rly_begin_list(&relay, WIRE_ENDPOINTS);
+    apply_endpoint(stage.endpoints[0].name, 1);
+    rly_end_list(&relay, WIRE_ENDPOINTS);
+    rly_publish(&relay, WIRE_ENDPOINTS, (wire_position){.revision = 130});
+    wanted = 1;
+    cr_expect(run_relay_until(has_listed, &wanted, 2000));
+    cr_expect(stage.gate.feeds[WIRE_ENDPOINTS].is_relayed);
+    stop_relayed();
+}
+
 Test(relay, store_is_read_when_the_relay_refuses)
 {
     bool wanted = false;
