Wait for the configuration that peers have, after a start

What callers saw: an instance that started after the store had come back from an older copy served by the older configuration, until the operator wrote again (CONFIG).

Cause: it has nothing but the copy, and nobody told it that others have a newer one.

Change: datagrams name the version in force (format 13). An instance whose own one is older than a live peer's is not ready and answers 503, as one without a configuration does, until it has caught up once, for 30 s after its start at most.

Evidence: gateway-test-restart, an_older_configuration_of_the_copy_is_not_served, fails without the check.

--- a/packages/gateway/include/lavender-gateway/gate.h
+++ b/packages/gateway/include/lavender-gateway/gate.h
@@ -159,6 +159,9 @@
     back_pool endpoint_pool; /* connections to endpoints */
     rt_table *config;        /* in force; NULL until one was read */
     uint64_t config_era;     /* of the store, when it was read */
+    lv_time started_at;
+    bool is_config_confirmed; /* no peer had a newer one, at some time */
+    bool is_config_awaited;   /* the store has an older one than peers */
     lv_time copy_expires_at; /* older copies are believed then; 0: none seen */
     bool has_relisted_copy;  /* since then */
     gate_service_budget *service_budgets;
--- a/packages/gateway/include/lavender-gateway/peers.h
+++ b/packages/gateway/include/lavender-gateway/peers.h
@@ -74,6 +74,7 @@
     lv_time last_sent_at;
     lv_time unanswered_at; /* latest start request without a reply; 0: none */
     bool is_live;
+    uint64_t config_version; /* in force there; 0: none */
     bool is_store_reachable; /* from this peer */
     lv_id zone;
     lv_time relay_failed_at; /* it did not serve as a relay; 0: never */
@@ -193,6 +194,7 @@
     uint32_t unlisted_count;
     bool is_store_reachable; /* from this instance */
     uint64_t store_era;      /* latest known, set by the owner; 0: none */
+    uint64_t config_version; /* in force here, set by the owner; 0: none */
 
     /* Latest change of each subject of the store, of this instance and as
      * named by peers in the same era. */
@@ -277,6 +279,10 @@
  * included? */
 bool peers_is_store_unreachable(const peers_state *peers);
 
+/* Returns the newest version of the configuration that a live peer has in
+ * force; 0: none has. */
+uint64_t peers_newest_config(const peers_state *peers);
+
 /* Do endpoints and accounts have coordinators? Once the fleet was large
  * enough, this stays true while the process runs. */
 bool peers_is_large_fleet(const peers_state *peers);
--- a/packages/gateway/source/gate-evacuation.c
+++ b/packages/gateway/source/gate-evacuation.c
@@ -156,7 +156,7 @@
 bool
 gate_has_configuration(const gate_server *gate)
 {
-    return gate->config != NULL &&
+    return gate->config != NULL && !gate->is_config_awaited &&
            gate->feeds[WIRE_CONFIG].counts.lists_read > 0;
 }
 
--- a/packages/gateway/source/gate-imp.h
+++ b/packages/gateway/source/gate-imp.h
@@ -388,6 +388,10 @@
 /* Lists again what an older copy of the store was not believed about. */
 void gate_relist_after_copy(gate_server *gate, lv_time now);
 
+/* Decides whether an instance that has just started waits for a newer
+ * configuration, which peers have in force. Call it at every tick. */
+void gate_check_config(gate_server *gate, lv_time now);
+
 /* gate-reader.c: who reads the store */
 
 /* Chooses the source of the feeds, and another one when peers name a change
--- a/packages/gateway/source/gate-store.c
+++ b/packages/gateway/source/gate-store.c
@@ -7,6 +7,11 @@
  * of the copy were first seen within this time. */
 #define COPY_RELIST_DELAY LV_SECOND
 
+/* An instance waits this long after its start for a configuration that peers
+ * have: the operator may take longer to write again than the fleet can do
+ * without instances that start. */
+#define CONFIG_AWAITING_TIME (30 * LV_SECOND)
+
 const char *
 gate_subject_name(wire_subject subject)
 {
@@ -139,6 +144,7 @@
     rt_unref(gate->config);
     gate->config = config;
     gate->config_era = item->position.era;
+    gate->peers.config_version = config->version;
     gate->callers.limits = config->limits;
     gate_apply_services(gate);
     gate->has_pending_updates = true;
@@ -327,6 +333,31 @@
     }
 }
 
+/* A store that came back from an older copy has an older configuration until
+ * the operator writes again. An instance that started since then has only that
+ * one, and peers have a newer one in force. */
+void
+gate_check_config(gate_server *gate, lv_time now)
+{
+    uint64_t newest = peers_newest_config(&gate->peers);
+    bool is_older;
+
+    if (gate->config == NULL || gate->is_config_confirmed) {
+        return;
+    }
+    is_older = gate->config->version < newest;
+    gate->is_config_confirmed = newest != 0 && !is_older;
+    is_older =
+        is_older && lv_elapsed(now, gate->started_at) < CONFIG_AWAITING_TIME;
+    if (is_older != gate->is_config_awaited) {
+        gate->is_config_awaited = is_older;
+        log_event(LOG_LEVEL_WARNING, now, "config-awaited",
+                  "begun=%d version=%llu named=%llu", is_older,
+                  (unsigned long long)gate->config->version,
+                  (unsigned long long)newest);
+    }
+}
+
 static void
 on_new_era(store_feed *feed)
 {
--- a/packages/gateway/source/gate.c
+++ b/packages/gateway/source/gate.c
@@ -209,6 +209,7 @@
         store_feed_tick(&gate->feeds[i], now);
     }
     gate_relist_after_copy(gate, now);
+    gate_check_config(gate, now);
     gate_relist_zones(gate, now);
     if (reg_remove_expired(&gate->registry, now) > 0) {
         log_event(LOG_LEVEL_NOTICE, now, "endpoint", "change=lapsed");
@@ -379,6 +380,7 @@
     gate->settings = *settings;
     gate->settings_path = settings_path;
     gate->base_watch_wait = settings->store.watch_wait;
+    gate->started_at = io_now();
     if (settings_path != NULL) {
         gate->settings_modified_ns = read_modification_time(settings_path);
     }
--- a/packages/gateway/source/peers-imp.h
+++ b/packages/gateway/source/peers-imp.h
@@ -15,6 +15,7 @@
     PEERS_FIELD_FLAGS,
     PEERS_FIELD_STORE_ERA,
     PEERS_FIELD_ZONE,
+    PEERS_FIELD_CONFIG_VERSION, /* in force; 0: none */
     PEERS_FIELD_CHANGES,    /* latest change of each subject of the store */
     PEERS_FIELD_LOADS,      /* endpoint, requests in flight, prefill total, KV
                                tokens */
@@ -64,7 +65,7 @@
     PEERS_FIELD_COUNT
 };
 
-#define PEERS_FORMAT_VERSION 12
+#define PEERS_FORMAT_VERSION 13
 
 enum {
     PEERS_FLAG_STORE_REACHABLE = 1,
--- a/packages/gateway/source/peers-receive.c
+++ b/packages/gateway/source/peers-receive.c
@@ -45,6 +45,7 @@
            is_number(&fields[PEERS_FIELD_FLAGS]) &&
            is_number(&fields[PEERS_FIELD_STORE_ERA]) &&
            is_number(&fields[PEERS_FIELD_ZONE]) &&
+           is_number(&fields[PEERS_FIELD_CONFIG_VERSION]) &&
            peers_is_number_list(&fields[PEERS_FIELD_CHANGES],
                                 PEERS_SUBJECTS) &&
            fields[PEERS_FIELD_CHANGES].via.array.size == PEERS_SUBJECTS &&
@@ -416,6 +417,7 @@
     mark_live(peers, peer);
     index = (uint32_t)(peer - peers->peers);
     peer->zone = fields[PEERS_FIELD_ZONE].via.u64;
+    peer->config_version = fields[PEERS_FIELD_CONFIG_VERSION].via.u64;
     note_store_era(peers, fields[PEERS_FIELD_STORE_ERA].via.u64);
     note_changes(peers, fields);
     apply_lists(peers, index, fields, now);
--- a/packages/gateway/source/peers-store.c
+++ b/packages/gateway/source/peers-store.c
@@ -41,3 +41,19 @@
     }
     return unreachable * 2 >= instances;
 }
+
+uint64_t
+peers_newest_config(const peers_state *peers)
+{
+    uint64_t newest = 0;
+    uint32_t i;
+
+    for (i = 0; i < peers->count; i++) {
+        const peers_peer *peer = &peers->peers[i];
+
+        if (peer->is_live && peer->config_version > newest) {
+            newest = peer->config_version;
+        }
+    }
+    return newest;
+}
--- a/packages/gateway/source/peers-write.c
+++ b/packages/gateway/source/peers-write.c
@@ -245,6 +245,7 @@
     msgpack_pack_uint32(packer, flags);
     msgpack_pack_uint64(packer, peers->store_era);
     msgpack_pack_uint64(packer, peers->settings.zone);
+    msgpack_pack_uint64(packer, peers->config_version);
     msgpack_pack_array(packer, PEERS_SUBJECTS);
     for (i = 0; i < PEERS_SUBJECTS; i++) {
         msgpack_pack_uint64(packer, peers->own_changes[i]);
--- a/packages/gateway/source/store.c
+++ b/packages/gateway/source/store.c
@@ -318,8 +318,8 @@
         return;
     }
     if (feed->phase == STORE_IDLE) {
-        store_abandon_connection(
-            feed); /* the store may close an idle connection */
+        /* The store may close an idle connection. */
+        store_abandon_connection(feed);
         feed->is_unproven = true;
         if (!feed->is_relayed) {
             expect_new_era(feed);
--- a/tests/gateway/test-restart.c
+++ b/tests/gateway/test-restart.c
@@ -49,6 +49,20 @@
     return self->gate.peers.unlisted_count > 0;
 }
 
+/* Another instance names the configuration that it has in force. */
+static void
+name_config(uint64_t version)
+{
+    buf_buffer datagram;
+
+    buf_init(&datagram);
+    node.peers.config_version = version;
+    peers_write_datagram(&node.peers, PEERS_FULL, io_now(), &datagram);
+    cr_expect(peers_receive(&stage.gate.peers, &node.address, datagram.data,
+                            datagram.size, io_now()));
+    buf_finish(&datagram);
+}
+
 /* Another instance tells that endpoint 0 left. */
 static void
 tell(uint64_t era, uint64_t revision)
@@ -166,3 +180,44 @@
     cr_expect_lt(stage.gate.peers.unlisted[0].era, 2);
     stop();
 }
+
+static uint32_t
+exchange_status(void)
+{
+    stage_response answer;
+
+    stage_run_for(&stage, 60);
+    stage_exchange(&stage, "/many/1", "", &answer);
+    return answer.status;
+}
+
+/* Guards against a gateway that starts after the store came back from an older
+ * copy, and serves by its older configuration while others have the newer one.
+ */
+Test(restart, an_older_configuration_of_the_copy_is_not_served)
+{
+    static const struct {
+        uint64_t named; /* 0: by nobody */
+        uint32_t status;
+    } cases[] = {{0, 200}, {4, 200}, {5, 200}, {9, 503}};
+    stage_response answer;
+
+    for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+        start(2);
+        if (cases[i].named != 0) {
+            name_config(cases[i].named);
+        }
+        cr_expect_eq(exchange_status(), cases[i].status, "case %zu", i);
+        stage_probe(&stage, &answer);
+        cr_expect_eq(answer.status, cases[i].status, "case %zu", i);
+        if (cases[i].status == 503) {
+            stage.config_version = 9;
+            stage_advance_revision(&stage);
+            stage_run_for(&stage, 300);
+            cr_expect_eq(exchange_status(), 200, "written again");
+            name_config(10);
+            cr_expect_eq(exchange_status(), 200, "a change is on its way");
+        }
+        stop();
+    }
+}
