Release the report of the tests' load tool

Cause: main never released the report; whether a pointer to it still stands on the stack when the checker runs depends on compiler and processor.

Change: one exit that releases it, the one of a file that cannot be written, too.

--- a/tests/fleet/fleet-load.c
+++ b/tests/fleet/fleet-load.c
@@ -96,6 +96,7 @@
                                      NULL,    NULL,         NULL};
     load_options chosen = {0};
     json_t *report;
+    int result = 2;
 
     argp_parse(&argp, argc, argv, 0, NULL, &chosen);
     load_read_plan(&load, chosen.plan);
@@ -115,13 +116,14 @@
         load_write_csv(&load, chosen.csv);
     }
     if (chosen.json != NULL && write_json(report, chosen.json) != 0) {
-        return 2;
+        goto finish;
     }
     if (!chosen.is_quiet) {
         load_print_report(&load, report);
     }
-    return load.verdicts[LOAD_WRONG] > 0 || load.not_run_but_ran > 0 ||
-                   load.done_but_not_run > 0 || load.doubles > 0
-               ? 1
-               : 0;
+    result = load.verdicts[LOAD_WRONG] > 0 || load.not_run_but_ran > 0 ||
+             load.done_but_not_run > 0 || load.doubles > 0;
+finish:
+    json_decref(report);
+    return result;
 }
