Restart all gateways for the planted older configuration

All gateways begin anew with it now, so that nobody can name the newer one. What must be found is the same, at router-0.

--- a/tests/soak/soak-plant.c
+++ b/tests/soak/soak-plant.c
@@ -22,7 +22,10 @@
     case SOAK_PLANT_OLD:
         world->store.version--;
         world->store.revision++;
-        fault_kill_and_restart(world, daemon);
+        /* One that still runs would name the newer version. */
+        for (uint32_t i = 0; i < world->daemon_count; i++) {
+            fault_kill_and_restart(world, &world->daemons[i]);
+        }
         break;
     case SOAK_PLANT_SILENT:
         for (uint32_t i = 0; i < SOAK_ENDPOINTS; i++) {
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -76,7 +76,7 @@
     SOAK_PLANT_LIE,    /* a request that ran is said not to have run */
     SOAK_PLANT_LATE,   /* a gateway is paused, and nobody is told */
     SOAK_PLANT_LEAVE,  /* an endpoint leaves, and the store does not say so */
-    SOAK_PLANT_OLD,    /* a gateway begins anew with an old configuration */
+    SOAK_PLANT_OLD,    /* gateways begin anew with an old configuration */
     SOAK_PLANT_STALE,  /* the store holds a configuration back */
     SOAK_PLANT_BUDGET, /* gateways have settings that allow more repeats */
     SOAK_PLANT_WORK,   /* an endpoint works on after its caller has left */
