--- a/tests/gateway/peer-node.c
+++ b/tests/gateway/peer-node.c
@@ -4,6 +4,8 @@
 
 #include <string.h>
 
+#include "peers-imp.h"
+
 void
 peer_node_start(peer_node *node, int number)
 {
@@ -32,3 +34,16 @@
     shr_finish(&node->shares);
     eng_finish(&node->endpoints);
 }
+
+void
+peer_node_join(peers_state *peers, const struct sockaddr_in *address,
+               lv_id zone)
+{
+    peers_peer *peer = peers_add(peers, address);
+
+    peer->is_live = true;
+    peer->zone = zone;
+    peer->received_at = LV_TIME_NEVER / 2;
+    peer->is_store_reachable = true;
+    peers->live_count++;
+}
--- a/tests/gateway/peer-node.h
+++ b/tests/gateway/peer-node.h
@@ -19,4 +19,8 @@
 void peer_node_start(peer_node *node, int number);
 void peer_node_stop(peer_node *node);
 
+/* Adds a peer that stays live for the whole test and reaches the store. */
+void peer_node_join(peers_state *peers, const struct sockaddr_in *address,
+                    lv_id zone);
+
 #endif
--- a/tests/gateway/stage-imp.h
+++ b/tests/gateway/stage-imp.h
@@ -8,6 +8,13 @@
                           uint32_t number);
 void stage_stop_endpoint(stage_endpoint *endpoint);
 
+/* stage-store.c: the fake store. */
+void stage_start_store(stage_fixture *stage);
+
+/* Respond to the watches whose wait is over: 410 to one that missed a change,
+ * as the store keeps no history, and no events to all others. */
+void stage_end_watches(stage_fixture *stage);
+
 #define SEAL_HEADER "Lavenderproxy-Runner-Seal: seal-1\r\n"
 
 /* stage-endless.c: how an endless mode begins and what it repeats. */
