--- a/packages/gateway/include/lavender-gateway/store.h
+++ b/packages/gateway/include/lavender-gateway/store.h
@@ -114,8 +114,8 @@
     uint64_t list_revision;        /* of the first page */
     char after_key[WIRE_KEY_SIZE]; /* last key of the previous page */
     wire_position position;        /* after which the next watch starts */
-    uint64_t last_change;          /* highest revision of an item that a watch
-                                      tells of */
+    uint64_t last_change;          /* highest revision that peers can compare
+                                      with their positions */
     struct sockaddr_in source;     /* of the store, or of a relay */
     bool is_relayed;
     uint64_t noted_era; /* highest that others have seen */
@@ -123,12 +123,12 @@
     lv_time last_request_at;
     lv_time last_reply_at; /* that could be used; 0: none yet */
     lv_time asked_at;      /* the list or watch in progress was sent */
-    lv_time known_at; /* all that the store had then is known; 0: nothing is */
-    lv_time checked_at; /* latest check; it is in progress if is_checking */
-    bool is_checking;
-    lv_time deadline; /* of the connection attempt or pending reply */
-    lv_time backoff;  /* after the next failure */
-    lv_time lost_at;  /* start of the outage; 0: the store is reachable */
+    lv_time known_at;      /* the feed has all changes up to then; 0: none */
+    lv_time checked_at;    /* start of the latest store_feed_check */
+    bool is_checking;      /* it is in progress */
+    lv_time deadline;      /* of the connection attempt or pending reply */
+    lv_time backoff;       /* after the next failure */
+    lv_time lost_at;       /* start of the outage; 0: the store is reachable */
     store_past past;
     bool is_closing;
     store_counts counts;
@@ -152,11 +152,11 @@
 void store_feed_hold(store_feed *feed, lv_time until);
 
 /* Sends the pending request again, on a new connection: its reply may be
- * lost. A watch that is sent then does not wait, so that it is answered. */
+ * lost. A watch is sent with a minimal duration, to be answered at once. */
 void store_feed_renew(store_feed *feed);
 
-/* Asks the store itself at once, so that known_at reaches `since`, unless it
- * has been asked since then. */
+/* Queries the store directly, bypassing a relay, so that known_at becomes at
+ * least `since`. Does nothing if a query was sent since then or is pending. */
 void store_feed_check(store_feed *feed, lv_time since);
 
 /* Lists the subject again at once. */
--- a/packages/gateway/source/back-response.c
+++ b/packages/gateway/source/back-response.c
@@ -6,9 +6,9 @@
  * follows. */
 #define MAX_SKIPPED_BYTES ((size_t)1024 * 1024)
 
-/* Does a response belong to the request of the connection? One without an id
- * does. To a request without an id one with an id does only if it is the first
- * on the connection: later the id is that of an earlier request. */
+/* Responses are matched by attempt id; one without an id matches any request.
+ * If the request has no id, a response with one matches only on a new
+ * connection: on a reused one it may be a copy of an earlier response. */
 static bool
 matches_request(const back_connection *connection,
                 const wire_response *response)
@@ -24,8 +24,8 @@
     return strcmp(response->attempt_id, id) == 0;
 }
 
-/* A refusal without an id may be a copy of an earlier one, so that it does not
- * say that this request did not run. */
+/* On a reused connection, a refusal without an id may be a copy of an earlier
+ * one. The request then counts as possibly executed. */
 static void
 distrust_refusal(const back_connection *connection, wire_response *response)
 {
--- a/packages/gateway/source/gate-imp.h
+++ b/packages/gateway/source/gate-imp.h
@@ -99,8 +99,8 @@
     lv_id version;       /* that began the stream; LV_ID_NONE: any may serve */
     lv_id chosen_version; /* that is to begin it; LV_ID_NONE: any may */
     lv_time origin_asked_at;
-    lv_time list_awaited_at; /* the store is asked for the list's changes; 0:
-                                it is not */
+    lv_time list_awaited_at; /* start of the wait for an up-to-date list of
+                                endpoints; 0: none */
     uint32_t origin_questions;
     lv_id sole_version;       /* that the service has had, as peers say */
     bool has_awaited_past;    /* of the list */
@@ -388,8 +388,8 @@
 /* Lists again what an older copy of the store was not believed about. */
 void gate_relist_after_copy(gate_server *gate, lv_time now);
 
-/* Decides whether an instance that has just started waits for a newer
- * configuration, which peers have in force. Call it at every tick. */
+/* Keeps a newly started instance unready while peers have a newer version of
+ * the configuration in force. To be called at every tick of the timer. */
 void gate_check_config(gate_server *gate, lv_time now);
 
 /* gate-reader.c: who reads the store */
--- a/packages/gateway/source/gate-monitoring.c
+++ b/packages/gateway/source/gate-monitoring.c
@@ -32,7 +32,7 @@
     }
 }
 
-/* Since when peers name a change that did not arrive here. */
+/* Returns how long peers have named a change that this instance lacks. */
 static lv_time
 behind_time(const gate_server *gate, lv_time now)
 {
--- a/packages/gateway/source/gate-origin.c
+++ b/packages/gateway/source/gate-origin.c
@@ -88,8 +88,8 @@
     }
 }
 
-/* May another instance have a newer list, and have begun streams at endpoints
- * that this one does not know? Not while nobody reaches the store. */
+/* Returns whether another instance may have a newer list of endpoints. It does
+ * not if no live peer reaches the store. */
 static bool
 may_others_know_more(const peers_state *peers)
 {
@@ -106,9 +106,10 @@
     return false;
 }
 
-/* The stream may have begun at any time before it is taken up, so all changes
- * of the list until then count. Returns whether they are known, or are asked
- * for until the store's timeout. */
+/* Has the list of endpoints brought up to date, as the stream may have begun
+ * on an endpoint that was added a moment ago. Returns whether to wait for the
+ * store's reply; false when the store is unreachable or has not replied in
+ * time. */
 static bool
 await_list(gate_request *request, lv_time now)
 {
@@ -127,8 +128,8 @@
     return true;
 }
 
-/* Uses the only version that peers say the service has had, if it is the only
- * one on the list. */
+/* Uses the service's only version as reported by peers. Returns false if this
+ * instance's list has another version. */
 static bool
 use_sole_version(gate_request *request, lv_time now)
 {
--- a/packages/gateway/source/gate-parts-imp.h
+++ b/packages/gateway/source/gate-parts-imp.h
@@ -134,9 +134,9 @@
  * is due to be believed. Call it at every tick of the timer. */
 void gate_relist_zones(gate_server *gate, lv_time now);
 
-/* Was a configuration read that is as new as those of peers, and the whole
- * list of evacuated zones? No request is accepted before: it might go to an
- * evacuated zone. */
+/* Returns whether the instance may accept requests: it has read the
+ * configuration and the list of evacuated zones, and is not waiting for a
+ * newer version that its peers have. */
 bool gate_has_configuration(const gate_server *gate);
 void gate_write_evacuation_metrics(const gate_server *gate,
                                    met_writer *writer);
--- a/packages/gateway/source/gate-reader.c
+++ b/packages/gateway/source/gate-reader.c
@@ -11,7 +11,7 @@
  * relay is noticed sooner. */
 #define RELAY_WAIT (4 * LV_SECOND)
 
-/* The limit of all waits is at least this. */
+/* Lower bound of wait_limit. */
 #define MIN_WAIT_LIMIT (100 * LV_MILLISECOND)
 
 /* While the list of endpoints changes, it is read this many times within the
@@ -42,8 +42,9 @@
     return (unsigned long long)(time / LV_MILLISECOND);
 }
 
-/* A lost answer is noticed `timeout` after the end of the wait. The change
- * must be in force within the bound even if the next request times out. */
+/* Returns the maximum duration of a watch. A lost reply is detected one
+ * timeout after it, and the change must be in force within the bound even if
+ * the next request times out too. */
 static lv_time
 wait_limit(const gate_settings *settings)
 {
@@ -181,7 +182,7 @@
               to_ms(lv_elapsed(now, feed->last_request_at)), feed->is_relayed);
 }
 
-/* Ends the time in which peers name a later change, if there was one. */
+/* Peers name no later change than this instance has. */
 static void
 note_caught_up(gate_server *gate, const store_feed *feed, lv_time now)
 {
--- a/packages/gateway/source/gate-store.c
+++ b/packages/gateway/source/gate-store.c
@@ -7,9 +7,9 @@
  * of the copy were first seen within this time. */
 #define COPY_RELIST_DELAY LV_SECOND
 
-/* An instance waits this long after its start for a configuration that peers
- * have: the operator may take longer to write again than the fleet can do
- * without instances that start. */
+/* Maximum time after the start for which an instance stays unready because its
+ * configuration is older than its peers'. Serving an old version is better
+ * than losing every instance that restarts. */
 #define CONFIG_AWAITING_TIME (30 * LV_SECOND)
 
 const char *
@@ -79,9 +79,8 @@
     }
 }
 
-/* The operator never goes back to a lower version: in a new era of the store
- * it is of an older copy. The same version of a new era is in force as that
- * era's. */
+/* Versions only increase. A lower one in a new era was restored from a backup
+ * of the store; an equal one updates config_era. */
 static bool
 is_newer_config(const gate_server *gate, const wire_item *item)
 {
@@ -92,8 +91,7 @@
             item->position.era > gate->config_era);
 }
 
-/* How a new version was learned: `asked_ms` after the request, and
- * `quiet_ms` after the reply before. */
+/* asked_ms: since the request was sent; quiet_ms: since the previous reply. */
 static void
 log_config(const gate_server *gate, const wire_item *item)
 {
@@ -333,9 +331,8 @@
     }
 }
 
-/* A store that came back from an older copy has an older configuration until
- * the operator writes again. An instance that started since then has only that
- * one, and peers have a newer one in force. */
+/* After the store was restored from a backup, an instance that starts reads an
+ * older version than its peers have in force. */
 void
 gate_check_config(gate_server *gate, lv_time now)
 {
--- a/packages/gateway/source/store-source.c
+++ b/packages/gateway/source/store-source.c
@@ -1,8 +1,8 @@
-/* Where a feed reads from, from when on, and for how long a watch waits. */
+/* The source of a feed, and the time and duration of its requests. */
 #include "store-imp.h"
 
-/* The first watch after a failure: a source that does not reply, or hears of
- * no changes yet, must not hold the feed for the wait of a watch. */
+/* Duration of the first watch after a failure. A long poll could block until
+ * its timeout without showing whether the source works again. */
 #define FIRST_WAIT LV_MILLISECOND
 
 lv_time
--- a/packages/gateway/source/store.c
+++ b/packages/gateway/source/store.c
@@ -102,8 +102,9 @@
     feed->next_request_at = feed->last_request_at + interval;
 }
 
-/* Does a watch tell of each revision of the feed's items? In lists the
- * revisions of endpoints rise with heartbeats, of which no watch tells. */
+/* Returns whether watches report every revision of the items being read. In
+ * lists, the revisions of endpoints also rise with heartbeats, which watches
+ * do not report. */
 static bool
 has_watched_revisions(const store_feed *feed)
 {
@@ -123,7 +124,7 @@
     feed->ops->on_item(feed, item);
 }
 
-/* What a relay has may be older than its reply. */
+/* A relay's data may be older than its reply. */
 static void
 note_known(store_feed *feed)
 {
