--- a/tests/gateway/test-lost-watches.c
+++ b/tests/gateway/test-lost-watches.c
@@ -1,7 +1,7 @@
 /*
- * The store does not answer a request, or a watch at it hears of no change.
- * The bound for lost answers counts from when the store answers new requests:
- * by then a change that it has shown since must be in force.
+ * Requests to the store whose reply is lost, and watches that report no
+ * change. Once the store answers new requests, its changes must be in force
+ * within the bound for lost answers.
  */
 #include <criterion/criterion.h>
 
@@ -13,10 +13,10 @@
 
 #define SUBJECTS WIRE_SUBJECT_COUNT
 
-/* Time until all feeds have asked again in an outage. */
+/* Maximum time until the feeds send their next request in an outage. */
 #define ASK_MS 12000
 
-/* From an outage's end to the change. */
+/* Delay of the change after the end of the outage. */
 #define CHANGE_MS 200
 
 static stage_fixture stage;
@@ -34,7 +34,7 @@
     return watches == SUBJECTS;
 }
 
-/* The requests that arrived at a silent or deaf store have grown since. */
+/* A further request of the configuration's feed was left unanswered. */
 static bool
 has_asked(stage_fixture *self, void *context)
 {
--- a/tests/gateway/test-odd-entries.c
+++ b/tests/gateway/test-odd-entries.c
@@ -1,6 +1,6 @@
 /*
- * Another writer leaves an entry among those of the endpoints that names none:
- * it gets no requests, and the gateway goes on following the list.
+ * Invalid entries in the list of endpoints: they get no requests, and the
+ * gateway goes on reading the list.
  */
 #include <criterion/criterion.h>
 
@@ -16,7 +16,7 @@
 
 static stage_fixture stage;
 
-/* An entry whose fields are sound but for the address and some more. */
+/* A valid entry except for its address and the members of `more`. */
 #define ENTRY(address, more)                                                  \
     "{\"service\":\"pool\",\"address\":\"" address                            \
     "\",\"zone\":\"z\",\"version\":\"v1\",\"slots\":4,\"state\":\"ready\","   \
--- a/tests/gateway/test-stale-list.c
+++ b/tests/gateway/test-stale-list.c
@@ -1,7 +1,7 @@
 /*
- * An instance that was out of step: its list of endpoints is old, and other
- * instances began streams at endpoints of a newer software version. A stream
- * that is taken up here goes on at its version or is refused.
+ * An instance with an outdated list of endpoints, while others have begun
+ * streams on endpoints of a newer software version: a resumed stream continues
+ * on its own version or is refused.
  */
 #include <criterion/criterion.h>
 
--- a/tests/soak/soak-store.c
+++ b/tests/soak/soak-store.c
@@ -7,7 +7,7 @@
 #define SLOW_LEAST (300 * LV_MILLISECOND)
 #define SLOW_MOST (900 * LV_MILLISECOND)
 
-/* From the cut of the watches until the history is dropped. */
+/* Watches that arrived in the last part of the deaf time are not cut. */
 #define CUT_GAP (100 * LV_MILLISECOND)
 
 static const rt_limits limits = {.head_bytes = 16384,
@@ -323,9 +323,9 @@
     }
 }
 
-/* Watches from now on wait for longer than the gap between the cut and the
- * loss of the history; those that arrived in it hear nothing until they end.
- */
+/* A deaf store reports no change to its watches. At the end it cuts them,
+ * except those that arrived within CUT_GAP before: they stay deaf until they
+ * end. */
 static void
 set_deaf(soak_store *store, bool is_deaf)
 {
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -28,8 +28,8 @@
 #define SOAK_EVACUATION_BOUND (5 * LV_SECOND)
 #define SOAK_CONFIG_BOUND (2 * LV_SECOND)
 
-/* After a trouble of the store or of the way to it, until changes that were
- * missed must be in force. */
+/* Maximum time from the end of a fault of the store, or of the link to it,
+ * until missed changes are in force. */
 #define SOAK_CONTACT (3 * LV_SECOND)
 
 /* Added to these two bounds. */
@@ -367,9 +367,9 @@
 /* Since when nothing was done to it that its promises make exceptions for. */
 lv_time daemon_calm_since(const soak_daemon *daemon);
 
-/* The same without the time that it has to read what it missed. A store that
- * came back from an older copy is no exception, unless the process is younger.
- */
+/* Since when the process has been able to read the store without a fault. An
+ * older copy of the store counts as a fault only for a process that started
+ * after it was restored. */
 lv_time daemon_reached_since(const soak_daemon *daemon);
 
 /* ---- soak-request.c ---- */
