End the soak's deaf watches as the store does

Traced: its watch of the endpoints ended after a deaf time with the store's newest revision and without the changes before it, so that it followed the list from there and never heard of the endpoints that had come meanwhile. A store that tells of no change may not name a later revision than the watch has.

Deaf watches end with the revision that they began after, and with 410 once the history is dropped.

--- a/tests/soak/soak-store.c
+++ b/tests/soak/soak-store.c
@@ -177,12 +177,13 @@
 
 /* Nothing has changed. */
 static void
-end_watch(const soak_store *store, front_connection *connection)
+end_watch(const soak_store *store, front_connection *connection,
+          uint64_t revision)
 {
     char body[128];
     int size = snprintf(body, sizeof body,
                         "{\"events\":[],\"has_more\":false,\"at\":%llu}",
-                        (unsigned long long)store->revision);
+                        (unsigned long long)revision);
 
     send_body(store, connection, body, (size_t)size);
 }
@@ -195,6 +196,15 @@
     return wait != NULL ? strtoull(wait + 8, NULL, 10) * LV_MILLISECOND : 0;
 }
 
+/* The revision that a watch names; 0: it is a list. */
+static uint64_t
+read_after(const char *target)
+{
+    const char *after = strstr(target, "after=");
+
+    return after != NULL ? strtoull(after + 6, NULL, 10) : 0;
+}
+
 static void
 wait(soak_store *store, front_connection *connection, bool is_config,
      bool is_watch, lv_time due_at)
@@ -205,6 +215,7 @@
             store->waiting[i].is_config = is_config;
             store->waiting[i].is_watch = is_watch;
             store->waiting[i].is_deaf = store->mood == STORE_DEAF;
+            store->waiting[i].after = read_after(connection->head->target);
             store->waiting[i].arrived_at = io_now();
             store->waiting[i].due_at = due_at;
             return;
@@ -219,15 +230,14 @@
     soak_world *world = server->owner;
     soak_store *store = &world->store;
     const char *target = connection->head->target;
-    const char *after = strstr(target, "after=");
     bool is_config = strstr(target, "prefix=op/") != NULL;
     bool is_watch = strncmp(target, "/v1/kv-watch", 12) == 0;
 
     if (store->mood == STORE_DOWN) {
         send_status(store, connection, 503, "down");
     }
-    else if (is_watch && after != NULL && store->mood != STORE_DEAF &&
-             strtoull(after + 6, NULL, 10) != store->revision) {
+    else if (is_watch && store->mood != STORE_DEAF &&
+             read_after(target) != store->revision) {
         send_status(store, connection, 410, "gone"); /* a short history */
     }
     else if (is_watch) {
@@ -399,8 +409,12 @@
             continue;
         }
         store->waiting[i].connection = NULL;
-        if (store->waiting[i].is_watch) {
-            end_watch(store, connection);
+        if (store->waiting[i].is_watch && store->mood != STORE_DEAF &&
+            store->waiting[i].after != store->revision) {
+            send_status(store, connection, 410, "gone");
+        }
+        else if (store->waiting[i].is_watch) {
+            end_watch(store, connection, store->waiting[i].after);
         }
         else {
             answer_list(world, connection, store->waiting[i].is_config);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -181,7 +181,8 @@
         front_connection *connection; /* NULL: free */
         bool is_config;
         bool is_watch;
-        bool is_deaf; /* it arrived while the store was */
+        bool is_deaf;   /* it arrived while the store was */
+        uint64_t after; /* the revision that the watch begins after */
         lv_time arrived_at;
         lv_time due_at; /* a slow answer, or the end of a watch */
     } waiting[STORE_WAITING_MAX];
