Refuse requests while the store has lost the version that peers have

The link of router-2 to the store was cut as version 4 was written; the store came back from an older copy without it, and router-2 served by version 3, though all others had 4.

Change: if peers have a newer version for 0.4 s, the store is listed; if it lacks the version, the instance is not ready until the operator writes again, for 30 s at most. While the store cannot be asked, the version in force is served on.

Evidence: gateway-test-restart, a_version_that_the_store_lost_is_awaited, failed before; without_the_store_the_version_in_force_is_served holds before and after.

--- a/packages/gateway/include/lavender-gateway/gate.h
+++ b/packages/gateway/include/lavender-gateway/gate.h
@@ -156,12 +156,13 @@
                                                  request was renewed for */
     front_server callers;
     front_server readiness;
-    back_pool endpoint_pool; /* connections to endpoints */
-    rt_table *config;        /* in force; NULL until one was read */
-    uint64_t config_era;     /* of the store, when it was read */
-    lv_time started_at;
-    bool is_config_confirmed; /* no peer had a newer one, at some time */
-    bool is_config_awaited;   /* the store has an older one than peers */
+    back_pool endpoint_pool;  /* connections to endpoints */
+    rt_table *config;         /* in force; NULL until one was read */
+    uint64_t config_era;      /* of the store, when it was read */
+    lv_time config_named_at;  /* since then peers have a newer version; 0: they
+                                 do not */
+    bool is_config_confirmed; /* it was as new as the peers' at some time */
+    bool is_config_awaited;   /* unready until a newer version arrives */
     lv_time copy_expires_at; /* older copies are believed then; 0: none seen */
     bool has_relisted_copy;  /* since then */
     gate_service_budget *service_budgets;
--- a/packages/gateway/source/gate-imp.h
+++ b/packages/gateway/source/gate-imp.h
@@ -388,8 +388,9 @@
 /* Lists again what an older copy of the store was not believed about. */
 void gate_relist_after_copy(gate_server *gate, lv_time now);
 
-/* Keeps a newly started instance unready while peers have a newer version of
- * the configuration in force. To be called at every tick of the timer. */
+/* gate-config.c: keeps the instance unready while peers have a newer version
+ * of the configuration that the store lacks. To be called at every tick of the
+ * timer. */
 void gate_check_config(gate_server *gate, lv_time now);
 
 /* gate-reader.c: who reads the store */
--- a/packages/gateway/source/gate-store.c
+++ b/packages/gateway/source/gate-store.c
@@ -7,11 +7,6 @@
  * of the copy were first seen within this time. */
 #define COPY_RELIST_DELAY LV_SECOND
 
-/* Maximum time after the start for which an instance stays unready because its
- * configuration is older than its peers'. Serving an old version is better
- * than losing every instance that restarts. */
-#define CONFIG_AWAITING_TIME (30 * LV_SECOND)
-
 const char *
 gate_subject_name(wire_subject subject)
 {
@@ -331,30 +326,6 @@
     }
 }
 
-/* After the store was restored from a backup, an instance that starts reads an
- * older version than its peers have in force. */
-void
-gate_check_config(gate_server *gate, lv_time now)
-{
-    uint64_t newest = peers_newest_config(&gate->peers);
-    bool is_older;
-
-    if (gate->config == NULL || gate->is_config_confirmed) {
-        return;
-    }
-    is_older = gate->config->version < newest;
-    gate->is_config_confirmed = newest != 0 && !is_older;
-    is_older =
-        is_older && lv_elapsed(now, gate->started_at) < CONFIG_AWAITING_TIME;
-    if (is_older != gate->is_config_awaited) {
-        gate->is_config_awaited = is_older;
-        log_event(LOG_LEVEL_WARNING, now, "config-awaited",
-                  "begun=%d version=%llu named=%llu", is_older,
-                  (unsigned long long)gate->config->version,
-                  (unsigned long long)newest);
-    }
-}
-
 static void
 on_new_era(store_feed *feed)
 {
--- a/packages/gateway/source/gate.c
+++ b/packages/gateway/source/gate.c
@@ -380,7 +380,6 @@
     gate->settings = *settings;
     gate->settings_path = settings_path;
     gate->base_watch_wait = settings->store.watch_wait;
-    gate->started_at = io_now();
     if (settings_path != NULL) {
         gate->settings_modified_ns = read_modification_time(settings_path);
     }
--- a/tests/gateway/test-restart.c
+++ b/tests/gateway/test-restart.c
@@ -191,6 +191,52 @@
     return answer.status;
 }
 
+static bool
+is_refusing(stage_fixture *self, void *context)
+{
+    (void)context;
+    return self->gate.is_config_awaited;
+}
+
+/* Guards against a gateway that missed a version, as it could not reach the
+ * store, and that goes on serving by the older one after the store has lost
+ * the version. */
+Test(restart, a_version_that_the_store_lost_is_awaited)
+{
+    start(2);
+    name_config(5);
+    cr_expect_eq(exchange_status(), 200);
+    name_config(9);
+    cr_expect_eq(exchange_status(), 200, "the change may be on its way");
+    for (int i = 0; i < 20 && !is_refusing(&stage, NULL); i++) {
+        name_config(9);
+        stage_run_for(&stage, 50);
+    }
+    cr_expect_eq(exchange_status(), 503, "the store was asked, and lacks it");
+    stage.config_version = 9;
+    stage_advance_revision(&stage);
+    stage_run_for(&stage, 300);
+    cr_expect_eq(exchange_status(), 200, "written again");
+    stop();
+}
+
+/* Guards against a gateway that is taken out of service by a version that its
+ * peers have, while it cannot ask the store for it. */
+Test(restart, without_the_store_the_version_in_force_is_served)
+{
+    start(2);
+    name_config(5);
+    stage_run_for(&stage, 60);
+    stage.is_store_down = true;
+    stage_cut_store(&stage);
+    for (int i = 0; i < 40; i++) {
+        name_config(9);
+        stage_run_for(&stage, 50);
+    }
+    cr_expect_eq(exchange_status(), 200);
+    stop();
+}
+
 /* Guards against a gateway that starts after the store came back from an older
  * copy, and serves by its older configuration while others have the newer one.
  */
