Test processes against crowds of clients that do not behave

Checked are the process's life, its memory with the bytes that it has not read, its descriptors, and one ordinary request, beside the crowd and after it.

--- /dev/null
+++ b/tests/crowd/crowd-net.c
@@ -0,0 +1,190 @@
+/*
+ * Clients that do not behave, against a router process of packages/net, over
+ * HTTP/1.1 and HTTP/2.
+ */
+#include <criterion/criterion.h>
+
+#include <stdio.h>
+#include <string.h>
+
+#include "crowd.h"
+#include "rig.h"
+
+/* The machine of the tests, and the part of it that bodies and buffers may
+ * use. */
+#define MACHINE_MEMORY_KB (128 * 1024)
+#define LIMITS "[limits]\nmemory = 32MiB\n"
+#define MACHINE_DESCRIPTORS 1024
+
+#define HEAD                                                                  \
+    "POST /lookup/1 HTTP/1.1\r\nHost: r\r\nX-Number: %u\r\n"                  \
+    "Authorization: Bearer key-of-alpha\r\n"
+#define CHUNKED "Transfer-Encoding: chunked\r\n\r\n"
+#define ORDINARY                                                              \
+    "POST /lookup/1 HTTP/1.1\r\nHost: r\r\nConnection: close\r\n"             \
+    "Authorization: Bearer key-of-alpha\r\nContent-Length: 14\r\n\r\n"        \
+    "{\"user\":\"o/1\"}"
+
+#define H2_STREAMS 4
+#define H2_FRAME_BYTES 16384
+
+static rig_rig rig;
+static crowd_usage usage;
+
+static void
+check_usage(void)
+{
+    fprintf(stderr,
+            "memory %llu kB, unread %llu kB, descriptors %u, sent %llu MB, "
+            "closed %u\n",
+            (unsigned long long)usage.memory_kb,
+            (unsigned long long)usage.unread_kb, usage.descriptors,
+            (unsigned long long)usage.sent / 1000000, usage.closed);
+    cr_expect_leq(usage.memory_kb + usage.unread_kb, MACHINE_MEMORY_KB,
+                  "%llu kB and %llu kB unread, of %u kB",
+                  (unsigned long long)usage.memory_kb,
+                  (unsigned long long)usage.unread_kb, MACHINE_MEMORY_KB);
+    cr_expect_leq(usage.descriptors, MACHINE_DESCRIPTORS);
+}
+
+/* Two crowds one after the other, at a port of the router. */
+static void
+play(const crowd_shape *shape, bool is_operator_port)
+{
+    static const rig_shape router = {.settings =
+                                         LIMITS "[timeouts]\nrequest = 60s\n"};
+    proc_process *process = &rig.routers[0].process;
+    const char *callers = rig.routers[0].callers;
+
+    crowd_raise_limits();
+    crowd_set_sanitizer_options();
+    cr_assert(rig_start(&rig, &router));
+    cr_assert(crowd_ask_until_served(callers, ORDINARY, NULL, NULL),
+              "the router does not serve");
+    for (int wave = 0; wave < 2; wave++) {
+        crowd_crowd *crowd = crowd_start(
+            process,
+            is_operator_port ? rig.routers[0].operator_address : callers,
+            shape, NULL, NULL, &usage);
+
+        cr_expect(crowd_is_alive(process), "the router has ended");
+        cr_expect(crowd_ask_until_served(callers, ORDINARY, NULL, NULL),
+                  "no ordinary request is served beside the crowd");
+        crowd_stop(crowd);
+        cr_expect(crowd_ask_until_served(callers, ORDINARY, NULL, NULL),
+                  "no ordinary request is served after the crowd");
+    }
+    cr_expect(crowd_is_alive(process), "the router has ended");
+    check_usage();
+    cr_expect(rig_stop(&rig));
+}
+
+Test(net, one_chunk_less_a_byte)
+{
+    static const crowd_shape shape = {.clients = 60,
+                                      .head = HEAD CHUNKED "400000\r\n",
+                                      .piece = "x",
+                                      .piece_bytes = CROWD_BODY_BYTES - 1};
+
+    play(&shape, false);
+}
+
+Test(net, small_chunks_without_an_end)
+{
+    static const crowd_shape shape = {.clients = 60,
+                                      .head = HEAD CHUNKED,
+                                      .piece = "8\r\nxxxxxxxx\r\n",
+                                      .piece_bytes =
+                                          (CROWD_BODY_BYTES / 8 - 1) * 13};
+
+    play(&shape, false);
+}
+
+Test(net, length_less_a_byte)
+{
+    static const crowd_shape shape = {.clients = 60,
+                                      .head = HEAD
+                                      "Content-Length: 4194304\r\n\r\n",
+                                      .piece = "x",
+                                      .piece_bytes = CROWD_BODY_BYTES - 1};
+
+    play(&shape, false);
+}
+
+Test(net, bodies_at_the_operators_port)
+{
+    static const crowd_shape shape = {.clients = 60,
+                                      .connections = 2,
+                                      .head = HEAD CHUNKED "400000\r\n",
+                                      .piece = "x",
+                                      .piece_bytes = CROWD_BODY_BYTES - 1};
+
+    play(&shape, true);
+}
+
+static void
+append_frame_head(buf_buffer *to, size_t size, uint8_t type, uint8_t flags,
+                  uint8_t stream)
+{
+    const uint8_t head[9] = {(uint8_t)(size >> 16),
+                             (uint8_t)(size >> 8),
+                             (uint8_t)size,
+                             type,
+                             flags,
+                             0,
+                             0,
+                             0,
+                             stream};
+
+    buf_append(to, head, sizeof head);
+}
+
+/* The client's settings, and the heads of its requests. */
+static void
+write_h2_start(buf_buffer *to)
+{
+    /* :method POST, :scheme http, :path /lookup/1, :authority r */
+    static const char fields[] = "\x83\x86\x04\x09/lookup/1\x01\x01r";
+
+    append_frame_head(to, 0, 4, 0, 0);
+    for (uint8_t i = 0; i < H2_STREAMS; i++) {
+        append_frame_head(to, sizeof fields - 1, 1, 4, (uint8_t)(1 + 2 * i));
+        buf_append(to, fields, sizeof fields - 1);
+    }
+}
+
+/* A DATA frame for each stream. */
+static void
+write_h2_data(buf_buffer *to)
+{
+    static const char data[H2_FRAME_BYTES];
+
+    for (uint8_t i = 0; i < H2_STREAMS; i++) {
+        append_frame_head(to, sizeof data, 0, 0, (uint8_t)(1 + 2 * i));
+        buf_append(to, data, sizeof data);
+    }
+}
+
+Test(net, http2_streams_without_an_end)
+{
+    crowd_shape shape = {.clients = 20,
+                         .connections = 2,
+                         .head = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n",
+                         .reads = true};
+    buf_buffer start;
+    buf_buffer data;
+
+    buf_init(&start);
+    buf_init(&data);
+    write_h2_start(&start);
+    write_h2_data(&data);
+    shape.more_head = start.data;
+    shape.more_head_size = start.size;
+    shape.piece = data.data;
+    shape.piece_size = data.size;
+    /* One frame less than the limit of a body. */
+    shape.piece_bytes = (CROWD_BODY_BYTES / H2_FRAME_BYTES - 1) * data.size;
+    play(&shape, false);
+    buf_finish(&start);
+    buf_finish(&data);
+}
--- a/tests/gateway/stage-endpoint.c
+++ b/tests/gateway/stage-endpoint.c
@@ -313,6 +313,9 @@
     endpoint_connection *self = reader->owner;
     stage_endpoint *endpoint = self->endpoint;
 
+    if (endpoint->keeps_no_bodies) {
+        return true;
+    }
     cr_assert_leq(endpoint->last_body_size + size, sizeof endpoint->last_body);
     memcpy(endpoint->last_body + endpoint->last_body_size, data, size);
     endpoint->last_body_size += size;
--- a/tests/gateway/stage-store.c
+++ b/tests/gateway/stage-store.c
@@ -55,10 +55,13 @@
     buf_append_format(
         to, "],\"services\":[{\"name\":\"pool\",\"max_conns\":100%s}],",
         stage->service_extra != NULL ? stage->service_extra : "");
-    buf_append_text(to, "\"limits\":{\"max_header_bytes\":4096,"
-                        "\"max_body_bytes\":2048,\"header_timeout_ms\":400,"
-                        "\"idle_timeout_ms\":1000},"
-                        "\"tenants\":[{\"name\":\"north\","
+    buf_append_text(to, "\"limits\":");
+    buf_append_text(to, stage->limits != NULL ? stage->limits
+                                              : "{\"max_header_bytes\":4096,"
+                                                "\"max_body_bytes\":2048,"
+                                                "\"header_timeout_ms\":400,"
+                                                "\"idle_timeout_ms\":1000}");
+    buf_append_text(to, ",\"tenants\":[{\"name\":\"north\","
                         "\"api_keys\":[\"k1\"]}]}");
     buf_append(to, "", 1);
 }
--- a/tests/gateway/stage.c
+++ b/tests/gateway/stage.c
@@ -178,6 +178,11 @@
     front_close_all(&stage->store);
     front_stop_listening(&stage->store);
     uv_close((uv_handle_t *)&stage->timer, NULL);
-    gate_finish(&stage->gate);
+    if (stage->gate.loop != NULL) {
+        gate_finish(&stage->gate);
+    }
+    else {
+        uv_run(&stage->loop, UV_RUN_DEFAULT); /* until all is closed */
+    }
     cr_assert_eq(uv_loop_close(&stage->loop), 0, "a handle is left open");
 }
--- a/tests/gateway/stage.h
+++ b/tests/gateway/stage.h
@@ -90,6 +90,7 @@
     char last_target[256];
     char last_body[4096];
     size_t last_body_size;
+    bool keeps_no_bodies; /* larger ones than last_body are expected */
 } stage_endpoint;
 
 typedef struct stage_fixture {
@@ -106,6 +107,8 @@
     uint64_t config_revision; /* of the configuration's last change; 0: 1 */
     uint64_t era; /* of the store, in all its responses; 0: not named */
     uint32_t config_version;
+    const char *limits;         /* of the configuration, JSON; NULL: small ones
+                                   for short tests */
     const char *config_extra;   /* more routes, JSON; may be NULL */
     const char *service_extra;  /* more members of the service, JSON; may be
                                    NULL */
