Limit the bytes that wait unread on callers' connections

Callers saw nothing; the process would have been killed, since bytes received and not yet read count as its memory. Cause: the listeners left the size of receive buffers to the kernel, which grows them to several megabytes for each connection, and one connection was read up to 32 times in a turn of the loop, as each read filled the gateway's buffer. Evidence: 300 clients that send 16 MiB behind a head that announces 1 GiB: 371,139 kB unread, the process itself 12,740 kB.

Listeners now name 24 KiB, which connections inherit: a read empties the buffer, so that the others get their turn, and 2,964 connections hold some 100 MB at most. A body of 4 MiB still arrives in about a second at a round trip of 6 ms (computed).

crowd-gateway-announced-far-over-the-limit failed before (383,879 kB of 253,906) and passes: 13,956 kB and 7,196 kB unread. gateway-test-framing passes.

--- a/packages/gateway/include/lavender-gateway/io.h
+++ b/packages/gateway/include/lavender-gateway/io.h
@@ -73,7 +73,8 @@
 bool io_accept(io_stream *stream, uv_stream_t *listener,
                lv_time silence_timeout, bool *are_inherited);
 
-/* Sets the options of connections on their listener. */
+/* Sets the options of connections on their listener. What they have received
+ * and not read is limited, since it counts as memory of the process. */
 void io_prepare_listener(uv_tcp_t *listener, lv_time silence_timeout);
 
 void io_read_start(io_stream *stream);
--- a/packages/gateway/source/io.c
+++ b/packages/gateway/source/io.c
@@ -18,6 +18,10 @@
 
 #define READ_BUFFER_BYTES ((size_t)64 * 1024)
 
+/* The kernel allows twice as much for data and overhead. Less would hold up
+ * large bodies between zones. */
+#define RECEIVE_BUFFER_BYTES (24 * 1024)
+
 /* A queued write and a copy of its bytes. */
 typedef struct io_write_request {
     uv_write_t super;
@@ -133,7 +137,10 @@
 void
 io_prepare_listener(uv_tcp_t *listener, lv_time silence_timeout)
 {
+    int receive_buffer = RECEIVE_BUFFER_BYTES;
+
     set_socket_options(listener, silence_timeout);
+    uv_recv_buffer_size((uv_handle_t *)listener, &receive_buffer);
 }
 
 /* Did the kernel give a connection the options of set_socket_options? */
