Take no large bodies at the readiness port

Callers saw nothing; the process would have been killed. Cause: the listener for probes and metrics had the limits of callers, so that each of its 64 connections kept a body of up to 4 MiB. Evidence: 100 clients, each with one chunk of 4 MiB less a byte: 436,444 kB, and 147,348 kB unread.

A body there may have 1 KiB, far more than a probe needs; more is refused with 413.

crowd-gateway-bodies-at-the-readiness-port failed before and passes: 11,752 kB and 2,400 kB unread.

--- a/packages/gateway/source/gate.c
+++ b/packages/gateway/source/gate.c
@@ -15,6 +15,7 @@
 
 /* From the platform's probes and from readers of the metrics. */
 #define MAX_READINESS_CONNECTIONS 64
+#define MAX_READINESS_BODY_BYTES 1024
 
 /* Two feeds of each instance of a zone, and old connections. */
 #define MAX_RELAY_CONNECTIONS 1024
@@ -364,6 +365,7 @@
     }
     gate->callers.limits = limits;
     gate->readiness.limits = limits;
+    gate->readiness.limits.body_bytes = MAX_READINESS_BODY_BYTES;
     return true;
 }
 
