Keep the memory of callers' bytes within a sum

Callers lost all requests of a process that ran out of memory. Cause: each of up to 2,900 connections could hold a body of 4 MiB, an incomplete one too, for as long as its request may take to arrive; a refused request kept its body while the connection lingered; what is sent of a body was held twice more; and freed bodies stayed with the allocator, whose threshold for mappings grows with the first large block freed.

Now all listeners and the connections to endpoints count what they allocate for callers: bodies, heads, pipelined bytes, messages, queued writes. Two fifths of the memory ([listen] memory_mb, rendered from the platform's limits; 256 MB or what the machine has by default) may be used. Beyond, the incomplete requests of the largest class are refused, first the one that received nothing for the longest time, with 503 and Retry-After: they have not run. Requests over 64 KiB get three quarters, so that small ones have room while a crowd holds its part; complete requests beyond are refused in the same way, and what is not sent yet is not. Refused connections release body and head at once, idle ones a large head, unread answers end after 1 s when all is used. Blocks from 256 KiB have mappings of their own, which return to the system. A failed request ends before its response, which may now release its head.

--- a/packages/core/include/lavender/buffer.h
+++ b/packages/core/include/lavender/buffer.h
@@ -12,11 +12,17 @@
     size_t size;
     size_t capacity;
     bool has_failed; /* an append failed; the content is incomplete */
+    size_t *counter; /* sum of the capacities of several buffers; or NULL */
 } buf_buffer;
 
 void buf_init(buf_buffer *buffer);
 
-/* Frees the memory and leaves an empty buffer that can be used again. */
+/* Adds the capacity of a buffer that is not counted yet to `counter`, and
+ * keeps it up to date; NULL: counts nothing. */
+void buf_count(buf_buffer *buffer, size_t *counter);
+
+/* Frees the memory and leaves an empty buffer that can be used again, and is
+ * still counted. */
 void buf_finish(buf_buffer *buffer);
 
 /* Removes the content and resets has_failed. The memory is kept for reuse. */
--- a/packages/core/source/buffer.c
+++ b/packages/core/source/buffer.c
@@ -13,11 +13,33 @@
     memset(buffer, 0, sizeof *buffer);
 }
 
+void
+buf_count(buf_buffer *buffer, size_t *counter)
+{
+    buffer->counter = counter;
+    if (counter != NULL) {
+        *counter += buffer->capacity;
+    }
+}
+
+static void
+count_capacity(buf_buffer *buffer, size_t capacity)
+{
+    if (buffer->counter != NULL) {
+        *buffer->counter += capacity - buffer->capacity;
+    }
+    buffer->capacity = capacity;
+}
+
 void
 buf_finish(buf_buffer *buffer)
 {
+    size_t *counter = buffer->counter;
+
+    count_capacity(buffer, 0);
     free(buffer->data);
     buf_init(buffer);
+    buffer->counter = counter;
 }
 
 void
@@ -49,7 +71,7 @@
         return false;
     }
     buffer->data = data;
-    buffer->capacity = capacity;
+    count_capacity(buffer, capacity);
     return true;
 }
 
--- a/packages/daemon/source/main.c
+++ b/packages/daemon/source/main.c
@@ -1,4 +1,5 @@
 #include <argp.h>
+#include <malloc.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -9,6 +10,10 @@
 
 #define DEFAULT_SETTINGS_PATH "/etc/lavenderd.ini"
 
+/* Blocks of this size have a mapping of their own, so that the system gets them
+ * back whatever was allocated after them. */
+#define MAPPED_BLOCK_BYTES (256 * 1024)
+
 enum {
     EXIT_DONE = 0,        /* drained, or --check found no error */
     EXIT_INTERRUPTED = 1, /* ended with requests in progress */
@@ -184,6 +189,7 @@
     static err_list errors;
     arguments parsed = {.settings_path = DEFAULT_SETTINGS_PATH};
 
+    mallopt(M_MMAP_THRESHOLD, MAPPED_BLOCK_BYTES);
     argp_err_exit_status = EXIT_SETTINGS;
     argp_parse(&argp, argc, argv, 0, NULL, &parsed);
     err_list_init(&errors);
--- a/packages/gateway/include/lavender-gateway/front.h
+++ b/packages/gateway/include/lavender-gateway/front.h
@@ -18,6 +18,18 @@
     FRONT_LINGERING   /* the last response is sent; input is discarded */
 } front_phase;
 
+/* Memory that the bytes of callers take: requests, from their first byte until
+ * they are answered, what is sent of them, and answers that callers have not
+ * read. Several servers share it. */
+typedef struct front_memory {
+    size_t used;  /* in bytes */
+    size_t limit; /* 0: none */
+} front_memory;
+
+/* Classes of incomplete requests by the memory that they take; each class has
+ * up to twice the size of the one before. */
+#define FRONT_SIZE_CLASSES 24
+
 typedef struct front_connection {
     io_stream stream; /* first member */
     front_server *server;
@@ -26,6 +38,10 @@
     struct front_connection *next_idle;
     struct front_connection *previous_idle;
     bool is_linked_idle;
+    struct front_connection *next_sized; /* of its class */
+    struct front_connection *previous_sized;
+    uint32_t size_class; /* FRONT_SIZE_CLASSES: in none */
+    lv_time received_at; /* the last bytes of an incomplete request */
     front_phase phase;
     http_reader reader;
     const http_head *head; /* of the current request */
@@ -79,6 +95,7 @@
     uint64_t over_limit;    /* connections beyond max_connections */
     uint64_t discarded;     /* connections whose input was discarded */
     uint64_t closed_unread; /* connections closed with unread input */
+    uint64_t over_memory;   /* requests refused for want of memory */
 } front_counts;
 
 struct front_server {
@@ -90,9 +107,14 @@
     front_connection *connections;
     front_connection *first_idle; /* the longest idle */
     front_connection *last_idle;
-    uint32_t connection_count;  /* open connections */
-    uint32_t max_connections;   /* requests on further ones are refused */
-    size_t pipelined_bytes;     /* of all connections */
+    uint32_t connection_count; /* open connections */
+    uint32_t max_connections;  /* requests on further ones are refused */
+    size_t pipelined_bytes;    /* of all connections */
+    front_memory *memory;      /* may be set before the first connection */
+    struct {
+        front_connection *first; /* received nothing for the longest time */
+        front_connection *last;
+    } sized[FRONT_SIZE_CLASSES];
     bool has_inherited_options; /* see io_accept */
     bool is_draining; /* each connection closes after its next response */
     bool is_stopping; /* requests are refused */
--- a/packages/gateway/include/lavender-gateway/gate.h
+++ b/packages/gateway/include/lavender-gateway/gate.h
@@ -50,6 +50,7 @@
     lv_time quota_window;        /* over which account shares are computed */
     uint32_t max_connections;    /* of callers */
     uint32_t max_descriptors;    /* of the process; 0: unknown */
+    uint32_t memory_mb;          /* that the process may use; 0: unknown */
     lv_time shutdown_grace; /* the process must exit this long after SIGTERM */
     lv_time min_drain; /* callers are still served this long after SIGTERM */
     lv_time drain_reserve; /* the process exits this long before the end of the
@@ -154,6 +155,7 @@
                                                  0: they do not */
     uint64_t renewed_for[WIRE_SUBJECT_COUNT]; /* the change that the pending
                                                  request was renewed for */
+    front_memory memory; /* of callers' bytes, on all listeners */
     front_server callers;
     front_server readiness;
     back_pool endpoint_pool;  /* connections to endpoints */
--- a/packages/gateway/include/lavender-gateway/io.h
+++ b/packages/gateway/include/lavender-gateway/io.h
@@ -48,6 +48,8 @@
     bool is_batched;  /* in the list of streams to send */
     buf_buffer batch; /* bytes to send when the callback returns */
     io_stream *next_batched;
+    size_t *queued_counter; /* counts the bytes that are queued for writing,
+                               and those of other streams; or NULL */
 };
 
 /* Parses an IPv4 "IP:PORT"; returns false with the error set when `text` is
--- a/packages/gateway/source/front-connection.c
+++ b/packages/gateway/source/front-connection.c
@@ -19,6 +19,7 @@
     connection->is_past_timeout = false;
     connection->unsent_bytes = 0;
     front_unlink_idle(connection);
+    front_unlink_sized(connection);
     if (phase == FRONT_IDLE) {
         front_link_idle(connection);
     }
@@ -50,6 +51,7 @@
 {
     front_report_unread(connection, reason);
     front_unlink_idle(connection);
+    front_unlink_sized(connection);
     io_flush(&connection->stream);
     if (io_write_queue_size(&connection->stream) > 0) {
         io_reset(&connection->stream);
@@ -63,6 +65,8 @@
 front_begin_lingering(front_connection *connection)
 {
     front_set_phase(connection, FRONT_LINGERING);
+    buf_finish(&connection->body);
+    http_reader_finish(&connection->reader);
     io_shutdown(&connection->stream);
     if (!connection->is_disconnected) {
         io_read_start(&connection->stream);
@@ -74,11 +78,17 @@
                      const char *reason)
 {
     front_server *server = connection->server;
+    buf_buffer headers;
 
+    buf_init(&headers);
+    if (status == 503) {
+        buf_append_text(&headers, "Retry-After: 1\r\n");
+    }
     server->counts.rejected++;
     server->ops->on_rejected(server, status, reason);
     connection->is_keep_alive = false;
-    front_send_error(connection, status, NULL, reason);
+    front_send_error(connection, status, &headers, reason);
+    buf_finish(&headers);
 }
 
 static bool
@@ -139,6 +149,11 @@
         front_reject_request(connection, 503, "too-many-connections");
         return;
     }
+    if (!front_make_room(connection)) {
+        server->counts.over_memory++;
+        front_reject_request(connection, 503, "memory");
+        return;
+    }
     server->ops->on_request(server, connection);
 }
 
@@ -159,6 +174,10 @@
         if (connection->server->is_stopping) {
             front_reject_request(connection, 503, "stopped");
         }
+        else {
+            front_link_sized(connection);
+            front_make_room(connection);
+        }
         break;
     case HTTP_COMPLETE:
         process_request(connection);
@@ -229,6 +248,7 @@
 
     connection->is_disconnected = true;
     front_unlink_idle(connection);
+    front_unlink_sized(connection);
     if (connection->phase == FRONT_PROCESSING) {
         server->ops->on_disconnect(server, connection);
     }
@@ -284,6 +304,10 @@
     front_server *server = connection->server;
 
     front_unlink_idle(connection);
+    front_unlink_sized(connection);
+    if (server->memory != NULL) {
+        server->memory->used -= sizeof *connection;
+    }
     if (connection->next != NULL) {
         connection->next->previous = connection->previous;
     }
@@ -403,6 +427,7 @@
     server->connection_count++;
     http_reader_init(&connection->reader, &reader_ops, connection, true,
                      server->limits.head_bytes);
+    front_count_memory(connection);
     front_set_phase(connection, FRONT_IDLE);
     if (!io_accept(&connection->stream, (uv_stream_t *)&server->listener,
                    FRONT_SILENCE_TIMEOUT, &server->has_inherited_options)) {
--- a/packages/gateway/source/front-imp.h
+++ b/packages/gateway/source/front-imp.h
@@ -24,7 +24,7 @@
 void front_close(front_connection *connection, const char *reason);
 
 /* Answers a request that is not passed on, as it is malformed, incomplete or
- * too much, and ends the connection. */
+ * too much, and ends the connection. With 503 the caller may come again. */
 void front_reject_request(front_connection *connection, uint32_t status,
                           const char *reason);
 
@@ -56,6 +56,27 @@
  * caller. */
 void front_update_reading(front_connection *connection);
 
+/* front-memory.c: memory of callers' bytes */
+
+/* Counts what a new connection stores. */
+void front_count_memory(front_connection *connection);
+
+/* Notes that an incomplete request has received bytes, or that there is none
+ * any more. */
+void front_link_sized(front_connection *connection);
+void front_unlink_sized(front_connection *connection);
+
+/* Refuses incomplete requests, the largest first, until the memory suffices.
+ * Large ones leave a part of it to small ones. Returns whether it suffices for
+ * the connection's request. */
+bool front_make_room(front_connection *connection);
+
+/* Is all memory used that large requests and pipelined bytes may have? */
+bool front_is_memory_scarce(const front_server *server);
+
+/* Is all memory used? */
+bool front_is_memory_full(const front_server *server);
+
 /* front-idle.c: idle connections in the order in which they became idle */
 
 void front_link_idle(front_connection *connection);
--- /dev/null
+++ b/packages/gateway/source/front-memory.c
@@ -0,0 +1,135 @@
+#include "front-imp.h"
+
+/* Requests that take more may use only a part of the memory, so that a crowd
+ * of them does not shut out the others. */
+#define LARGE_REQUEST_BYTES ((size_t)64 * 1024)
+#define LARGE_REQUESTS_PERCENT 75
+
+static size_t
+request_size(const front_connection *connection)
+{
+    return connection->body.capacity + connection->reader.head_text.capacity;
+}
+
+static bool
+is_large(const front_connection *connection)
+{
+    return request_size(connection) > LARGE_REQUEST_BYTES;
+}
+
+static uint32_t
+find_class(size_t size)
+{
+    uint32_t class = 0;
+
+    while (class < FRONT_SIZE_CLASSES - 1 && size > (size_t)512 << class) {
+        class ++;
+    }
+    return class;
+}
+
+void
+front_count_memory(front_connection *connection)
+{
+    front_memory *memory = connection->server->memory;
+
+    connection->size_class = FRONT_SIZE_CLASSES;
+    if (memory != NULL) {
+        buf_count(&connection->body, &memory->used);
+        buf_count(&connection->pipelined, &memory->used);
+        buf_count(&connection->reader.head_text, &memory->used);
+        connection->stream.queued_counter = &memory->used;
+        memory->used += sizeof *connection;
+    }
+}
+
+void
+front_unlink_sized(front_connection *connection)
+{
+    front_server *server = connection->server;
+    uint32_t class = connection->size_class;
+
+    if (class == FRONT_SIZE_CLASSES) {
+        return;
+    }
+    if (connection->next_sized != NULL) {
+        connection->next_sized->previous_sized = connection->previous_sized;
+    }
+    else {
+        server->sized[class].last = connection->previous_sized;
+    }
+    if (connection->previous_sized != NULL) {
+        connection->previous_sized->next_sized = connection->next_sized;
+    }
+    else {
+        server->sized[class].first = connection->next_sized;
+    }
+    connection->size_class = FRONT_SIZE_CLASSES;
+}
+
+void
+front_link_sized(front_connection *connection)
+{
+    front_server *server = connection->server;
+    uint32_t class = find_class(request_size(connection));
+
+    front_unlink_sized(connection);
+    connection->size_class = class;
+    connection->received_at = io_now();
+    connection->next_sized = NULL;
+    connection->previous_sized = server->sized[class].last;
+    if (connection->previous_sized != NULL) {
+        connection->previous_sized->next_sized = connection;
+    }
+    else {
+        server->sized[class].first = connection;
+    }
+    server->sized[class].last = connection;
+}
+
+static front_connection *
+find_largest(const front_server *server)
+{
+    uint32_t class = FRONT_SIZE_CLASSES;
+
+    while (class > 0) {
+        class --;
+        if (server->sized[class].first != NULL) {
+            return server->sized[class].first;
+        }
+    }
+    return NULL;
+}
+
+bool
+front_is_memory_full(const front_server *server)
+{
+    const front_memory *memory = server->memory;
+
+    return memory != NULL && memory->limit > 0 && memory->used > memory->limit;
+}
+
+bool
+front_is_memory_scarce(const front_server *server)
+{
+    const front_memory *memory = server->memory;
+
+    return memory != NULL && memory->limit > 0 &&
+           memory->used > memory->limit / 100 * LARGE_REQUESTS_PERCENT;
+}
+
+bool
+front_make_room(front_connection *connection)
+{
+    front_server *server = connection->server;
+    front_connection *largest;
+
+    while (front_is_memory_scarce(server) &&
+           (largest = find_largest(server)) != NULL &&
+           (is_large(largest) || front_is_memory_full(server))) {
+        server->counts.over_memory++;
+        front_reject_request(largest, 503, "memory");
+    }
+    return is_large(connection) ? !front_is_memory_scarce(server)
+                                : !front_is_memory_full(server);
+}
--- a/packages/gateway/source/front-server.c
+++ b/packages/gateway/source/front-server.c
@@ -121,18 +121,23 @@
     return true;
 }
 
+/* The same when all memory for callers' bytes is used. */
+#define FULL_SILENCE_TIMEOUT LV_SECOND
+
 /* Ends the connection of a caller that has stopped to read its responses. */
 static void
 check_output(front_connection *connection, lv_time now)
 {
+    lv_time timeout = front_is_memory_full(connection->server)
+                          ? FULL_SILENCE_TIMEOUT
+                          : FRONT_SILENCE_TIMEOUT;
     size_t unsent = io_write_queue_size(&connection->stream);
 
     if (unsent != connection->unsent_bytes) {
         connection->unsent_bytes = unsent;
         connection->unsent_since = now;
     }
-    else if (lv_elapsed(now, connection->unsent_since) >=
-             FRONT_SILENCE_TIMEOUT) {
+    else if (lv_elapsed(now, connection->unsent_since) >= timeout) {
         front_close(connection, "caller-silent");
     }
 }
--- a/packages/gateway/source/gate-request.c
+++ b/packages/gateway/source/gate-request.c
@@ -253,6 +253,8 @@
 void
 gate_fail_request(gate_request *request, uint32_t status, const char *reason)
 {
+    front_connection *connection = request->connection;
+
     cancel_attempts(request);
     if (request->has_answer_begun) {
         request->gate->counts.failed++;
@@ -265,9 +267,10 @@
         return;
     }
     request->gate->counts.failed++;
-    request->connection->is_keep_alive = false;
-    front_send_error(request->connection, status, NULL, reason);
+    /* The end of the response releases the request's head and body. */
+    connection->is_keep_alive = false;
     gate_end_request(request, "failed", reason);
+    front_send_error(connection, status, NULL, reason);
 }
 
 void
--- a/packages/gateway/source/gate-settings.c
+++ b/packages/gateway/source/gate-settings.c
@@ -23,6 +23,7 @@
     ADDRESS_KEY("peer", peer_address, true),
     COUNT_KEY("connections", max_connections, 1, 1000000),
     DECIMAL_COUNT_KEY("descriptors", max_descriptors, 0, 10000000),
+    DECIMAL_COUNT_KEY("memory_mb", memory_mb, 0, 1000000),
 };
 
 static const conf_key peers_keys[] = {
--- a/packages/gateway/source/gate.c
+++ b/packages/gateway/source/gate.c
@@ -17,6 +17,14 @@
 #define MAX_READINESS_CONNECTIONS 64
 #define MAX_READINESS_BODY_BYTES 1024
 
+/* The memory of the process when the settings do not name it, unless the
+ * machine has less. */
+#define DEFAULT_MEMORY_MB 256
+
+/* The part of it that callers' bytes may take. The rest is for bytes that the
+ * kernel holds, tables, and memory that the allocator keeps. */
+#define CALLERS_MEMORY_PERCENT 40
+
 /* Two feeds of each instance of a zone, and old connections. */
 #define MAX_RELAY_CONNECTIONS 1024
 
@@ -329,6 +337,7 @@
                   error->message);
         err_clear(error);
     }
+    gate->relay.server.memory = &gate->memory;
     gate_init_quarantine(gate);
     gate_init_origins(gate);
     gate_init_evacuation(gate);
@@ -343,6 +352,20 @@
     return true;
 }
 
+static size_t
+callers_memory(const gate_settings *settings)
+{
+    uint64_t memory = settings->memory_mb;
+    uint64_t machine = uv_get_total_memory() / 1000000;
+
+    if (memory == 0) {
+        memory = machine > 0 && machine < DEFAULT_MEMORY_MB
+                     ? machine
+                     : DEFAULT_MEMORY_MB;
+    }
+    return (size_t)(memory * 1000000 / 100 * CALLERS_MEMORY_PERCENT);
+}
+
 static bool
 init_listeners(gate_server *gate, err_error *error)
 {
@@ -363,9 +386,14 @@
                       &readiness, MAX_READINESS_CONNECTIONS, gate, error)) {
         return false;
     }
+    gate->memory.limit = callers_memory(settings);
+    gate->callers.memory = &gate->memory;
     gate->callers.limits = limits;
+    gate->readiness.memory = &gate->memory;
     gate->readiness.limits = limits;
     gate->readiness.limits.body_bytes = MAX_READINESS_BODY_BYTES;
+    gate->endpoint_pool.memory_used = &gate->memory.used;
+    gate->endpoint_pool.memory_limit = gate->memory.limit;
     return true;
 }
 
--- a/packages/gateway/source/http-reader.c
+++ b/packages/gateway/source/http-reader.c
@@ -4,6 +4,10 @@
 
 #include "lavender-gateway/http.h"
 
+/* Memory for the text of a head that a reader keeps from one message to the
+ * next. */
+#define MAX_KEPT_HEAD_BYTES ((size_t)4096)
+
 static http_reader *
 reader_from_parser(http_parser *parser)
 {
@@ -252,6 +256,9 @@
     http_parser_init(&reader->parser,
                      reader->is_request ? HTTP_REQUEST : HTTP_RESPONSE);
     reader->parser.data = reader;
+    if (reader->head_text.capacity > MAX_KEPT_HEAD_BYTES) {
+        buf_finish(&reader->head_text);
+    }
     buf_clear(&reader->head_text);
     reader->target_offset = begin_text(reader);
     reader->head.header_count = 0;
--- a/packages/gateway/source/io.c
+++ b/packages/gateway/source/io.c
@@ -25,6 +25,7 @@
 /* A queued write and a copy of its bytes. */
 typedef struct io_write_request {
     uv_write_t super;
+    size_t size;
     char data[];
 } io_write_request;
 
@@ -295,12 +296,21 @@
     }
 }
 
+static void
+count_queued(io_stream *stream, size_t added, size_t removed)
+{
+    if (stream->queued_counter != NULL) {
+        *stream->queued_counter += added - removed;
+    }
+}
+
 static void
 on_written(uv_write_t *request, int status)
 {
     io_stream *stream = request->handle->data;
     bool was_batching;
 
+    count_queued(stream, 0, ((io_write_request *)request)->size);
     free(request);
     if (stream->is_closing || status == UV_ECANCELED) {
         return;
@@ -337,12 +347,14 @@
     if (request == NULL) {
         return false;
     }
+    request->size = size;
     memcpy(request->data, (const char *)data + sent, size);
     buffer = uv_buf_init(request->data, (unsigned int)size);
     if (uv_write(&request->super, handle, &buffer, 1, on_written) != 0) {
         free(request);
         return false;
     }
+    count_queued(stream, size, 0);
     return true;
 }
 
--- a/tests/gateway/test-settings.c
+++ b/tests/gateway/test-settings.c
@@ -143,6 +143,7 @@
         {"{{seed_nodes}}", "10.1.0.8:8526,10.2.0.20:8526"},
         {"{{provider.address}}", "10.200.1.7:8527"},
         {"{{limits.max_fds}}", values->descriptors},
+        {"{{limits.memory_mb}}", "260"},
         {"{{bounds.contact_ms}}", values->contact_ms},
         {"{{bounds.drain_ms}}", values->drain_ms},
         {"{{bounds.quota_window_s}}", values->quota_window_s},
