Discard what callers send behind a request when memory is scarce

Callers saw nothing; the process would have been killed. Cause: each connection could pipeline 256 KiB whatever the others did: 742 MB of 2,900. Evidence: 2,000 clients with 250 KiB behind a request: 109,816 kB and 224,214 kB unread.

When the part of the memory that large requests may have is used, what a connection sends behind its request is discarded, and the connection ends with that request's response. It is read on for 1 MiB, so that its end is noticed, and paused then. Below that nothing changes: all pipelined requests are answered.

crowd-gateway-bytes-behind-a-request failed in one of two runs before and passes: 37,128 kB and 63,706 kB unread; the smaller receive buffers have a part in it. gateway-test-framing, -connections and -caller-input pass.

--- a/packages/gateway/include/lavender-gateway/front.h
+++ b/packages/gateway/include/lavender-gateway/front.h
@@ -60,6 +60,7 @@
     bool is_chunked;    /* the current response is sent in chunks */
     bool has_no_body;   /* the current response has no body */
     bool is_reading_pipelined;
+    bool discards_input;  /* that comes behind the current request */
     bool is_over_limit;   /* was accepted beyond max_connections */
     bool is_past_timeout; /* of its phase, with unread bytes */
     bool is_disconnected; /* the caller closed the connection */
@@ -89,13 +90,15 @@
 } front_ops;
 
 typedef struct front_counts {
-    uint64_t accepted;      /* connections */
-    uint64_t rejected;      /* malformed or oversized requests */
-    uint64_t timed_out;     /* requests that were not complete in time */
-    uint64_t over_limit;    /* connections beyond max_connections */
-    uint64_t discarded;     /* connections whose input was discarded */
-    uint64_t closed_unread; /* connections closed with unread input */
-    uint64_t over_memory;   /* requests refused for want of memory */
+    uint64_t accepted;       /* connections */
+    uint64_t rejected;       /* malformed or oversized requests */
+    uint64_t timed_out;      /* requests that were not complete in time */
+    uint64_t over_limit;     /* connections beyond max_connections */
+    uint64_t discarded;      /* connections whose input was discarded */
+    uint64_t closed_unread;  /* connections closed with unread input */
+    uint64_t over_memory;    /* requests refused for want of memory */
+    uint64_t closed_stalled; /* connections with an incomplete request, closed
+                                for new ones */
 } front_counts;
 
 struct front_server {
--- a/packages/gateway/source/front-pipeline.c
+++ b/packages/gateway/source/front-pipeline.c
@@ -7,6 +7,9 @@
 #define MAX_PIPELINED_BYTES ((size_t)256 * 1024)
 #define MAX_SERVER_PIPELINED_BYTES ((size_t)32 * 1024 * 1024)
 
+/* A connection that discards its input is read no further after so much. */
+#define MAX_DISCARDED_BYTES ((uint64_t)1024 * 1024)
+
 /* Further requests of a connection wait while it has more output queued. */
 #define MAX_QUEUED_BYTES ((size_t)64 * 1024)
 
@@ -30,6 +33,7 @@
 is_pipeline_full(const front_connection *connection)
 {
     return connection->pipelined.has_failed ||
+           connection->discarded_bytes > MAX_DISCARDED_BYTES ||
            (front_pipelined_size(connection) > MAX_PIPELINED_BYTES &&
             connection->server->pipelined_bytes > MAX_SERVER_PIPELINED_BYTES);
 }
@@ -61,6 +65,23 @@
     connection->server->pipelined_bytes -= size;
 }
 
+/* For want of memory, what a connection sends behind its request is discarded,
+ * and the connection ends with its response. */
+static void
+discard_input(front_connection *connection, size_t size)
+{
+    connection->discards_input = true;
+    connection->is_keep_alive = false;
+    connection->discarded_bytes += front_pipelined_size(connection) + size;
+    front_finish_pipelined(connection);
+    if (connection->phase == FRONT_IDLE) {
+        front_begin_lingering(connection);
+    }
+    else {
+        front_update_reading(connection);
+    }
+}
+
 void
 front_keep_pipelined(front_connection *connection, const char *data,
                      size_t size)
@@ -68,6 +89,10 @@
     front_server *server = connection->server;
     size_t kept = connection->pipelined.size;
 
+    if (connection->discards_input || front_is_memory_scarce(server)) {
+        discard_input(connection, size);
+        return;
+    }
     buf_append(&connection->pipelined, data, size);
     server->pipelined_bytes += connection->pipelined.size - kept;
     front_update_reading(connection);
