Close stalled requests for new connections

Callers' connections were refused or reset while a crowd held all of them with requests that it did not finish. Cause: at the limit of connections only idle ones were closed for new ones. Evidence: crowd-gateway-more-connections-than-descriptors passed, but its ordinary request was served only after header_timeout_ms, 60 s there.

If no connection is idle, the one is closed whose incomplete request has received nothing for the longest time, 500 ms or more. Its request has not been read, so that its caller may send it again.

--- a/packages/gateway/source/front-connection.c
+++ b/packages/gateway/source/front-connection.c
@@ -435,7 +435,8 @@
         return;
     }
     if (server->connection_count > server->max_connections &&
-        !front_close_longest_idle(server)) {
+        !front_close_longest_idle(server) &&
+        !front_close_longest_stalled(server)) {
         server->counts.over_limit++;
         connection->is_over_limit = true;
     }
--- a/packages/gateway/source/front-imp.h
+++ b/packages/gateway/source/front-imp.h
@@ -77,6 +77,10 @@
 /* Is all memory used? */
 bool front_is_memory_full(const front_server *server);
 
+/* Closes the connection whose incomplete request has received nothing for the
+ * longest time, if that was long enough. Returns whether there was one. */
+bool front_close_longest_stalled(front_server *server);
+
 /* front-idle.c: idle connections in the order in which they became idle */
 
 void front_link_idle(front_connection *connection);
--- a/packages/gateway/source/front-memory.c
+++ b/packages/gateway/source/front-memory.c
@@ -5,6 +5,10 @@
 #define LARGE_REQUEST_BYTES ((size_t)64 * 1024)
 #define LARGE_REQUESTS_PERCENT 75
 
+/* A connection whose request has received nothing for less is not closed for
+ * another one. */
+#define MIN_STALL (500 * LV_MILLISECOND)
+
 static size_t
 request_size(const front_connection *connection)
 {
@@ -133,3 +137,27 @@
     return is_large(connection) ? !front_is_memory_scarce(server)
                                 : !front_is_memory_full(server);
 }
+
+bool
+front_close_longest_stalled(front_server *server)
+{
+    front_connection *longest = NULL;
+    uint32_t class;
+
+    for (class = 0; class < FRONT_SIZE_CLASSES; class ++) {
+        front_connection *first = server->sized[class].first;
+
+        if (first != NULL &&
+            (longest == NULL || first->received_at < longest->received_at)) {
+            longest = first;
+        }
+    }
+    if (longest == NULL ||
+        lv_elapsed(io_now(), longest->received_at) < MIN_STALL ||
+        io_unread_size(&longest->stream) > 0) {
+        return false;
+    }
+    server->counts.closed_stalled++;
+    front_close(longest, "connection-limit");
+    return true;
+}
