Limit incomplete requests of packages/net

Callers would have lost all requests of a router that ran out of memory. Cause: [limits] memory counts a body once its request is complete, but h2o stores it before that, for each connection and for each stream of HTTP/2; a connection kept the buffer of its last body while idle, and the kernel's receive buffers had no limit. Evidence, memory = 32MiB: 60 clients with a body short of its end: 352,156 to 378,652 kB of 131,072, up to 115,173 kB unread; 20 connections with 4 streams each: 366,808 kB.

In each turn of the loop what is stored for requests that are not processed is summed up: the input buffers of HTTP/1 connections, and for HTTP/2, where h2o tells nothing, what the connection received since its requests were all complete. Beyond half of memory (two bodies at least) the largest connections are closed; nothing of them has run. Listeners name 32 KiB for receive buffers.

Tried and taken back: counting incomplete requests against memory itself, which refuses a complete body more in net-test-callers.

--- a/packages/net/include/lavender-net/callers.h
+++ b/packages/net/include/lavender-net/callers.h
@@ -65,6 +65,8 @@
     uint32_t open_connections;     /* open now */
     uint32_t active_requests;      /* unfinished requests */
     uint64_t memory_used;          /* bytes of bodies and buffers in use */
+    uint64_t memory_incomplete;    /* bytes of incomplete requests */
+    uint64_t closed_incomplete;    /* connections closed because of them */
     met_histogram latency; /* from the arrival to the outcome, for the requests
                               in `finished_by_outcome` */
     met_histogram first_byte; /* from the arrival to the start of the
--- a/packages/net/source/callers-imp.h
+++ b/packages/net/source/callers-imp.h
@@ -144,6 +144,8 @@
     char instance[LV_NAME_SIZE];
     listen_listener listener;
     uv_timer_t disconnect_timer;
+    uv_check_t memory_check;
+    uint64_t scan_count; /* of memory_check */
     bool is_draining;
     call_request *requests;       /* all, deferred_frees not included */
     call_request *deferred_frees; /* freed by call_run_deferred */
@@ -207,6 +209,20 @@
  * that its response can be replayed. */
 void request_on_disconnect(call_request *request);
 
+/* callers-memory.c: memory of requests that are not complete */
+
+/* Begins to close the connections with the largest incomplete requests while
+ * all of them take more than half of max_memory_used, in addition to what that
+ * limits: h2o stores a body before it passes the request on. */
+void memory_start(call_server *server);
+
+/* Notes that a request is complete, as its body is counted as one from now on.
+ */
+void memory_note_complete(const h2o_req_t *req);
+
+/* Stops it; its handle is closed in the next iteration of the loop. */
+void memory_stop(call_server *server);
+
 /* callers-response.c: the response to the caller */
 
 /* Frees what the response owns. */
--- a/packages/net/source/callers-listen.c
+++ b/packages/net/source/callers-listen.c
@@ -82,7 +82,11 @@
         return err_set(error, ERR_MEMORY, "allow fewer connections",
                        "cannot allocate the callers' listener");
     }
-    return listen_open(&server->listener, error);
+    if (!listen_open(&server->listener, error)) {
+        return false;
+    }
+    memory_start(server);
+    return true;
 }
 
 uint32_t
@@ -106,6 +110,7 @@
     server->is_draining = true;
     listen_close(&server->listener);
     disconnect_stop(server);
+    memory_stop(server);
 }
 
 void
--- a/packages/net/source/callers-request.c
+++ b/packages/net/source/callers-request.c
@@ -441,6 +441,7 @@
     server->counts.active_requests++;
     server->counts.body_bytes_in += req->entity.len;
     disconnect_watch(request);
+    memory_note_complete(req);
     process_request(request);
     return 0;
 }
--- a/packages/net/source/listen-imp.h
+++ b/packages/net/source/listen-imp.h
@@ -22,6 +22,16 @@
 
 typedef struct listen_connection listen_connection;
 
+/* An accepted connection: on_close.data of its h2o_socket_t. */
+struct listen_connection {
+    uv_tcp_t tcp; /* first member: h2o passes it to on_connection_closed */
+    struct listen_listener *listener;
+    listen_connection *next;
+    listen_connection *previous;
+    uint64_t scanned;         /* see callers-memory.c */
+    uint64_t received_before; /* likewise */
+};
+
 typedef struct listen_listener {
     listen_settings settings;
     uv_loop_t *loop;
--- a/packages/net/source/listen.c
+++ b/packages/net/source/listen.c
@@ -8,12 +8,8 @@
 
 #define LISTEN_BACKLOG 1024
 
-struct listen_connection {
-    uv_tcp_t tcp; /* first member: h2o passes it to on_connection_closed */
-    listen_listener *listener;
-    listen_connection *next;
-    listen_connection *previous;
-};
+/* Of a connection; bytes that wait there count as memory of the process. */
+#define RECEIVE_BUFFER_BYTES (32 * 1024)
 
 static void
 on_connection_closed(uv_handle_t *handle)
@@ -66,6 +62,13 @@
     uv_close((uv_handle_t *)&connection->tcp, free_connection);
 }
 
+/* h2o calls it for a socket whose on_close has data. */
+static void
+ignore_close(void *connection)
+{
+    (void)connection;
+}
+
 static void
 on_connection(uv_stream_t *stream, int status)
 {
@@ -98,6 +101,8 @@
     listener->accepted++;
     socket = h2o_uv_socket_create((uv_stream_t *)&connection->tcp,
                                   on_connection_closed);
+    socket->on_close.cb = ignore_close;
+    socket->on_close.data = connection;
     h2o_accept(&listener->accept, socket);
 }
 
@@ -126,6 +131,7 @@
     const listen_settings *settings = &listener->settings;
     struct sockaddr_storage address;
     socklen_t size;
+    int receive_buffer = RECEIVE_BUFFER_BYTES;
     int status;
 
     if (!addr_parse(settings->address, &address, &size)) {
@@ -144,6 +150,7 @@
         status = uv_listen((uv_stream_t *)&listener->tcp, LISTEN_BACKLOG,
                            on_connection);
     }
+    uv_recv_buffer_size((uv_handle_t *)&listener->tcp, &receive_buffer);
     if (status != 0) {
         return err_set(error, ERR_SYSTEM,
                        "name an address of this machine and a free port",
--- a/packages/net/source/operator-metrics.c
+++ b/packages/net/source/operator-metrics.c
@@ -46,6 +46,11 @@
          (double)counts->mismatched_responses},
         {"lavender_memory_bytes", "gauge", "bodies and buffers in hand",
          (double)counts->memory_used},
+        {"lavender_incomplete_bytes", "gauge", "incomplete requests",
+         (double)counts->memory_incomplete},
+        {"lavender_incomplete_closed_total", "counter",
+         "callers' connections closed with large incomplete requests",
+         (double)counts->closed_incomplete},
     };
 
     met_write_scalars(writer, values, ARRAY_SIZE(values));
