Limit the size of messages from peers

Callers would have lost all requests of a router that ran out of memory. Cause: ZeroMQ reserves what a message announces and keeps what arrives, without a limit; the router rejects larger messages only when they are whole. Evidence: 40 clients that find the peers' port, each with 8 MiB of a message of 64 MiB: 344,468 kB of 131,072.

Links now name the limit of the decoder, 1.2 MB: ZeroMQ ends the connection when a larger message is announced.

--- a/packages/net/source/link.c
+++ b/packages/net/source/link.c
@@ -42,8 +42,11 @@
 set_socket_options(const link_transport *link, void *socket)
 {
     int heartbeat = to_milliseconds(link->settings.heartbeat_interval);
+    int64_t max_size = MSG_SIZE_MAX;
 
-    return set_int_option(socket, ZMQ_LINGER, LINGER_MS) &&
+    return zmq_setsockopt(socket, ZMQ_MAXMSGSIZE, &max_size,
+                          sizeof max_size) == 0 &&
+           set_int_option(socket, ZMQ_LINGER, LINGER_MS) &&
            set_int_option(socket, ZMQ_SNDHWM,
                           (int)link->settings.queue_limit) &&
            set_int_option(socket, ZMQ_RCVHWM,
--- a/tests/crowd/crowd-gateway.c
+++ b/tests/crowd/crowd-gateway.c
@@ -19,7 +19,6 @@
 #define MACHINE_DESCRIPTORS 4100
 
 #define START_TIMEOUT_MS 20000
-#define ASK_TIMEOUT_MS 1000
 
 /* Lowered; of them, the gateway keeps half for itself. */
 #define FEW_DESCRIPTORS 400
@@ -312,3 +311,26 @@
     play(rig.stage.callers, &shape, FEW_DESCRIPTORS, STAGE_RESPOND);
     stop_gateway();
 }
+
+/* No crowd: the largest body inside the limits, in the smallest chunks. */
+Test(gateway, largest_body_in_calm)
+{
+    static const char chunk[] = "1\r\nx\r\n";
+    static const char end[] = "0\r\n\r\n";
+    buf_buffer request;
+
+    buf_init(&request);
+    buf_append_text(&request, "POST /many/1 HTTP/1.1\r\nHost: h\r\n"
+                              "Api-Key: k1\r\nConnection: close\r\n"
+                              "Lavenderproxy-Attempt-Id: largest\r\n" CHUNKED);
+    for (size_t i = 0; i < CROWD_BODY_BYTES; i++) {
+        buf_append(&request, chunk, sizeof chunk - 1);
+    }
+    buf_append(&request, end, sizeof end);
+    start_gateway(MACHINE_DESCRIPTORS);
+    cr_expect_eq(crowd_ask(rig.stage.callers, request.data, work, NULL,
+                           START_TIMEOUT_MS),
+                 200);
+    stop_gateway();
+    buf_finish(&request);
+}
--- a/tests/crowd/crowd-net.c
+++ b/tests/crowd/crowd-net.c
@@ -47,9 +47,25 @@
     cr_expect_leq(usage.descriptors, MACHINE_DESCRIPTORS);
 }
 
+typedef enum port {
+    PORT_CALLERS,
+    PORT_OPERATOR,
+    PORT_PEER
+} port;
+
+static const char *
+find_address(port which)
+{
+    const rig_router *router = &rig.routers[0];
+
+    return which == PORT_CALLERS    ? router->callers
+           : which == PORT_OPERATOR ? router->operator_address
+                                    : router->peer;
+}
+
 /* Two crowds one after the other, at a port of the router. */
 static void
-play(const crowd_shape *shape, bool is_operator_port)
+play(const crowd_shape *shape, port which)
 {
     static const rig_shape router = {.settings =
                                          LIMITS "[timeouts]\nrequest = 60s\n"};
@@ -62,10 +78,8 @@
     cr_assert(crowd_ask_until_served(callers, ORDINARY, NULL, NULL),
               "the router does not serve");
     for (int wave = 0; wave < 2; wave++) {
-        crowd_crowd *crowd = crowd_start(
-            process,
-            is_operator_port ? rig.routers[0].operator_address : callers,
-            shape, NULL, NULL, &usage);
+        crowd_crowd *crowd = crowd_start(process, find_address(which), shape,
+                                         NULL, NULL, &usage);
 
         cr_expect(crowd_is_alive(process), "the router has ended");
         cr_expect(crowd_ask_until_served(callers, ORDINARY, NULL, NULL),
@@ -86,7 +100,7 @@
                                       .piece = "x",
                                       .piece_bytes = CROWD_BODY_BYTES - 1};
 
-    play(&shape, false);
+    play(&shape, PORT_CALLERS);
 }
 
 Test(net, small_chunks_without_an_end)
@@ -97,7 +111,7 @@
                                       .piece_bytes =
                                           (CROWD_BODY_BYTES / 8 - 1) * 13};
 
-    play(&shape, false);
+    play(&shape, PORT_CALLERS);
 }
 
 Test(net, length_less_a_byte)
@@ -108,7 +122,7 @@
                                       .piece = "x",
                                       .piece_bytes = CROWD_BODY_BYTES - 1};
 
-    play(&shape, false);
+    play(&shape, PORT_CALLERS);
 }
 
 Test(net, bodies_at_the_operators_port)
@@ -119,7 +133,7 @@
                                       .piece = "x",
                                       .piece_bytes = CROWD_BODY_BYTES - 1};
 
-    play(&shape, true);
+    play(&shape, PORT_OPERATOR);
 }
 
 static void
@@ -184,7 +198,29 @@
     shape.piece_size = data.size;
     /* One frame less than the limit of a body. */
     shape.piece_bytes = (CROWD_BODY_BYTES / H2_FRAME_BYTES - 1) * data.size;
-    play(&shape, false);
+    play(&shape, PORT_CALLERS);
     buf_finish(&start);
     buf_finish(&data);
 }
+
+/* Messages of 64 MiB by ZMTP 3.0, which stop short of their end. */
+Test(net, long_messages_at_the_peers_port)
+{
+    static const char start[] =
+        "\xff\0\0\0\0\0\0\0\0\x7f\x03\0NULL\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0"
+        "\0" /* no server */
+        "\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0"
+        "\x04\x1c\x05READY\x0bSocket-Type\0\0\0\x06" /* a command */
+        "DEALER"
+        "\x02\0\0\0\0\x04\0\0\0"; /* a message and its size */
+    static const crowd_shape shape = {.clients = 40,
+                                      .connections = 2,
+                                      .head = "",
+                                      .more_head = start,
+                                      .more_head_size = sizeof start - 1,
+                                      .piece = "x",
+                                      .piece_bytes = 2 * CROWD_BODY_BYTES,
+                                      .reads = true};
+
+    play(&shape, PORT_PEER);
+}
