Test messages in parts without an end at the peers' port

Keys of [peers] keep such clients out; a limit without them needs another transport or a change in ZeroMQ.

--- a/tests/crowd/crowd-net.c
+++ b/tests/crowd/crowd-net.c
@@ -203,24 +203,48 @@
     buf_finish(&data);
 }
 
-/* Messages of 64 MiB by ZMTP 3.0, which stop short of their end. */
-Test(net, long_messages_at_the_peers_port)
+/* The handshake of ZMTP 3.0: the greeting without security of a client, and
+ * the command that names its socket's type. */
+static const char zmtp_start[] =
+    "\xff\0\0\0\0\0\0\0\0\x7f\x03\0NULL\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0"
+    "\0"
+    "\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0"
+    "\x04\x1c\x05READY\x0bSocket-Type\0\0\0\x06"
+    "DEALER";
+
+static void
+play_peers(const char *bytes, size_t size, const char *piece,
+           size_t piece_size)
 {
-    static const char start[] =
-        "\xff\0\0\0\0\0\0\0\0\x7f\x03\0NULL\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0"
-        "\0" /* no server */
-        "\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0"
-        "\x04\x1c\x05READY\x0bSocket-Type\0\0\0\x06" /* a command */
-        "DEALER"
-        "\x02\0\0\0\0\x04\0\0\0"; /* a message and its size */
-    static const crowd_shape shape = {.clients = 40,
-                                      .connections = 2,
-                                      .head = "",
-                                      .more_head = start,
-                                      .more_head_size = sizeof start - 1,
-                                      .piece = "x",
-                                      .piece_bytes = 2 * CROWD_BODY_BYTES,
-                                      .reads = true};
+    crowd_shape shape = {.clients = 40,
+                         .connections = 2,
+                         .head = "",
+                         .piece = piece,
+                         .piece_size = piece_size,
+                         .piece_bytes = 2 * CROWD_BODY_BYTES,
+                         .reads = true};
+    buf_buffer start;
 
+    buf_init(&start);
+    buf_append(&start, zmtp_start, sizeof zmtp_start - 1);
+    buf_append(&start, bytes, size);
+    shape.more_head = start.data;
+    shape.more_head_size = start.size;
     play(&shape, PORT_PEER);
+    buf_finish(&start);
+}
+
+Test(net, long_messages_at_the_peers_port)
+{
+    static const char size[] = "\x02\0\0\0\0\x04\0\0\0"; /* 64 MiB */
+
+    play_peers(size, sizeof size - 1, "x", 1);
+}
+
+/* One message in parts of 200 bytes, none of which is the last. */
+Test(net, parts_without_an_end_at_the_peers_port)
+{
+    static char part[202] = {1, (char)200};
+
+    play_peers("", 0, part, sizeof part);
 }
