Limit unread bytes more where there are many connections

Listeners name 128 KiB; connections beyond the first 128 get 16 KiB when they are accepted. Blocks from 64 KiB have mappings of their own, as buffers that grow left holes in the heap.

--- a/packages/daemon/source/main.c
+++ b/packages/daemon/source/main.c
@@ -12,7 +12,7 @@
 
 /* Blocks of this size have a mapping of their own, so that the system gets
  * them back whatever was allocated after them. */
-#define MAPPED_BLOCK_BYTES (256 * 1024)
+#define MAPPED_BLOCK_BYTES (64 * 1024)
 
 enum {
     EXIT_DONE = 0,        /* drained, or --check found no error */
--- a/packages/gateway/include/lavender-gateway/io.h
+++ b/packages/gateway/include/lavender-gateway/io.h
@@ -79,6 +79,9 @@
  * and not read is limited, since it counts as memory of the process. */
 void io_prepare_listener(uv_tcp_t *listener, lv_time silence_timeout);
 
+/* Lets fewer bytes wait unread from now on. */
+void io_limit_unread(io_stream *stream);
+
 void io_read_start(io_stream *stream);
 void io_read_stop(io_stream *stream);
 
--- a/packages/gateway/source/front-connection.c
+++ b/packages/gateway/source/front-connection.c
@@ -7,6 +7,10 @@
  * a caller cannot tell a close without a response from a lost request. */
 #define REFUSAL_CONNECTIONS 64
 
+/* Further connections have small receive buffers, so that what waits unread on
+ * all of them stays within the memory of the process. */
+#define LARGE_BUFFER_CONNECTIONS 128
+
 static void await_request(front_connection *connection);
 
 void
@@ -434,6 +438,9 @@
         io_close(&connection->stream);
         return;
     }
+    if (server->connection_count > LARGE_BUFFER_CONNECTIONS) {
+        io_limit_unread(&connection->stream);
+    }
     if (server->connection_count > server->max_connections &&
         !front_close_longest_idle(server) &&
         !front_close_longest_stalled(server)) {
--- a/packages/gateway/source/io.c
+++ b/packages/gateway/source/io.c
@@ -18,9 +18,11 @@
 
 #define READ_BUFFER_BYTES ((size_t)64 * 1024)
 
-/* The kernel allows twice as much for data and overhead. Less would hold up
- * large bodies between zones. */
-#define RECEIVE_BUFFER_BYTES (24 * 1024)
+/* Receive buffers; the kernel allows twice as much for data and overhead. The
+ * large one suffices for the largest body in the smallest chunks between
+ * zones. */
+#define RECEIVE_BUFFER_BYTES (128 * 1024)
+#define SMALL_RECEIVE_BUFFER_BYTES (16 * 1024)
 
 /* A queued write and a copy of its bytes. */
 typedef struct io_write_request {
@@ -144,6 +146,14 @@
     uv_recv_buffer_size((uv_handle_t *)listener, &receive_buffer);
 }
 
+void
+io_limit_unread(io_stream *stream)
+{
+    int receive_buffer = SMALL_RECEIVE_BUFFER_BYTES;
+
+    uv_recv_buffer_size((uv_handle_t *)&stream->tcp, &receive_buffer);
+}
+
 /* Did the kernel give a connection the options of set_socket_options? */
 static bool
 has_socket_options(const uv_tcp_t *tcp, lv_time silence_timeout)
