Send Retry-After only with refusals for want of memory

And while memory was scarce any byte behind a request was discarded, so that a caller with two small requests was cut off after the first; now 4 KiB are kept.

--- a/packages/gateway/source/front-connection.c
+++ b/packages/gateway/source/front-connection.c
@@ -77,21 +77,35 @@
     }
 }
 
+static void
+reject_request(front_connection *connection, uint32_t status,
+               const buf_buffer *headers, const char *reason)
+{
+    front_server *server = connection->server;
+
+    server->counts.rejected++;
+    server->ops->on_rejected(server, status, reason);
+    connection->is_keep_alive = false;
+    front_send_error(connection, status, headers, reason);
+}
+
 void
 front_reject_request(front_connection *connection, uint32_t status,
                      const char *reason)
 {
-    front_server *server = connection->server;
+    reject_request(connection, status, NULL, reason);
+}
+
+/* Other than at a stop, the same instance may soon have room. */
+void
+front_reject_for_memory(front_connection *connection)
+{
     buf_buffer headers;
 
     buf_init(&headers);
-    if (status == 503) {
-        buf_append_text(&headers, "Retry-After: 1\r\n");
-    }
-    server->counts.rejected++;
-    server->ops->on_rejected(server, status, reason);
-    connection->is_keep_alive = false;
-    front_send_error(connection, status, &headers, reason);
+    buf_append_text(&headers, "Retry-After: 1\r\n");
+    connection->server->counts.over_memory++;
+    reject_request(connection, 503, &headers, "memory");
     buf_finish(&headers);
 }
 
@@ -154,8 +168,7 @@
         return;
     }
     if (!front_make_room(connection)) {
-        server->counts.over_memory++;
-        front_reject_request(connection, 503, "memory");
+        front_reject_for_memory(connection);
         return;
     }
     server->ops->on_request(server, connection);
--- a/packages/gateway/source/front-imp.h
+++ b/packages/gateway/source/front-imp.h
@@ -24,10 +24,13 @@
 void front_close(front_connection *connection, const char *reason);
 
 /* Answers a request that is not passed on, as it is malformed, incomplete or
- * too much, and ends the connection. With 503 the caller may come again. */
+ * too much, and ends the connection. */
 void front_reject_request(front_connection *connection, uint32_t status,
                           const char *reason);
 
+/* The same for want of memory, with Retry-After. */
+void front_reject_for_memory(front_connection *connection);
+
 /* Sends a FIN and reads until the caller's, because closing a socket with
  * unread bytes resets the connection and the caller may lose the response. */
 void front_begin_lingering(front_connection *connection);
--- a/packages/gateway/source/front-memory.c
+++ b/packages/gateway/source/front-memory.c
@@ -131,8 +131,7 @@
     while (front_is_memory_scarce(server) &&
            (largest = find_largest(server)) != NULL &&
            (is_large(largest) || front_is_memory_full(server))) {
-        server->counts.over_memory++;
-        front_reject_request(largest, 503, "memory");
+        front_reject_for_memory(largest);
     }
     return is_large(connection) ? !front_is_memory_scarce(server)
                                 : !front_is_memory_full(server);
--- a/packages/gateway/source/front-pipeline.c
+++ b/packages/gateway/source/front-pipeline.c
@@ -7,6 +7,9 @@
 #define MAX_PIPELINED_BYTES ((size_t)256 * 1024)
 #define MAX_SERVER_PIPELINED_BYTES ((size_t)32 * 1024 * 1024)
 
+/* The same when memory is scarce; the rest is discarded. */
+#define MAX_SCARCE_PIPELINED_BYTES ((size_t)4096)
+
 /* A connection that discards its input is read no further after so much. */
 #define MAX_DISCARDED_BYTES ((uint64_t)1024 * 1024)
 
@@ -89,7 +92,10 @@
     front_server *server = connection->server;
     size_t kept = connection->pipelined.size;
 
-    if (connection->discards_input || front_is_memory_scarce(server)) {
+    if (connection->discards_input || front_is_memory_full(server) ||
+        (front_is_memory_scarce(server) &&
+         front_pipelined_size(connection) + size >
+             MAX_SCARCE_PIPELINED_BYTES)) {
         discard_input(connection, size);
         return;
     }
