--- a/packages/core/include/lavender/buffer.h
+++ b/packages/core/include/lavender/buffer.h
@@ -17,12 +17,12 @@
 
 void buf_init(buf_buffer *buffer);
 
-/* Adds the capacity of a buffer that is not counted yet to `counter`, and
- * keeps it up to date; NULL: counts nothing. */
+/* Includes the capacity of the buffer in `*counter`, now and after each
+ * change. To be called once; `counter` may be NULL. */
 void buf_count(buf_buffer *buffer, size_t *counter);
 
-/* Frees the memory and leaves an empty buffer that can be used again, and is
- * still counted. */
+/* Frees the memory and leaves an empty buffer that can be used again. It keeps
+ * its counter. */
 void buf_finish(buf_buffer *buffer);
 
 /* Removes the content and resets has_failed. The memory is kept for reuse. */
--- a/packages/daemon/source/main.c
+++ b/packages/daemon/source/main.c
@@ -10,8 +10,8 @@
 
 #define DEFAULT_SETTINGS_PATH "/etc/lavenderd.ini"
 
-/* Blocks of this size have a mapping of their own, so that the system gets
- * them back whatever was allocated after them. */
+/* Allocations from this size on are mapped separately, so that free() returns
+ * them to the system. */
 #define MAPPED_BLOCK_BYTES (64 * 1024)
 
 enum {
--- a/packages/gateway/include/lavender-gateway/back.h
+++ b/packages/gateway/include/lavender-gateway/back.h
@@ -115,8 +115,7 @@
     uint32_t idle_capacity;
     uint32_t connection_count;
     bool has_unconfirmed; /* bodies for back_confirm_ends */
-    size_t *memory_used;  /* counts what is to be sent; or NULL */
-    size_t memory_limit;  /* of what memory_used counts; 0: none */
+    size_t *memory_used;  /* counts bytes of unsent requests; or NULL */
     back_counts counts;
 };
 
--- a/packages/gateway/include/lavender-gateway/front.h
+++ b/packages/gateway/include/lavender-gateway/front.h
@@ -18,16 +18,18 @@
     FRONT_LINGERING   /* the last response is sent; input is discarded */
 } front_phase;
 
-/* Memory that the bytes of callers take: requests, from their first byte until
- * they are answered, what is sent of them, and answers that callers have not
- * read. Several servers share it. */
+/* Memory for data of clients: connections, requests that are received or in
+ * progress, and responses that are not sent yet. Servers can share it. */
 typedef struct front_memory {
     size_t used;  /* in bytes */
-    size_t limit; /* 0: none */
+    size_t limit; /* in bytes; 0: none */
 } front_memory;
 
-/* Classes of incomplete requests by the memory that they take; each class has
- * up to twice the size of the one before. */
+/* Returns whether `size` more bytes are within the limit. */
+bool front_has_memory(const front_memory *memory, size_t size);
+
+/* Incomplete requests are listed by size class: class n holds those of up to
+ * 512 << n bytes. */
 #define FRONT_SIZE_CLASSES 24
 
 typedef struct front_connection {
--- a/packages/gateway/include/lavender-gateway/io.h
+++ b/packages/gateway/include/lavender-gateway/io.h
@@ -48,8 +48,8 @@
     bool is_batched;  /* in the list of streams to send */
     buf_buffer batch; /* bytes to send when the callback returns */
     io_stream *next_batched;
-    size_t *queued_counter; /* counts the bytes that are queued for writing,
-                               and those of other streams; or NULL */
+    size_t *queued_counter; /* sum of queued bytes, of several streams; or
+                               NULL */
 };
 
 /* Parses an IPv4 "IP:PORT"; returns false with the error set when `text` is
@@ -75,11 +75,11 @@
 bool io_accept(io_stream *stream, uv_stream_t *listener,
                lv_time silence_timeout, bool *are_inherited);
 
-/* Sets the options of connections on their listener. What they have received
- * and not read is limited, since it counts as memory of the process. */
+/* Sets the options of connections, and the size of their receive buffers, on
+ * their listener. */
 void io_prepare_listener(uv_tcp_t *listener, lv_time silence_timeout);
 
-/* Lets fewer bytes wait unread from now on. */
+/* Sets a small receive buffer. */
 void io_limit_unread(io_stream *stream);
 
 void io_read_start(io_stream *stream);
--- a/packages/gateway/source/back-pool.c
+++ b/packages/gateway/source/back-pool.c
@@ -332,14 +332,6 @@
     return connection;
 }
 
-/* A message that the endpoint does not take at once is copied. */
-static bool
-has_memory(const back_pool *pool, const buf_buffer *message)
-{
-    return pool->memory_used == NULL || pool->memory_limit == 0 ||
-           *pool->memory_used + 2 * message->size <= pool->memory_limit;
-}
-
 bool
 back_start_exchange(back_pool *pool, back_exchange *exchange,
                     lv_handle endpoint, const buf_buffer *message)
@@ -347,14 +339,9 @@
     lv_time max_idle = exchange->is_non_repeatable
                            ? pool->settings.max_idle_non_repeatable
                            : pool->settings.max_idle;
-    back_connection *connection;
-    bool is_reused;
+    back_connection *connection = take_idle(pool, endpoint, max_idle);
+    bool is_reused = connection != NULL;
 
-    if (!has_memory(pool, message)) {
-        return false;
-    }
-    connection = take_idle(pool, endpoint, max_idle);
-    is_reused = connection != NULL;
     if (!is_reused) {
         connection = open_connection(pool, endpoint);
     }
--- a/packages/gateway/source/front-connection.c
+++ b/packages/gateway/source/front-connection.c
@@ -7,8 +7,8 @@
  * a caller cannot tell a close without a response from a lost request. */
 #define REFUSAL_CONNECTIONS 64
 
-/* Further connections have small receive buffers, so that what waits unread on
- * all of them stays within the memory of the process. */
+/* Connections beyond this number get small receive buffers, which bounds the
+ * unread data of all connections. */
 #define LARGE_BUFFER_CONNECTIONS 128
 
 static void await_request(front_connection *connection);
@@ -96,7 +96,6 @@
     reject_request(connection, status, NULL, reason);
 }
 
-/* Other than at a stop, the same instance may soon have room. */
 void
 front_reject_for_memory(front_connection *connection)
 {
--- a/packages/gateway/source/front-imp.h
+++ b/packages/gateway/source/front-imp.h
@@ -28,7 +28,8 @@
 void front_reject_request(front_connection *connection, uint32_t status,
                           const char *reason);
 
-/* The same for want of memory, with Retry-After. */
+/* Rejects a request with 503 and Retry-After, because the memory is used up.
+ */
 void front_reject_for_memory(front_connection *connection);
 
 /* Sends a FIN and reads until the caller's, because closing a socket with
@@ -59,29 +60,30 @@
  * caller. */
 void front_update_reading(front_connection *connection);
 
-/* front-memory.c: memory of callers' bytes */
+/* front-memory.c: memory for data of clients */
 
-/* Counts what a new connection stores. */
+/* Counts the memory of a new connection and of its buffers. */
 void front_count_memory(front_connection *connection);
 
-/* Notes that an incomplete request has received bytes, or that there is none
- * any more. */
+/* Lists a connection whose request is incomplete and has just received data,
+ * and removes it from its list. */
 void front_link_sized(front_connection *connection);
 void front_unlink_sized(front_connection *connection);
 
-/* Refuses incomplete requests, the largest first, until the memory suffices.
- * Large ones leave a part of it to small ones. Returns whether it suffices for
- * the connection's request. */
+/* Rejects incomplete requests, largest size class first and longest stalled
+ * first within a class, until the memory is within its limits. Returns whether
+ * the connection's own request may use the memory that it has. */
 bool front_make_room(front_connection *connection);
 
-/* Is all memory used that large requests and pipelined bytes may have? */
+/* Returns whether large requests and pipelined data have used up their share
+ * of the memory. */
 bool front_is_memory_scarce(const front_server *server);
 
-/* Is all memory used? */
+/* Returns whether the memory is used up. */
 bool front_is_memory_full(const front_server *server);
 
-/* Closes the connection whose incomplete request has received nothing for the
- * longest time, if that was long enough. Returns whether there was one. */
+/* Closes the connection with the longest stalled incomplete request. Returns
+ * false if none is stalled. */
 bool front_close_longest_stalled(front_server *server);
 
 /* front-idle.c: idle connections in the order in which they became idle */
--- a/packages/gateway/source/front-memory.c
+++ b/packages/gateway/source/front-memory.c
@@ -1,12 +1,11 @@
 #include "front-imp.h"
 
-/* Requests that take more may use only a part of the memory, so that a crowd
- * of them does not shut out the others. */
+/* Larger requests and pipelined data can use only this share of the memory;
+ * the rest is reserved for small requests. */
 #define LARGE_REQUEST_BYTES ((size_t)64 * 1024)
 #define LARGE_REQUESTS_PERCENT 75
 
-/* A connection whose request has received nothing for less is not closed for
- * another one. */
+/* Minimum time without data before an incomplete request counts as stalled. */
 #define MIN_STALL (500 * LV_MILLISECOND)
 
 static size_t
@@ -32,6 +31,12 @@
     return class;
 }
 
+bool
+front_has_memory(const front_memory *memory, size_t size)
+{
+    return memory->limit == 0 || memory->used + size <= memory->limit;
+}
+
 void
 front_count_memory(front_connection *connection)
 {
@@ -108,9 +113,7 @@
 bool
 front_is_memory_full(const front_server *server)
 {
-    const front_memory *memory = server->memory;
-
-    return memory != NULL && memory->limit > 0 && memory->used > memory->limit;
+    return server->memory != NULL && !front_has_memory(server->memory, 0);
 }
 
 bool
--- a/packages/gateway/source/front-pipeline.c
+++ b/packages/gateway/source/front-pipeline.c
@@ -7,10 +7,10 @@
 #define MAX_PIPELINED_BYTES ((size_t)256 * 1024)
 #define MAX_SERVER_PIPELINED_BYTES ((size_t)32 * 1024 * 1024)
 
-/* The same when memory is scarce; the rest is discarded. */
+/* Limit for a connection while memory is scarce. */
 #define MAX_SCARCE_PIPELINED_BYTES ((size_t)4096)
 
-/* A connection that discards its input is read no further after so much. */
+/* Reading pauses after this much discarded data. */
 #define MAX_DISCARDED_BYTES ((uint64_t)1024 * 1024)
 
 /* Further requests of a connection wait while it has more output queued. */
@@ -68,8 +68,8 @@
     connection->server->pipelined_bytes -= size;
 }
 
-/* For want of memory, what a connection sends behind its request is discarded,
- * and the connection ends with its response. */
+/* Discards pipelined data; the connection closes after its current response.
+ */
 static void
 discard_input(front_connection *connection, size_t size)
 {
--- a/packages/gateway/source/front-server.c
+++ b/packages/gateway/source/front-server.c
@@ -121,7 +121,7 @@
     return true;
 }
 
-/* The same when all memory for callers' bytes is used. */
+/* Timeout of unread output while the memory is used up. */
 #define FULL_SILENCE_TIMEOUT LV_SECOND
 
 /* Ends the connection of a caller that has stopped to read its responses. */
--- a/packages/gateway/source/gate-imp.h
+++ b/packages/gateway/source/gate-imp.h
@@ -430,6 +430,14 @@
 /* Returns the next pseudo-random number. */
 uint64_t gate_random(gate_server *gate);
 
+/* gate-listen.c */
+
+/* Opens the listeners for callers and probes, and limits the memory that their
+ * clients can fill. Returns false with the error set when one cannot be
+ * opened.
+ */
+bool gate_start_listeners(gate_server *gate, err_error *error);
+
 /* gate-stop.c */
 
 /* Refuses a request that cannot have run and, as the instance drains, may
--- a/packages/gateway/source/gate-request.c
+++ b/packages/gateway/source/gate-request.c
@@ -8,6 +8,10 @@
  * answer would not be read. */
 #define DEFAULT_CALLER_TIMEOUT (60 * LV_SECOND)
 
+/* Copies of a body while it is sent: the message, and what the socket has not
+ * accepted. */
+#define SEND_COPIES 2
+
 static void
 unlink_request(gate_request *request)
 {
@@ -349,6 +353,8 @@
 void
 gate_start_request(gate_request *request, const char *reason)
 {
+    const gate_server *gate = request->gate;
+
     if (io_is_closed_remotely(&request->connection->stream)) {
         request->connection->request = NULL;
         gate_abandon_request(request);
@@ -358,6 +364,11 @@
         gate_refuse_late_in_drain(request)) {
         return;
     }
+    if (!front_has_memory(&gate->memory,
+                          SEND_COPIES * request->connection->body.size)) {
+        gate_give_up_request(request, 502, "memory");
+        return;
+    }
     if (!gate_spend_retry(request)) {
         gate_give_up_request(request, 502, "retry-budget");
         return;
--- a/packages/gateway/source/gate.c
+++ b/packages/gateway/source/gate.c
@@ -13,18 +13,6 @@
  * state is older than this anyway. */
 #define MIN_DECISION_INTERVAL (5 * LV_MILLISECOND)
 
-/* From the platform's probes and from readers of the metrics. */
-#define MAX_READINESS_CONNECTIONS 64
-#define MAX_READINESS_BODY_BYTES 1024
-
-/* The memory of the process when the settings do not name it, unless the
- * machine has less. */
-#define DEFAULT_MEMORY_MB 256
-
-/* The part of it that callers' bytes may take. The rest is for bytes that the
- * kernel holds, tables, and memory that the allocator keeps. */
-#define CALLERS_MEMORY_PERCENT 40
-
 /* Two feeds of each instance of a zone, and old connections. */
 #define MAX_RELAY_CONNECTIONS 1024
 
@@ -46,59 +34,6 @@
     return map_mix(gate->prng_state);
 }
 
-static void
-on_caller_request(front_server *server, front_connection *connection)
-{
-    gate_receive_request(server->owner, connection);
-}
-
-static void
-on_caller_disconnected(front_server *server, front_connection *connection)
-{
-    (void)server;
-    if (connection->request != NULL) {
-        gate_abandon_request(connection->request);
-        connection->request = NULL;
-    }
-}
-
-static void
-on_caller_drained(front_server *server, front_connection *connection)
-{
-    gate_request *request = connection->request;
-
-    (void)server;
-    if (request != NULL && request->is_paused) {
-        request->is_paused = false;
-        request->attempt->last_data_at = io_now();
-        back_resume_exchange(&request->attempt->exchange);
-    }
-}
-
-static void
-on_caller_rejected(front_server *server, uint32_t status, const char *reason)
-{
-    (void)server;
-    log_request(LOG_LEVEL_INFO, LOG_IMPORTANT, io_now(), "rejected",
-                "status=%u reason=%s", status, reason);
-}
-
-static void
-on_caller_input_dropped(front_server *server, const char *reason,
-                        uint64_t bytes)
-{
-    (void)server;
-    log_request(LOG_LEVEL_INFO, LOG_IMPORTANT, io_now(), "input-dropped",
-                "reason=%s bytes=%llu", reason, (unsigned long long)bytes);
-}
-
-static const front_ops caller_ops = {.on_request = on_caller_request,
-                                     .on_disconnect = on_caller_disconnected,
-                                     .on_drain = on_caller_drained,
-                                     .on_rejected = on_caller_rejected,
-                                     .on_input_dropped =
-                                         on_caller_input_dropped};
-
 static void
 on_peer_change(void *owner, const char *what, const char *address)
 {
@@ -352,51 +287,6 @@
     return true;
 }
 
-static size_t
-callers_memory(const gate_settings *settings)
-{
-    uint64_t memory = settings->memory_mb;
-    uint64_t machine = uv_get_total_memory() / 1000000;
-
-    if (memory == 0) {
-        memory = machine > 0 && machine < DEFAULT_MEMORY_MB
-                     ? machine
-                     : DEFAULT_MEMORY_MB;
-    }
-    return (size_t)(memory * 1000000 / 100 * CALLERS_MEMORY_PERCENT);
-}
-
-static bool
-init_listeners(gate_server *gate, err_error *error)
-{
-    /* In force until a configuration is read. */
-    static const rt_limits limits = {.head_bytes = 16384,
-                                     .body_bytes = 4194304,
-                                     .head_timeout = 3 * LV_SECOND,
-                                     .idle_timeout = 15 * LV_SECOND};
-    const gate_settings *settings = &gate->settings;
-    struct sockaddr_in callers;
-    struct sockaddr_in readiness;
-
-    if (!io_parse_address(settings->caller_address, &callers, error) ||
-        !io_parse_address(settings->readiness_address, &readiness, error) ||
-        !front_listen(&gate->callers, gate->loop, &caller_ops, &callers,
-                      settings->max_connections, gate, error) ||
-        !front_listen(&gate->readiness, gate->loop, &gate_readiness_ops,
-                      &readiness, MAX_READINESS_CONNECTIONS, gate, error)) {
-        return false;
-    }
-    gate->memory.limit = callers_memory(settings);
-    gate->callers.memory = &gate->memory;
-    gate->callers.limits = limits;
-    gate->readiness.memory = &gate->memory;
-    gate->readiness.limits = limits;
-    gate->readiness.limits.body_bytes = MAX_READINESS_BODY_BYTES;
-    gate->endpoint_pool.memory_used = &gate->memory.used;
-    gate->endpoint_pool.memory_limit = gate->memory.limit;
-    return true;
-}
-
 bool
 gate_init(gate_server *gate, uv_loop_t *loop, const wire_ops *wire,
           const gate_settings *settings, const char *settings_path,
@@ -438,7 +328,7 @@
     gate->endpoint_pool.owner = gate;
     if (!io_parse_address(settings->store_address,
                           &gate->settings.store.address, error) ||
-        !init_listeners(gate, error) ||
+        !gate_start_listeners(gate, error) ||
         !init_peers(gate, incarnation, error)) {
         return false;
     }
--- a/packages/gateway/source/http-reader.c
+++ b/packages/gateway/source/http-reader.c
@@ -4,8 +4,7 @@
 
 #include "lavender-gateway/http.h"
 
-/* Memory for the text of a head that a reader keeps from one message to the
- * next. */
+/* A larger head buffer is released after its message. */
 #define MAX_KEPT_HEAD_BYTES ((size_t)4096)
 
 static http_reader *
--- a/packages/gateway/source/io.c
+++ b/packages/gateway/source/io.c
@@ -3,27 +3,16 @@
 #include "lavender-gateway/io.h"
 
 #include <errno.h>
-#include <netinet/tcp.h>
 #include <poll.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
-/* The kernel detects a dead idle connection within five seconds: it sends
- * three probes, one second apart, after two seconds without traffic. */
-#define KEEPALIVE_IDLE_S 2
-#define KEEPALIVE_INTERVAL_S 1
-#define KEEPALIVE_PROBES 3
+#include "io-imp.h"
 
 #define READ_BUFFER_BYTES ((size_t)64 * 1024)
 
-/* Receive buffers; the kernel allows twice as much for data and overhead. The
- * large one suffices for the largest body in the smallest chunks between
- * zones. */
-#define RECEIVE_BUFFER_BYTES (128 * 1024)
-#define SMALL_RECEIVE_BUFFER_BYTES (16 * 1024)
-
 /* A queued write and a copy of its bytes. */
 typedef struct io_write_request {
     uv_write_t super;
@@ -86,28 +75,6 @@
     return true;
 }
 
-static void
-set_socket_options(uv_tcp_t *tcp, lv_time silence_timeout)
-{
-    unsigned int timeout_ms = (unsigned int)(silence_timeout / LV_MILLISECOND);
-    uv_os_fd_t socket;
-
-    static const int interval = KEEPALIVE_INTERVAL_S;
-    static const int probes = KEEPALIVE_PROBES;
-
-    uv_tcp_nodelay(tcp, 1);
-    uv_tcp_keepalive(tcp, 1, KEEPALIVE_IDLE_S);
-    if (uv_fileno((uv_handle_t *)tcp, &socket) != 0) {
-        return;
-    }
-    setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof interval);
-    setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
-    if (silence_timeout > 0) {
-        setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
-                   sizeof timeout_ms);
-    }
-}
-
 static void
 on_connected(uv_connect_t *request, int status)
 {
@@ -133,47 +100,10 @@
                        (const struct sockaddr *)address, on_connected) != 0) {
         return false;
     }
-    set_socket_options(&stream->tcp, silence_timeout);
+    io_set_options(&stream->tcp, silence_timeout);
     return true;
 }
 
-void
-io_prepare_listener(uv_tcp_t *listener, lv_time silence_timeout)
-{
-    int receive_buffer = RECEIVE_BUFFER_BYTES;
-
-    set_socket_options(listener, silence_timeout);
-    uv_recv_buffer_size((uv_handle_t *)listener, &receive_buffer);
-}
-
-void
-io_limit_unread(io_stream *stream)
-{
-    int receive_buffer = SMALL_RECEIVE_BUFFER_BYTES;
-
-    uv_recv_buffer_size((uv_handle_t *)&stream->tcp, &receive_buffer);
-}
-
-/* Did the kernel give a connection the options of set_socket_options? */
-static bool
-has_socket_options(const uv_tcp_t *tcp, lv_time silence_timeout)
-{
-    unsigned int timeout_ms = 0;
-    int probes = 0;
-    int no_delay = 0;
-    socklen_t size = sizeof(int);
-    uv_os_fd_t socket;
-
-    return uv_fileno((const uv_handle_t *)tcp, &socket) == 0 &&
-           getsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &no_delay, &size) ==
-               0 &&
-           getsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &probes, &size) == 0 &&
-           getsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
-                      &size) == 0 &&
-           no_delay != 0 && probes == KEEPALIVE_PROBES &&
-           timeout_ms == silence_timeout / LV_MILLISECOND;
-}
-
 bool
 io_accept(io_stream *stream, uv_stream_t *listener, lv_time silence_timeout,
           bool *are_inherited)
@@ -183,10 +113,10 @@
     }
     stream->is_connected = true;
     if (are_inherited != NULL && !*are_inherited) {
-        *are_inherited = has_socket_options(&stream->tcp, silence_timeout);
+        *are_inherited = io_has_options(&stream->tcp, silence_timeout);
     }
     if (are_inherited == NULL || !*are_inherited) {
-        set_socket_options(&stream->tcp, silence_timeout);
+        io_set_options(&stream->tcp, silence_timeout);
     }
     return true;
 }
--- a/packages/net/source/callers-imp.h
+++ b/packages/net/source/callers-imp.h
@@ -209,15 +209,15 @@
  * that its response can be replayed. */
 void request_on_disconnect(call_request *request);
 
-/* callers-memory.c: memory of requests that are not complete */
+/* callers-memory.c: memory of incomplete requests, which h2o buffers before it
+ * calls request_receive */
 
-/* Begins to close the connections with the largest incomplete requests while
- * all of them take more than half of max_memory_used, in addition to what that
- * limits: h2o stores a body before it passes the request on. */
+/* Starts to enforce the limit in each iteration of the loop: the connections
+ * with the largest incomplete requests are closed. */
 void memory_start(call_server *server);
 
-/* Notes that a request is complete, as its body is counted as one from now on.
- */
+/* To be called when a request is complete; its body counts as charged memory
+ * from now on. */
 void memory_note_complete(const h2o_req_t *req);
 
 /* Stops it; its handle is closed in the next iteration of the loop. */
--- a/packages/net/source/callers-memory.c
+++ b/packages/net/source/callers-memory.c
@@ -3,13 +3,12 @@
 #include "callers-imp.h"
 #include "received-imp.h"
 
-/* The part of the memory that requests may take before they are complete, and
- * at least what one takes: buffers grow to up to twice the body. */
+/* Limit of incomplete requests as a share of max_memory_used, and its minimum
+ * in bodies of maximum size: the buffer of one can be twice as large. */
 #define INCOMPLETE_DIVISOR 2
 #define MIN_BODIES 2
 
-/* The sum over the requests of a listener that are not processed yet, by
- * connection. */
+/* Sums up the incomplete requests of a listener by connection. */
 typedef struct memory_scan {
     uint64_t number;
     h2o_conn_t *conn; /* whose requests are being visited */
@@ -27,8 +26,9 @@
     return buffer != NULL && buffer->bytes != NULL ? buffer->capacity : 0;
 }
 
-/* h2o does not tell what a stream of HTTP/2 stores: it is at most what its
- * connection received while a request was incomplete, less complete ones. */
+/* Returns an upper bound of what HTTP/2 streams store, since h2o has no public
+ * counter: the bytes received since the connection last had no incomplete
+ * request, minus the bodies of requests completed since. */
 static size_t
 bound_stored(const memory_scan *scan, h2o_socket_t *socket)
 {
--- a/packages/net/source/listen.c
+++ b/packages/net/source/listen.c
@@ -8,7 +8,7 @@
 
 #define LISTEN_BACKLOG 1024
 
-/* Of a connection; bytes that wait there count as memory of the process. */
+/* Limits the unread data of a connection. */
 #define RECEIVE_BUFFER_BYTES (32 * 1024)
 
 static void
@@ -62,7 +62,7 @@
     uv_close((uv_handle_t *)&connection->tcp, free_connection);
 }
 
-/* h2o calls it for a socket whose on_close has data. */
+/* h2o calls on_close.cb if it is set; only on_close.data is used here. */
 static void
 ignore_close(void *connection)
 {
