--- a/tests/crowd/crowd-gateway.c
+++ b/tests/crowd/crowd-gateway.c
@@ -46,7 +46,30 @@
     crowd_usage usage;
 } gateway_rig;
 
+/* How a gateway and its endpoints are set up. */
+typedef struct gateway_shape {
+    uint32_t descriptors;
+    uint32_t endpoints;
+    uint32_t slots;                /* of each endpoint; 0: few */
+    const char *header_timeout_ms; /* NULL: a minute */
+} gateway_shape;
+
+static const gateway_shape machine = {.descriptors = MACHINE_DESCRIPTORS,
+                                      .endpoints = 1};
+
 static gateway_rig rig;
+static char limits[256];
+
+/* A route whose requests may stay in progress for longer than a crowd. */
+#define SLOW_ROUTE                                                            \
+    ",{\"name\":\"slow\",\"host\":\"h\",\"prefix\":\"/slow/\","               \
+    "\"kind\":\"non_idempotent\",\"timeout_ms\":10000,"                       \
+    "\"target_latency_ms\":10000,\"priority\":1,\"service\":\"pool\","        \
+    "\"max_attempts\":1,\"target_gap_ms\":100}"
+#define SLOW_HEAD                                                             \
+    "POST /slow/1 HTTP/1.1\r\nHost: h\r\nApi-Key: k1\r\n"                     \
+    "Lavenderproxy-Attempt-Id: crowd-%u\r\nLavenderproxy-Deadline-Ms: "       \
+    "60000\r\n"
 
 static void
 work(void *context)
@@ -75,19 +98,25 @@
 }
 
 static void
-start_gateway(uint32_t descriptors)
+start_gateway(const gateway_shape *shape)
 {
     proc_command command;
     char *const addresses[] = {rig.stage.callers, rig.stage.readiness,
                                rig.stage.peer};
 
     memset(&rig, 0, sizeof rig);
-    stage_prepare(&rig.stage, 1);
-    rig.stage.limits = "{\"max_header_bytes\":16384,"
-                       "\"max_body_bytes\":4194304,"
-                       "\"header_timeout_ms\":60000,"
-                       "\"idle_timeout_ms\":15000}";
-    rig.stage.endpoints[0].keeps_no_bodies = true;
+    stage_prepare(&rig.stage, shape->endpoints);
+    snprintf(limits, sizeof limits,
+             "{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,"
+             "\"header_timeout_ms\":%s,\"idle_timeout_ms\":15000}",
+             shape->header_timeout_ms != NULL ? shape->header_timeout_ms
+                                              : "60000");
+    rig.stage.limits = limits;
+    rig.stage.slots = shape->slots;
+    rig.stage.config_extra = SLOW_ROUTE;
+    for (uint32_t i = 0; i < shape->endpoints; i++) {
+        rig.stage.endpoints[i].keeps_no_bodies = true;
+    }
     for (size_t i = 0; i < 3; i++) {
         snprintf(addresses[i], LV_ADDRESS_SIZE, "127.0.0.1:%u",
                  proc_free_port("127.0.0.1"));
@@ -96,7 +125,7 @@
     cr_assert(mkdtemp(rig.folder) != NULL);
     snprintf(rig.settings, sizeof rig.settings, "%s/boot.ini", rig.folder);
     snprintf(rig.log, sizeof rig.log, "%s/log", rig.folder);
-    write_settings(descriptors);
+    write_settings(shape->descriptors);
     crowd_raise_limits();
     crowd_set_sanitizer_options();
     proc_command_init(&command, FLEET_DAEMON);
@@ -136,20 +165,26 @@
     cr_expect_leq(usage->descriptors, descriptors);
 }
 
+static void
+set_mode(stage_mode mode)
+{
+    for (uint32_t i = 0; i < rig.stage.endpoint_count; i++) {
+        rig.stage.endpoints[i].mode = mode;
+    }
+}
+
 /* Two crowds one after the other: memory must not grow from wave to wave. */
 static void
 play(const char *address, const crowd_shape *shape, uint32_t descriptors,
      stage_mode mode)
 {
-    stage_endpoint *endpoint = &rig.stage.endpoints[0];
-
     for (int wave = 0; wave < 2; wave++) {
         crowd_crowd *crowd;
 
-        endpoint->mode = mode;
+        set_mode(mode);
         crowd =
             crowd_start(&rig.process, address, shape, work, NULL, &rig.usage);
-        endpoint->mode = STAGE_RESPOND;
+        set_mode(STAGE_RESPOND);
         cr_expect(crowd_is_alive(&rig.process), "the gateway has ended");
         cr_expect(
             crowd_ask_until_served(rig.stage.callers, ORDINARY, work, NULL),
@@ -166,7 +201,7 @@
 static void
 play_callers(const crowd_shape *shape, stage_mode mode)
 {
-    start_gateway(MACHINE_DESCRIPTORS);
+    start_gateway(&machine);
     play(rig.stage.callers, shape, MACHINE_DESCRIPTORS, mode);
     stop_gateway();
 }
@@ -268,7 +303,7 @@
         .piece = METRICS_REQUEST,
         .piece_bytes = (sizeof METRICS_REQUEST - 1) * 2000};
 
-    start_gateway(MACHINE_DESCRIPTORS);
+    start_gateway(&machine);
     play(rig.stage.readiness, &shape, MACHINE_DESCRIPTORS, STAGE_RESPOND);
     stop_gateway();
 }
@@ -281,7 +316,7 @@
                                       .piece = "x",
                                       .piece_bytes = CROWD_BODY_BYTES - 1};
 
-    start_gateway(MACHINE_DESCRIPTORS);
+    start_gateway(&machine);
     play(rig.stage.readiness, &shape, MACHINE_DESCRIPTORS, STAGE_RESPOND);
     stop_gateway();
 }
@@ -294,43 +329,87 @@
                                       .piece = "x",
                                       .piece_bytes = CROWD_BODY_BYTES - 1};
 
-    start_gateway(MACHINE_DESCRIPTORS);
+    start_gateway(&machine);
     play(rig.stage.peer, &shape, MACHINE_DESCRIPTORS, STAGE_RESPOND);
     stop_gateway();
 }
 
 Test(gateway, more_connections_than_descriptors)
 {
+    static const gateway_shape few = {.descriptors = FEW_DESCRIPTORS,
+                                      .endpoints = 1};
     static const crowd_shape shape = {.clients = 600,
                                       .connections = 2,
                                       .head = HEAD CHUNKED "10\r\n",
                                       .piece = "x",
                                       .piece_bytes = 8};
 
-    start_gateway(FEW_DESCRIPTORS);
+    start_gateway(&few);
+    play(rig.stage.callers, &shape, FEW_DESCRIPTORS, STAGE_RESPOND);
+    stop_gateway();
+}
+
+/* The header timeout, which ends such requests, is longer than the test. */
+Test(gateway, stalled_requests_on_all_connections)
+{
+    static const gateway_shape few = {.descriptors = FEW_DESCRIPTORS,
+                                      .endpoints = 1,
+                                      .header_timeout_ms = "3600000"};
+    static const crowd_shape shape = {.clients = 600,
+                                      .head = HEAD CHUNKED "10\r\n",
+                                      .piece = "x",
+                                      .piece_bytes = 8};
+
+    start_gateway(&few);
     play(rig.stage.callers, &shape, FEW_DESCRIPTORS, STAGE_RESPOND);
     stop_gateway();
 }
 
-/* No crowd: the largest body inside the limits, in the smallest chunks. */
+static const gateway_shape busy = {
+    .descriptors = MACHINE_DESCRIPTORS, .endpoints = 8, .slots = 200};
+
+Test(gateway, bytes_behind_requests_in_progress)
+{
+    static const crowd_shape shape = {.clients = 1200,
+                                      .head = SLOW_HEAD
+                                      "Content-Length: 0\r\n\r\n",
+                                      .piece = "x",
+                                      .piece_bytes = 250 * 1024};
+
+    start_gateway(&busy);
+    play(rig.stage.callers, &shape, MACHINE_DESCRIPTORS, STAGE_NO_RESPONSE);
+    stop_gateway();
+}
+
+Test(gateway, unread_answers_of_endpoints)
+{
+    static const crowd_shape shape = {.clients = 300,
+                                      .head = SLOW_HEAD
+                                      "Content-Length: 0\r\n\r\n",
+                                      .piece = "x",
+                                      .piece_bytes = 0};
+
+    start_gateway(&busy);
+    play(rig.stage.callers, &shape, MACHINE_DESCRIPTORS, STAGE_ENDLESS_BODY);
+    stop_gateway();
+}
+
+/* No crowd: the largest body inside the limits, in one piece and in the
+ * smallest chunks. */
 Test(gateway, largest_body_in_calm)
 {
-    static const char chunk[] = "1\r\nx\r\n";
-    static const char end[] = "0\r\n\r\n";
-    buf_buffer request;
-
-    buf_init(&request);
-    buf_append_text(&request, "POST /many/1 HTTP/1.1\r\nHost: h\r\n"
-                              "Api-Key: k1\r\nConnection: close\r\n"
-                              "Lavenderproxy-Attempt-Id: largest\r\n" CHUNKED);
-    for (size_t i = 0; i < CROWD_BODY_BYTES; i++) {
-        buf_append(&request, chunk, sizeof chunk - 1);
+    buf_buffer requests[2];
+
+    crowd_write_largest(&requests[0], &requests[1],
+                        "POST /many/1 HTTP/1.1\r\nHost: h\r\nApi-Key: k1\r\n"
+                        "Lavenderproxy-Attempt-Id: largest\r\n");
+    start_gateway(&machine);
+    for (int i = 0; i < 2; i++) {
+        int status = crowd_ask(rig.stage.callers, requests[i].data, work, NULL,
+                               START_TIMEOUT_MS);
+
+        cr_expect_eq(status, 200, "request %d: %d", i, status);
+        buf_finish(&requests[i]);
     }
-    buf_append(&request, end, sizeof end);
-    start_gateway(MACHINE_DESCRIPTORS);
-    cr_expect_eq(crowd_ask(rig.stage.callers, request.data, work, NULL,
-                           START_TIMEOUT_MS),
-                 200);
     stop_gateway();
-    buf_finish(&request);
 }
--- a/tests/crowd/crowd-net.c
+++ b/tests/crowd/crowd-net.c
@@ -25,6 +25,8 @@
     "Authorization: Bearer key-of-alpha\r\nContent-Length: 14\r\n\r\n"        \
     "{\"user\":\"o/1\"}"
 
+#define START_TIMEOUT_MS 20000
+
 #define H2_STREAMS 4
 #define H2_FRAME_BYTES 16384
 
@@ -248,3 +250,23 @@
 
     play_peers("", 0, part, sizeof part);
 }
+
+/* No crowd, and the default settings. */
+Test(net, largest_body_in_calm)
+{
+    static const rig_shape router = {.entry = "body = 4MiB\n"};
+    buf_buffer requests[2];
+
+    crowd_write_largest(&requests[0], &requests[1],
+                        "POST /lookup/1 HTTP/1.1\r\nHost: r\r\n"
+                        "Authorization: Bearer key-of-alpha\r\n");
+    cr_assert(rig_start(&rig, &router));
+    for (int i = 0; i < 2; i++) {
+        int status = crowd_ask(rig.routers[0].callers, requests[i].data, NULL,
+                               NULL, START_TIMEOUT_MS);
+
+        cr_expect_eq(status, 200, "request %d: %d", i, status);
+        buf_finish(&requests[i]);
+    }
+    cr_expect(rig_stop(&rig));
+}
--- a/tests/crowd/crowd.c
+++ b/tests/crowd/crowd.c
@@ -431,6 +431,32 @@
     return false;
 }
 
+void
+crowd_write_largest(buf_buffer *whole, buf_buffer *chunked, const char *head)
+{
+    static const char json[] = "{\"user\":\"o/1\"}";
+    static const char end[] = "0\r\n\r\n";
+    char chunk[] = "1\r\n \r\n";
+    size_t i;
+
+    buf_init(whole);
+    buf_init(chunked);
+    buf_append_text(whole, head);
+    buf_append_text(chunked, head);
+    buf_append_format(whole,
+                      "Connection: close\r\nContent-Length: %zu\r\n\r\n",
+                      CROWD_BODY_BYTES);
+    buf_append_text(chunked, "Connection: close\r\n"
+                             "Transfer-Encoding: chunked\r\n\r\n");
+    for (i = 0; i < CROWD_BODY_BYTES; i++) {
+        chunk[3] = i < sizeof json - 1 ? json[i] : ' ';
+        buf_append(whole, &chunk[3], 1);
+        buf_append(chunked, chunk, sizeof chunk - 1);
+    }
+    buf_append(whole, "", 1);
+    buf_append(chunked, end, sizeof end);
+}
+
 bool
 crowd_is_alive(proc_process *process)
 {
--- a/tests/crowd/crowd.h
+++ b/tests/crowd/crowd.h
@@ -57,14 +57,19 @@
 bool crowd_ask_until_served(const char *address, const char *request,
                             crowd_step *step, void *context);
 
+/* Writes two requests, as strings, with a body of CROWD_BODY_BYTES: in one
+ * piece, and in chunks of a byte. `head` is the start of the head. */
+void crowd_write_largest(buf_buffer *whole, buf_buffer *chunked,
+                         const char *head);
+
 /* Is the process still running? */
 bool crowd_is_alive(proc_process *process);
 
 /* Opens as many descriptors as the system allows this process. */
 void crowd_raise_limits(void);
 
-/* The test's process keeps memory that the daemon frees under the address
- * sanitizer out of the figures; to be called before the daemon starts. */
+/* Makes the address sanitizer release freed memory at once in processes that
+ * are started from now on, so that it is not measured. */
 void crowd_set_sanitizer_options(void);
 
 #endif
--- a/tests/gateway/stage-endpoint.c
+++ b/tests/gateway/stage-endpoint.c
@@ -292,13 +292,12 @@
     stage_endpoint *endpoint = self->endpoint;
     const char *id = http_find_header(head, "Lavenderproxy-Attempt-Id");
     size_t used = 0;
-    uint32_t i;
 
     snprintf(self->id, sizeof self->id, "%s", id != NULL ? id : "");
     snprintf(endpoint->last_target, sizeof endpoint->last_target, "%s",
              head->target);
     endpoint->last_head[0] = '\0';
-    for (i = 0; i < head->header_count; i++) {
+    for (uint32_t i = 0; i < head->header_count; i++) {
         used += (size_t)snprintf(
             endpoint->last_head + used, sizeof endpoint->last_head - used,
             "%s: %s\n", head->headers[i].name, head->headers[i].value);
@@ -312,13 +311,11 @@
 {
     endpoint_connection *self = reader->owner;
     stage_endpoint *endpoint = self->endpoint;
+    size_t kept = endpoint->keeps_no_bodies ? 0 : size;
 
-    if (endpoint->keeps_no_bodies) {
-        return true;
-    }
-    cr_assert_leq(endpoint->last_body_size + size, sizeof endpoint->last_body);
-    memcpy(endpoint->last_body + endpoint->last_body_size, data, size);
-    endpoint->last_body_size += size;
+    cr_assert_leq(endpoint->last_body_size + kept, sizeof endpoint->last_body);
+    memcpy(endpoint->last_body + endpoint->last_body_size, data, kept);
+    endpoint->last_body_size += kept;
     return true;
 }
 
@@ -473,7 +470,7 @@
         uv_tcp_bind(&endpoint->listener, (const struct sockaddr *)&address, 0),
         0);
     cr_assert_eq(
-        uv_listen((uv_stream_t *)&endpoint->listener, 16, on_connection), 0);
+        uv_listen((uv_stream_t *)&endpoint->listener, 512, on_connection), 0);
     stage_format_address(&endpoint->listener, endpoint->address);
 }
 
--- a/tests/gateway/stage-store.c
+++ b/tests/gateway/stage-store.c
@@ -6,6 +6,9 @@
 
 #include "stage-imp.h"
 
+/* Connections that endpoints with many slots accept. */
+#define MANY_CONNECTIONS 10000U
+
 static void
 append_value(buf_buffer *to, const char *key, const char *json,
              uint64_t created)
@@ -53,7 +56,8 @@
         buf_append_text(to, stage->config_extra);
     }
     buf_append_format(
-        to, "],\"services\":[{\"name\":\"pool\",\"max_conns\":100%s}],",
+        to, "],\"services\":[{\"name\":\"pool\",\"max_conns\":%u%s}],",
+        stage->slots != 0 ? MANY_CONNECTIONS : 100,
         stage->service_extra != NULL ? stage->service_extra : "");
     buf_append_text(to, "\"limits\":");
     buf_append_text(to, stage->limits != NULL ? stage->limits
@@ -93,10 +97,11 @@
         snprintf(key, sizeof key, "servers/%s", endpoint->name);
         snprintf(value, sizeof value,
                  "{\"service\":\"pool\",\"address\":\"%s\",\"zone\":\"%s\","
-                 "\"version\":\"%s\",\"slots\":4,\"state\":\"ready\","
+                 "\"version\":\"%s\",\"slots\":%u,\"state\":\"ready\","
                  "\"born\":%llu,\"seq\":1}",
                  endpoint->address, i == 0 ? "z" : "y",
                  endpoint->version != NULL ? endpoint->version : "v1",
+                 stage->slots != 0 ? stage->slots : 4,
                  endpoint->born != 0 ? (unsigned long long)endpoint->born
                                      : 1000ULL);
         buf_append_text(to, comma);
--- a/tests/gateway/stage.h
+++ b/tests/gateway/stage.h
@@ -107,6 +107,7 @@
     uint64_t config_revision; /* of the configuration's last change; 0: 1 */
     uint64_t era; /* of the store, in all its responses; 0: not named */
     uint32_t config_version;
+    uint32_t slots;             /* of each endpoint; 0: 4 */
     const char *limits;         /* of the configuration, JSON; NULL: small ones
                                    for short tests */
     const char *config_extra;   /* more routes, JSON; may be NULL */
