Take bodies inside the limit in small chunks

Callers of a router got 413, which they do not try again, for a body of 4 MiB in chunks of a byte. Cause: h2o compares its limit with what its buffer holds, chunks included that it has not decoded yet. Evidence: crowd-net-largest-body-in-calm: 413, no refusal in the router's log.

h2o's limit is higher by the most that one read can return, 64 KiB, which follows from the receive buffer; the exact limit is checked when the request is complete.

--- a/packages/net/source/callers-listen.c
+++ b/packages/net/source/callers-listen.c
@@ -7,13 +7,13 @@
 init_listener(call_server *server, err_error *error)
 {
     const call_settings *settings = &server->settings;
-    listen_settings listen = {.address = settings->address,
-                              .listener_name = "callers",
-                              .connection_limit =
-                                  settings->max_open_connections,
-                              .body_limit = settings->max_request_body,
-                              .head_timeout = settings->head_timeout,
-                              .idle_timeout = settings->idle_timeout};
+    listen_settings listen = {
+        .address = settings->address,
+        .listener_name = "callers",
+        .connection_limit = settings->max_open_connections,
+        .body_limit = settings->max_request_body + LISTEN_MAX_READ_BYTES,
+        .head_timeout = settings->head_timeout,
+        .idle_timeout = settings->idle_timeout};
     call_handler *handler;
 
     if (settings->tls_certificate[0] != '\0') {
--- a/packages/net/source/callers-request.c
+++ b/packages/net/source/callers-request.c
@@ -311,6 +311,10 @@
     if (!find_route(request, catalogue, &params.route)) {
         return;
     }
+    if (request->body.len > request->server->settings.max_request_body) {
+        refuse(request, OUT_REASON_BODY_TOO_LARGE);
+        return;
+    }
     if (!copy_header(request->req, "lavender-class", class_name,
                      sizeof class_name)) {
         refuse(request, OUT_REASON_UNKNOWN_CLASS);
--- a/packages/net/source/listen-imp.h
+++ b/packages/net/source/listen-imp.h
@@ -10,11 +10,17 @@
 #include "lavender/error.h"
 #include "lavender/types.h"
 
+/* Size of receive buffers, and the most that one read can return: the kernel
+ * allows twice as much, for data and overhead. */
+#define LISTEN_RECEIVE_BUFFER_BYTES (32 * 1024)
+#define LISTEN_MAX_READ_BYTES ((size_t)2 * LISTEN_RECEIVE_BUFFER_BYTES)
+
 typedef struct listen_settings {
     const char *address;       /* IP:PORT */
     const char *listener_name; /* name in error messages, such as "callers" */
     uint32_t connection_limit; /* maximum number open at a time */
-    size_t body_limit;         /* maximum size of a request's body, in bytes */
+    size_t body_limit;         /* maximum size of a request's body, in bytes;
+                                  includes chunks that are not decoded yet */
     lv_time head_timeout;      /* for a request to arrive */
     lv_time idle_timeout;      /* of HTTP/2 connections */
     SSL_CTX *tls;              /* the listener takes ownership; NULL: no TLS */
--- a/packages/net/source/listen.c
+++ b/packages/net/source/listen.c
@@ -8,9 +8,6 @@
 
 #define LISTEN_BACKLOG 1024
 
-/* Limits the unread data of a connection. */
-#define RECEIVE_BUFFER_BYTES (32 * 1024)
-
 static void
 on_connection_closed(uv_handle_t *handle)
 {
@@ -131,7 +128,7 @@
     const listen_settings *settings = &listener->settings;
     struct sockaddr_storage address;
     socklen_t size;
-    int receive_buffer = RECEIVE_BUFFER_BYTES;
+    int receive_buffer = LISTEN_RECEIVE_BUFFER_BYTES;
     int status;
 
     if (!addr_parse(settings->address, &address, &size)) {
