Go on with a stream after a large event

Callers got a stream up to an event of more than 256 KiB and then nothing until the route's timeout. Cause: the event is written at once and reading from the endpoint pauses, as that much seems unread; if the socket takes all of it when the callback ends, no write waits, and nothing resumes reading. Evidence: a trace of an answer in progress: 4.4 MB read from the endpoint, nothing queued, paused.

Each tick resumes reading for callers whose output is all sent.

It was found while unread answers were looked at, where a lower limit met the same fault.

--- a/packages/gateway/source/gate-imp.h
+++ b/packages/gateway/source/gate-imp.h
@@ -368,6 +368,9 @@
 
 /* gate-tick.c: deadlines and queued requests */
 
+/* Reads on from the endpoint if reading is paused and all output was sent. */
+void gate_resume_paused(gate_request *request);
+
 /* Fails requests that are past their deadline, reroutes stalled ones, decides
  * queued ones, and records how late each endpoint is. Call it at every tick of
  * the timer. */
--- a/packages/gateway/source/gate-listen.c
+++ b/packages/gateway/source/gate-listen.c
@@ -34,10 +34,8 @@
     gate_request *request = connection->request;
 
     (void)server;
-    if (request != NULL && request->is_paused) {
-        request->is_paused = false;
-        request->attempt->last_data_at = io_now();
-        back_resume_exchange(&request->attempt->exchange);
+    if (request != NULL) {
+        gate_resume_paused(request);
     }
 }
 
--- a/packages/gateway/source/gate-tick.c
+++ b/packages/gateway/source/gate-tick.c
@@ -98,6 +98,17 @@
     }
 }
 
+void
+gate_resume_paused(gate_request *request)
+{
+    if (request->is_paused &&
+        io_write_queue_size(&request->connection->stream) == 0) {
+        request->is_paused = false;
+        request->attempt->last_data_at = io_now();
+        back_resume_exchange(&request->attempt->exchange);
+    }
+}
+
 void
 gate_tick_requests(gate_server *gate, lv_time now)
 {
@@ -119,6 +130,7 @@
                 gate_record_begun(&request->attempts[i], false, now);
             }
         }
+        gate_resume_paused(request);
         if (now >= request->answer_deadline) {
             end_at_deadline(request);
         }
