Count answers as memory of clients

Callers lost all requests of a process that ran out of memory. Cause: up to 1 MB of each answer is held back until it is whole, in a buffer of 2 MB that was kept after that, and 256 KiB more for each caller that does not read; none of it was counted.

Answers and requests are in the sum now. The buffer is released when the answer begins; while memory is scarce 64 KiB are held back, and reading pauses at 128 KiB. When all of it is used, a caller that has read nothing for 1 s is closed in the middle of its answer too.

--- a/packages/gateway/include/lavender-gateway/front.h
+++ b/packages/gateway/include/lavender-gateway/front.h
@@ -100,7 +100,8 @@
     uint64_t closed_unread;  /* connections closed with unread input */
     uint64_t over_memory;    /* requests refused for want of memory */
     uint64_t closed_stalled; /* connections with an incomplete request, closed
-                                for new ones */
+                            for new ones */
+    uint64_t closed_silent;  /* connections whose caller did not read */
 } front_counts;
 
 struct front_server {
@@ -138,6 +139,10 @@
  * second. */
 void front_tick(front_server *server, lv_time now);
 
+/* Returns whether large requests and pipelined data have used up their share
+ * of the memory. */
+bool front_is_memory_scarce(const front_server *server);
+
 /* Starts draining: a response that begins from now on is the last one of its
  * connection and says so, and idle connections close soon. A connection whose
  * response has begun is used for one more request. New connections are still
--- a/packages/gateway/source/front-imp.h
+++ b/packages/gateway/source/front-imp.h
@@ -75,10 +75,6 @@
  * the connection's own request may use the memory that it has. */
 bool front_make_room(front_connection *connection);
 
-/* Returns whether large requests and pipelined data have used up their share
- * of the memory. */
-bool front_is_memory_scarce(const front_server *server);
-
 /* Returns whether the memory is used up. */
 bool front_is_memory_full(const front_server *server);
 
--- a/packages/gateway/source/front-server.c
+++ b/packages/gateway/source/front-server.c
@@ -138,6 +138,11 @@
         connection->unsent_since = now;
     }
     else if (lv_elapsed(now, connection->unsent_since) >= timeout) {
+        connection->server->counts.closed_silent++;
+        if (connection->phase == FRONT_PROCESSING) {
+            connection->server->ops->on_disconnect(connection->server,
+                                                   connection);
+        }
         front_close(connection, "caller-silent");
     }
 }
@@ -176,6 +181,10 @@
         }
         break;
     case FRONT_PROCESSING:
+        if (io_write_queue_size(&connection->stream) > 0 &&
+            front_is_memory_full(server)) {
+            check_output(connection, now);
+        }
         /* The end of a connection that is read is reported by the loop. */
         if (!connection->stream.is_reading &&
             io_is_hung_up(&connection->stream)) {
--- a/packages/gateway/source/gate-attempt.c
+++ b/packages/gateway/source/gate-attempt.c
@@ -6,10 +6,13 @@
 /* Answers up to this size are buffered until they are whole, so that a broken
  * one is not forwarded. */
 #define MAX_BUFFERED_ANSWER ((size_t)1024 * 1024)
+#define MAX_SCARCE_BUFFERED_ANSWER ((size_t)64 * 1024) /* memory is scarce */
 
 /* Reading from an endpoint is paused when its caller leaves this much unread.
- */
+ * The limits exceed what one read can add: only then does a write wait, whose
+ * end resumes reading. */
 #define MAX_UNREAD_BYTES ((size_t)256 * 1024)
+#define MAX_SCARCE_UNREAD_BYTES ((size_t)128 * 1024) /* memory is scarce */
 
 static const back_exchange_ops exchange_ops;
 
@@ -307,13 +310,22 @@
     retry_elsewhere(attempt->request, reason);
 }
 
+/* Chooses the limit that applies to the memory that is left. */
+static size_t
+choose_limit(const gate_request *request, size_t limit, size_t scarce_limit)
+{
+    return front_is_memory_scarce(&request->gate->callers) ? scarce_limit
+                                                           : limit;
+}
+
 static void
 pause_for_caller(gate_attempt *attempt)
 {
     gate_request *request = attempt->request;
 
     if (request->state == GATE_RUNNING &&
-        io_write_queue_size(&request->connection->stream) > MAX_UNREAD_BYTES) {
+        io_write_queue_size(&request->connection->stream) >
+            choose_limit(request, MAX_UNREAD_BYTES, MAX_SCARCE_UNREAD_BYTES)) {
         request->is_paused = true;
         back_pause_exchange(&attempt->exchange);
     }
@@ -365,11 +377,12 @@
         return;
     }
     buf_append(&attempt->body, data, size);
-    if (attempt->body.size > MAX_BUFFERED_ANSWER) {
+    if (attempt->body.size > choose_limit(request, MAX_BUFFERED_ANSWER,
+                                          MAX_SCARCE_BUFFERED_ANSWER)) {
         gate_begin_answer(attempt);
         front_send_body(request->connection, attempt->body.data,
                         attempt->body.size);
-        buf_clear(&attempt->body);
+        buf_finish(&attempt->body);
     }
 }
 
--- a/packages/gateway/source/gate-request.c
+++ b/packages/gateway/source/gate-request.c
@@ -158,6 +158,9 @@
     request->ops = &request_ops;
     for (i = 0; i < GATE_MAX_SENDS; i++) {
         request->attempts[i].request = request;
+        buf_count(&request->attempts[i].headers, &gate->memory.used);
+        buf_count(&request->attempts[i].body, &gate->memory.used);
+        buf_count(&request->attempts[i].partial_event, &gate->memory.used);
     }
     request->attempt = &request->attempts[0];
     request->share_row = LV_HANDLE_NONE;
@@ -177,6 +180,7 @@
     }
     gate->last_request = request;
     gate->request_count++;
+    gate->memory.used += sizeof *request;
     connection->request = request;
     return request;
 }
@@ -455,6 +459,7 @@
             unlink_request(request);
             rt_unref(request->config);
             finish_attempts(request);
+            gate->memory.used -= sizeof *request;
             free(request);
         }
         request = next;
--- a/tests/gateway/test-memory.c
+++ b/tests/gateway/test-memory.c
@@ -81,3 +81,46 @@
     stage_finish_client(&stage, &client);
     stage_stop(&stage);
 }
+
+static bool
+has_endpoint(stage_fixture *self, void *context)
+{
+    (void)context;
+    return self->gate.config != NULL && self->gate.endpoints.capacity > 0 &&
+           self->gate.endpoints.endpoints[0].is_listed;
+}
+
+static bool
+is_silent_closed(stage_fixture *self, void *context)
+{
+    (void)context;
+    return self->gate.callers.counts.closed_silent > 0 &&
+           self->gate.callers.connection_count == 0;
+}
+
+/* A caller that does not read its response while the memory is used up. */
+Test(memory, silent_caller_is_closed)
+{
+    static const char request[] =
+        "POST /slow/1 HTTP/1.1\r\nHost: h\r\nApi-Key: k1\r\n"
+        "Lavenderproxy-Attempt-Id: 1\r\nContent-Length: 0\r\n\r\n";
+    stage_client client;
+
+    stage_prepare(&stage, 1);
+    stage.config_extra =
+        ",{\"name\":\"slow\",\"host\":\"h\",\"prefix\":\"/slow/\","
+        "\"kind\":\"non_idempotent\",\"timeout_ms\":20000,"
+        "\"target_latency_ms\":200,\"priority\":1,\"service\":\"pool\","
+        "\"max_attempts\":1,\"target_gap_ms\":100}";
+    stage_start_gateway(&stage);
+    cr_assert(stage_run_until(&stage, has_endpoint, NULL, 5000));
+    stage.endpoints[0].mode = STAGE_ENDLESS_BODY;
+    stage_send(&stage, &client, request, sizeof request - 1);
+    cr_assert(stage_run_until(&stage, is_forwarded, NULL, 1000));
+    io_read_stop(&client.stream);
+    stage.gate.memory.limit = 1;
+    cr_expect(stage_run_until(&stage, is_silent_closed, NULL, 5000));
+    cr_expect_eq(stage.gate.counts.caller_disconnects, 1);
+    stage_finish_client(&stage, &client);
+    stage_stop(&stage);
+}
