--- a/packages/gateway/include/lavender-gateway/gate.h
+++ b/packages/gateway/include/lavender-gateway/gate.h
@@ -50,7 +50,7 @@
     lv_time quota_window;        /* over which account shares are computed */
     uint32_t max_connections;    /* of callers */
     uint32_t max_descriptors;    /* of the process; 0: unknown */
-    uint32_t memory_mb;          /* that the process may use; 0: unknown */
+    uint32_t memory_megabytes;   /* that the process may use; 0: unknown */
     lv_time shutdown_grace; /* the process must exit this long after SIGTERM */
     lv_time min_drain; /* callers are still served this long after SIGTERM */
     lv_time drain_reserve; /* the process exits this long before the end of the
--- a/packages/gateway/source/gate-listen.c
+++ b/packages/gateway/source/gate-listen.c
@@ -6,7 +6,8 @@
 
 /* Memory limit of the process if the settings have none and the machine has at
  * least as much. */
-#define DEFAULT_MEMORY_MB 256
+#define BYTES_PER_MEGABYTE 1000000
+#define DEFAULT_MEGABYTES 256
 
 /* Share of the memory limit for data of clients. Unread data in the kernel,
  * the tables and the allocator's free memory need the rest. */
@@ -63,18 +64,20 @@
                                      .on_input_dropped =
                                          on_caller_input_dropped};
 
+/* Returns the limit of the memory for data of clients, in bytes. */
 static size_t
 client_memory(const gate_settings *settings)
 {
-    uint64_t memory = settings->memory_mb;
-    uint64_t machine = uv_get_total_memory() / 1000000;
+    uint64_t machine = uv_get_total_memory() / BYTES_PER_MEGABYTE;
+    uint64_t megabytes = settings->memory_megabytes;
 
-    if (memory == 0) {
-        memory = machine > 0 && machine < DEFAULT_MEMORY_MB
-                     ? machine
-                     : DEFAULT_MEMORY_MB;
+    if (megabytes == 0) {
+        megabytes = machine > 0 && machine < DEFAULT_MEGABYTES
+                        ? machine
+                        : DEFAULT_MEGABYTES;
     }
-    return (size_t)(memory * 1000000 / 100 * CLIENT_MEMORY_PERCENT);
+    return (size_t)(megabytes * BYTES_PER_MEGABYTE * CLIENT_MEMORY_PERCENT /
+                    100);
 }
 
 bool
--- a/packages/gateway/source/gate-settings.c
+++ b/packages/gateway/source/gate-settings.c
@@ -23,7 +23,7 @@
     ADDRESS_KEY("peer", peer_address, true),
     COUNT_KEY("connections", max_connections, 1, 1000000),
     DECIMAL_COUNT_KEY("descriptors", max_descriptors, 0, 10000000),
-    DECIMAL_COUNT_KEY("memory_mb", memory_mb, 0, 1000000),
+    DECIMAL_COUNT_KEY("memory_megabytes", memory_megabytes, 0, 1000000),
 };
 
 static const conf_key peers_keys[] = {
@@ -217,6 +217,21 @@
     return true;
 }
 
+/* Less would refuse single requests of the largest size. */
+#define MIN_MEMORY_MEGABYTES 32
+
+static void
+check_memory(const gate_settings *settings, const char *name, err_list *errors)
+{
+    if (settings->memory_megabytes > 0 &&
+        settings->memory_megabytes < MIN_MEMORY_MEGABYTES) {
+        err_list_add(errors, name, 0, ERR_BAD_VALUE,
+                     "write 32 or more, or 0 for the default",
+                     "[listen] memory_megabytes is %u",
+                     settings->memory_megabytes);
+    }
+}
+
 static void
 check_consistency(const gate_settings *settings, const char *name,
                   err_list *errors)
@@ -225,6 +240,7 @@
     err_error error;
     uint32_t count;
 
+    check_memory(settings, name, errors);
     err_clear(&error);
     if (!gate_parse_seeds(settings->seeds, seeds, &count, &error)) {
         err_list_add(errors, name, 0, error.kind, error.remedy, "%s",
--- a/tests/gateway/test-settings.c
+++ b/tests/gateway/test-settings.c
@@ -143,7 +143,7 @@
         {"{{seed_nodes}}", "10.1.0.8:8526,10.2.0.20:8526"},
         {"{{provider.address}}", "10.200.1.7:8527"},
         {"{{limits.max_fds}}", values->descriptors},
-        {"{{limits.memory_mb}}", "260"},
+        {"{{limits.memory_mb}}", "260.0"},
         {"{{bounds.contact_ms}}", values->contact_ms},
         {"{{bounds.drain_ms}}", values->drain_ms},
         {"{{bounds.quota_window_s}}", values->quota_window_s},
@@ -221,6 +221,7 @@
         cr_expect_eq(settings.shutdown_grace, cases[i].grace_read, "case %zu",
                      i);
         cr_expect_eq(settings.store.history, 20500 * LV_MILLISECOND);
+        cr_expect_eq(settings.memory_megabytes, 260);
         cr_expect_eq(settings.cold_overshoot_thousandths,
                      cases[i].cold_overshoot_read, "case %zu", i);
         cr_expect_eq(settings.cold_slack, cases[i].cold_slack_read, "case %zu",
@@ -243,6 +244,8 @@
         "[budget]\nwindow = 1.5.5s\n",
         "[shutdown]\ngrace = 0.5s\n",
         "[budget]\nslack = 99999999999999999999.5\n",
+        "[listen]\nmemory_megabytes = 31\n",
+        "[listen]\nmemory_megabytes = 260MB\n",
     };
 
     for (size_t i = 0; i < sizeof lines / sizeof lines[0]; i++) {
