Compute the limit of read data as a size

The size of the receive buffer is a size_t now. Also moves a comment of front_counts into the project's style.

--- a/packages/gateway/include/lavender-gateway/front.h
+++ b/packages/gateway/include/lavender-gateway/front.h
@@ -92,16 +92,17 @@
 } front_ops;
 
 typedef struct front_counts {
-    uint64_t accepted;       /* connections */
-    uint64_t rejected;       /* malformed or oversized requests */
-    uint64_t timed_out;      /* requests that were not complete in time */
-    uint64_t over_limit;     /* connections beyond max_connections */
-    uint64_t discarded;      /* connections whose input was discarded */
-    uint64_t closed_unread;  /* connections closed with unread input */
-    uint64_t over_memory;    /* requests refused for want of memory */
-    uint64_t closed_stalled; /* connections with an incomplete request, closed
-                            for new ones */
-    uint64_t closed_silent;  /* connections whose caller did not read */
+    uint64_t accepted;      /* connections */
+    uint64_t rejected;      /* malformed or oversized requests */
+    uint64_t timed_out;     /* requests that were not complete in time */
+    uint64_t over_limit;    /* connections beyond max_connections */
+    uint64_t discarded;     /* connections whose input was discarded */
+    uint64_t closed_unread; /* connections closed with unread input */
+    uint64_t over_memory;   /* requests refused for want of memory */
+    uint64_t closed_silent; /* connections whose caller did not read */
+
+    /* Connections with an incomplete request, closed for new ones. */
+    uint64_t closed_stalled;
 } front_counts;
 
 struct front_server {
--- a/packages/net/source/listen-imp.h
+++ b/packages/net/source/listen-imp.h
@@ -12,8 +12,8 @@
 
 /* Size of receive buffers, and the most that one read can return: the kernel
  * allows twice as much, for data and overhead. */
-#define LISTEN_RECEIVE_BUFFER_BYTES (32 * 1024)
-#define LISTEN_MAX_READ_BYTES ((size_t)2 * LISTEN_RECEIVE_BUFFER_BYTES)
+#define LISTEN_RECEIVE_BUFFER_BYTES ((size_t)32 * 1024)
+#define LISTEN_MAX_READ_BYTES (2 * LISTEN_RECEIVE_BUFFER_BYTES)
 
 typedef struct listen_settings {
     const char *address;       /* IP:PORT */
