Let crowds at the peers' port finish the handshake

Cause: clients sent their messages before the router's READY, which ZeroMQ takes for a protocol error, depending on what its thread had sent by then (monitor event HANDSHAKE_FAILED_PROTOCOL, unexpected command). About half of the crowd was closed at once, so that its cases asked less than they say.

Clients wait for the answer now, and every connection sends all its messages. Two new cases: parts of one byte, and whole messages. The long message starts behind the handshake, too. Crowds and bounds are otherwise as they were.

--- a/tests/crowd/crowd-net.c
+++ b/tests/crowd/crowd-net.c
@@ -205,6 +205,8 @@
     buf_finish(&data);
 }
 
+#define ZMTP_GREETING_BYTES 64
+
 /* The handshake of ZMTP 3.0: the greeting without security of a client, and
  * the command that names its socket's type. */
 static const char zmtp_start[] =
@@ -214,41 +216,54 @@
     "\x04\x1c\x05READY\x0bSocket-Type\0\0\0\x06"
     "DEALER";
 
+/* Clients that finish the handshake and then repeat a piece. */
 static void
-play_peers(const char *bytes, size_t size, const char *piece,
-           size_t piece_size)
+play_peers(uint32_t clients, const char *piece, size_t piece_size)
 {
-    crowd_shape shape = {.clients = 40,
-                         .connections = 2,
-                         .head = "",
-                         .piece = piece,
-                         .piece_size = piece_size,
-                         .piece_bytes = 2 * CROWD_BODY_BYTES,
-                         .reads = true};
-    buf_buffer start;
+    const crowd_shape shape = {.clients = clients,
+                               .connections = 2,
+                               .head = "",
+                               .more_head = zmtp_start,
+                               .more_head_size = sizeof zmtp_start - 1,
+                               .piece = piece,
+                               .piece_size = piece_size,
+                               .piece_bytes = 2 * CROWD_BODY_BYTES,
+                               .reads = true,
+                               .answer_min = ZMTP_GREETING_BYTES + 1};
 
-    buf_init(&start);
-    buf_append(&start, zmtp_start, sizeof zmtp_start - 1);
-    buf_append(&start, bytes, size);
-    shape.more_head = start.data;
-    shape.more_head_size = start.size;
     play(&shape, PORT_PEER);
-    buf_finish(&start);
 }
 
 Test(net, long_messages_at_the_peers_port)
 {
-    static const char size[] = "\x02\0\0\0\0\x04\0\0\0"; /* 64 MiB */
+    static char start[9 + 1024 * 1024] = {2, 0, 0, 0, 0, 4}; /* of 64 MiB */
 
-    play_peers(size, sizeof size - 1, "x", 1);
+    play_peers(40, start, sizeof start);
+}
+
+/* Messages of almost the largest size, which are malformed. */
+Test(net, whole_messages_at_the_peers_port)
+{
+    static char message[9 + 1024 * 1024] = {2, 0, 0, 0, 0, 0, 16};
+
+    play_peers(40, message, sizeof message);
 }
 
 /* One message in parts of 200 bytes, none of which is the last. */
 Test(net, parts_without_an_end_at_the_peers_port)
 {
-    static char part[202] = {1, (char)200};
+    static const char part[202] = {1, (char)200};
+
+    play_peers(40, part, sizeof part);
+}
+
+/* The same in parts of one byte, which need the most memory for each byte that
+ * is sent. */
+Test(net, smallest_parts_without_an_end_at_the_peers_port)
+{
+    static const char part[3] = {1, 1, 'x'};
 
-    play_peers("", 0, part, sizeof part);
+    play_peers(8, part, sizeof part);
 }
 
 /* No crowd, and the default settings. */
--- a/tests/crowd/crowd.c
+++ b/tests/crowd/crowd.c
@@ -27,6 +27,7 @@
     uint32_t number;
     uint32_t opened; /* connections so far */
     uint64_t sent;   /* on this connection */
+    size_t read;     /* likewise */
     buf_buffer head;
 } crowd_client;
 
@@ -173,6 +174,7 @@
 {
     client->fd = connect_to(&crowd->address);
     client->sent = 0;
+    client->read = 0;
     client->opened++;
 }
 
@@ -220,7 +222,8 @@
     }
 }
 
-/* Returns what is next to send; the size is 0 when all was sent. */
+/* Returns what is next to send; the size is 0 when all was sent, or the answer
+ * is not there yet. */
 static const char *
 next_bytes(const crowd_crowd *crowd, const crowd_client *client, size_t *size)
 {
@@ -232,6 +235,10 @@
         *size = client->head.size - (size_t)client->sent;
         return client->head.data + client->sent;
     }
+    if (client->read < crowd->shape->answer_min) {
+        *size = 0;
+        return NULL;
+    }
     sent = client->sent - client->head.size;
     left = crowd->shape->piece_bytes - sent;
     offset = (size_t)(sent % crowd->block_size);
@@ -264,6 +271,7 @@
     ssize_t count = recv(client->fd, bytes, sizeof bytes, 0);
 
     if (count > 0) {
+        client->read += (size_t)count;
         crowd->moved_at = usage_now_us();
     }
     return count > 0 || (count < 0 && errno == EAGAIN);
--- a/tests/crowd/crowd.h
+++ b/tests/crowd/crowd.h
@@ -22,6 +22,7 @@
     size_t more_head_size;
     size_t piece_size; /* 0: the length of `piece` */
     bool reads;        /* reads the answers; otherwise they stay unread */
+    size_t answer_min; /* bytes of answers to read before the pieces */
 } crowd_shape;
 
 /* Maxima over the life of the process or of the crowd. */
