Limit unread data at the peers' port

Routers took more memory than their machine has: 40 clients that send whole messages to the peers' port left 120,502 kB unread in the kernel. Cause: its receive buffers grow by themselves, up to 6 MB each, while ZeroMQ's thread is busy. Evidence: crowd-net-whole-messages-at-the-peers-port, 57,112 kB and 120,502 kB unread of 131,072.

The receive buffer is 32 KiB (the kernel allows twice that), as on the other listeners of packages/net.

--- a/packages/net/source/link.c
+++ b/packages/net/source/link.c
@@ -16,6 +16,9 @@
  * instance that shuts down announces this in its last messages. */
 #define LINGER_MS 100
 
+/* Size of receive buffers in the kernel, which limits unread data. */
+#define RECEIVE_BUFFER_BYTES (32 * 1024)
+
 #define PEER_ADDRESS_SIZE (2 * LV_ADDRESS_SIZE + 16)
 
 #define BIND_REMEDY "check [listen] peer: it must be IP:PORT and free"
@@ -47,6 +50,7 @@
     return zmq_setsockopt(socket, ZMQ_MAXMSGSIZE, &max_size,
                           sizeof max_size) == 0 &&
            set_int_option(socket, ZMQ_LINGER, LINGER_MS) &&
+           set_int_option(socket, ZMQ_RCVBUF, RECEIVE_BUFFER_BYTES) &&
            set_int_option(socket, ZMQ_SNDHWM,
                           (int)link->settings.queue_limit) &&
            set_int_option(socket, ZMQ_RCVHWM,
