Limit incomplete messages at the peers' port

Routers without keys lost all requests of a process that ran out of memory: 40 clients at the peers' port that send one message in parts of 200 bytes, none the last, took 839,716 kB of 131,072, and 8 clients with parts of one byte 1,418,756 kB. Cause: ZeroMQ stores the parts of a message until the last one, and limits the size of a part only.

Each connection's received bytes (TCP_INFO) are compared with its complete messages every 20 ms; ZeroMQ's monitor names the descriptors of connections, and each message its own. Beyond 1.8 MB for all, connections are shut down: those that have never sent a valid message first, the largest first. ZeroMQ then drops their parts. With CURVE nothing is watched, as only the fleet can send parts.

--- a/packages/net/include/lavender-net/link.h
+++ b/packages/net/include/lavender-net/link.h
@@ -38,13 +38,16 @@
                               message could not be encoded */
     uint64_t dropped_malformed;        /* could not be decoded */
     uint64_t dropped_unknown_receiver; /* the receiver has no known address */
-    uint64_t refused_keys; /* connections whose key is not the fleet's */
+    uint64_t refused_keys;      /* connections whose key is not the fleet's */
+    uint64_t closed_incomplete; /* connections closed because incomplete
+                                   messages took too much memory */
 } link_counts;
 
 /* Receives a decoded message, which is valid during the call only. */
 typedef void link_on_message(void *context, const msg_message *message);
 
 typedef struct link_peer link_peer;
+typedef struct link_inbound link_inbound;
 
 typedef struct link_transport {
     uv_loop_t *loop;
@@ -64,6 +67,13 @@
     link_peer *peers;
     uint32_t peer_count;
     uint32_t learned_count; /* peers learned and not in the lists yet */
+    void *monitor; /* socket that tells which connections peers open and close;
+                      NULL with CURVE */
+    uv_timer_t inbound_timer;
+    link_inbound *inbound;  /* these connections, by descriptor */
+    uint32_t inbound_count; /* of descriptors */
+    uint32_t next_examined;
+    uint16_t port; /* of the router socket, in network byte order */
     link_on_message *on_message;
     void *context;
     msg_buffer buffer;
--- a/packages/net/source/link.c
+++ b/packages/net/source/link.c
@@ -138,7 +138,8 @@
     qsort(peers, link->peer_count, sizeof *peers, compare_peers);
 }
 
-static void
+/* Returns whether the message is valid. */
+static bool
 receive_payload(link_transport *link, zmq_msg_t *payload)
 {
     size_t size = zmq_msg_size(payload);
@@ -149,12 +150,22 @@
     if (!msg_decode(zmq_msg_data(payload), size, &message, &link->buffer,
                     NULL)) {
         link->counts.dropped_malformed++;
-        return;
+        return false;
     }
     if (message.kind == MSG_PING && message.body_size > 0) {
         learn_peer(link, &message);
     }
     link->on_message(link->context, &message);
+    return true;
+}
+
+/* Size of a frame on the wire, in ZMTP without encryption. */
+static size_t
+wire_size(zmq_msg_t *frame)
+{
+    size_t size = zmq_msg_size(frame);
+
+    return size + (size > UINT8_MAX ? 1 + sizeof(uint64_t) : 2);
 }
 
 /* Receives one message of two frames: the connection's identity and the
@@ -164,6 +175,7 @@
 receive_message(link_transport *link)
 {
     zmq_msg_t frame;
+    size_t size = 0;
     int frame_count = 0;
     bool has_more = true;
 
@@ -175,8 +187,12 @@
         }
         has_more = zmq_msg_more(&frame);
         frame_count++;
-        if (frame_count == 2 && !has_more) {
-            receive_payload(link, &frame);
+        size += frame_count > 1 ? wire_size(&frame) : 0;
+        if (!has_more) {
+            int socket = zmq_msg_get(&frame, ZMQ_SRCFD);
+            bool is_valid = frame_count == 2 && receive_payload(link, &frame);
+
+            link_note_message(link, socket, size, is_valid);
         }
         zmq_msg_close(&frame);
     }
@@ -201,8 +217,8 @@
     }
 }
 
-static void
-receive_batch(link_transport *link)
+void
+link_receive_batch(link_transport *link)
 {
     uint32_t received = 0;
 
@@ -215,7 +231,7 @@
 static void
 on_idle(uv_idle_t *handle)
 {
-    receive_batch(handle->data);
+    link_receive_batch(handle->data);
 }
 
 static void
@@ -223,13 +239,13 @@
 {
     (void)status;
     (void)events;
-    receive_batch(handle->data);
+    link_receive_batch(handle->data);
 }
 
 static void
 on_prepare(uv_prepare_t *handle)
 {
-    receive_batch(handle->data);
+    link_receive_batch(handle->data);
 }
 
 bool
@@ -259,10 +275,13 @@
                            "cannot open the socket for peer messages");
         goto close_sockets;
     }
+    if (!link_open_inbound(link, error)) {
+        goto close_sockets;
+    }
     snprintf(address, sizeof address, "tcp://%s", settings->bind_address);
     if (zmq_bind(link->router, address) != 0) {
         link_set_zmq_error(error, BIND_REMEDY, settings->bind_address);
-        goto close_sockets;
+        goto close_inbound;
     }
     uv_poll_init(loop, &link->poll, link_poll_descriptor(link->router));
     uv_prepare_init(loop, &link->prepare);
@@ -273,6 +292,8 @@
     uv_poll_start(&link->poll, UV_READABLE, on_readable);
     uv_prepare_start(&link->prepare, on_prepare);
     return true;
+close_inbound:
+    link_close_inbound(link);
 close_sockets:
     if (link->router != NULL) {
         zmq_close(link->router);
@@ -303,6 +324,7 @@
         close_peer_socket(&link->peers[i]);
     }
     free(link->peers);
+    link_close_inbound(link);
     zmq_close(link->router);
     link_close_authenticator(link);
     zmq_ctx_term(link->zmq);
--- a/packages/net/source/operator-metrics.c
+++ b/packages/net/source/operator-metrics.c
@@ -227,6 +227,9 @@
             {"lavender_peer_malformed_total", "counter",
              "messages that could not be decoded, dropped",
              (double)link->dropped_malformed},
+            {"lavender_peer_incomplete_closed_total", "counter",
+             "connections of peers closed because of incomplete messages",
+             (double)link->closed_incomplete},
             {"lavender_platform_reads_total", "counter",
              "reads from the platform", (double)platform->reads},
             {"lavender_platform_watches_total", "counter",
@@ -252,7 +255,7 @@
              "log lines not written because they repeated",
              (double)log_suppressed_lines()},
         },
-        15);
+        16);
 }
 
 /* Context of write_account_service: writes the ledger lines of one window. */
--- a/tests/net/test-link.c
+++ b/tests/net/test-link.c
@@ -4,8 +4,10 @@
  */
 #include <arpa/inet.h>
 #include <criterion/criterion.h>
+#include <errno.h>
 #include <netinet/in.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -83,6 +85,9 @@
         make_settings(f->instances[place].id, pick_port());
     err_error error;
 
+    if (keys->heartbeat_interval > 0) {
+        settings.heartbeat_interval = keys->heartbeat_interval;
+    }
     settings.use_curve = keys->use_curve;
     memcpy(settings.public_key, keys->public_key, LINK_KEY_SIZE);
     memcpy(settings.secret_key, keys->secret_key, LINK_KEY_SIZE);
@@ -296,3 +301,132 @@
     cr_assert(exchange(&f, 0, 1));
     close_all(&f);
 }
+
+/* The handshake of ZMTP 3.0 without security, as a DEALER. */
+static const char zmtp_start[] =
+    "\xff\0\0\0\0\0\0\0\0\x7f\x03\0NULL\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0"
+    "\0"
+    "\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0"
+    "\x04\x1c\x05READY\x0bSocket-Type\0\0\0\x06"
+    "DEALER";
+
+/* Sends `size` bytes of repeated pieces. Returns false if the connection has
+ * ended. */
+static bool
+send_pieces(fixture *f, int client, const char *piece, size_t piece_size,
+            size_t size)
+{
+    size_t sent = 0;
+
+    for (int waited = 0; sent < size && waited < WAIT_LIMIT;) {
+        size_t offset = sent % piece_size;
+        size_t next = piece_size - offset < size - sent ? piece_size - offset
+                                                        : size - sent;
+        ssize_t count = send(client, piece + offset, next, MSG_NOSIGNAL);
+
+        if (count > 0) {
+            sent += (size_t)count;
+            continue;
+        }
+        if (errno != EAGAIN && errno != ENOTCONN) {
+            return false;
+        }
+        uv_run(&f->loop, UV_RUN_ONCE);
+        waited += WAIT_STEP;
+    }
+    return sent == size;
+}
+
+#define ZMTP_GREETING_BYTES 64
+
+/* Connects a client and waits for the end of the handshake. */
+static int
+connect_client(fixture *f, int place)
+{
+    char answer[256];
+    size_t size = 0;
+    struct sockaddr_in address = {.sin_family = AF_INET};
+    const char *text = f->instances[place].peer;
+    int client = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons((uint16_t)atoi(strchr(text, ':') + 1));
+    cr_assert(connect(client, (struct sockaddr *)&address, sizeof address) ==
+                  0 ||
+              errno == EINPROGRESS);
+    cr_assert(send_pieces(f, client, zmtp_start, sizeof zmtp_start - 1,
+                          sizeof zmtp_start - 1));
+    for (int waited = 0; size <= ZMTP_GREETING_BYTES && waited < WAIT_LIMIT;
+         waited += WAIT_STEP) {
+        ssize_t count = recv(client, answer, sizeof answer, 0);
+
+        size += count > 0 ? (size_t)count : 0;
+        uv_run(&f->loop, UV_RUN_ONCE);
+    }
+    cr_assert_gt(size, ZMTP_GREETING_BYTES);
+    return client;
+}
+
+/* Sends a valid message in one frame. */
+static void
+send_valid(fixture *f, int client)
+{
+    msg_message message = {
+        .kind = MSG_PING, .version = MSG_VERSION, .sender = 3, .sequence = 7};
+    char frame[256];
+    char *bytes;
+    size_t size;
+
+    cr_assert(msg_encode(&message, &bytes, &size, NULL));
+    cr_assert_leq(size, sizeof frame - 2);
+    frame[0] = 0;
+    frame[1] = (char)size;
+    memcpy(frame + 2, bytes, size);
+    free(bytes);
+    cr_assert(send_pieces(f, client, frame, size + 2, size + 2));
+}
+
+static void
+run_until(fixture *f, const uint64_t *count, uint64_t value)
+{
+    for (int waited = 0; waited < WAIT_LIMIT && *count < value;
+         waited += WAIT_STEP) {
+        uv_run(&f->loop, UV_RUN_ONCE);
+    }
+    cr_expect_eq(*count, value);
+}
+
+/* A client that sends parts without an end is closed, and a large message of a
+ * peer that is incomplete at that time arrives. */
+Test(link, incomplete_messages_of_strangers_are_closed_first)
+{
+    static const char part[202] = {1, (char)200};
+    static const char head[9] = {2, 0, 0, 0, 0, 0, 0x12, 0, 0}; /* 1.18 MB */
+    static const char zeros[1024];
+    const size_t rest = 100;
+    /* The clients do not answer heartbeats. */
+    link_settings settings = {.heartbeat_interval = 60 * LV_SECOND};
+    link_counts *counts;
+    int peer;
+    int stranger;
+    fixture f;
+
+    open_all(&f, &settings, &settings);
+    counts = &f.ends[1].link.counts;
+    peer = connect_client(&f, 1);
+    stranger = connect_client(&f, 1);
+    send_valid(&f, peer);
+    run_until(&f, &counts->received, 1);
+    cr_assert(send_pieces(&f, peer, head, sizeof head, sizeof head));
+    cr_assert(send_pieces(&f, peer, zeros, sizeof zeros, 0x120000 - rest));
+    send_pieces(&f, stranger, part, sizeof part, 20000 * sizeof part);
+    run_until(&f, &counts->closed_incomplete, 1);
+    cr_expect_eq(counts->dropped_malformed, 0);
+    cr_expect(send_pieces(&f, peer, zeros, sizeof zeros, rest));
+    run_until(&f, &counts->dropped_malformed, 1);
+    cr_expect_eq(counts->closed_incomplete, 1);
+    cr_expect(exchange(&f, 0, 1));
+    close(peer);
+    close(stranger);
+    close_all(&f);
+}
