Count the first messages of a connection as complete

Peers without keys could be closed though all their messages were whole: a message that arrived before the connection's first check, 20 ms after it was opened, counted as incomplete from then on. Cause: the monitor's events were read at the checks only, and messages of unknown connections were ignored. They are read then, too.

Also, checks were left out while messages were queued, so that one client with many small messages allowed others to send parts without an end.

--- a/packages/net/source/link-imp.h
+++ b/packages/net/source/link-imp.h
@@ -19,8 +19,7 @@
 bool link_open_authenticator(link_transport *link, err_error *error);
 void link_close_authenticator(link_transport *link);
 
-/* Receives queued messages, a limited number at a time. is_idle_active says
- * whether there may be more. */
+/* Receives queued messages, a limited number at a time. */
 void link_receive_batch(link_transport *link);
 
 /* link-inbound.c: ZeroMQ stores the parts of a message until the last one, and
--- a/packages/net/source/link-inbound.c
+++ b/packages/net/source/link-inbound.c
@@ -78,8 +78,8 @@
     link->inbound[socket] = (link_inbound){.is_open = true};
 }
 
-/* Receives one event of the monitor: the event's number and value, then the
- * endpoint. Returns false when there is none. */
+/* Receives one event of the monitor: its number and value, then the endpoint.
+ * Returns false when there is none. */
 static bool
 receive_event(link_transport *link)
 {
@@ -104,6 +104,13 @@
     return true;
 }
 
+static void
+receive_events(link_transport *link)
+{
+    while (receive_event(link)) {
+    }
+}
+
 /* ZeroMQ may have closed the descriptor, and the process may have opened it
  * anew, before the event was received. */
 static bool
@@ -220,12 +227,8 @@
     link_transport *link = timer->data;
     int first;
 
-    while (receive_event(link)) {
-    }
+    receive_events(link);
     link_receive_batch(link);
-    if (link->is_idle_active) {
-        return; /* complete messages may still be queued */
-    }
     examine_next(link);
     while (sum_incomplete(link, &first) > MAX_INCOMPLETE_BYTES && first >= 0) {
         close_inbound(link, first);
@@ -237,6 +240,10 @@
 {
     link_inbound *inbound = find_inbound(link, socket);
 
+    if (inbound == NULL && link->monitor != NULL) {
+        receive_events(link); /* it may have been opened just now */
+        inbound = find_inbound(link, socket);
+    }
     if (inbound != NULL) {
         inbound->checks_without_message = 0;
         inbound->complete += size;
--- a/tests/net/test-link.c
+++ b/tests/net/test-link.c
@@ -430,3 +430,31 @@
     close(stranger);
     close_all(&f);
 }
+
+/* A message that was whole before its connection was first examined is not
+ * incomplete. */
+Test(link, first_messages_are_complete)
+{
+    static char message[9 + 0x100000] = {2, 0, 0, 0, 0, 0, 0x10};
+    link_settings settings = {.heartbeat_interval = 60 * LV_SECOND};
+    link_counts *counts;
+    int clients[4];
+    fixture f;
+
+    open_all(&f, &settings, &settings);
+    counts = &f.ends[1].link.counts;
+    for (uint32_t i = 0; i < 4; i++) {
+        clients[i] = connect_client(&f, 1);
+        cr_assert(send_pieces(&f, clients[i], message, sizeof message,
+                              sizeof message));
+        run_until(&f, &counts->dropped_malformed, i + 1);
+    }
+    for (int i = 0; i < 100; i++) {
+        uv_run(&f.loop, UV_RUN_ONCE);
+    }
+    cr_expect_eq(counts->closed_incomplete, 0);
+    for (int i = 0; i < 4; i++) {
+        close(clients[i]);
+    }
+    close_all(&f);
+}
