--- a/tests/crowd/crowd-gateway.c
+++ b/tests/crowd/crowd-gateway.c
@@ -381,6 +381,22 @@
     stop_gateway();
 }
 
+/* Each request in progress has a connection to its endpoint, too. */
+Test(gateway, requests_in_progress_on_all_connections)
+{
+    static const gateway_shape few = {
+        .descriptors = FEW_DESCRIPTORS, .endpoints = 8, .slots = 200};
+    static const crowd_shape shape = {.clients = 600,
+                                      .head = SLOW_HEAD
+                                      "Content-Length: 0\r\n\r\n",
+                                      .piece = "x",
+                                      .piece_bytes = 0};
+
+    start_gateway(&few);
+    play(rig.stage.callers, &shape, FEW_DESCRIPTORS, STAGE_NO_RESPONSE);
+    stop_gateway();
+}
+
 Test(gateway, unread_answers_of_endpoints)
 {
     static const crowd_shape shape = {.clients = 300,
