Use the field's terms for incomplete requests and messages

Comments said what they mean to somebody who wrote them: parts, whole, to be closed rather. Lists "by size" hold incomplete requests, and are named so. No behaviour changes.

--- a/packages/core/include/lavender/buffer.h
+++ b/packages/core/include/lavender/buffer.h
@@ -21,8 +21,8 @@
  * change. To be called once; `counter` may be NULL. */
 void buf_count(buf_buffer *buffer, size_t *counter);
 
-/* Frees the memory and leaves an empty buffer that can be used again. It keeps
- * its counter. */
+/* Frees the memory. The buffer is then empty, can be used again, and keeps its
+ * counter. */
 void buf_finish(buf_buffer *buffer);
 
 /* Removes the content and resets has_failed. The memory is kept for reuse. */
--- a/packages/gateway/include/lavender-gateway/front.h
+++ b/packages/gateway/include/lavender-gateway/front.h
@@ -40,8 +40,8 @@
     struct front_connection *next_idle;
     struct front_connection *previous_idle;
     bool is_linked_idle;
-    struct front_connection *next_sized; /* of its class */
-    struct front_connection *previous_sized;
+    struct front_connection *next_incomplete; /* of its class */
+    struct front_connection *previous_incomplete;
     uint32_t size_class; /* FRONT_SIZE_CLASSES: in none */
     lv_time received_at; /* the last bytes of an incomplete request */
     front_phase phase;
@@ -121,7 +121,7 @@
     struct {
         front_connection *first; /* received nothing for the longest time */
         front_connection *last;
-    } sized[FRONT_SIZE_CLASSES];
+    } incomplete[FRONT_SIZE_CLASSES];
     bool has_inherited_options; /* see io_accept */
     bool is_draining; /* each connection closes after its next response */
     bool is_stopping; /* requests are refused */
--- a/packages/gateway/source/front-connection.c
+++ b/packages/gateway/source/front-connection.c
@@ -23,7 +23,7 @@
     connection->is_past_timeout = false;
     connection->unsent_bytes = 0;
     front_unlink_idle(connection);
-    front_unlink_sized(connection);
+    front_unlink_incomplete(connection);
     if (phase == FRONT_IDLE) {
         front_link_idle(connection);
     }
@@ -55,7 +55,7 @@
 {
     front_report_unread(connection, reason);
     front_unlink_idle(connection);
-    front_unlink_sized(connection);
+    front_unlink_incomplete(connection);
     io_flush(&connection->stream);
     if (io_write_queue_size(&connection->stream) > 0) {
         io_reset(&connection->stream);
@@ -191,7 +191,7 @@
             front_reject_request(connection, 503, "stopped");
         }
         else {
-            front_link_sized(connection);
+            front_link_incomplete(connection);
             front_make_room(connection);
         }
         break;
@@ -264,7 +264,7 @@
 
     connection->is_disconnected = true;
     front_unlink_idle(connection);
-    front_unlink_sized(connection);
+    front_unlink_incomplete(connection);
     if (connection->phase == FRONT_PROCESSING) {
         server->ops->on_disconnect(server, connection);
     }
@@ -320,7 +320,7 @@
     front_server *server = connection->server;
 
     front_unlink_idle(connection);
-    front_unlink_sized(connection);
+    front_unlink_incomplete(connection);
     if (server->memory != NULL) {
         server->memory->used -= sizeof *connection;
     }
--- a/packages/gateway/source/front-imp.h
+++ b/packages/gateway/source/front-imp.h
@@ -67,12 +67,13 @@
 
 /* Lists a connection whose request is incomplete and has just received data,
  * and removes it from its list. */
-void front_link_sized(front_connection *connection);
-void front_unlink_sized(front_connection *connection);
+void front_link_incomplete(front_connection *connection);
+void front_unlink_incomplete(front_connection *connection);
 
-/* Rejects incomplete requests, largest size class first and longest stalled
- * first within a class, until the memory is within its limits. Returns whether
- * the connection's own request may use the memory that it has. */
+/* Rejects incomplete requests until the memory is within its limits: the
+ * largest size class first and, within a class, the request that has received
+ * nothing for the longest time. Returns whether this connection's request is
+ * within the limit for its size. */
 bool front_make_room(front_connection *connection);
 
 /* Returns whether the memory is used up. */
--- a/packages/gateway/source/front-memory.c
+++ b/packages/gateway/source/front-memory.c
@@ -5,7 +5,7 @@
 #define LARGE_REQUEST_BYTES ((size_t)64 * 1024)
 #define LARGE_REQUESTS_PERCENT 75
 
-/* Minimum time without data before an incomplete request counts as stalled. */
+/* An incomplete request counts as stalled after this time without data. */
 #define MIN_STALL (500 * LV_MILLISECOND)
 
 static size_t
@@ -53,7 +53,7 @@
 }
 
 void
-front_unlink_sized(front_connection *connection)
+front_unlink_incomplete(front_connection *connection)
 {
     front_server *server = connection->server;
     uint32_t class = connection->size_class;
@@ -61,39 +61,41 @@
     if (class == FRONT_SIZE_CLASSES) {
         return;
     }
-    if (connection->next_sized != NULL) {
-        connection->next_sized->previous_sized = connection->previous_sized;
+    if (connection->next_incomplete != NULL) {
+        connection->next_incomplete->previous_incomplete =
+            connection->previous_incomplete;
     }
     else {
-        server->sized[class].last = connection->previous_sized;
+        server->incomplete[class].last = connection->previous_incomplete;
     }
-    if (connection->previous_sized != NULL) {
-        connection->previous_sized->next_sized = connection->next_sized;
+    if (connection->previous_incomplete != NULL) {
+        connection->previous_incomplete->next_incomplete =
+            connection->next_incomplete;
     }
     else {
-        server->sized[class].first = connection->next_sized;
+        server->incomplete[class].first = connection->next_incomplete;
     }
     connection->size_class = FRONT_SIZE_CLASSES;
 }
 
 void
-front_link_sized(front_connection *connection)
+front_link_incomplete(front_connection *connection)
 {
     front_server *server = connection->server;
     uint32_t class = find_class(request_size(connection));
 
-    front_unlink_sized(connection);
+    front_unlink_incomplete(connection);
     connection->size_class = class;
     connection->received_at = io_now();
-    connection->next_sized = NULL;
-    connection->previous_sized = server->sized[class].last;
-    if (connection->previous_sized != NULL) {
-        connection->previous_sized->next_sized = connection;
+    connection->next_incomplete = NULL;
+    connection->previous_incomplete = server->incomplete[class].last;
+    if (connection->previous_incomplete != NULL) {
+        connection->previous_incomplete->next_incomplete = connection;
     }
     else {
-        server->sized[class].first = connection;
+        server->incomplete[class].first = connection;
     }
-    server->sized[class].last = connection;
+    server->incomplete[class].last = connection;
 }
 
 static front_connection *
@@ -103,8 +105,8 @@
 
     while (class > 0) {
         class --;
-        if (server->sized[class].first != NULL) {
-            return server->sized[class].first;
+        if (server->incomplete[class].first != NULL) {
+            return server->incomplete[class].first;
         }
     }
     return NULL;
@@ -147,7 +149,7 @@
     uint32_t class;
 
     for (class = 0; class < FRONT_SIZE_CLASSES; class ++) {
-        front_connection *first = server->sized[class].first;
+        front_connection *first = server->incomplete[class].first;
 
         if (first != NULL &&
             (longest == NULL || first->received_at < longest->received_at)) {
--- a/packages/gateway/source/gate-imp.h
+++ b/packages/gateway/source/gate-imp.h
@@ -368,7 +368,8 @@
 
 /* gate-tick.c: deadlines and queued requests */
 
-/* Reads on from the endpoint if reading is paused and all output was sent. */
+/* Resumes reading from the endpoint if it is paused and all output has been
+ * sent. */
 void gate_resume_paused(gate_request *request);
 
 /* Fails requests that are past their deadline, reroutes stalled ones, decides
@@ -435,10 +436,9 @@
 
 /* gate-listen.c */
 
-/* Opens the listeners for callers and probes, and limits the memory that their
- * clients can fill. Returns false with the error set when one cannot be
- * opened.
- */
+/* Opens the listeners for callers and probes, and sets the memory limit for
+ * data of their clients. Returns false with the error set when one cannot be
+ * opened. */
 bool gate_start_listeners(gate_server *gate, err_error *error);
 
 /* gate-stop.c */
--- a/packages/gateway/source/gate-listen.c
+++ b/packages/gateway/source/gate-listen.c
@@ -4,9 +4,9 @@
 #define MAX_READINESS_CONNECTIONS 64
 #define MAX_READINESS_BODY_BYTES 1024
 
-/* Memory limit of the process if the settings have none and the machine has at
- * least as much. */
 #define BYTES_PER_MEGABYTE 1000000
+
+/* Default memory limit of the process, unless the machine has less. */
 #define DEFAULT_MEGABYTES 256
 
 /* Share of the memory limit for data of clients. Unread data in the kernel,
--- a/packages/gateway/source/io-options.c
+++ b/packages/gateway/source/io-options.c
@@ -10,8 +10,9 @@
 #define KEEPALIVE_INTERVAL_S 1
 #define KEEPALIVE_PROBES 3
 
-/* Size of receive buffers. The kernel allows twice as much, for data and
- * overhead. The default lets the largest body arrive in time between zones. */
+/* Sizes of receive buffers. The kernel allows twice as much, for data and
+ * overhead. The default allows large bodies to arrive quickly from other
+ * zones. */
 #define RECEIVE_BUFFER_BYTES (128 * 1024)
 #define SMALL_RECEIVE_BUFFER_BYTES (16 * 1024)
 
--- a/packages/net/source/callers-imp.h
+++ b/packages/net/source/callers-imp.h
@@ -209,8 +209,8 @@
  * that its response can be replayed. */
 void request_on_disconnect(call_request *request);
 
-/* callers-memory.c: memory of incomplete requests, which h2o buffers before it
- * calls request_receive */
+/* callers-memory.c: memory of requests that are still arriving. h2o buffers
+ * them before it calls request_receive. */
 
 /* Starts to enforce the limit in each iteration of the loop: the connections
  * with the largest incomplete requests are closed. */
--- a/packages/net/source/callers-memory.c
+++ b/packages/net/source/callers-memory.c
@@ -3,8 +3,9 @@
 #include "callers-imp.h"
 #include "received-imp.h"
 
-/* Limit of incomplete requests as a share of max_memory_used, and its minimum
- * in bodies of maximum size: the buffer of one can be twice as large. */
+/* Incomplete requests may use max_memory_used divided by this, and always the
+ * memory of this many bodies of the maximum size: the buffer of one body can
+ * be twice as large. */
 #define INCOMPLETE_DIVISOR 2
 #define MIN_BODIES 2
 
@@ -26,9 +27,10 @@
     return buffer != NULL && buffer->bytes != NULL ? buffer->capacity : 0;
 }
 
-/* Returns an upper bound of what HTTP/2 streams store, since h2o has no public
- * counter: the bytes received since the connection last had no incomplete
- * request, minus the bodies of requests completed since. */
+/* Returns an upper bound of the bytes that the HTTP/2 streams of a connection
+ * buffer. h2o has no public counter, so these are the bytes received since the
+ * connection last had no incomplete request, minus the bodies of requests
+ * completed since. */
 static size_t
 bound_stored(const memory_scan *scan, h2o_socket_t *socket)
 {
--- a/packages/net/source/link-imp.h
+++ b/packages/net/source/link-imp.h
@@ -22,16 +22,17 @@
 /* Receives queued messages, a limited number at a time. */
 void link_receive_batch(link_transport *link);
 
-/* link-inbound.c: ZeroMQ stores the parts of a message until the last one, and
- * does not limit their sum. Without CURVE, connections with incomplete
- * messages are closed when all of them together take too much: first those
- * that have never sent a valid message, the largest first. With CURVE, only
- * the fleet's own instances can send parts. */
+/* link-inbound.c: ZeroMQ buffers the frames of a multipart message until the
+ * last one has arrived, and does not limit their total size. Without CURVE,
+ * these functions close connections whose incomplete messages together exceed
+ * a limit: first connections that have never sent a valid message, the largest
+ * first. With CURVE they do nothing: only instances of the fleet can send
+ * messages. */
 bool link_open_inbound(link_transport *link, err_error *error);
 void link_close_inbound(link_transport *link);
 
-/* Notes that a message of `size` bytes, frame heads included, has arrived
- * whole on this socket. */
+/* Counts a message that was received completely on this descriptor. `size` is
+ * in bytes and includes frame headers. */
 void link_note_message(link_transport *link, int socket, size_t size,
                        bool is_valid);
 
--- a/packages/net/source/link-inbound.c
+++ b/packages/net/source/link-inbound.c
@@ -13,23 +13,24 @@
 #define MONITOR_ENDPOINT "inproc://link-inbound"
 #define CHECK_INTERVAL_MS 20
 
-/* Connections examined at a check, which bounds its system calls. */
-#define CHECKS_AT_A_TIME 64
+/* Limits the system calls of one check. */
+#define MAX_CONNECTIONS_PER_CHECK 64
 
-/* Limit of the bytes of all incomplete messages: one of the largest size and
- * half of another. ZeroMQ needs up to 32 bytes of memory for one byte of very
- * small parts. */
+/* Limit for the incomplete messages of all connections, enough for one of the
+ * maximum size and half of another. ZeroMQ needs up to 32 bytes of memory for
+ * each byte of very small frames. */
 #define MAX_INCOMPLETE_BYTES (MSG_SIZE_MAX + MSG_SIZE_MAX / 2)
 
-/* Connections with fewer bytes are neither counted nor closed: the heartbeats
- * of an idle peer look like the start of a message. */
+/* Connections with fewer incomplete bytes are neither counted nor closed,
+ * because heartbeats of an idle peer are counted as incomplete, too. */
 #define MIN_INCOMPLETE_BYTES ((uint64_t)16 * 1024)
 
-/* Checks without a message before the connection of a peer may be closed. A
- * message that arrives during a check is received before the next one. */
+/* A peer's connection may be closed after this many checks without a message.
+ * A message that arrives during one check is received before the next. */
 #define MIN_CHECKS_WITHOUT_MESSAGE 2
 
-/* A connection that a peer opened; its socket is the index in the table. */
+/* A connection that a peer opened; its descriptor is the index in the table.
+ */
 struct link_inbound {
     bool is_open;
     bool is_peer; /* has sent a valid message */
@@ -78,8 +79,9 @@
     link->inbound[socket] = (link_inbound){.is_open = true};
 }
 
-/* Receives one event of the monitor: its number and value, then the endpoint.
- * Returns false when there is none. */
+/* Receives one event of ZeroMQ's socket monitor: a frame with the event and
+ * its value, then a frame with the endpoint. Returns false when none is
+ * queued. */
 static bool
 receive_event(link_transport *link)
 {
@@ -111,8 +113,9 @@
     }
 }
 
-/* ZeroMQ may have closed the descriptor, and the process may have opened it
- * anew, before the event was received. */
+/* Returns whether the descriptor is still a connection to the peers' port.
+ * ZeroMQ may have closed it, and the process may have reused its number,
+ * before the event was received. */
 static bool
 is_inbound(const link_transport *link, int socket)
 {
@@ -158,7 +161,8 @@
     uint32_t examined = 0;
 
     for (uint32_t i = 0;
-         i < link->inbound_count && examined < CHECKS_AT_A_TIME; i++) {
+         i < link->inbound_count && examined < MAX_CONNECTIONS_PER_CHECK;
+         i++) {
         link->next_examined = (link->next_examined + 1) % link->inbound_count;
         if (link->inbound[link->next_examined].is_open) {
             examine(link, (int)link->next_examined);
@@ -174,7 +178,7 @@
            inbound->checks_without_message >= MIN_CHECKS_WITHOUT_MESSAGE;
 }
 
-/* Is `a` to be closed rather than `b`? */
+/* Returns whether `a` is closed before `b`. */
 static bool
 is_closed_first(const link_inbound *a, const link_inbound *b)
 {
@@ -184,8 +188,8 @@
     return a->incomplete > b->incomplete;
 }
 
-/* Sums up the incomplete messages. `first` is the socket to be closed first;
- * -1: none may be closed. */
+/* Returns the bytes of all incomplete messages. `first` is the descriptor of
+ * the connection to close first, or -1 if none may be closed. */
 static uint64_t
 sum_incomplete(const link_transport *link, int *first)
 {
@@ -207,7 +211,7 @@
     return total;
 }
 
-/* ZeroMQ releases the parts when it reads the end of the connection. */
+/* ZeroMQ frees the frames when it reads the end of the connection. */
 static void
 close_inbound(link_transport *link, int socket)
 {
