--- a/review/7/case.c
+++ b/review/7/case.c
@@ -14,7 +14,7 @@
                                  .streams = 24,
                                  .events = 40,
                                  .event_ms = 150,
-                                 .timeout_ms = 12000};
+                                 .timeout_ms = 10000};
 
 static stand_endpoint endpoints[] = {
     {.id = "i-0a00000001", .version = "v1"},
