Show refused streams after a kill of all gateways; use fixed port ranges

Cause: streams that are taken up again after all gateways were killed are refused while two software versions are listed.

--- a/review/standin-2/stand.c
+++ b/review/standin-2/stand.c
@@ -382,6 +382,41 @@
                  (unsigned long long)history_floor);
 }
 
+/* Endpoints write their entries every 1.2 s. That raises the revision, and no
+ * watch tells of it, as nothing but their counts changes. */
+#define HEARTBEAT_MS 1200.0
+
+/* The history is kept for 20 s (retention_s). */
+#define HEARTBEATS_KEPT 17
+
+static void *
+write_heartbeats(void *argument)
+{
+    static uint64_t past[HEARTBEATS_KEPT];
+    int beat;
+
+    (void)argument;
+    for (beat = 0;; beat++) {
+        uint64_t *oldest = &past[beat % HEARTBEATS_KEPT];
+        int i;
+
+        pthread_mutex_lock(&store_lock);
+        if (*oldest > history_floor) {
+            history_floor = *oldest;
+        }
+        for (i = 0; i < item_count; i++) {
+            if (!items[i].is_removed &&
+                strncmp(items[i].key, "servers/", 8) == 0) {
+                items[i].revision = ++revision;
+            }
+        }
+        *oldest = revision;
+        pthread_mutex_unlock(&store_lock);
+        stand_sleep(HEARTBEAT_MS);
+    }
+    return NULL;
+}
+
 static void
 read_parameter(const char *target, const char *name, char *value, size_t size)
 {
@@ -570,6 +605,7 @@
         store_ports[i].mode = STORE_SERVES;
         start_thread(serve_store_port, &store_ports[i]);
     }
+    start_thread(write_heartbeats, NULL);
 }
 
 int
@@ -738,15 +774,39 @@
 
 static gateway gateways[STAND_GATEWAYS_MAX];
 
+/* Gateways listen below the range that the kernel takes the ports of outgoing
+ * connections from. */
+#define FIRST_PORT 15000
+#define PORTS 16000
+
+static bool
+is_free(int port)
+{
+    struct sockaddr_in address = loopback(port);
+    int stream = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    int datagram = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+    bool result =
+        bind(stream, (struct sockaddr *)&address, sizeof address) == 0 &&
+        bind(datagram, (struct sockaddr *)&address, sizeof address) == 0;
+
+    close(stream);
+    close(datagram);
+    return result;
+}
+
 static void
 find_ports(gateway *one)
 {
+    static int next;
     int i;
 
+    if (next == 0) {
+        next = (int)(getpid() * 64L % PORTS);
+    }
     for (i = 0; i < 3 && one->ports[i] == 0; i++) {
-        int listener = stand_listen(&one->ports[i]);
-
-        close(listener);
+        do {
+            one->ports[i] = FIRST_PORT + next++ % PORTS;
+        } while (!is_free(one->ports[i]));
     }
 }
 
