--- a/review/8/case.c
+++ b/review/8/case.c
@@ -16,12 +16,12 @@
 #define TURNED_AWAY 3
 #define ENDPOINTS 8
 #define LEAVING 3
-#define CLIENTS 96
+#define CLIENTS 160
 #define DRAIN_MS 2000.0
 
 /* An endpoint serves on for drain_ms and a little longer, and exits. */
 #define LITTLE_LONGER_MS 150.0
-#define EVENTS 20
+#define EVENTS 6
 #define EVENT_MS 50.0
 
 static const char config[] =
@@ -186,7 +186,7 @@
     }
 }
 
-/* The leaving endpoints leave 2.2 s to 3.4 s after the disruption began. The
+/* The leaving endpoints leave 4 s to 5 s after the disruption began. The
  * cut lasts 5.5 s, as the site file has it. */
 static void
 let_endpoints_leave(double begun_at)
@@ -194,14 +194,24 @@
     int i;
 
     for (i = 0; i < LEAVING; i++) {
-        stand_sleep(begun_at + 2200 + 600 * i - stand_now());
+        stand_sleep(begun_at + 4000 + 500 * i - stand_now());
         left_at[i] = stand_now();
         stand_withdraw_endpoint(&endpoints[i]);
     }
+    if (stand_has_trouble()) {
+        stand_sleep(begun_at + 5500 - stand_now());
+        stand_set_store_mode(TURNED_AWAY, STORE_SERVES);
+    }
     for (i = 0; i < LEAVING; i++) {
         stand_sleep(left_at[i] + DRAIN_MS + LITTLE_LONGER_MS - stand_now());
         stand_end_endpoint(&endpoints[i]);
     }
+    if (stand_has_trouble()) {
+        stand_sleep(begun_at + 9000 - stand_now());
+        for (i = 0; i < TURNED_AWAY; i++) {
+            stand_set_store_mode(i, STORE_SERVES);
+        }
+    }
 }
 
 int
@@ -223,10 +233,6 @@
     }
     let_endpoints_leave(begun_at);
     is_over = true;
-    stand_sleep(begun_at + 5500 - stand_now());
-    if (stand_has_trouble()) {
-        stand_set_store_mode(TURNED_AWAY, STORE_SERVES);
-    }
     stand_sleep(2000);
     stand_record("%d requests reached an endpoint later than %.0f ms after "
                  "its removal from gateways in touch; %d of them were lost",
