--- a/review/6/case.c
+++ b/review/6/case.c
@@ -6,10 +6,15 @@
 #include "stream.h"
 
 #include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
 
 /* Single machines are cut off from the store for 12 s (node_cut). */
 #define CUT_MS 12000.0
 
+/* False with TROUBLE=0: the disruption is left out. */
+static bool has_trouble;
+
 static const stream_plan plan = {.gateways = 7,
                                  .streams = 24,
                                  .events = 20,
@@ -29,17 +34,22 @@
 int
 main(int argc, char **argv)
 {
+    const char *trouble = getenv("TROUBLE");
     double cut_at;
     int began_old, mixed, i;
 
     if (argc != 2) {
         return 2;
     }
+    has_trouble = trouble == NULL || strcmp(trouble, "0") != 0;
     stand_open_record(argv[1]);
+    stand_record("the disruption is %s (TROUBLE=%s)",
+                 has_trouble ? "made" : "left out",
+                 trouble != NULL ? trouble : "");
     stream_start(&plan, old, 2);
     stand_sleep(10000);
     cut_at = stand_now();
-    if (stand_has_trouble()) {
+    if (has_trouble) {
         stand_set_store_mode(0, STORE_SILENT);
     }
     stand_sleep(200);
@@ -49,7 +59,7 @@
     stand_sleep(cut_at + CUT_MS - 1000 - stand_now());
     stream_start_clients(0);
     stand_sleep(cut_at + CUT_MS - 100 - stand_now());
-    if (stand_has_trouble()) {
+    if (has_trouble) {
         stand_kill_gateway(0);
         stand_set_store_mode(0, STORE_SERVES);
         stand_sleep(300);
--- a/review/7/case.c
+++ b/review/7/case.c
@@ -6,10 +6,15 @@
 #include "stream.h"
 
 #include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
 
 /* The endpoints of the new version run for longer than that by then. */
 #define CALM_MS 20000.0
 
+/* False with TROUBLE=0: the disruption is left out. */
+static bool has_trouble;
+
 static const stream_plan plan = {.gateways = 7,
                                  .streams = 24,
                                  .events = 40,
@@ -44,12 +49,17 @@
 int
 main(int argc, char **argv)
 {
+    const char *trouble = getenv("TROUBLE");
     int began_old, mixed;
 
     if (argc != 2) {
         return 2;
     }
+    has_trouble = trouble == NULL || strcmp(trouble, "0") != 0;
     stand_open_record(argv[1]);
+    stand_record("the disruption is %s (TROUBLE=%s)",
+                 has_trouble ? "made" : "left out",
+                 trouble != NULL ? trouble : "");
     stream_start(&plan, endpoints, 3);
     stand_sleep(CALM_MS);
     stream_start_clients(-1);
@@ -57,7 +67,7 @@
     /* It leaves without a word, and serves on. */
     stand_withdraw_endpoint(&endpoints[0]);
     stand_sleep(500);
-    if (stand_has_trouble()) {
+    if (has_trouble) {
         stand_discard_history();
         stand_sleep(300);
         restart_all();
--- a/review/8/case.c
+++ b/review/8/case.c
@@ -37,6 +37,9 @@
     "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000,"
     "\"tokens_per_s\":250000}}";
 
+/* False with TROUBLE=0: the disruption is left out. */
+static bool has_trouble;
+
 static stand_endpoint endpoints[ENDPOINTS];
 static double left_at[ENDPOINTS]; /* 0: it has not left */
 static volatile int late_count;
@@ -198,7 +201,7 @@
         left_at[i] = stand_now();
         stand_withdraw_endpoint(&endpoints[i]);
     }
-    if (stand_has_trouble()) {
+    if (has_trouble) {
         stand_sleep(begun_at + 5500 - stand_now());
         stand_set_store_mode(TURNED_AWAY, STORE_SERVES);
     }
@@ -206,7 +209,7 @@
         stand_sleep(left_at[i] + DRAIN_MS + LITTLE_LONGER_MS - stand_now());
         stand_end_endpoint(&endpoints[i]);
     }
-    if (stand_has_trouble()) {
+    if (has_trouble) {
         stand_sleep(begun_at + 9000 - stand_now());
         for (i = 0; i < TURNED_AWAY; i++) {
             stand_set_store_mode(i, STORE_SERVES);
@@ -217,18 +220,23 @@
 int
 main(int argc, char **argv)
 {
+    const char *trouble = getenv("TROUBLE");
     double begun_at;
     int i;
 
     if (argc != 2) {
         return 2;
     }
+    has_trouble = trouble == NULL || strcmp(trouble, "0") != 0;
     stand_open_record(argv[1]);
+    stand_record("the disruption is %s (TROUBLE=%s)",
+                 has_trouble ? "made" : "left out",
+                 trouble != NULL ? trouble : "");
     start_all();
     start_clients();
     stand_sleep(4000);
     begun_at = stand_now();
-    for (i = 0; i <= TURNED_AWAY && stand_has_trouble(); i++) {
+    for (i = 0; i <= TURNED_AWAY && has_trouble; i++) {
         stand_set_store_mode(i, STORE_SILENT);
     }
     let_endpoints_leave(begun_at);
--- a/review/standin-2/stand.c
+++ b/review/standin-2/stand.c
@@ -91,14 +91,6 @@
     exit(2);
 }
 
-bool
-stand_has_trouble(void)
-{
-    const char *value = getenv("TROUBLE");
-
-    return value == NULL || strcmp(value, "0") != 0;
-}
-
 static struct sockaddr_in
 loopback(int port)
 {
--- a/review/standin-2/stand.h
+++ b/review/standin-2/stand.h
@@ -30,9 +30,6 @@
 void stand_give_up(const char *format, ...)
     __attribute__((format(printf, 1, 2), noreturn));
 
-/* False with TROUBLE=0: the disruption is left out. */
-bool stand_has_trouble(void);
-
 /* A listening socket on 127.0.0.1; `*port` is a free port if it is 0. */
 int stand_listen(int *port);
 
