Tell the streams of an instance that misses the store

Cause: an instance told the version of a stream to its peers only if it knew of two, and the peers computed an unknown stream's version as if every instance's list had been 2 s old at most. One that misses the store knows neither the second version nor how old its list is.

Change: an instance whose list is outdated, while others may have a newer one, tells each stream's version to the holders. The format of datagrams is 14. New lines: origin-states, list.

--- a/packages/gateway/include/lavender-gateway/peers.h
+++ b/packages/gateway/include/lavender-gateway/peers.h
@@ -20,6 +20,7 @@
 #include "lavender/buffer.h"
 #include "lavender/engine.h"
 #include "lavender/fetch.h"
+#include "lavender/lag.h"
 #include "lavender/origin.h"
 #include "lavender/quarantine.h"
 #include "lavender/shares.h"
@@ -74,8 +75,10 @@
     lv_time last_sent_at;
     lv_time unanswered_at; /* latest start request without a reply; 0: none */
     bool is_live;
-    uint64_t config_version; /* in force there; 0: none */
-    bool is_store_reachable; /* from this peer */
+    uint64_t config_version;     /* in force there; 0: none */
+    bool is_store_reachable;     /* from this peer */
+    lv_time list_complete_until; /* its list of endpoints has all changes up
+                                    to then; 0: it has no list */
     lv_id zone;
     lv_time relay_failed_at; /* it did not serve as a relay; 0: never */
     bool can_coordinate;     /* it has a full list of the endpoints */
@@ -192,9 +195,11 @@
     uint32_t block_use_count;
     peers_unlisted unlisted[PEERS_UNLISTED_MAX];
     uint32_t unlisted_count;
-    bool is_store_reachable; /* from this instance */
-    uint64_t store_era;      /* latest known, set by the owner; 0: none */
-    uint64_t config_version; /* in force here, set by the owner; 0: none */
+    bool is_store_reachable;     /* from this instance */
+    lv_time list_complete_until; /* of this instance, set by the owner */
+    lag_record list_lag;         /* of the peers, also while they are silent */
+    uint64_t store_era;          /* latest known, set by the owner; 0: none */
+    uint64_t config_version;     /* in force here, set by the owner; 0: none */
 
     /* Latest change of each subject of the store, of this instance and as
      * named by peers in the same era. */
@@ -279,6 +284,10 @@
  * included? */
 bool peers_is_store_unreachable(const peers_state *peers);
 
+/* Returns up to when the list of a peer is complete; 0: it is not known. */
+lv_time peers_find_list(const peers_state *peers,
+                        const struct sockaddr_in *address);
+
 /* Returns the newest version of the configuration that a live peer has in
  * force; 0: none has. */
 uint64_t peers_newest_config(const peers_state *peers);
--- a/packages/gateway/include/lavender-gateway/store.h
+++ b/packages/gateway/include/lavender-gateway/store.h
@@ -121,14 +121,18 @@
     uint64_t noted_era; /* highest that others have seen */
     lv_time next_request_at;
     lv_time last_request_at;
-    lv_time last_reply_at; /* that could be used; 0: none yet */
-    lv_time asked_at;      /* the list or watch in progress was sent */
-    lv_time known_at;      /* the feed has all changes up to then; 0: none */
-    lv_time checked_at;    /* start of the latest store_feed_check */
-    bool is_checking;      /* it is in progress */
-    lv_time deadline;      /* of the connection attempt or pending reply */
-    lv_time backoff;       /* after the next failure */
-    lv_time lost_at;       /* start of the outage; 0: the store is reachable */
+    lv_time last_reply_at;  /* that could be used; 0: none yet */
+    lv_time asked_at;       /* the list or watch in progress was sent */
+    lv_time known_at;       /* the feed has all changes up to then; 0: none */
+    lv_time asked_wait;     /* of the watch in progress */
+    bool has_new_items;     /* its reply has */
+    lv_time complete_until; /* all changes up to then that the source, which
+                               may be a relay, had are applied; 0: none */
+    lv_time checked_at;     /* start of the latest store_feed_check */
+    bool is_checking;       /* it is in progress */
+    lv_time deadline;       /* of the connection attempt or pending reply */
+    lv_time backoff;        /* after the next failure */
+    lv_time lost_at; /* start of the outage; 0: the store is reachable */
     store_past past;
     bool is_closing;
     store_counts counts;
@@ -144,6 +148,10 @@
  * times a second. */
 void store_feed_tick(store_feed *feed, lv_time now);
 
+/* Does the source not reply? True also at the end of a pause of the process,
+ * before the reply is timed out. */
+bool store_feed_is_lost(const store_feed *feed, lv_time now);
+
 /* Reads from another instance's relay from now on, or from the store again
  * with NULL. The position stays: relays name the store's. */
 void store_feed_set_relay(store_feed *feed, const struct sockaddr_in *relay);
--- a/packages/gateway/source/gate-origin.c
+++ b/packages/gateway/source/gate-origin.c
@@ -7,6 +7,12 @@
 #define QUESTION_INTERVAL (25 * LV_MILLISECOND)
 #define QUESTIONS_MAX 3
 
+static unsigned long long
+to_ms(lv_time time)
+{
+    return (unsigned long long)(time / LV_MILLISECOND);
+}
+
 const char *
 gate_account_name(const gate_request *request)
 {
@@ -22,6 +28,32 @@
     peers_tell_origin(&gate->peers, request->stream_key, request->version);
 }
 
+/* Returns whether another instance may have a newer list of endpoints. It does
+ * not if no live peer reaches the store. */
+static bool
+may_others_know_more(const peers_state *peers)
+{
+    uint32_t i;
+
+    if (peers->live_count == 0) {
+        return peers->max_live_count > 0 || peers->settings.seed_count > 0;
+    }
+    for (i = 0; i < peers->count; i++) {
+        if (peers->peers[i].is_live && peers->peers[i].is_store_reachable) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Does this instance miss changes of the list that others may have? */
+static bool
+is_list_outdated(const gate_server *gate)
+{
+    return store_feed_is_lost(&gate->feeds[WIRE_ENDPOINTS], io_now()) &&
+           may_others_know_more(&gate->peers);
+}
+
 void
 gate_record_origin(gate_attempt *attempt)
 {
@@ -43,19 +75,22 @@
         return;
     }
     org_record(&gate->origins, request->stream_key, request->version, now);
-    if (org_is_mixed(&gate->origins, request->service, now)) {
+    if (org_is_mixed(&gate->origins, request->service, now) ||
+        is_list_outdated(gate)) {
         tell_origin(request);
     }
 }
 
-/* Streams that began while their service had one version. */
+/* Tells the streams that began while their service had one version; of all
+ * services with LV_ID_NONE. */
 static void
 tell_running_origins(gate_server *gate, lv_id service)
 {
     gate_request *request;
 
     for (request = gate->requests; request != NULL; request = request->next) {
-        if (request->state != GATE_FINISHED && request->service == service &&
+        if (request->state != GATE_FINISHED &&
+            (service == LV_ID_NONE || request->service == service) &&
             request->stream_key != DIG_NONE &&
             request->version != LV_ID_NONE) {
             tell_origin(request);
@@ -74,11 +109,33 @@
     }
 }
 
+/* A second version may join unseen, so each stream's version is told as if
+ * there were one. */
+static void
+note_outdated_list(gate_server *gate, lv_time now)
+{
+    bool is_outdated = is_list_outdated(gate);
+
+    if (is_outdated == gate->is_list_outdated) {
+        return;
+    }
+    gate->is_list_outdated = is_outdated;
+    log_event(LOG_LEVEL_NOTICE, now, "list",
+              "state=%s complete_ms=%llu requests=%u",
+              is_outdated ? "outdated" : "current",
+              to_ms(lv_elapsed(now, gate->peers.list_complete_until)),
+              gate->request_count);
+    if (is_outdated) {
+        tell_running_origins(gate, LV_ID_NONE);
+    }
+}
+
 void
 gate_update_origins(gate_server *gate, lv_time now)
 {
     lv_handle row;
 
+    note_outdated_list(gate, now);
     for (row = 0; row < gate->endpoints.capacity; row++) {
         const eng_endpoint *endpoint = &gate->endpoints.endpoints[row];
 
@@ -88,24 +145,6 @@
     }
 }
 
-/* Returns whether another instance may have a newer list of endpoints. It does
- * not if no live peer reaches the store. */
-static bool
-may_others_know_more(const peers_state *peers)
-{
-    uint32_t i;
-
-    if (peers->live_count == 0) {
-        return peers->max_live_count > 0 || peers->settings.seed_count > 0;
-    }
-    for (i = 0; i < peers->count; i++) {
-        if (peers->peers[i].is_live && peers->peers[i].is_store_reachable) {
-            return true;
-        }
-    }
-    return false;
-}
-
 /* Has the list of endpoints brought up to date, as the stream may have begun
  * on an endpoint that was added a moment ago. Returns whether to wait for the
  * store's reply; false when the store is unreachable or has not replied in
@@ -145,17 +184,35 @@
     return true;
 }
 
+static void
+log_states(const gate_request *request, lv_time from, lv_time now)
+{
+    const gate_server *gate = request->gate;
+    lv_time lag = lag_find(&gate->peers.list_lag,
+                           lv_elapsed(now, request->route->timeout), now);
+
+    log_event(LOG_LEVEL_INFO, now, "origin-states",
+              "request=%s from_ms=%llu peer_list_ms=%llu covered_ms=%llu "
+              "proven_ms=%llu",
+              request->decoded.attempt_id != NULL ? request->decoded.attempt_id
+                                                  : "-",
+              to_ms(lv_elapsed(now, from)), to_ms(lv_elapsed(now, lag)),
+              to_ms(lv_elapsed(now, gate->versions.covered_since)),
+              to_ms(lv_elapsed(now, gate->versions.proven_since)));
+}
+
 static ver_verdict
 find_version(gate_request *request, lv_time now)
 {
     gate_server *gate = request->gate;
+    lv_time from = gate_earliest_begin(request, now);
 
+    log_states(request, from, now);
     if (org_is_conflicting(&gate->origins, request->stream_key)) {
         return VER_AMBIGUOUS;
     }
     return ver_find(&gate->versions, request->service,
-                    gate_version_key(request),
-                    gate_earliest_begin(request, now), &request->version);
+                    gate_version_key(request), from, &request->version);
 }
 
 /* No instance knows which version began the stream, so it follows from the
@@ -298,14 +355,6 @@
     }
 }
 
-/* Does this instance miss changes of the list that others may have? */
-static bool
-is_list_outdated(const gate_server *gate)
-{
-    return gate->feeds[WIRE_ENDPOINTS].lost_at != 0 &&
-           may_others_know_more(&gate->peers);
-}
-
 static lv_id
 on_origin_question(void *owner, uint64_t key)
 {
--- a/packages/gateway/source/gate-reader.c
+++ b/packages/gateway/source/gate-reader.c
@@ -243,6 +243,22 @@
                         !gate->overload.is_overloaded);
 }
 
+/* What was read from a relay is as complete as the relay's list. */
+static void
+note_list(gate_server *gate, const store_feed *feed)
+{
+    lv_time complete_until = feed->complete_until;
+
+    if (feed->is_relayed) {
+        lv_time relay = peers_find_list(&gate->peers, &feed->source);
+
+        complete_until = relay < complete_until ? relay : complete_until;
+    }
+    if (complete_until > gate->peers.list_complete_until) {
+        gate->peers.list_complete_until = complete_until;
+    }
+}
+
 void
 gate_handle_applied(store_feed *feed)
 {
@@ -252,6 +268,9 @@
     if (feed->subject == WIRE_CONFIG) {
         gate_note_zone_view(gate, feed->position);
     }
+    else {
+        note_list(gate, feed);
+    }
     rly_publish(&gate->relay, feed->subject, feed->position);
 }
 
--- a/packages/gateway/source/gate-versions.c
+++ b/packages/gateway/source/gate-versions.c
@@ -225,13 +225,24 @@
                                           : request->chosen_version;
 }
 
-/* A stream lasts as long as its route allows at most; the instance that began
- * it may have had a list that was as old as the leave limit. */
+/* Returns the earliest state of the list that a stream may have begun by. It
+ * lasts as long as its route allows at most; the list of the instance that
+ * began it may have been as old as the leave limit, or older if the instance
+ * missed the store. */
+static lv_time
+earliest_list(const gate_server *gate, lv_time timeout, lv_time now)
+{
+    lv_time begun_since = lv_elapsed(now, timeout);
+    lv_time usual = lv_elapsed(begun_since, gate->settings.leave_limit);
+    lv_time lag = lag_find(&gate->peers.list_lag, begun_since, now);
+
+    return lag < usual ? lag : usual;
+}
+
 lv_time
 gate_earliest_begin(const gate_request *request, lv_time now)
 {
-    return lv_elapsed(now, request->route->timeout +
-                               request->gate->settings.leave_limit);
+    return earliest_list(request->gate, request->route->timeout, now);
 }
 
 lv_id
@@ -249,6 +260,6 @@
         }
     }
     ver_find(&gate->versions, service, DIG_NONE,
-             lv_elapsed(now, longest + gate->settings.leave_limit), &version);
+             earliest_list(gate, longest, now), &version);
     return version;
 }
--- a/packages/gateway/source/peers-imp.h
+++ b/packages/gateway/source/peers-imp.h
@@ -16,6 +16,10 @@
     PEERS_FIELD_STORE_ERA,
     PEERS_FIELD_ZONE,
     PEERS_FIELD_CONFIG_VERSION, /* in force; 0: none */
+
+    /* Milliseconds, plus 1, for which the sender's list of endpoints may have
+     * missed changes; 0: it has no list. */
+    PEERS_FIELD_LIST_AGE,
     PEERS_FIELD_CHANGES,    /* latest change of each subject of the store */
     PEERS_FIELD_LOADS,      /* endpoint, requests in flight, prefill total, KV
                                tokens */
@@ -65,7 +69,7 @@
     PEERS_FIELD_COUNT
 };
 
-#define PEERS_FORMAT_VERSION 13
+#define PEERS_FORMAT_VERSION 14
 
 enum {
     PEERS_FLAG_STORE_REACHABLE = 1,
--- a/packages/gateway/source/peers-receive.c
+++ b/packages/gateway/source/peers-receive.c
@@ -46,6 +46,7 @@
            is_number(&fields[PEERS_FIELD_STORE_ERA]) &&
            is_number(&fields[PEERS_FIELD_ZONE]) &&
            is_number(&fields[PEERS_FIELD_CONFIG_VERSION]) &&
+           is_number(&fields[PEERS_FIELD_LIST_AGE]) &&
            peers_is_number_list(&fields[PEERS_FIELD_CHANGES],
                                 PEERS_SUBJECTS) &&
            fields[PEERS_FIELD_CHANGES].via.array.size == PEERS_SUBJECTS &&
@@ -385,6 +386,14 @@
     }
 }
 
+static lv_time
+read_list_age(uint64_t age, lv_time now)
+{
+    return age == 0 || age > now / LV_MILLISECOND
+               ? 0
+               : now - (age - 1) * LV_MILLISECOND;
+}
+
 static bool
 receive_fields(peers_state *peers, const struct sockaddr_in *from,
                const msgpack_object *fields, lv_time now)
@@ -413,6 +422,8 @@
     flags = fields[PEERS_FIELD_FLAGS].via.u64;
     peer->is_store_reachable = (flags & PEERS_FLAG_STORE_REACHABLE) != 0;
     peer->can_coordinate = (flags & PEERS_FLAG_CAN_COORDINATE) != 0;
+    peer->list_complete_until =
+        read_list_age(fields[PEERS_FIELD_LIST_AGE].via.u64, now);
     peer->received_at = now;
     mark_live(peers, peer);
     index = (uint32_t)(peer - peers->peers);
--- a/packages/gateway/source/peers-store.c
+++ b/packages/gateway/source/peers-store.c
@@ -42,6 +42,20 @@
     return unreachable * 2 >= instances;
 }
 
+lv_time
+peers_find_list(const peers_state *peers, const struct sockaddr_in *address)
+{
+    uint64_t packed = peers_pack_address(address);
+    uint32_t i;
+
+    for (i = 0; i < peers->count; i++) {
+        if (peers_pack_address(&peers->peers[i].address) == packed) {
+            return peers->peers[i].list_complete_until;
+        }
+    }
+    return 0;
+}
+
 uint64_t
 peers_newest_config(const peers_state *peers)
 {
--- a/packages/gateway/source/peers-write.c
+++ b/packages/gateway/source/peers-write.c
@@ -1,6 +1,7 @@
 #include <msgpack.h>
 #include <string.h>
 
+#include "lavender-gateway/io.h"
 #include "peers-imp.h"
 
 /* Addresses in one datagram; successive datagrams list different ones. */
@@ -228,6 +229,16 @@
     }
 }
 
+static uint64_t
+list_age(const peers_state *peers)
+{
+    return peers->list_complete_until != 0
+               ? lv_elapsed(io_now(), peers->list_complete_until) /
+                         LV_MILLISECOND +
+                     1
+               : 0;
+}
+
 static void
 pack_header(peers_state *peers, peers_datagram_kind kind,
             msgpack_packer *packer)
@@ -246,6 +257,7 @@
     msgpack_pack_uint64(packer, peers->store_era);
     msgpack_pack_uint64(packer, peers->settings.zone);
     msgpack_pack_uint64(packer, peers->config_version);
+    msgpack_pack_uint64(packer, list_age(peers));
     msgpack_pack_array(packer, PEERS_SUBJECTS);
     for (i = 0; i < PEERS_SUBJECTS; i++) {
         msgpack_pack_uint64(packer, peers->own_changes[i]);
--- a/packages/gateway/source/peers.c
+++ b/packages/gateway/source/peers.c
@@ -88,11 +88,28 @@
     peers->expired_at = now;
 }
 
+/* A silent peer may be cut off and serve on with the list that it has. */
+static void
+note_list_lag(peers_state *peers, lv_time since, lv_time now)
+{
+    uint32_t i;
+
+    for (i = 0; i < peers->count; i++) {
+        lv_time complete_until = peers->peers[i].list_complete_until;
+
+        if (complete_until != 0) {
+            lag_note(&peers->list_lag, complete_until, since, now);
+        }
+    }
+}
+
 void
 peers_expire(peers_state *peers, lv_time now)
 {
     uint32_t i;
 
+    note_list_lag(peers, peers->expired_at != 0 ? peers->expired_at : now,
+                  now);
     excuse_silence(peers, now);
     eng_expire_summaries(peers->endpoints, now);
     for (i = peers->count; i > 0; i--) {
--- a/packages/gateway/source/store-source.c
+++ b/packages/gateway/source/store-source.c
@@ -16,6 +16,13 @@
     return feed->is_relayed ? settings->relay_wait : settings->watch_wait;
 }
 
+bool
+store_feed_is_lost(const store_feed *feed, lv_time now)
+{
+    return feed->lost_at != 0 ||
+           (feed->phase != STORE_IDLE && now >= feed->deadline);
+}
+
 void
 store_feed_hold(store_feed *feed, lv_time until)
 {
--- a/packages/gateway/source/store.c
+++ b/packages/gateway/source/store.c
@@ -117,6 +117,7 @@
     store_feed *feed = context;
 
     item->position.era = feed->position.era;
+    feed->has_new_items = true;
     if (has_watched_revisions(feed) &&
         item->position.revision > feed->last_change) {
         feed->last_change = item->position.revision;
@@ -124,10 +125,15 @@
     feed->ops->on_item(feed, item);
 }
 
-/* A relay's data may be older than its reply. */
+/* A relay's data may be older than its reply. A watch without changes was
+ * answered when its wait was over. */
 static void
 note_known(store_feed *feed)
 {
+    feed->complete_until = feed->asked_at;
+    if (!feed->has_new_items) {
+        feed->complete_until += feed->asked_wait;
+    }
     if (!feed->is_relayed) {
         feed->known_at = feed->asked_at;
         feed->is_checking = false;
@@ -344,6 +350,8 @@
 
     buf_init(&request);
     buf_append_text(&request, "GET ");
+    feed->asked_wait = is_watch ? wait : 0;
+    feed->has_new_items = false;
     if (is_watch) {
         feed->asked_at = io_now();
         store_write_watch(feed, wait, &request);
--- a/tests/gateway/test-stale-list.c
+++ b/tests/gateway/test-stale-list.c
@@ -72,9 +72,10 @@
     stage_stop(&stage);
 }
 
-/* Takes a stream up and returns the version that went on with it, or NULL. */
+/* Takes a stream up, about which the peer says nothing, and returns the
+ * version that went on with it, or NULL. */
 static const char *
-take_up(uint32_t number)
+take_up_unheard(uint32_t number)
 {
     stage_response answer;
     char headers[64];
@@ -82,7 +83,6 @@
     for (uint32_t i = 0; i < ENDPOINTS; i++) {
         stage.endpoints[i].runs = 0;
     }
-    hear_peer();
     snprintf(headers, sizeof headers, "Last-Event-Id: 1\r\nResumes: s-%u\r\n",
              number);
     stage_exchange(&stage, "/resume/1", headers, &answer);
@@ -96,6 +96,13 @@
     return NULL;
 }
 
+static const char *
+take_up(uint32_t number)
+{
+    hear_peer();
+    return take_up_unheard(number);
+}
+
 /* Returns the version that an instance with the newer list begins a stream at.
  */
 static const char *
@@ -161,6 +168,33 @@
     stop();
 }
 
+/* Guards against streams of two versions joined by an instance that takes the
+ * list of another one, which was cut off from the store and killed, for a
+ * recent one. */
+Test(stale_list, the_list_of_an_instance_that_was_cut_off_counts)
+{
+    uint32_t gone_on = 0;
+    lv_time cut_at = io_now();
+
+    start();
+    cut_at = io_now();
+    node.peers.is_store_reachable = false;
+    node.peers.list_complete_until = cut_at;
+    for (uint32_t i = 0; i < COVERED_MS / 100; i++) {
+        hear_peer();
+        stage_run_for(&stage, 100);
+    }
+    for (uint32_t i = 0; i < STREAMS; i++) {
+        const char *version = take_up_unheard(i);
+
+        gone_on += version != NULL;
+        cr_expect(version == NULL || strcmp(version, "v1") == 0,
+                  "stream %u goes on at %s", i, version);
+    }
+    cr_expect_geq(gone_on, STREAMS / 5, "%u go on", gone_on);
+    stop();
+}
+
 static bool
 has_lost_list(stage_fixture *self, void *context)
 {
@@ -190,3 +224,61 @@
                  "nobody reaches the store");
     stop();
 }
+
+/* Guards against streams whose version nobody knows after an instance that was
+ * cut off from the store is killed, as it knew of one version only. */
+Test(stale_list, an_instance_that_misses_the_store_tells_each_origin)
+{
+    static const char request[] =
+        "POST /long/1 HTTP/1.1\r\nHost: h\r\nApi-Key: k1\r\n"
+        "Lavenderproxy-Attempt-Id: id-1\r\n"
+        "Lavenderproxy-Deadline-Ms: 30000\r\nContent-Length: 0\r\n\r\n";
+    static const struct {
+        bool is_peer_in_touch;
+        uint64_t running; /* told of the streams that run when it is noticed */
+        uint64_t begun;   /* and of one that begins then */
+    } cases[] = {{true, 1, 2}, {false, 0, 0}};
+
+    for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+        const org_counts *counts = &stage.gate.origins.counts;
+        stage_client client;
+        stage_response answer;
+
+        peer_node_start(&node, 1);
+        node.peers.is_store_reachable = cases[i].is_peer_in_touch;
+        stage_prepare(&stage, ENDPOINTS);
+        stage.config_extra =
+            ",{\"name\":\"long\",\"host\":\"h\",\"prefix\":\"/long/\","
+            "\"kind\":\"stream\",\"timeout_ms\":30000,"
+            "\"target_latency_ms\":200,\"priority\":1,\"service\":\"pool\","
+            "\"max_attempts\":2,\"target_gap_ms\":20000,"
+            "\"resumable\":true}";
+        stage_start_gateway(&stage);
+        cr_assert(stage_run_until(&stage, has_listed, NULL, 5000));
+        for (uint32_t j = 0; j < ENDPOINTS; j++) {
+            stage.endpoints[j].mode = STAGE_STREAM_STALL;
+        }
+        hear_peer();
+        stage_send(&stage, &client, request, sizeof request - 1);
+        stage_run_for(&stage, 100);
+        cr_expect_eq(counts->told, 0);
+        stage.is_store_silent = true;
+        stage_lose_watches(&stage);
+        for (uint32_t j = 0; j < 80 && !has_lost_list(&stage, NULL); j++) {
+            hear_peer();
+            stage_run_for(&stage, 100);
+        }
+        cr_assert(has_lost_list(&stage, NULL));
+        cr_expect_eq(counts->told, cases[i].running, "case %zu: %llu", i,
+                     (unsigned long long)counts->told);
+        for (uint32_t j = 0; j < ENDPOINTS; j++) {
+            stage.endpoints[j].mode = STAGE_STREAM;
+        }
+        hear_peer();
+        stage_exchange(&stage, "/resume/1", "", &answer);
+        cr_expect_eq(counts->told, cases[i].begun, "case %zu: %llu", i,
+                     (unsigned long long)counts->told);
+        stage_finish_client(&stage, &client);
+        stop();
+    }
+}
