Ask endpoints which streams they have run

Cause: a gateway that has just started believed that the list had been unchanged for 90 % of [store] history unless a young entry contradicts. After a compaction nothing is known of that time, and an endpoint that has left leaves no entry.

Change: the past before the first list is believed only for the time that its revisions take at the pace of the endpoints' writes ([store] heartbeat). Where it is not proven, the endpoints are asked once what prompt blocks they have cached; the version whose endpoints have a request's own block has run it. covered_since is never later than proven_since.

Tests: "one version, history gone" asked for all streams without evidence; it stands with lists (all go on) and without (none at another version). one_version_needs_no_knowledge tells a kept history from a discarded one.

--- a/packages/gateway/include/lavender-gateway/gate.h
+++ b/packages/gateway/include/lavender-gateway/gate.h
@@ -17,6 +17,7 @@
 #include "lavender-net/log.h"
 #include "lavender/admission.h"
 #include "lavender/budget.h"
+#include "lavender/cached.h"
 #include "lavender/fetch.h"
 #include "lavender/metrics.h"
 #include "lavender/overload.h"
@@ -107,6 +108,7 @@
     uint64_t quarantine_refused;             /* for a block in quarantine */
     uint64_t computed_origins[VER_VERDICTS]; /* of resumed streams that no
                                                 instance knew */
+    uint64_t cached_origins; /* of these, by what endpoints have cached */
     uint64_t quarantined_requests_refused;
     uint64_t evacuations;         /* of zones */
     uint64_t kept_from_evacuated; /* requests decided again, as the zone of
@@ -122,6 +124,25 @@
                                 change than the store had told here */
 } gate_counts;
 
+/* Calls at a time. */
+#define GATE_CACHED_CALLS_MAX 8
+
+typedef struct gate_cached_call gate_cached_call;
+
+/* What endpoints say that they have cached. They are asked once, when a stream
+ * is taken up that may have begun before this instance started and that nobody
+ * knows. */
+typedef struct gate_cached {
+    cch_table blocks;
+    lv_time begun_at; /* 0: not asked */
+    bool is_complete; /* all have answered, or not in time */
+    lv_handle next_row;
+    uint32_t asked;
+    uint32_t answered;
+    uint32_t block_count;
+    gate_cached_call *calls[GATE_CACHED_CALLS_MAX]; /* NULL: free */
+} gate_cached;
+
 struct gate_server {
     uv_loop_t *loop;
     const char *settings_path; /* reloaded, see gate_init; or NULL */
@@ -138,6 +159,7 @@
     ver_change *past_changes; /* of the list, while they are read */
     uint32_t past_change_count;
     bool is_past_known; /* the past was read and recorded in `versions` */
+    gate_cached cached; /* at endpoints */
     loc_state zones;
     tal_counter requests_by_zone; /* of this instance and of the endpoint */
     tal_counter bytes_by_zone;
--- a/packages/gateway/include/lavender-gateway/store.h
+++ b/packages/gateway/include/lavender-gateway/store.h
@@ -26,7 +26,8 @@
     lv_time backoff_max; /* well below the deadline of a new configuration */
     lv_time min_watch_interval[WIRE_SUBJECT_COUNT]; /* minimum time between two
                                                        watches */
-    lv_time history; /* that the store keeps; 0: none is read */
+    lv_time history;   /* that the store keeps; 0: none is read */
+    lv_time heartbeat; /* time between two writes of an endpoint */
 } store_settings;
 
 typedef struct store_feed store_feed;
--- a/packages/gateway/include/lavender-gateway/wire.h
+++ b/packages/gateway/include/lavender-gateway/wire.h
@@ -125,6 +125,9 @@
     lv_time wait;   /* of a watch */
 } wire_store_request;
 
+/* An endpoint has tokens of a prompt block cached. */
+typedef void wire_on_cached(void *context, uint64_t block, uint32_t tokens);
+
 typedef struct wire_ops {
     /* Decodes the headers of a caller's request; false with the error set when
      * a header is malformed. */
@@ -174,6 +177,17 @@
                              wire_subject subject, wire_on_item *on_item,
                              void *context, wire_store_reply *reply,
                              err_error *error);
+
+    /* Appends the request for the prompt blocks that an endpoint has cached;
+     * `address` is its IP:PORT. */
+    void (*write_cached_request)(buf_buffer *to, const char *endpoint,
+                                 const char *address);
+
+    /* Decodes the body of the response and calls `on_cached` for each block.
+     * Returns false with the error set when it names none. */
+    bool (*read_cached)(const char *body, size_t size,
+                        wire_on_cached *on_cached, void *context,
+                        err_error *error);
 } wire_ops;
 
 #endif
--- a/packages/gateway/source/gate-origin.c
+++ b/packages/gateway/source/gate-origin.c
@@ -215,9 +215,30 @@
                     gate_version_key(request), from, &request->version);
 }
 
+/* Uses the version whose endpoints have run the request. */
+static bool
+use_cached_version(gate_request *request, lv_time now)
+{
+    gate_server *gate = request->gate;
+    lv_id version = gate_find_cached_version(request, now);
+
+    if (version == LV_ID_NONE ||
+        org_is_conflicting(&gate->origins, request->stream_key)) {
+        return false;
+    }
+    request->version = version;
+    gate->counts.cached_origins++;
+    gate_log_step(request, "origin", "cached");
+    if (request->stream_key != DIG_NONE) {
+        org_record(&gate->origins, request->stream_key, version, now);
+    }
+    return true;
+}
+
 /* No instance knows which version began the stream, so it follows from the
- * versions that the list had. Refuses the request if it does not. Returns
- * false also if it waits for the list or its past. */
+ * versions that the list had, or from what endpoints have cached. Refuses the
+ * request if it does not. Returns false also if it waits for the list or its
+ * past. */
 static bool
 compute_origin(gate_request *request, lv_time now)
 {
@@ -238,11 +259,15 @@
     if (verdict == VER_NOT_COVERED && use_sole_version(request, now)) {
         verdict = VER_CERTAIN;
     }
-    if (verdict == VER_NOT_COVERED && gate_await_past(request)) {
+    if ((verdict == VER_NOT_COVERED && gate_await_past(request)) ||
+        (verdict != VER_CERTAIN && gate_await_cached(request, now))) {
         request->state = GATE_AWAITING_ORIGIN;
         return false;
     }
     gate->counts.computed_origins[verdict]++;
+    if (verdict != VER_CERTAIN && use_cached_version(request, now)) {
+        return true;
+    }
     gate_log_step(request, "origin", ver_verdict_text(verdict));
     if (verdict != VER_CERTAIN) {
         gate_refuse_request(request, 503, LV_SECOND, "version-unknown");
@@ -389,6 +414,10 @@
          (double)counts->learned},
         {"lavender_origin_conflicts_total", "counter",
          "such reports that contradict each other", (double)counts->conflicts},
+        {"lavender_origins_cached_total", "counter",
+         "streams whose software version follows from what endpoints have "
+         "cached",
+         (double)gate->counts.cached_origins},
     };
     int i;
 
--- a/packages/gateway/source/gate-parts-imp.h
+++ b/packages/gateway/source/gate-parts-imp.h
@@ -87,6 +87,23 @@
 void gate_check_origin_deadline(gate_request *request, lv_time now);
 void gate_write_origin_metrics(const gate_server *gate, met_writer *writer);
 
+/* gate-cached.c: what endpoints have cached */
+
+void gate_init_cached(gate_server *gate);
+void gate_finish_cached(gate_server *gate);
+
+/* Gives up endpoints that do not answer; call it at every tick. */
+void gate_update_cached(gate_server *gate, lv_time now);
+
+/* Asks the endpoints if that may show where a stream began. Returns whether to
+ * wait for their answers. */
+bool gate_await_cached(gate_request *request, lv_time now);
+
+/* Returns the only version whose endpoints have the request's own prompt block
+ * cached; LV_ID_NONE: there is none, or the stream has begun since this
+ * instance started. */
+lv_id gate_find_cached_version(const gate_request *request, lv_time now);
+
 /* gate-versions.c: the versions that the list of endpoints has had */
 
 /* Records what an item of the list says. */
--- a/packages/gateway/source/gate-settings.c
+++ b/packages/gateway/source/gate-settings.c
@@ -50,6 +50,7 @@
                      60 * SECOND),
     TIME_KEY("lapse_grace", expiry_grace, 0, 60 * SECOND),
     DECIMAL_TIME_KEY("history", store.history, 0, HOUR),
+    DECIMAL_TIME_KEY("heartbeat", store.heartbeat, MILLISECOND, HOUR),
 };
 
 static const conf_key endpoints_keys[] = {
@@ -141,6 +142,7 @@
     store->backoff_max = 800 * LV_MILLISECOND;
     store->min_watch_interval[WIRE_CONFIG] = 100 * LV_MILLISECOND;
     store->min_watch_interval[WIRE_ENDPOINTS] = 500 * LV_MILLISECOND;
+    store->heartbeat = 1200 * LV_MILLISECOND;
 }
 
 static void
--- a/packages/gateway/source/gate-versions.c
+++ b/packages/gateway/source/gate-versions.c
@@ -117,14 +117,44 @@
                : 0;
 }
 
-/* Returns how far back all changes seem to be known: as far as the store keeps
- * its history. If an entry from before the oldest change is younger than that,
- * the store has dropped history early, and only the entry's age counts. */
+static uint32_t
+count_removed(const gate_server *gate)
+{
+    uint32_t count = 0;
+    uint32_t i;
+
+    for (i = 0; i < gate->past_change_count; i++) {
+        count += gate->past_changes[i].is_removed;
+    }
+    return count;
+}
+
+/* Returns the age of the oldest revision that the store keeps: all revisions
+ * since then that are no changes of the list are heartbeats of the endpoints
+ * that were on it. Where heartbeats raise no revision it is 0. */
 static lv_time
-past_length(const gate_server *gate)
+kept_age(const gate_server *gate, uint64_t begin)
 {
+    uint64_t revisions = gate->feeds[WIRE_ENDPOINTS].past.end - begin;
+    uint32_t writers = gate->registry.count + count_removed(gate);
+
+    return writers > 0 && revisions > gate->past_change_count
+               ? (revisions - gate->past_change_count) *
+                     gate->settings.store.heartbeat / writers
+               : 0;
+}
+
+/* Returns how far back all changes are known: as far as the store keeps its
+ * history, or less if it has discarded some. If an entry from before the
+ * oldest change is younger than that, only the entry's age counts. */
+static lv_time
+past_length(const gate_server *gate, uint64_t begin)
+{
+    lv_time kept = kept_age(gate, begin);
     lv_time length =
-        gate->settings.store.history * TRUSTED_HISTORY_PERCENT / 100;
+        (kept < gate->settings.store.history ? kept
+                                             : gate->settings.store.history) *
+        TRUSTED_HISTORY_PERCENT / 100;
     uint32_t i;
 
     for (i = 0; i < gate->registry.count; i++) {
@@ -148,8 +178,11 @@
     ver_extent extent = {0}; /* the store has had no history before */
 
     if (begin > 0) {
-        extent.covered_since = lv_elapsed(now, past_length(gate));
+        extent.covered_since = lv_elapsed(now, past_length(gate, begin));
         extent.proven_since = gate->versions.proven_since;
+        if (extent.proven_since < extent.covered_since) {
+            extent.covered_since = extent.proven_since;
+        }
     }
     gate->is_past_known = begin != STORE_NO_REVISION && list != NULL &&
                           gate->past_change_count < PAST_CHANGES_MAX;
--- a/packages/gateway/source/gate.c
+++ b/packages/gateway/source/gate.c
@@ -163,6 +163,7 @@
     gate_update_speeds(gate, now);
     gate_update_quarantine(gate, now);
     gate_update_origins(gate, now);
+    gate_update_cached(gate, now);
     fch_note_endpoints(&gate->endpoints, now);
     back_confirm_ends(&gate->endpoint_pool, now);
     gate_tick_requests(gate, now);
@@ -275,6 +276,7 @@
     gate->relay.server.memory = &gate->memory;
     gate_init_quarantine(gate);
     gate_init_origins(gate);
+    gate_init_cached(gate);
     gate_init_evacuation(gate);
     gate_init_zones(gate);
     gate->peers.on_change = on_peer_change;
@@ -387,6 +389,7 @@
     for (i = 0; i < WIRE_SUBJECT_COUNT; i++) {
         store_feed_close(&gate->feeds[i]);
     }
+    gate_finish_cached(gate);
     back_close_all(&gate->endpoint_pool);
     rly_close(&gate->relay);
     peers_close(&gate->peers);
--- /dev/null
+++ b/tests/core/test-cached.c
@@ -0,0 +1,66 @@
+/*
+ * Where a prompt's own block is cached, by software version.
+ */
+#include <criterion/criterion.h>
+
+#include "lavender/cached.h"
+
+#define SERVICE 1
+#define BLOCK 0x9001
+
+typedef struct cached_entry {
+    lv_id version; /* 0: none */
+    uint64_t block;
+    uint32_t tokens;
+} cached_entry;
+
+typedef struct cached_case {
+    const char *name;
+    cached_entry entries[3];
+    lv_id expected; /* for 400 tokens of BLOCK */
+} cached_case;
+
+static const cached_case cases[] = {
+    {"nothing", {{0}}, LV_ID_NONE},
+    {"one version", {{11, BLOCK, 400}}, 11},
+    {"two endpoints of it", {{11, BLOCK, 300}, {11, BLOCK, 450}}, 11},
+    {"the longer one is first", {{11, BLOCK, 450}, {11, BLOCK, 300}}, 11},
+    {"two versions", {{11, BLOCK, 400}, {12, BLOCK, 400}}, LV_ID_NONE},
+    {"another one has less", {{11, BLOCK, 400}, {12, BLOCK, 399}}, 11},
+    {"too few tokens", {{11, BLOCK, 399}}, LV_ID_NONE},
+    {"another block", {{11, BLOCK + 1, 400}}, LV_ID_NONE},
+};
+
+/* Guards against a stream that goes on at a version whose endpoints have not
+ * run it, or where two versions may have. */
+Test(cached, one_version_has_run_the_request)
+{
+    for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+        const cached_case *one = &cases[i];
+        cch_table table;
+
+        cch_init(&table);
+        for (size_t j = 0; j < 3 && one->entries[j].version != 0; j++) {
+            cr_expect(cch_add(&table, SERVICE, one->entries[j].version,
+                              one->entries[j].block, one->entries[j].tokens));
+        }
+        cr_expect_eq(cch_find(&table, SERVICE, BLOCK, 400), one->expected,
+                     "%s", one->name);
+        cr_expect_eq(cch_find(&table, SERVICE + 1, BLOCK, 400), LV_ID_NONE);
+        cch_finish(&table);
+    }
+}
+
+/* Guards against endpoints that name versions without end. */
+Test(cached, versions_are_limited)
+{
+    cch_table table;
+
+    cch_init(&table);
+    for (lv_id version = 1; version <= CCH_VERSIONS_MAX; version++) {
+        cr_expect(cch_add(&table, SERVICE, version, BLOCK, 1));
+    }
+    cr_expect_not(cch_add(&table, SERVICE, CCH_VERSIONS_MAX + 1, BLOCK, 1));
+    cr_expect(cch_add(&table, SERVICE, 1, BLOCK, 2));
+    cch_finish(&table);
+}
--- a/tests/gateway/stage-endpoint.c
+++ b/tests/gateway/stage-endpoint.c
@@ -334,25 +334,18 @@
     stage_refuse_connections(endpoint);
 }
 
-static bool
-is_deadly(const stage_endpoint *endpoint, const http_head *head)
-{
-    const char *blocks = http_find_header(head, "Lavenderproxy-Prompt-Prefix");
-    const char *text = endpoint->crashes_on;
-
-    return text != NULL && (strstr(head->target, text) != NULL ||
-                            (blocks != NULL && strstr(blocks, text) != NULL));
-}
-
 static bool
 on_end(http_reader *reader)
 {
     endpoint_connection *self = reader->owner;
 
+    if (stage_answer_cached(self->endpoint, &self->stream, &reader->head)) {
+        return true;
+    }
     self->endpoint->requests++;
     self->endpoint->runs++;
     self->is_busy = true;
-    if (is_deadly(self->endpoint, &reader->head)) {
+    if (stage_is_deadly(self->endpoint, &reader->head)) {
         stage_crash(self->endpoint);
         return true;
     }
--- a/tests/gateway/stage-imp.h
+++ b/tests/gateway/stage-imp.h
@@ -15,6 +15,16 @@
  * as the store keeps no history, and no events to all others. */
 void stage_end_watches(stage_fixture *stage);
 
+/* stage-cached.c */
+
+/* Answers a request for the blocks that an endpoint has cached; false if it is
+ * another one. */
+bool stage_answer_cached(const stage_endpoint *endpoint, io_stream *stream,
+                         const http_head *head);
+
+/* Does the request hold the text that the endpoint crashes on? */
+bool stage_is_deadly(const stage_endpoint *endpoint, const http_head *head);
+
 #define SEAL_HEADER "Lavenderproxy-Runner-Seal: seal-1\r\n"
 
 /* stage-endless.c: how an endless mode begins and what it repeats. */
--- a/tests/gateway/stage.h
+++ b/tests/gateway/stage.h
@@ -80,6 +80,8 @@
     const char *version;              /* of its software; NULL: "v1" */
     uint64_t born;                    /* start time in the store; 0: 1000 */
     uint64_t created;                 /* revision of its entry; 0: 1 */
+    const char *cached; /* entries of its list of cached blocks, JSON; NULL:
+                           404 */
     char address[LV_ADDRESS_SIZE];
     char name[LV_NAME_SIZE];
     uint32_t requests;       /* complete requests received */
--- a/tests/gateway/test-rejoined.c
+++ b/tests/gateway/test-rejoined.c
@@ -73,7 +73,7 @@
      {{0}},
      100,
      false,
-     100,
+     0,
      NULL},
     {"two versions serve", HALF, HALF, {{0}}, 0, false, 100, NULL},
     {"the old one has left",
@@ -132,8 +132,91 @@
      false,
      0,
      NULL},
+    {"the old one has left without a trace, history gone",
+     HALF,
+     V2_ALONE,
+     {{0}},
+     100,
+     false,
+     0,
+     NULL},
+};
+
+/* The same, and the endpoints say what they have cached. */
+static const rejoin_case cached_cases[] = {
+    {"one version, history gone",
+     ALL("v1"),
+     ALL("v1"),
+     {{0}},
+     100,
+     false,
+     100,
+     NULL},
+    {"two versions serve, history gone",
+     HALF,
+     HALF,
+     {{0}},
+     100,
+     true,
+     100,
+     NULL},
+    {"one version, and one endpoint left without a trace",
+     ALL("v1"),
+     {NULL, "v1", "v1", "v1"},
+     {{0}},
+     100,
+     false,
+     50,
+     NULL},
+    {"the old one has left without a trace, history gone",
+     HALF,
+     V2_ALONE,
+     {{0}},
+     100,
+     false,
+     20,
+     NULL},
+    {"the old one has left",
+     HALF,
+     V2_ALONE,
+     {LEAVES("e-0"), LEAVES("e-1")},
+     50,
+     false,
+     20,
+     NULL},
 };
 
+static const char engine[] =
+    ",\"engine\":{\"slots\":4,\"kv_capacity\":400000}";
+
+/* What each endpoint has cached of the streams that it began. */
+static char cached[ENDPOINTS][4096];
+
+/* Of the own block of a prompt, and of what an earlier request of its session
+ * had there. */
+#define OWN_TOKENS 400
+#define EARLIER_TOKENS 200
+#define PAGE_TOKENS 16
+
+static void
+append_cached(uint32_t endpoint, uint32_t number, uint32_t tokens)
+{
+    size_t used = strlen(cached[endpoint]);
+
+    snprintf(cached[endpoint] + used, sizeof cached[endpoint] - used,
+             "%s[\"\",\"%x\",%u,\"m\"]", used > 0 ? "," : "", 0x9000 + number,
+             tokens);
+}
+
+static void
+write_prompt(uint32_t number, char *text, size_t size)
+{
+    snprintf(text, size,
+             "Lavenderproxy-Token-Counts: 600,10\r\n"
+             "Lavenderproxy-Prompt-Prefix: %x:200,%x:%u\r\n",
+             0x5000 + number, 0x9000 + number, OWN_TOKENS);
+}
+
 /* Appends an item that the store had or has, of an endpoint whose process is
  * old. */
 static void
@@ -208,6 +291,7 @@
     static char items[1024];
 
     stage_prepare(&stage, ENDPOINTS);
+    stage.service_extra = engine;
     set_versions(versions, is_v2_young);
     if (draining != NULL) {
         snprintf(items, sizeof items, ",");
@@ -246,14 +330,16 @@
 begin_stream(uint32_t number)
 {
     stage_client client;
-    char request[256];
+    char request[512];
+    char prompt[128];
     uint32_t i;
 
+    write_prompt(number, prompt, sizeof prompt);
     snprintf(request, sizeof request,
              "POST /resume/1 HTTP/1.1\r\nHost: h\r\nApi-Key: k1\r\n"
-             "Lavenderproxy-Attempt-Id: s-%u\r\n"
+             "Lavenderproxy-Attempt-Id: s-%u\r\n%s"
              "Lavenderproxy-Deadline-Ms: 1500\r\nContent-Length: 0\r\n\r\n",
-             number);
+             number, prompt);
     for (i = 0; i < ENDPOINTS; i++) {
         stage.endpoints[i].runs = 0;
     }
@@ -272,15 +358,17 @@
 take_up(uint32_t number)
 {
     stage_response answer;
-    char headers[64];
+    char headers[256];
+    char prompt[128];
     uint32_t i;
 
     for (i = 0; i < ENDPOINTS; i++) {
         stage.endpoints[i].runs = 0;
         stage.endpoints[i].mode = STAGE_STREAM;
     }
-    snprintf(headers, sizeof headers, "Last-Event-Id: 1\r\nResumes: s-%u\r\n",
-             number);
+    write_prompt(number, prompt, sizeof prompt);
+    snprintf(headers, sizeof headers,
+             "Last-Event-Id: 1\r\nResumes: s-%u\r\n%s", number, prompt);
     stage_exchange(&stage, "/resume/1", headers, &answer);
     cr_expect(answer.status == 200 || answer.status == 503, "%u",
               answer.status);
@@ -289,40 +377,73 @@
     return i;
 }
 
+/* Begins streams, which endpoints keep in their caches, in whole pages, beside
+ * what is left of earlier requests. */
+static void
+begin_streams(const char **versions)
+{
+    for (uint32_t i = 0; i < STREAMS; i++) {
+        uint32_t endpoint = begin_stream(i);
+
+        versions[i] = stage.endpoints[endpoint].version;
+        append_cached(endpoint, i,
+                      i % 2 == 0 ? OWN_TOKENS : OWN_TOKENS - PAGE_TOKENS + 1);
+        append_cached((endpoint + ENDPOINTS / 2) % ENDPOINTS, i,
+                      EARLIER_TOKENS);
+    }
+}
+
+/* Plays a case: streams begin, all instances end and start again, and the
+ * streams are taken up. */
+static void
+play(const rejoin_case *one, bool are_told)
+{
+    static char past[4096];
+    const char *versions[STREAMS];
+    uint32_t wrong = 0;
+    uint32_t gone_on = 0;
+    uint32_t i;
+
+    memset(cached, 0, sizeof cached);
+    start(one->before, false, NULL, 0, NULL);
+    begin_streams(versions);
+    stage_stop(&stage);
+    past[0] = '\0';
+    for (i = 0; i < PAST_MAX && one->past[i].name != NULL; i++) {
+        append_event(&one->past[i], 95 + i, past, sizeof past);
+    }
+    start(one->after, one->is_v2_young, past, one->past_since, one->draining);
+    for (i = 0; i < ENDPOINTS; i++) {
+        stage.endpoints[i].cached = are_told ? cached[i] : NULL;
+    }
+    for (i = 0; i < STREAMS; i++) {
+        uint32_t endpoint = take_up(i);
+
+        gone_on += endpoint < ENDPOINTS;
+        wrong += endpoint < ENDPOINTS &&
+                 strcmp(stage.endpoints[endpoint].version, versions[i]) != 0;
+    }
+    cr_expect_eq(wrong, 0, "%s: %u at another version", one->name, wrong);
+    cr_expect_geq(gone_on * 100, STREAMS * one->least, "%s: %u go on",
+                  one->name, gone_on);
+    stage_stop(&stage);
+}
+
 /* Guards against a stream that goes on at another version, or is refused
  * although its version follows from the list, after all instances ended. */
 Test(rejoined, streams_go_on_at_their_version_or_not)
 {
     for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
-        const rejoin_case *one = &cases[i];
-        static char past[4096];
-        const char *versions[STREAMS];
-        uint32_t wrong = 0;
-        uint32_t gone_on = 0;
-        uint32_t j;
-
-        start(one->before, false, NULL, 0, NULL);
-        for (j = 0; j < STREAMS; j++) {
-            versions[j] = stage.endpoints[begin_stream(j)].version;
-        }
-        stage_stop(&stage);
-        past[0] = '\0';
-        for (j = 0; j < PAST_MAX && one->past[j].name != NULL; j++) {
-            append_event(&one->past[j], 95 + j, past, sizeof past);
-        }
-        start(one->after, one->is_v2_young, past, one->past_since,
-              one->draining);
-        for (j = 0; j < STREAMS; j++) {
-            uint32_t endpoint = take_up(j);
-
-            gone_on += endpoint < ENDPOINTS;
-            wrong +=
-                endpoint < ENDPOINTS &&
-                strcmp(stage.endpoints[endpoint].version, versions[j]) != 0;
-        }
-        cr_expect_eq(wrong, 0, "%s: %u at another version", one->name, wrong);
-        cr_expect_geq(gone_on * 100, STREAMS * one->least, "%s: %u go on",
-                      one->name, gone_on);
-        stage_stop(&stage);
+        play(&cases[i], false);
+    }
+}
+
+/* Guards against streams that go on at another version, whose endpoints left
+ * without a trace, or are all refused although the endpoints that began them
+ * still serve. */
+Test(rejoined, streams_go_on_where_endpoints_have_run_them)
+{
+    for (size_t i = 0; i < sizeof cached_cases / sizeof cached_cases[0]; i++) {
+        play(&cached_cases[i], true);
     }
 }
--- a/tests/gateway/test-settings.c
+++ b/tests/gateway/test-settings.c
@@ -152,6 +152,7 @@
         {"{{bounds.retry_budget_slack}}", values->slack},
         {"{{bounds.grace_s}}", values->grace_s},
         {"{{provider.retention_s}}", "20.5"},
+        {"{{heartbeat_ms}}", "1200.0"},
         {"{{bounds.cold_overshoot}}", values->cold_overshoot},
         {"{{bounds.cold_slack}}", values->cold_slack},
         {COLD_SECTION_END, ""},
--- a/tests/gateway/test-versions.c
+++ b/tests/gateway/test-versions.c
@@ -164,17 +164,22 @@
 {
     static const char *const versions[] = {"v1", "v1", "v1"};
     static const struct {
-        lv_time history; /* that the store keeps */
+        lv_time history;     /* that the store keeps */
+        uint64_t past_since; /* what it has kept: all after this revision */
         uint32_t status;
-    } cases[] = {{20 * LV_SECOND, 200}, {0, 503}};
+    } cases[] = {{20 * LV_SECOND, STAGE_FIRST_REVISION - 50, 200},
+                 {20 * LV_SECOND, STAGE_FIRST_REVISION, 503},
+                 {0, STAGE_FIRST_REVISION - 50, 503}};
 
     for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
         stage_response answer;
 
         start(versions, STAGE_STREAM);
         stage.gate.settings.store.history = cases[i].history;
+        stage.past_since = cases[i].past_since;
         await_endpoints(1);
         list_all();
+        stage.past_before = stage.revision;
         stage_exchange(&stage, "/resume/1",
                        "Last-Event-Id: 2\r\nResumes: id-9\r\n", &answer);
         cr_expect_eq(answer.status, cases[i].status, "case %zu: %u", i,
--- a/tests/gateway/test-wire-store.c
+++ b/tests/gateway/test-wire-store.c
@@ -203,3 +203,58 @@
         }
     }
 }
+
+typedef struct cached_case {
+    const char *body;
+    bool is_read;
+    uint64_t block; /* of the last entry */
+    uint32_t tokens;
+    uint32_t count;
+} cached_case;
+
+static uint64_t last_block;
+static uint32_t last_tokens;
+
+static void
+keep_cached(void *context, uint64_t block, uint32_t tokens)
+{
+    (void)context;
+    last_block = block;
+    last_tokens = tokens;
+    item_count++;
+}
+
+/* Guards against a list of cached blocks that is read wrongly, or makes the
+ * gateway fail, whatever an endpoint sends. */
+Test(wire_store, lists_of_cached_blocks)
+{
+    static const cached_case cases[] = {
+        {"{\"held\":[[\"\",\"9c41d07be2a35f68\",250,\"m\"]]}", true,
+         0x9c41d07be2a35f68, 250, 1},
+        {"{\"epoch\":1,\"next\":2,\"held\":[]}", true, 0, 0, 0},
+        {"{\"held\":[[\"\",\"1\",1,\"m\"],[\"\",7,1],[\"\",\"2\",-1],"
+         "[\"\",\"2\",1e12],[\"\",\"2\"],[],null,{}]}",
+         true, 1, 1, 1},
+        {"{\"held\":{}}", false, 0, 0, 0},
+        {"[]", false, 0, 0, 0},
+        {"id: 1\ndata: v2\n\n", false, 0, 0, 0},
+        {"", false, 0, 0, 0},
+    };
+
+    for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+        const cached_case *one = &cases[i];
+        err_error error;
+
+        err_clear(&error);
+        item_count = 0;
+        last_block = last_tokens = 0;
+        cr_expect_eq(
+            platform_wire_ops()->read_cached(one->body, strlen(one->body),
+                                             keep_cached, NULL, &error),
+            one->is_read, "%s", one->body);
+        cr_expect_eq(item_count, one->count, "%s", one->body);
+        cr_expect_eq(last_block, one->block, "%s", one->body);
+        cr_expect_eq(last_tokens, one->tokens, "%s", one->body);
+        cr_expect_eq(error.kind == ERR_SYNTAX, !one->is_read, "%s", one->body);
+    }
+}
