Take a removal that the store tells for a departure

Cause: the grace for entries that expire in an outage started at every tick while half of the instances missed the store, also at one whose own feed was in order, and a removal was taken for an expiry.

Change: the grace starts only at an instance that misses the store itself. In it, an entry whose removal a change tells is used for 90 % of leave_bound at most; one that the list lacks, to the end of the grace. Lines: store-outage, endpoint change=lapsing.

--- a/packages/gateway/include/lavender-gateway/gate.h
+++ b/packages/gateway/include/lavender-gateway/gate.h
@@ -154,8 +154,9 @@
     qtn_table quarantine;         /* of prompt blocks */
     qtn_table request_quarantine; /* by digest */
     org_table origins;            /* of streams */
-    bool is_list_outdated;    /* the store is missed, while peers reach it */
-    ver_history versions;     /* of services */
+    bool is_list_outdated; /* the store is missed, while peers reach it */
+    bool is_store_away;    /* it is missed here and by half of the instances */
+    ver_history versions;  /* of services */
     ver_change *past_changes; /* of the list, while they are read */
     uint32_t past_change_count;
     bool is_past_known; /* the past was read and recorded in `versions` */
--- a/packages/gateway/include/lavender-gateway/registry.h
+++ b/packages/gateway/include/lavender-gateway/registry.h
@@ -38,6 +38,8 @@
     eng_table *endpoints;
     lv_time grace; /* for entries that expired during an outage */
     lv_time grace_until;
+    lv_time removal_grace; /* the same for a removal that the store tells; set
+                              by the owner, at first `grace` */
     reg_entry *entries;
     uint32_t count;
     uint32_t capacity;
@@ -88,7 +90,9 @@
 void reg_end_list(reg_registry *registry, lv_time now);
 
 /* Starts a grace period now, because of an outage of the store in which
- * entries may have expired. */
+ * entries may have expired. An entry that a list lacks is used until the end
+ * of the period, one whose removal a change tells for `removal_grace` at most:
+ * its endpoint may have left. */
 void reg_start_grace(reg_registry *registry, lv_time now);
 
 /* Removes the entries whose grace period is over; returns their number. */
--- a/packages/gateway/source/gate.c
+++ b/packages/gateway/source/gate.c
@@ -27,6 +27,9 @@
 
 #define SETTINGS_CHECK_INTERVAL LV_SECOND
 
+/* Of the leave limit; the rest is for requests that are on their way. */
+#define REMOVAL_GRACE_PERCENT 90
+
 uint64_t
 gate_random(gate_server *gate)
 {
@@ -113,16 +116,42 @@
     }
 }
 
+/* Returns whether the store is away, so that entries may expire. If only some
+ * instances miss it, what the others are told is no expiry; and one that
+ * reaches it is told of departures, whatever the others miss. */
+static bool
+is_store_away(const gate_server *gate)
+{
+    return !gate->peers.is_store_reachable &&
+           peers_is_store_unreachable(&gate->peers);
+}
+
+static void
+note_outage(gate_server *gate, bool is_away, lv_time now)
+{
+    if (is_away != gate->is_store_away) {
+        gate->is_store_away = is_away;
+        log_event(LOG_LEVEL_NOTICE, now, "store-outage",
+                  "state=%s peers=%u grace_ms=%llu",
+                  is_away ? "begun" : "over", gate->peers.live_count,
+                  (unsigned long long)(gate->registry.grace / LV_MILLISECOND));
+    }
+}
+
 /* Reports to the peers whether the store answers, and keeps expired entries
  * after an outage. */
 static void
 update_store_state(gate_server *gate, lv_time now)
 {
+    bool is_away;
+
     gate->peers.is_store_reachable =
         gate->feeds[WIRE_ENDPOINTS].lost_at == 0 && !gate->is_reader_awaited;
     gate->peers.can_coordinate =
         gate->peers.can_coordinate || gate->feeds[WIRE_ENDPOINTS].has_list;
-    if (peers_is_store_unreachable(&gate->peers)) {
+    is_away = is_store_away(gate);
+    note_outage(gate, is_away, now);
+    if (is_away) {
         reg_start_grace(&gate->registry, now);
     }
 }
@@ -312,6 +341,8 @@
     }
     shr_init(&gate->shares, settings->quota_window);
     reg_init(&gate->registry, &gate->endpoints, settings->expiry_grace);
+    gate->registry.removal_grace =
+        settings->leave_limit * REMOVAL_GRACE_PERCENT / 100;
     for (i = 0; i < RT_KINDS; i++) {
         met_histogram_init(&gate->first_output_times[i]);
     }
--- a/packages/gateway/source/registry.c
+++ b/packages/gateway/source/registry.c
@@ -13,6 +13,7 @@
     memset(registry, 0, sizeof *registry);
     registry->endpoints = endpoints;
     registry->grace = grace;
+    registry->removal_grace = grace;
 }
 
 void
@@ -185,16 +186,19 @@
 }
 
 /* Removes an entry that is no longer in the store; during a grace period, only
- * at its end. */
-static void
-expire_entry(reg_registry *registry, reg_entry *entry, lv_time now)
+ * at its end or after `longest`. Returns the kind of change. */
+static const char *
+expire_entry(reg_registry *registry, reg_entry *entry, lv_time longest,
+             lv_time now)
 {
-    if (now < registry->grace_until) {
-        entry->expires_at = registry->grace_until;
-    }
-    else {
+    if (now >= registry->grace_until) {
         remove_entry(registry, entry);
+        return "gone";
     }
+    entry->expires_at = registry->grace_until < now + longest
+                            ? registry->grace_until
+                            : now + longest;
+    return "lapsing";
 }
 
 const char *
@@ -209,8 +213,7 @@
         return NULL;
     }
     if (item->is_removed) {
-        expire_entry(registry, entry, now);
-        return "gone";
+        return expire_entry(registry, entry, registry->removal_grace, now);
     }
     remove_entry(registry, entry);
     return "unreadable";
@@ -291,7 +294,7 @@
         reg_entry *entry = &registry->entries[i - 1];
 
         if (!entry->is_in_list && entry->expires_at == 0) {
-            expire_entry(registry, entry, now);
+            (void)expire_entry(registry, entry, registry->grace, now);
         }
     }
 }
--- a/tests/gateway/test-registry.c
+++ b/tests/gateway/test-registry.c
@@ -112,6 +112,45 @@
     cr_expect(is_listed(7));
 }
 
+/* Guards against requests to an endpoint that left during the grace period
+ * after an outage, for longer than the bound for endpoints that leave. */
+Test(registry, removal_that_the_store_tells_is_bound_in_the_grace)
+{
+    static const struct {
+        lv_time removal_grace;
+        lv_time told_at; /* since the grace began */
+        bool is_list;    /* lacks the entry */
+        lv_time used_for;
+    } cases[] = {
+        {GRACE, 0, false, GRACE},         {GRACE / 2, 0, false, GRACE / 2},
+        {GRACE / 2, GRACE - 1, false, 1}, {GRACE / 2, 0, true, GRACE},
+        {GRACE / 2, GRACE, false, 0},     {GRACE / 2, GRACE, true, 0},
+    };
+
+    for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+        stop();
+        start();
+        registry.removal_grace = cases[i].removal_grace;
+        apply_item(1, false, false, 0);
+        reg_start_grace(&registry, now);
+        now += cases[i].told_at;
+        if (cases[i].is_list) {
+            reg_begin_list(&registry);
+            reg_end_list(&registry, now);
+        }
+        else {
+            cr_expect_str_eq(apply_item(2, true, false, 0),
+                             cases[i].used_for > 0 ? "lapsing" : "gone");
+        }
+        if (cases[i].used_for > 0) {
+            reg_remove_expired(&registry, now + cases[i].used_for - 1);
+            cr_expect(is_listed(7), "case %zu", i);
+        }
+        reg_remove_expired(&registry, now + cases[i].used_for);
+        cr_expect_not(is_listed(7), "case %zu", i);
+    }
+}
+
 Test(registry, report_of_peer_applies_only_when_newer)
 {
     apply_item(5, false, false, 0);
