End exchanges with heads and framing without end

An operator of a similar system saw a runner send bytes without end until the machine that had called it ran out of memory.

Cause: h2o's client collects a head until it is whole and reports each read of a body, also one of framing only, which counted as progress. The client of the platform's service had no check at all.

Change: guard, between the socket and h2o's client for both, gives up a head of over 64 KB, and framing of over 64 KB and 16 times the body. The check for heads that h2o does not support moved there. The platform's client keeps its body in a buf_buffer.

--- a/packages/net/source/endpoints-exchange.c
+++ b/packages/net/source/endpoints-exchange.c
@@ -2,17 +2,16 @@
 #include <string.h>
 
 #include "endpoints-imp.h"
+#include "guard-imp.h"
 
 struct exch_handle {
+    guard_state guard; /* first member */
     client_context *client;
     client_pool *pool;
     const exch_ops *ops;
     void *owner;
     h2o_http1client_t *http; /* NULL unless h2o uses it */
     h2o_timeout_entry_t timeout;
-    h2o_timeout_entry_t install_timer;  /* calls install_head_check */
-    h2o_socket_cb http_write_callback;  /* replaced by on_request_sent */
-    h2o_socket_cb http_read_callback;   /* replaced by check_head_bytes */
     h2o_socket_cb paused_read_callback; /* NULL unless reading is stopped */
     h2o_iovec_t buffers[2];
     size_t buffer_count;
@@ -33,7 +32,7 @@
 free_exchange(exch_handle *exchange)
 {
     h2o_timeout_unlink(&exchange->timeout);
-    h2o_timeout_unlink(&exchange->install_timer);
+    guard_stop(&exchange->guard);
     *exchange->previous_next = exchange->next;
     if (exchange->next != NULL) {
         exchange->next->previous_next = exchange->previous_next;
@@ -144,8 +143,13 @@
     exch_handle *exchange = http->data;
     bool has_bytes = error == NULL || error == h2o_http1client_error_is_eos;
 
-    exchange->is_in_callback = true;
     exchange->is_reading_body = true;
+    if (error == NULL &&
+        !guard_accepts_body(&exchange->guard, http->sock->input->size)) {
+        end_exchange(exchange, EXCH_CONNECTION_LOST);
+        return -1;
+    }
+    exchange->is_in_callback = true;
     if (has_bytes && !deliver_body(exchange)) {
         exchange->is_cancelled = true;
     }
@@ -220,64 +224,13 @@
     return on_body;
 }
 
-static exch_handle *
-socket_exchange(h2o_socket_t *socket)
-{
-    return ((h2o_http1client_t *)socket->data)->data;
-}
-
-/* h2o's client ends the process when it does not support the Content-Length or
- * Transfer-Encoding of a head, so such a head must not reach it. */
-static void
-check_head_bytes(h2o_socket_t *socket, const char *error)
-{
-    exch_handle *exchange = socket_exchange(socket);
-
-    if (error == NULL &&
-        !head_is_supported(socket->input->bytes, socket->input->size)) {
-        h2o_http1client_cancel(exchange->http);
-        end_exchange(exchange, EXCH_PROTOCOL_ERROR);
-        return;
-    }
-    exchange->http_read_callback(socket, error);
-}
-
 static void
-intercept_head_reads(h2o_socket_t *socket)
+on_bad_head(guard_state *guard)
 {
-    exch_handle *exchange = socket_exchange(socket);
-
-    if (socket->_cb.read != NULL) {
-        exchange->http_read_callback = socket->_cb.read;
-        socket->_cb.read = check_head_bytes;
-    }
-}
+    exch_handle *exchange = (exch_handle *)guard;
 
-static void
-on_request_sent(h2o_socket_t *socket, const char *error)
-{
-    socket_exchange(socket)->http_write_callback(socket, error);
-    if (error == NULL) {
-        intercept_head_reads(socket);
-    }
-}
-
-/* Runs from a zero timeout because h2o sets its socket callbacks only after
- * on_connect returns. None of them can have run yet. */
-static void
-install_head_check(h2o_timeout_entry_t *entry)
-{
-    exch_handle *exchange =
-        H2O_STRUCT_FROM_MEMBER(exch_handle, install_timer, entry);
-    h2o_socket_t *socket = exchange->http->sock;
-
-    if (socket->_cb.write != NULL) {
-        exchange->http_write_callback = socket->_cb.write;
-        socket->_cb.write = on_request_sent;
-    }
-    else {
-        intercept_head_reads(socket);
-    }
+    h2o_http1client_cancel(exchange->http);
+    end_exchange(exchange, EXCH_PROTOCOL_ERROR);
 }
 
 static h2o_http1client_head_cb
@@ -306,9 +259,9 @@
     *count = exchange->buffer_count;
     *is_head_method = exchange->is_head_method;
     set_timeout(exchange, &exchange->client->first_byte_timeout);
-    exchange->install_timer.cb = install_head_check;
-    h2o_timeout_link(exchange->client->loop, &exchange->client->zero_timeout,
-                     &exchange->install_timer);
+    exchange->guard.on_bad_head = on_bad_head;
+    guard_start(&exchange->guard, http, exchange->client->loop,
+                &exchange->client->zero_timeout);
     return on_head;
 }
 
--- a/packages/net/source/endpoints-imp.h
+++ b/packages/net/source/endpoints-imp.h
@@ -15,10 +15,6 @@
     uv_idle_t close_handle; /* its close callback frees the pool */
 };
 
-/* Whether h2o's client can parse this start of a response. True while the head
- * is incomplete and has no unsupported line. */
-bool head_is_supported(const char *bytes, size_t size);
-
 /* Find the pool of an address or create it. Returns NULL when the address is
  * malformed or memory runs out. */
 client_pool *client_pool_find_or_create(client_context *client,
--- a/packages/net/source/endpoints-head.c
+++ b/packages/net/source/guard-head.c
@@ -1,7 +1,7 @@
 #include <string.h>
 #include <strings.h>
 
-#include "endpoints-imp.h"
+#include "guard-imp.h"
 
 #define MAX_LENGTH_DIGITS 18 /* the value stays below 2^63 */
 #define STATUS_OFFSET strlen("HTTP/1.1 ")
@@ -64,7 +64,7 @@
 }
 
 bool
-head_is_supported(const char *bytes, size_t size)
+guard_supports_head(const char *bytes, size_t size)
 {
     const char *line = bytes, *end;
     size_t length;
--- a/packages/net/source/platform-service.c
+++ b/packages/net/source/platform-service.c
@@ -3,8 +3,10 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "guard-imp.h"
 #include "h2o.h"
 #include "h2o/http1client.h"
+#include "lavender/buffer.h"
 #include "platform-imp.h"
 
 #define MAX_BODY_SIZE ((size_t)4 * 1024 * 1024)
@@ -13,6 +15,7 @@
 
 /* A request to the service: a read of a part or a watch of a head. */
 typedef struct service_call {
+    guard_state guard; /* first member */
     plat_service *service;
     doc_kind doc;
     uint32_t part;
@@ -24,9 +27,7 @@
     h2o_http1client_t *http;
     char request[REQUEST_SIZE];
     h2o_iovec_t request_buffer;
-    char *body;
-    size_t size;
-    size_t capacity;
+    buf_buffer body;
     struct service_call *next;
 } service_call;
 
@@ -45,6 +46,7 @@
     uint64_t random_state;
     h2o_timeout_t read_timeout;
     h2o_timeout_t watch_timeout;
+    h2o_timeout_t zero_timeout; /* defers a call to the next iteration */
     h2o_http1client_ctx_t read_context;
     h2o_http1client_ctx_t watch_context;
     service_call *reads;
@@ -96,7 +98,8 @@
     if (*link == call) {
         *link = call->next;
     }
-    free(call->body);
+    guard_stop(&call->guard);
+    buf_finish(&call->body);
     free(call);
 }
 
@@ -112,9 +115,8 @@
 reset_watch(service_call *call)
 {
     call->http = NULL;
-    free(call->body);
-    call->body = NULL;
-    call->size = call->capacity = 0;
+    guard_stop(&call->guard);
+    buf_finish(&call->body);
 }
 
 static void
@@ -178,7 +180,9 @@
 {
     service_watch *watch = &call->service->watches[call->doc];
 
-    if (call->status != 200 && !(call->is_watch && call->status == 304)) {
+    buf_append(&call->body, "", 1);
+    if (call->body.has_failed ||
+        (call->status != 200 && !(call->is_watch && call->status == 304))) {
         fail_call(call);
         return;
     }
@@ -187,7 +191,7 @@
         if (call->is_watch) {
             watch->revision = call->revision;
         }
-        report_part(call, call->body != NULL ? call->body : "", call->size);
+        report_part(call, call->body.data, call->body.size - 1);
     }
     if (call->is_watch) {
         schedule_next_watch(watch);
@@ -198,27 +202,11 @@
 static bool
 append_body(service_call *call, const char *bytes, size_t size)
 {
-    size_t capacity = call->capacity > 0 ? call->capacity : 4096;
-    char *body;
-
-    if (call->size + size > MAX_BODY_SIZE) {
+    if (call->body.size + size > MAX_BODY_SIZE) {
         return false;
     }
-    while (capacity < call->size + size + 1) {
-        capacity *= 2;
-    }
-    if (capacity != call->capacity) {
-        body = realloc(call->body, capacity);
-        if (body == NULL) {
-            return false;
-        }
-        call->body = body;
-        call->capacity = capacity;
-    }
-    memcpy(call->body + call->size, bytes, size);
-    call->size += size;
-    call->body[call->size] = '\0';
-    return true;
+    buf_append(&call->body, bytes, size);
+    return !call->body.has_failed;
 }
 
 static int
@@ -231,7 +219,8 @@
         fail_call(call);
         return -1;
     }
-    if (!append_body(call, input->bytes, input->size)) {
+    if ((error == NULL && !guard_accepts_body(&call->guard, input->size)) ||
+        !append_body(call, input->bytes, input->size)) {
         fail_call(call);
         return -1;
     }
@@ -296,6 +285,15 @@
     return on_body;
 }
 
+static void
+on_bad_head(guard_state *guard)
+{
+    service_call *call = (service_call *)guard;
+
+    h2o_http1client_cancel(call->http);
+    fail_call(call);
+}
+
 static h2o_http1client_head_cb
 on_connect(h2o_http1client_t *http, const char *error, h2o_iovec_t **buffers,
            size_t *buffer_count, int *is_head_method)
@@ -314,6 +312,10 @@
     *buffers = &call->request_buffer;
     *buffer_count = 1;
     *is_head_method = 0;
+    call->http = http;
+    call->guard.on_bad_head = on_bad_head;
+    guard_start(&call->guard, http, call->service->platform.loop,
+                &call->service->zero_timeout);
     return on_head;
 }
 
@@ -418,7 +420,8 @@
         if (call->http != NULL) {
             h2o_http1client_cancel(call->http);
         }
-        free(call->body);
+        guard_stop(&call->guard);
+        buf_finish(&call->body);
         free(call);
         call = next;
     }
@@ -428,6 +431,7 @@
     }
     h2o_timeout_dispose(platform->loop, &service->read_timeout);
     h2o_timeout_dispose(platform->loop, &service->watch_timeout);
+    h2o_timeout_dispose(platform->loop, &service->zero_timeout);
 }
 
 static const plat_ops service_ops = {
@@ -482,6 +486,7 @@
     h2o_timeout_init(loop, &service->read_timeout, timeout / LV_MILLISECOND);
     h2o_timeout_init(loop, &service->watch_timeout,
                      (timeout + settings->max_watch_wait) / LV_MILLISECOND);
+    h2o_timeout_init(loop, &service->zero_timeout, 0);
     service->read_context.loop = loop;
     service->read_context.io_timeout = &service->read_timeout;
     service->watch_context.loop = loop;
--- a/tests/gateway/stage-cached.c
+++ b/tests/gateway/stage-cached.c
@@ -11,7 +11,8 @@
     const char *entries = endpoint->cached;
     char text[16384];
 
-    if (strcmp(head->target, "/v1/kv-list") != 0) {
+    if (strcmp(head->target, "/v1/kv-list") != 0 ||
+        endpoint->mode >= STAGE_ENDLESS_HEAD) {
         return false;
     }
     if (entries == NULL) {
--- a/tests/gateway/test-endless.c
+++ b/tests/gateway/test-endless.c
@@ -118,3 +118,76 @@
         stage_stop(&stage);
     }
 }
+
+/* The feeds keep what they read of an answer up to its greatest size. */
+#define MAX_KEPT_OF_STORE ((size_t)64 * 1024 * 1024)
+
+/* Guards against the same by a store that sends bytes without end: callers are
+ * served by what was read before. */
+Test(endless, store_is_cut_off, .timeout = 120)
+{
+    static const stage_mode modes[] = {STAGE_ENDLESS_HEAD, STAGE_ENDLESS_BODY,
+                                       STAGE_ENDLESS_CHUNK,
+                                       STAGE_ENDLESS_TRAILER};
+
+    for (size_t i = 0; i < sizeof modes / sizeof modes[0]; i++) {
+        struct sockaddr_in address;
+        stage_response answer;
+        size_t before, used;
+
+        stage_start(&stage, 2);
+        stage.endpoints[1].mode = modes[i];
+        io_parse_address(stage.endpoints[1].address, &address, NULL);
+        stage.gate.feeds[WIRE_CONFIG].source = address;
+        stage.gate.feeds[WIRE_ENDPOINTS].source = address;
+        stage.gate.settings.store.address = address;
+        eng_unlist(&stage.gate.endpoints, 1);
+        before = used_memory();
+        stage_cut_store(&stage);
+        for (int j = 0; j < 300; j++) {
+            stage_run_for(&stage, 10);
+            used = used_memory();
+            cr_assert_leq(used, before + MAX_KEPT_OF_STORE,
+                          "mode %zu: %zu bytes kept", i, used - before);
+        }
+        cr_expect_gt(stage.endpoints[1].endless_bytes, 0);
+        cr_expect_neq(stage.gate.feeds[WIRE_CONFIG].lost_at, 0);
+        stage_exchange(&stage, "/once/1", "", &answer);
+        cr_expect_eq(answer.status, 200, "mode %zu: %u", i, answer.status);
+        stage_stop(&stage);
+    }
+}
+
+/* Guards against the same by an endpoint that is asked what it has cached. */
+Test(endless, list_of_cached_blocks_is_cut_off, .timeout = 120)
+{
+    static const stage_mode modes[] = {STAGE_ENDLESS_HEAD, STAGE_ENDLESS_BODY,
+                                       STAGE_ENDLESS_CHUNK};
+
+    for (size_t i = 0; i < sizeof modes / sizeof modes[0]; i++) {
+        stage_response answer;
+
+        stage_prepare(&stage, 1);
+        stage.service_extra =
+            ",\"engine\":{\"slots\":4,\"kv_capacity\":400000}";
+        stage.past_since = STAGE_FIRST_REVISION;
+        stage_start_gateway(&stage);
+        stage.gate.settings.store.history = 20 * LV_SECOND;
+        while (stage.gate.config == NULL ||
+               !stage.gate.feeds[WIRE_ENDPOINTS].has_list) {
+            stage_run_for(&stage, 20);
+        }
+        stage.endpoints[0].mode = modes[i];
+        stage_exchange(&stage, "/resume/1",
+                       "Last-Event-Id: 1\r\nResumes: s\r\n"
+                       "Lavenderproxy-Token-Counts: 600,10\r\n"
+                       "Lavenderproxy-Prompt-Prefix: 51:200,91:400\r\n",
+                       &answer);
+        cr_expect_eq(answer.status, 503, "mode %zu: %u", i, answer.status);
+        cr_expect_leq(stage.endpoints[0].endless_bytes, MAX_SENT,
+                      "mode %zu: %zu bytes sent", i,
+                      stage.endpoints[0].endless_bytes);
+        cr_expect_eq(stage.gate.cached.asked, 1);
+        stage_stop(&stage);
+    }
+}
