Lower the limit of an event while memory is scarce

Found while looking for bytes without end in the gateway: each resumable stream may keep up to 1 MiB of an unfinished event. Many of them together use up the memory for data of clients, and requests of others are refused for it.

Cause: the limit of an event was fixed, unlike those of a buffered answer and of what a caller has not read.

Change: while three quarters of that memory are used, an event of over 128 KB counts as one without end; its stream is tried elsewhere or broken off.

--- a/packages/gateway/source/gate-attempt.c
+++ b/packages/gateway/source/gate-attempt.c
@@ -310,9 +310,9 @@
     retry_elsewhere(attempt->request, reason);
 }
 
-/* Chooses the limit that applies to the memory that is left. */
-static size_t
-choose_limit(const gate_request *request, size_t limit, size_t scarce_limit)
+size_t
+gate_choose_limit(const gate_request *request, size_t limit,
+                  size_t scarce_limit)
 {
     return front_is_memory_scarce(&request->gate->callers) ? scarce_limit
                                                            : limit;
@@ -325,7 +325,8 @@
 
     if (request->state == GATE_RUNNING &&
         io_write_queue_size(&request->connection->stream) >
-            choose_limit(request, MAX_UNREAD_BYTES, MAX_SCARCE_UNREAD_BYTES)) {
+            gate_choose_limit(request, MAX_UNREAD_BYTES,
+                              MAX_SCARCE_UNREAD_BYTES)) {
         request->is_paused = true;
         back_pause_exchange(&attempt->exchange);
     }
@@ -377,8 +378,8 @@
         return;
     }
     buf_append(&attempt->body, data, size);
-    if (attempt->body.size > choose_limit(request, MAX_BUFFERED_ANSWER,
-                                          MAX_SCARCE_BUFFERED_ANSWER)) {
+    if (attempt->body.size > gate_choose_limit(request, MAX_BUFFERED_ANSWER,
+                                               MAX_SCARCE_BUFFERED_ANSWER)) {
         gate_begin_answer(attempt);
         front_send_body(request->connection, attempt->body.data,
                         attempt->body.size);
--- a/packages/gateway/source/gate-imp.h
+++ b/packages/gateway/source/gate-imp.h
@@ -334,6 +334,12 @@
                                const char *name, const char *help,
                                double (*value)(const eng_endpoint *endpoint,
                                                lv_time now));
+
+/* Returns the limit that applies to the memory that is left for data of
+ * clients. */
+size_t gate_choose_limit(const gate_request *request, size_t limit,
+                         size_t scarce_limit);
+
 /* gate-stream.c: resumable event streams */
 
 /* Forwards the events that are whole and buffers the rest. Of two attempts the
--- a/packages/gateway/source/gate-stream.c
+++ b/packages/gateway/source/gate-stream.c
@@ -5,6 +5,7 @@
 /* An event of a resumable stream that is larger is taken for one without end.
  */
 #define MAX_EVENT_BYTES ((size_t)1024 * 1024)
+#define MAX_SCARCE_EVENT_BYTES ((size_t)128 * 1024) /* memory is scarce */
 
 /* Does the text end with an empty line, which ends an event? */
 static bool
@@ -131,5 +132,8 @@
         front_send_body(request->connection, partial->data, whole);
         buf_consume(partial, whole);
     }
-    return partial->size > MAX_EVENT_BYTES ? "endless-event" : NULL;
+    return partial->size > gate_choose_limit(request, MAX_EVENT_BYTES,
+                                             MAX_SCARCE_EVENT_BYTES)
+               ? "endless-event"
+               : NULL;
 }
--- a/tests/gateway/stage-endpoint.c
+++ b/tests/gateway/stage-endpoint.c
@@ -152,7 +152,9 @@
         stage_repeat_endless(self->endpoint->mode, block, sizeof block);
 
     if (self->stream.is_closing ||
-        self->endpoint->endless_bytes >= STAGE_ENDLESS_BYTES) {
+        self->endpoint->endless_bytes >= (self->endpoint->endless_limit != 0
+                                              ? self->endpoint->endless_limit
+                                              : STAGE_ENDLESS_BYTES)) {
         uv_timer_stop(timer);
     }
     else if (io_write_queue_size(&self->stream) < sizeof block) {
--- a/tests/gateway/stage.h
+++ b/tests/gateway/stage.h
@@ -73,6 +73,7 @@
     const char *more_headers; /* of all its responses, each with CRLF; or NULL
                                */
     size_t endless_bytes;     /* sent in an endless mode */
+    size_t endless_limit;     /* then it is silent; 0: STAGE_ENDLESS_BYTES */
     const char *crashes_on;   /* text in a request's target or prompt blocks
                                  that it crashes on; or NULL */
     bool has_crashed;
--- a/tests/gateway/test-endless.c
+++ b/tests/gateway/test-endless.c
@@ -191,3 +191,48 @@
         stage_stop(&stage);
     }
 }
+
+/* Guards against many events without end, each below its limit, that take the
+ * memory of other clients. */
+Test(endless, events_share_the_memory, .timeout = 120)
+{
+    enum {
+        STREAMS = 12,
+        LIMIT = 4 * 1024 * 1024, /* of the data of clients */
+        EVENT = 900 * 1024,
+        /* what each stream may keep, and one read, while memory is scarce */
+        SCARCE_EVENT = (128 + 64) * 1024
+    };
+    static const char request[] =
+        "POST /resume/1 HTTP/1.1\r\nHost: h\r\nApi-Key: k1\r\n"
+        "Lavenderproxy-Attempt-Id: a\r\nContent-Length: 0\r\n\r\n";
+    static stage_client clients[STREAMS];
+    size_t most = 0;
+
+    stage_prepare(&stage, 2);
+    stage.slots = 4 * STREAMS;
+    stage_start_gateway(&stage);
+    while (stage.gate.config == NULL ||
+           !stage.gate.feeds[WIRE_ENDPOINTS].has_list) {
+        stage_run_for(&stage, 20);
+    }
+    for (int i = 0; i < 2; i++) {
+        stage.endpoints[i].mode = STAGE_ENDLESS_EVENT;
+        stage.endpoints[i].endless_limit = (size_t)STREAMS * EVENT / 2;
+    }
+    stage.gate.memory.limit = LIMIT;
+    for (int i = 0; i < STREAMS; i++) {
+        stage_send(&stage, &clients[i], request, sizeof request - 1);
+    }
+    for (int i = 0; i < 800; i++) {
+        stage_run_for(&stage, 1);
+        most = stage.gate.memory.used > most ? stage.gate.memory.used : most;
+    }
+    cr_expect_gt(stage.endpoints[0].endless_bytes, LIMIT / 4);
+    cr_expect_leq(most, LIMIT / 4 * 3 + (size_t)STREAMS * SCARCE_EVENT,
+                  "%zu bytes", most);
+    for (int i = 0; i < STREAMS; i++) {
+        stage_finish_client(&stage, &clients[i]);
+    }
+    stage_stop(&stage);
+}
