--- a/packages/net/source/platform-service.c
+++ b/packages/net/source/platform-service.c
@@ -413,19 +413,12 @@
     service_call *call;
 
     service_set_watching(platform, false);
-    call = service->reads;
-    while (call != NULL) {
-        service_call *next = call->next;
-
+    while ((call = service->reads) != NULL) {
         if (call->http != NULL) {
             h2o_http1client_cancel(call->http);
         }
-        guard_stop(&call->guard);
-        buf_finish(&call->body);
-        free(call);
-        call = next;
+        free_read(call);
     }
-    service->reads = NULL;
     for (int doc = 0; doc < DOC_COUNT; doc++) {
         uv_close((uv_handle_t *)&service->watches[doc].delay_timer, NULL);
     }
