Ask endpoints again that did not say what they have cached

Callers would have been refused for as long as a route's timeout if the endpoint that began their streams did not answer within 0.4 s just after all instances had started, or came back on the list only then, as after an outage of the store. Found by reading.

Cause: the endpoints were asked once, those that were listed at the first stream that was taken up.

Change: up to four rounds, one second apart at least, for endpoints that have not answered or were listed since. A stream that is found does not wait.

--- a/packages/gateway/include/lavender-gateway/gate.h
+++ b/packages/gateway/include/lavender-gateway/gate.h
@@ -129,16 +129,18 @@
 
 typedef struct gate_cached_call gate_cached_call;
 
-/* What endpoints say that they have cached. They are asked once, when a stream
- * is taken up that may have begun before this instance started and that nobody
- * knows. */
+/* What endpoints say that they have cached. They are asked when a stream is
+ * taken up that may have begun before this instance started and that nobody
+ * knows: each until it has answered, in a few rounds. */
 typedef struct gate_cached {
     cch_table blocks;
-    lv_time begun_at; /* 0: not asked */
-    bool is_complete; /* all have answered, or not in time */
+    map_table answered; /* endpoints, by id */
+    bool is_asking;     /* a round is in progress */
+    uint32_t rounds;
+    lv_time round_at;      /* the last one began */
+    uint64_t list_version; /* of the endpoints then */
     lv_handle next_row;
     uint32_t asked;
-    uint32_t answered;
     uint32_t block_count;
     gate_cached_call *calls[GATE_CACHED_CALLS_MAX]; /* NULL: free */
 } gate_cached;
--- a/packages/gateway/source/gate-cached.c
+++ b/packages/gateway/source/gate-cached.c
@@ -14,6 +14,11 @@
 /* A request waits this long for the answers, and is refused then. */
 #define WAIT_MAX LV_SECOND
 
+/* Endpoints that have not answered are asked again, as are new ones: after an
+ * outage of the store the list is not whole at first. */
+#define ROUNDS_MAX 4
+#define ROUND_INTERVAL LV_SECOND
+
 struct gate_cached_call {
     io_stream stream;  /* first member */
     gate_server *gate; /* NULL: abandoned */
@@ -21,6 +26,7 @@
     http_reader reader;
     buf_buffer body;
     uint32_t status;
+    lv_id id; /* of the endpoint */
     lv_id service;
     lv_id version;
     lv_time deadline;
@@ -62,7 +68,7 @@
     if (is_whole && call->status == 200 &&
         gate->wire->read_cached(call->body.data, call->body.size, on_cached,
                                 call, &error)) {
-        gate->cached.answered++;
+        map_set(&gate->cached.answered, call->id, 1);
     }
     else {
         log_event(LOG_LEVEL_INFO, io_now(), "cached-unknown",
@@ -187,6 +193,7 @@
     }
     call->gate = gate;
     call->slot = slot;
+    call->id = spec->id;
     call->service = spec->service;
     call->version = spec->version_id;
     call->deadline = io_now() + CALL_TIMEOUT;
@@ -214,7 +221,9 @@
             &table->endpoints[gate->cached.next_row++];
 
         if (endpoint->is_used && endpoint->is_published &&
-            endpoint->is_engine) {
+            endpoint->is_engine &&
+            map_find(&gate->cached.answered, endpoint->spec.id) ==
+                LV_HANDLE_NONE) {
             return &endpoint->spec;
         }
     }
@@ -236,20 +245,51 @@
         }
         running += cached->calls[i] != NULL;
     }
-    if (running == 0 && !cached->is_complete) {
-        cached->is_complete = true;
+    if (running == 0 && cached->is_asking) {
+        cached->is_asking = false;
         log_event(LOG_LEVEL_NOTICE, io_now(), "cached-blocks",
-                  "endpoints=%u answered=%u blocks=%u took_ms=%llu",
-                  cached->asked, cached->answered, cached->block_count,
-                  (unsigned long long)(lv_elapsed(io_now(), cached->begun_at) /
+                  "round=%u asked=%u answered=%u blocks=%u took_ms=%llu",
+                  cached->rounds, cached->asked, cached->answered.count,
+                  cached->block_count,
+                  (unsigned long long)(lv_elapsed(io_now(), cached->round_at) /
                                        LV_MILLISECOND));
     }
 }
 
+/* Is there somebody to ask, and is it time to? */
+static bool
+is_round_due(const gate_server *gate, lv_time now)
+{
+    const gate_cached *cached = &gate->cached;
+
+    if (cached->is_asking || cached->rounds == 0) {
+        return !cached->is_asking;
+    }
+    return cached->rounds < ROUNDS_MAX &&
+           lv_elapsed(now, cached->round_at) >= ROUND_INTERVAL &&
+           (cached->answered.count < cached->asked ||
+            cached->list_version != gate->endpoints.list_version);
+}
+
+static void
+begin_round(gate_server *gate, lv_time now)
+{
+    gate_cached *cached = &gate->cached;
+
+    cached->is_asking = true;
+    cached->rounds++;
+    cached->round_at = now;
+    cached->list_version = gate->endpoints.list_version;
+    cached->asked = cached->answered.count;
+    cached->next_row = 0;
+    start_calls(gate);
+}
+
 void
 gate_init_cached(gate_server *gate)
 {
     cch_init(&gate->cached.blocks);
+    map_init(&gate->cached.answered);
 }
 
 void
@@ -264,6 +304,7 @@
         }
     }
     cch_finish(&gate->cached.blocks);
+    map_finish(&gate->cached.answered);
 }
 
 void
@@ -308,15 +349,14 @@
 {
     gate_cached *cached = &request->gate->cached;
 
-    if (cached->is_complete || own_block(request) == NULL ||
-        !may_have_begun_before(request, now)) {
+    if (own_block(request) == NULL || !may_have_begun_before(request, now) ||
+        gate_find_cached_version(request, now) != LV_ID_NONE) {
         return false;
     }
-    if (cached->begun_at == 0) {
-        cached->begun_at = now;
-        start_calls(request->gate);
+    if (is_round_due(request->gate, now)) {
+        begin_round(request->gate, now);
     }
-    return !cached->is_complete &&
+    return cached->is_asking &&
            lv_elapsed(now, request->received_at) < WAIT_MAX;
 }
 
--- a/tests/gateway/test-rejoined.c
+++ b/tests/gateway/test-rejoined.c
@@ -447,3 +447,45 @@
         play(&cached_cases[i], true);
     }
 }
+
+/* Guards against streams that are refused for good, as the endpoint that began
+ * them did not answer at first, or was not on the list yet. */
+Test(rejoined, endpoints_are_asked_again)
+{
+    static const char *const one_version[] = ALL("v1");
+    const char *versions[STREAMS];
+    uint32_t first, later;
+
+    memset(cached, 0, sizeof cached);
+    start(one_version, false, NULL, 0, NULL);
+    begin_streams(versions);
+    stage_stop(&stage);
+    for (int is_listed_later = 0; is_listed_later < 2; is_listed_later++) {
+        start(one_version, false, "", 100, NULL);
+        for (uint32_t i = 0; i < ENDPOINTS; i++) {
+            stage.endpoints[i].cached = cached[i];
+            stage.is_unlisted[i] = is_listed_later && i > 0;
+        }
+        if (is_listed_later) {
+            stage_advance_revision(&stage);
+            stage_run_for(&stage, 200);
+        }
+        else {
+            stage.endpoints[1].cached = NULL;
+        }
+        first = later = 0;
+        for (uint32_t i = 0; i < STREAMS / 4; i++) {
+            first += take_up(i) < ENDPOINTS;
+        }
+        stage.endpoints[1].cached = cached[1];
+        memset(stage.is_unlisted, 0, sizeof stage.is_unlisted);
+        stage_advance_revision(&stage);
+        stage_run_for(&stage, 1000);
+        for (uint32_t i = 0; i < STREAMS / 4; i++) {
+            later += take_up(i) < ENDPOINTS;
+        }
+        cr_expect_lt(first, STREAMS / 4, "%d: %u", is_listed_later, first);
+        cr_expect_eq(later, STREAMS / 4, "%d: %u", is_listed_later, later);
+        stage_stop(&stage);
+    }
+}
