Free the reads of the platform's client in a way that the analyzer follows

The lint of the whole script named a use after free that cannot happen (a read is always on its list) and a dead store in gateway-test-stale-list. No behaviour changes.

--- a/packages/net/source/platform-service.c
+++ b/packages/net/source/platform-service.c
@@ -87,6 +87,14 @@
                    delay / LV_MILLISECOND + 1, 0);
 }
 
+static void
+destroy_read(service_call *call)
+{
+    guard_stop(&call->guard);
+    buf_finish(&call->body);
+    free(call);
+}
+
 static void
 free_read(service_call *call)
 {
@@ -98,9 +106,7 @@
     if (*link == call) {
         *link = call->next;
     }
-    guard_stop(&call->guard);
-    buf_finish(&call->body);
-    free(call);
+    destroy_read(call);
 }
 
 static void
@@ -274,11 +280,7 @@
     }
     call->status = status;
     read_headers(call, headers, count);
-    if (error == h2o_http1client_error_is_eos) {
-        complete_call(call);
-        return NULL;
-    }
-    if (status != 200) {
+    if (error == h2o_http1client_error_is_eos || status != 200) {
         complete_call(call);
         return NULL;
     }
@@ -312,7 +314,6 @@
     *buffers = &call->request_buffer;
     *buffer_count = 1;
     *is_head_method = 0;
-    call->http = http;
     call->guard.on_bad_head = on_bad_head;
     guard_start(&call->guard, http, call->service->platform.loop,
                 &call->service->zero_timeout);
@@ -414,10 +415,11 @@
 
     service_set_watching(platform, false);
     while ((call = service->reads) != NULL) {
+        service->reads = call->next;
         if (call->http != NULL) {
             h2o_http1client_cancel(call->http);
         }
-        free_read(call);
+        destroy_read(call);
     }
     for (int doc = 0; doc < DOC_COUNT; doc++) {
         uv_close((uv_handle_t *)&service->watches[doc].delay_timer, NULL);
--- a/tests/gateway/test-stale-list.c
+++ b/tests/gateway/test-stale-list.c
@@ -174,7 +174,7 @@
 Test(stale_list, the_list_of_an_instance_that_was_cut_off_counts)
 {
     uint32_t gone_on = 0;
-    lv_time cut_at = io_now();
+    lv_time cut_at;
 
     start();
     cut_at = io_now();
