--- a/tests/gateway/test-endless.c
+++ b/tests/gateway/test-endless.c
@@ -119,16 +119,17 @@
     }
 }
 
-/* The feeds keep what they read of an answer up to its greatest size. */
+/* Two feeds keep up to 16 MiB of an answer in a buffer that doubles, a quarter
+ * of the memory of a machine of 260 MB. */
 #define MAX_KEPT_OF_STORE ((size_t)64 * 1024 * 1024)
 
 /* Guards against the same by a store that sends bytes without end: callers are
  * served by what was read before. */
 Test(endless, store_is_cut_off, .timeout = 120)
 {
-    static const stage_mode modes[] = {STAGE_ENDLESS_HEAD, STAGE_ENDLESS_BODY,
-                                       STAGE_ENDLESS_CHUNK,
-                                       STAGE_ENDLESS_TRAILER};
+    static const stage_mode modes[] = {
+        STAGE_ENDLESS_HEAD, STAGE_ENDLESS_INTERIM, STAGE_ENDLESS_BODY,
+        STAGE_ENDLESS_CHUNK, STAGE_ENDLESS_TRAILER};
 
     for (size_t i = 0; i < sizeof modes / sizeof modes[0]; i++) {
         struct sockaddr_in address;
@@ -161,8 +162,9 @@
 /* Guards against the same by an endpoint that is asked what it has cached. */
 Test(endless, list_of_cached_blocks_is_cut_off, .timeout = 120)
 {
-    static const stage_mode modes[] = {STAGE_ENDLESS_HEAD, STAGE_ENDLESS_BODY,
-                                       STAGE_ENDLESS_CHUNK};
+    static const stage_mode modes[] = {
+        STAGE_ENDLESS_HEAD, STAGE_ENDLESS_INTERIM, STAGE_ENDLESS_BODY,
+        STAGE_ENDLESS_CHUNK, STAGE_ENDLESS_TRAILER};
 
     for (size_t i = 0; i < sizeof modes / sizeof modes[0]; i++) {
         stage_response answer;
--- a/tests/net/script-server.c
+++ b/tests/net/script-server.c
@@ -49,19 +49,26 @@
 static void
 send_filling(script_server *server, int fd)
 {
+    const char *text = server->filling != NULL ? server->filling : "x";
+    size_t period = strlen(text);
     char filling[FILLING_SIZE];
-    size_t left = server->repeat;
-    ssize_t length;
+    size_t sent = 0;
 
-    memset(filling, 'x', sizeof filling);
-    while (left > 0 && wait_for(server, fd, POLLOUT)) {
-        length =
-            send(fd, filling, left < sizeof filling ? left : sizeof filling,
+    for (size_t i = 0; i < sizeof filling; i++) {
+        filling[i] = text[i % period];
+    }
+    while (sent < server->repeat && wait_for(server, fd, POLLOUT)) {
+        size_t begin = sent % period;
+        size_t left = server->repeat - sent;
+        ssize_t length =
+            send(fd, filling + begin,
+                 left < sizeof filling - begin ? left : sizeof filling - begin,
                  MSG_NOSIGNAL | MSG_DONTWAIT);
+
         if (length <= 0) {
             return;
         }
-        left -= (size_t)length;
+        sent += (size_t)length;
         atomic_fetch_add(&server->sent, (size_t)length);
     }
 }
--- a/tests/net/script-server.h
+++ b/tests/net/script-server.h
@@ -12,9 +12,10 @@
 #define SCRIPT_CONNECTIONS 256
 
 typedef struct script_server {
-    const char *answer; /* NULL: stay silent */
-    size_t repeat;      /* then so many bytes of filling */
-    int keeps_open;     /* do not close after the answer */
+    const char *answer;  /* NULL: stay silent */
+    size_t repeat;       /* then so many bytes of filling */
+    const char *filling; /* that is repeated; NULL: "x" */
+    int keeps_open;      /* do not close after the answer */
     char address[64];
     int listener;
     pthread_t thread;
