--- a/packages/core/include/lavender/lag.h
+++ b/packages/core/include/lavender/lag.h
@@ -1,11 +1,10 @@
 /*
- * How far the lists of endpoints of other instances lagged behind the store
- * while they were in use. An instance that misses the store serves on with the
- * list that it has, so that what it began follows from an old state of the
- * list.
+ * Staleness of the endpoint lists that other instances have used. An instance
+ * that cannot reach the store keeps serving with its last list, so the version
+ * that began a stream there follows from an old state of the list.
  *
- * A list is complete up to a time: all changes until then are in it. For each
- * second in which lists were in use the earliest of these times is kept, for
+ * "Complete until" is the time up to which a list contains all changes. The
+ * record keeps the minimum over all lists in use for each of the last
  * LAG_SLOTS seconds.
  */
 #ifndef LAVENDER_LAG_H
@@ -18,20 +17,19 @@
 
 typedef struct lag_slot {
     uint64_t number;        /* since the clock's start; 0: unused */
-    lv_time complete_until; /* the earliest of the lists in use */
+    lv_time complete_until; /* minimum over the lists in use */
 } lag_slot;
 
 typedef struct lag_record {
     lag_slot slots[LAG_SLOTS]; /* by number */
 } lag_record;
 
-/* Records that a list that was complete up to a time was in use from `from` to
- * `now`. */
+/* Records that an instance used a list between `from` and `now`. */
 void lag_note(lag_record *record, lv_time complete_until, lv_time from,
               lv_time now);
 
-/* Returns up to when all lists were complete that have been in use since a
- * time, or `now` if none is known of. */
+/* Returns the minimum of complete_until over all lists used between `since`
+ * and `now`; `now` if there are none. */
 lv_time lag_find(const lag_record *record, lv_time since, lv_time now);
 
 #endif
--- a/packages/gateway/include/lavender-gateway/registry.h
+++ b/packages/gateway/include/lavender-gateway/registry.h
@@ -38,8 +38,8 @@
     eng_table *endpoints;
     lv_time grace; /* for entries that expired during an outage */
     lv_time grace_until;
-    lv_time removal_grace; /* the same for a removal that the store tells; set
-                              by the owner, at first `grace` */
+    lv_time removal_grace; /* maximum for entries removed by a change; set by
+                              the owner, initially `grace` */
     reg_entry *entries;
     uint32_t count;
     uint32_t capacity;
@@ -89,10 +89,10 @@
 void reg_begin_list(reg_registry *registry);
 void reg_end_list(reg_registry *registry, lv_time now);
 
-/* Starts a grace period now, because of an outage of the store in which
- * entries may have expired. An entry that a list lacks is used until the end
- * of the period, one whose removal a change tells for `removal_grace` at most:
- * its endpoint may have left. */
+/* Starts a grace period now, because entries may have expired in an outage of
+ * the store. An entry that is missing from a list stays in use until the end
+ * of the period. One that is removed by a change stays for `removal_grace` at
+ * most, because its endpoint may have left. */
 void reg_start_grace(reg_registry *registry, lv_time now);
 
 /* Removes the entries whose grace period is over; returns their number. */
--- a/packages/gateway/source/gate-cached.c
+++ b/packages/gateway/source/gate-cached.c
@@ -1,5 +1,5 @@
-/* Asks the endpoints which prompt blocks they have cached, to find where
- * streams began that no instance knows any more. */
+/* Reads the cache lists of the endpoints, to find which software version began
+ * a stream that no running instance has served. */
 #include <stdlib.h>
 
 #include "gate-imp.h"
@@ -8,14 +8,17 @@
 #define MAX_BODY_SIZE ((size_t)1024 * 1024)
 #define CALL_TIMEOUT (400 * LV_MILLISECOND)
 
-/* Endpoints cache whole pages of tokens, so the end of a block may lack. */
+/* Endpoints cache whole pages of tokens; an incomplete last page is not
+ * cached.
+ */
 #define PAGE_TOKENS 16
 
 /* A request waits this long for the answers, and is refused then. */
 #define WAIT_MAX LV_SECOND
 
-/* Endpoints that have not answered are asked again, as are new ones: after an
- * outage of the store the list is not whole at first. */
+/* A round asks the endpoints that have not answered yet, including those
+ * listed since the last one: after a store outage the list is incomplete at
+ * first. */
 #define ROUNDS_MAX 4
 #define ROUND_INTERVAL LV_SECOND
 
@@ -335,8 +338,8 @@
                : &prompt->blocks[shared];
 }
 
-/* The answers are of the time when this instance had just started; what
- * streams began since then is known otherwise. */
+/* The cache lists show the state shortly after this instance started. Streams
+ * that began later are found through the list's history. */
 static bool
 may_have_begun_before(const gate_request *request, lv_time now)
 {
--- a/packages/gateway/source/gate-origin.c
+++ b/packages/gateway/source/gate-origin.c
@@ -28,8 +28,8 @@
     peers_tell_origin(&gate->peers, request->stream_key, request->version);
 }
 
-/* Returns whether another instance may have a newer list of endpoints. It does
- * not if no live peer reaches the store. */
+/* Returns whether another instance may have a newer list of endpoints, that
+ * is, whether a live peer reaches the store. */
 static bool
 may_others_know_more(const peers_state *peers)
 {
@@ -46,7 +46,8 @@
     return false;
 }
 
-/* Does this instance miss changes of the list that others may have? */
+/* Returns whether other instances may have changes of the list that this one
+ * has not received. */
 static bool
 is_list_outdated(const gate_server *gate)
 {
@@ -109,8 +110,8 @@
     }
 }
 
-/* A second version may join unseen, so each stream's version is told as if
- * there were one. */
+/* While the list is outdated a second version may join unnoticed, so the peers
+ * are told the version of every stream, also of services with one version. */
 static void
 note_outdated_list(gate_server *gate, lv_time now)
 {
--- a/packages/gateway/source/gate-parts-imp.h
+++ b/packages/gateway/source/gate-parts-imp.h
@@ -95,13 +95,13 @@
 /* Gives up endpoints that do not answer; call it at every tick. */
 void gate_update_cached(gate_server *gate, lv_time now);
 
-/* Asks the endpoints if that may show where a stream began. Returns whether to
- * wait for their answers. */
+/* Reads the endpoints' cache lists if they may show which version began the
+ * stream. Returns whether the request must wait for them. */
 bool gate_await_cached(gate_request *request, lv_time now);
 
-/* Returns the only version whose endpoints have the request's own prompt block
- * cached; LV_ID_NONE: there is none, or the stream has begun since this
- * instance started. */
+/* Returns the version that began the stream according to the cache lists: the
+ * only one whose endpoints have the last prompt block cached. LV_ID_NONE: none
+ * or several have, or the stream began after this instance had started. */
 lv_id gate_find_cached_version(const gate_request *request, lv_time now);
 
 /* gate-versions.c: the versions that the list of endpoints has had */
--- a/packages/gateway/source/gate.c
+++ b/packages/gateway/source/gate.c
@@ -27,7 +27,7 @@
 
 #define SETTINGS_CHECK_INTERVAL LV_SECOND
 
-/* Of the leave limit; the rest is for requests that are on their way. */
+/* Share of the leave limit; the rest covers requests in transit. */
 #define REMOVAL_GRACE_PERCENT 90
 
 uint64_t
@@ -116,9 +116,9 @@
     }
 }
 
-/* Returns whether the store is away, so that entries may expire. If only some
- * instances miss it, what the others are told is no expiry; and one that
- * reaches it is told of departures, whatever the others miss. */
+/* Returns whether the store seems to be down, that is, unreachable from this
+ * instance and from at least half of all. Only then may an entry vanish by
+ * expiry; otherwise its endpoint has left. */
 static bool
 is_store_away(const gate_server *gate)
 {
--- a/packages/net/source/guard-imp.h
+++ b/packages/net/source/guard-imp.h
@@ -1,7 +1,7 @@
 /*
- * Bounds what an h2o client takes of a response that does not progress: a head
- * without end, and the framing of chunks without a body. h2o collects the one
- * and reads the other for as long as bytes arrive.
+ * Limits for responses that never complete, which h2o's client lacks: the size
+ * of the head, and the bytes of chunk framing (sizes, extensions, trailers)
+ * that arrive without body data.
  */
 #ifndef LAVENDER_NET_GUARD_IMP_H
 #define LAVENDER_NET_GUARD_IMP_H
@@ -10,11 +10,11 @@
 #include <h2o/http1client.h>
 #include <stdbool.h>
 
-/* The head of a response, in bytes; what arrives in the same read is let
- * through. */
+/* Size of a head in bytes, checked before each read: the read that exceeds it
+ * is still accepted. */
 #define GUARD_HEAD_MAX ((size_t)64 * 1024)
 
-/* Framing beyond GUARD_FRAMING_RATIO times the body, in bytes. */
+/* Framing bytes allowed in addition to GUARD_FRAMING_RATIO times the body. */
 #define GUARD_FRAMING_MAX ((size_t)64 * 1024)
 #define GUARD_FRAMING_RATIO 16
 
@@ -22,7 +22,8 @@
 
 /* The first member of the object that the client's `data` points to. */
 struct guard_state {
-    /* The head is too long, or h2o does not support it; cancels the client. */
+    /* Called when the head is too large or not supported by h2o; must cancel
+     * the client. */
     void (*on_bad_head)(guard_state *guard);
     h2o_http1client_t *http;
     h2o_timeout_entry_t install_timer;
@@ -33,17 +34,16 @@
     uint64_t body_bytes;
 };
 
-/* Watches the response to the request that the client is about to send; to be
- * called from its callback for the connection. `zero_timeout` is one of 0 ms.
- */
+/* Starts to check the response. Must be called in the client's callback for
+ * the established connection. `zero_timeout` is a timeout of 0 ms. */
 void guard_start(guard_state *guard, h2o_http1client_t *http, h2o_loop_t *loop,
                  h2o_timeout_t *zero_timeout);
 
-/* To be called before the object is freed. */
+/* Must be called before the object is freed. */
 void guard_stop(guard_state *guard);
 
-/* Counts a read of the body, of which `size` bytes are content. Returns false
- * when the response is to be given up. */
+/* Counts the last read, of which `size` bytes are body data. Returns false
+ * when the framing limit is exceeded. */
 bool guard_accepts_body(guard_state *guard, size_t size);
 
 /* Whether h2o's client can parse this start of a response. True while the head
