Refuse answers of endpoints with a status that is not valid

Callers of the gateway got an answer whose status was 000 as an answer, as "HTTP/1.1 0 <unknown>", with the seal and the body, on routes of all kinds.

Cause: RFC 9112 defines the status as three digits and RFC 9110 the range 100 to 599. http-parser checks neither: it reads one to four digits up to 999. The gateway took what it read for a status, and its own value for "no status yet" is 0.

Change: the reader of responses checks the digits and the range as the head arrives (lavender-net/syntax.h). An answer with another status is not a proper answer, like bytes that are no HTTP: it is tried elsewhere where the route allows, else the caller gets 502, also if it says that it was not executed. All users of the reader have the check: endpoints, store, relays, lists of cached blocks. No status below 100 leaves the reader now, so that 0 stays the gateway's own.

--- a/packages/gateway/include/lavender-gateway/back.h
+++ b/packages/gateway/include/lavender-gateway/back.h
@@ -71,6 +71,10 @@
     bool is_non_repeatable;
 
     bool has_response_head;
+
+    /* What was wrong with the response, for the log; NULL: it was not
+     * malformed. */
+    const char *fault;
 };
 
 typedef struct back_counts {
@@ -82,6 +86,8 @@
     /* Responses to other requests than the current one, and data received on
      * an idle connection. */
     uint64_t unmatched_responses;
+
+    uint64_t malformed_responses;
 } back_counts;
 
 /* Idle connections to one endpoint. */
--- a/packages/gateway/include/lavender-gateway/http.h
+++ b/packages/gateway/include/lavender-gateway/http.h
@@ -1,13 +1,15 @@
 /*
  * An incremental reader for HTTP/1.1 requests and responses, built on the
  * http-parser library. It collects a whole head before it reports it, rejects
- * heads that allow request smuggling, and reports how the body is delimited.
+ * heads that allow request smuggling and responses that RFC 9112 calls
+ * invalid, and reports how the body is delimited.
  */
 #ifndef LAVENDER_GATEWAY_HTTP_H
 #define LAVENDER_GATEWAY_HTTP_H
 
 #include <http_parser.h>
 
+#include "lavender-net/syntax.h"
 #include "lavender/buffer.h"
 #include "lavender/error.h"
 
@@ -31,7 +33,7 @@
 typedef struct http_head {
     const char *method; /* requests only */
     const char *target; /* requests only, as sent */
-    uint32_t status;    /* responses only */
+    uint32_t status;    /* responses only; from 100 to 599 */
     bool is_keep_alive;
     bool is_http_1_0;
     http_framing framing;
@@ -78,6 +80,8 @@
     bool is_head_complete;
     bool is_complete;
     bool is_malformed;
+    syn_fault fault; /* why; SYN_NO_FAULT: the parser found it */
+    syn_status_line status_line;
     bool is_head_too_large;
     bool is_stopped;
     bool has_no_memory;
@@ -104,6 +108,10 @@
  * it is not. */
 http_result http_reader_feed_eof(http_reader *reader);
 
+/* Returns what is wrong with the message, for the log; "none" unless the last
+ * result was HTTP_MALFORMED or HTTP_HEAD_TOO_LARGE. */
+const char *http_reader_fault(const http_reader *reader);
+
 /* Returns the value of the first header with a name, compared without regard
  * to case, or NULL. */
 const char *http_find_header(const http_head *head, const char *name);
--- a/packages/gateway/source/back-pool.c
+++ b/packages/gateway/source/back-pool.c
@@ -356,6 +356,7 @@
     }
     exchange->connection = connection;
     exchange->has_response_head = false;
+    exchange->fault = NULL;
     connection->exchange = exchange;
     if (is_reused) {
         pool->counts.reused++;
--- a/packages/gateway/source/back-response.c
+++ b/packages/gateway/source/back-response.c
@@ -124,6 +124,17 @@
     return true;
 }
 
+/* Ends an exchange whose response cannot be read on. */
+static bool
+reject_response(back_connection *connection, back_result *result)
+{
+    connection->is_keep_alive = false;
+    connection->exchange->fault = http_reader_fault(&connection->reader);
+    connection->pool->counts.malformed_responses++;
+    return set_result(result, failure_outcome(connection),
+                      "not-a-proper-answer");
+}
+
 /* Counts the bytes of skipped responses. Returns whether there are too many.
  */
 static bool
@@ -156,9 +167,7 @@
             return false;
         }
         if (read_result != HTTP_COMPLETE) {
-            connection->is_keep_alive = false;
-            return set_result(result, failure_outcome(connection),
-                              "not-a-proper-answer");
+            return reject_response(connection, result);
         }
         if (!connection->is_unmatched && !connection->is_interim) {
             if (size > 0) {
--- a/packages/gateway/source/gate-cached.c
+++ b/packages/gateway/source/gate-cached.c
@@ -75,9 +75,9 @@
     }
     else {
         log_event(LOG_LEVEL_INFO, io_now(), "cached-unknown",
-                  "endpoint=%s status=%u bytes=%zu error=\"%s\"",
+                  "endpoint=%s status=%u bytes=%zu fault=%s error=\"%s\"",
                   call->endpoint, call->status, call->body.size,
-                  error.message);
+                  http_reader_fault(&call->reader), error.message);
     }
     abandon_call(call);
     start_calls(gate);
--- a/packages/gateway/source/gate-log.c
+++ b/packages/gateway/source/gate-log.c
@@ -159,7 +159,7 @@
     log_request(
         LOG_LEVEL_INFO, LOG_IMPORTANT, now, "attempt-cut",
         "request=%s reason=%s endpoint=%s account=%s status=%u output=%d "
-        "output_ms=%llu silent_ms=%llu digest=%llx blocks=%s",
+        "output_ms=%llu silent_ms=%llu digest=%llx blocks=%s fault=%s",
         request_id(request), reason,
         endpoint_name(request, attempt->reservation.endpoint),
         request->account != NULL ? request->account->name : "-",
@@ -169,7 +169,8 @@
                   : 0),
         to_ms(lv_elapsed(now, attempt->last_data_at)),
         (unsigned long long)gate_digest(request),
-        format_blocks(&request->decoded.prompt, blocks, sizeof blocks));
+        format_blocks(&request->decoded.prompt, blocks, sizeof blocks),
+        attempt->exchange.fault != NULL ? attempt->exchange.fault : "-");
 }
 
 void
--- a/packages/gateway/source/http-reader.c
+++ b/packages/gateway/source/http-reader.c
@@ -15,9 +15,10 @@
 
 /* Returns the value that makes a parser callback fail. */
 static int
-mark_malformed(http_reader *reader)
+mark_malformed(http_reader *reader, syn_fault fault)
 {
     reader->is_malformed = true;
+    reader->fault = fault;
     return -1;
 }
 
@@ -188,8 +189,11 @@
     head->framing = body_framing(reader);
     head->body_size =
         head->framing == HTTP_CONTENT_LENGTH ? parser->content_length : 0;
-    if (parser->http_major != 1 || is_ambiguous(reader)) {
-        return mark_malformed(reader);
+    if (parser->http_major != 1) {
+        return mark_malformed(reader, SYN_BAD_STATUS_LINE);
+    }
+    if (is_ambiguous(reader)) {
+        return mark_malformed(reader, SYN_BAD_HEADER);
     }
     parser->upgrade = 0;
     if (!reader->ops->on_head(reader, head)) {
@@ -266,6 +270,8 @@
     reader->is_head_complete = false;
     reader->is_complete = false;
     reader->is_malformed = false;
+    reader->fault = SYN_NO_FAULT;
+    memset(&reader->status_line, 0, sizeof reader->status_line);
     reader->is_head_too_large = false;
     reader->is_stopped = false;
     reader->has_no_memory = false;
@@ -274,8 +280,21 @@
     reader->previous_byte = '\0';
 }
 
-/* Enforces the size limit of a head and rejects folded header lines, which the
- * parser would join. Returns the number of bytes to parse. */
+/* Finds folded header lines, which the parser would join, and status lines
+ * that are not valid. */
+static syn_fault
+check_head_byte(http_reader *reader, char byte)
+{
+    if (reader->previous_byte == '\n' && (byte == ' ' || byte == '\t')) {
+        return SYN_BAD_HEADER;
+    }
+    return reader->is_request
+               ? SYN_NO_FAULT
+               : syn_check_status_line(&reader->status_line, byte);
+}
+
+/* Checks the bytes of a head and enforces its size limit. Returns the number
+ * of bytes to parse. */
 static size_t
 check_head_bytes(http_reader *reader, const char *data, size_t size)
 {
@@ -283,9 +302,10 @@
 
     for (i = 0; i < size; i++) {
         bool is_line_start = reader->previous_byte == '\n';
+        syn_fault fault = check_head_byte(reader, data[i]);
 
-        if (is_line_start && (data[i] == ' ' || data[i] == '\t')) {
-            reader->is_malformed = true;
+        if (fault != SYN_NO_FAULT) {
+            mark_malformed(reader, fault);
             return i;
         }
         if (is_line_start && (data[i] == '\r' || data[i] == '\n')) {
@@ -322,6 +342,43 @@
     return HTTP_INCOMPLETE;
 }
 
+static syn_fault
+parser_fault(enum http_errno error)
+{
+    switch (error) {
+    case HPE_INVALID_VERSION:
+    case HPE_INVALID_STATUS:
+    case HPE_INVALID_CONSTANT:
+        return SYN_BAD_STATUS_LINE;
+    case HPE_INVALID_HEADER_TOKEN:
+    case HPE_LF_EXPECTED:
+        return SYN_BAD_HEADER;
+    case HPE_INVALID_CONTENT_LENGTH:
+    case HPE_UNEXPECTED_CONTENT_LENGTH:
+        return SYN_BAD_FRAMING;
+    case HPE_INVALID_CHUNK_SIZE:
+        return SYN_BAD_CHUNK;
+    default:
+        return SYN_OTHER_FAULT;
+    }
+}
+
+const char *
+http_reader_fault(const http_reader *reader)
+{
+    switch (reader_result(reader)) {
+    case HTTP_MALFORMED:
+        return syn_fault_name(
+            reader->fault != SYN_NO_FAULT
+                ? reader->fault
+                : parser_fault(HTTP_PARSER_ERRNO(&reader->parser)));
+    case HTTP_HEAD_TOO_LARGE:
+        return "head-too-large";
+    default:
+        return syn_fault_name(SYN_NO_FAULT);
+    }
+}
+
 http_result
 http_reader_feed(http_reader *reader, const char *data, size_t size,
                  size_t *consumed)
--- a/packages/gateway/source/store.c
+++ b/packages/gateway/source/store.c
@@ -311,7 +311,10 @@
     result = http_reader_feed(&connection->reader, data, size, &used);
     if (result != HTTP_COMPLETE && result != HTTP_INCOMPLETE &&
         connection->feed != NULL) {
-        fail_feed(connection->feed, "bad-answer");
+        fail_feed(connection->feed,
+                  result == HTTP_MALFORMED
+                      ? http_reader_fault(&connection->reader)
+                      : "bad-answer");
     }
 }
 
--- /dev/null
+++ b/packages/net/include/lavender-net/syntax.h
@@ -0,0 +1,37 @@
+/*
+ * Checks of HTTP/1.1 responses by RFC 9112 that neither http-parser nor h2o's
+ * client makes. They watch the bytes that a parser reads; what they accept
+ * may still be malformed.
+ */
+#ifndef LAVENDER_NET_SYNTAX_H
+#define LAVENDER_NET_SYNTAX_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/* What is wrong with a response. */
+typedef enum syn_fault {
+    SYN_NO_FAULT,
+    SYN_BAD_STATUS_LINE,
+    SYN_BAD_STATUS, /* three digits, but not from 100 to 599 (RFC 9110) */
+    SYN_BAD_HEADER,
+    SYN_BAD_FRAMING, /* Content-Length or Transfer-Encoding */
+    SYN_BAD_CHUNK,
+    SYN_OTHER_FAULT
+} syn_fault;
+
+/* Returns the name of a fault for the log. */
+const char *syn_fault_name(syn_fault fault);
+
+/* A status line in progress; all zero at its first byte. */
+typedef struct syn_status_line {
+    uint8_t part;
+    uint8_t digits; /* of the status */
+    uint16_t status;
+} syn_status_line;
+
+/* Checks the next byte of a head; bytes after the status are accepted. The
+ * protocol version is left to the parser. */
+syn_fault syn_check_status_line(syn_status_line *line, char byte);
+
+#endif
--- /dev/null
+++ b/packages/net/source/syntax-status-line.c
@@ -0,0 +1,79 @@
+#include "lavender-net/syntax.h"
+
+#define STATUS_DIGITS 3
+#define STATUS_MIN 100
+#define STATUS_MAX 599
+
+enum {
+    PART_EMPTY_LINES, /* before the status line */
+    PART_VERSION,
+    PART_STATUS,
+    PART_END /* of what is checked */
+};
+
+const char *
+syn_fault_name(syn_fault fault)
+{
+    static const char *const names[] = {
+        [SYN_NO_FAULT] = "none",
+        [SYN_BAD_STATUS_LINE] = "bad-status-line",
+        [SYN_BAD_STATUS] = "bad-status",
+        [SYN_BAD_HEADER] = "bad-header",
+        [SYN_BAD_FRAMING] = "bad-framing",
+        [SYN_BAD_CHUNK] = "bad-chunk",
+        [SYN_OTHER_FAULT] = "other",
+    };
+
+    return names[fault];
+}
+
+static bool
+is_line_end(char byte)
+{
+    return byte == '\r' || byte == '\n';
+}
+
+/* Checks a byte of the status or, after its digits, the end of it. */
+static syn_fault
+check_status(syn_status_line *line, char byte)
+{
+    if (line->digits == 0 && byte == ' ') {
+        return SYN_NO_FAULT;
+    }
+    if (line->digits < STATUS_DIGITS) {
+        if (byte < '0' || byte > '9') {
+            return SYN_BAD_STATUS_LINE;
+        }
+        line->digits++;
+        line->status = (uint16_t)(line->status * 10 + (byte - '0'));
+        return SYN_NO_FAULT;
+    }
+    if (byte != ' ' && !is_line_end(byte)) {
+        return SYN_BAD_STATUS_LINE;
+    }
+    line->part = PART_END;
+    return line->status < STATUS_MIN || line->status > STATUS_MAX
+               ? SYN_BAD_STATUS
+               : SYN_NO_FAULT;
+}
+
+syn_fault
+syn_check_status_line(syn_status_line *line, char byte)
+{
+    switch (line->part) {
+    case PART_EMPTY_LINES:
+        line->part = is_line_end(byte) ? PART_EMPTY_LINES : PART_VERSION;
+        break;
+    case PART_VERSION:
+        if (is_line_end(byte)) {
+            return SYN_BAD_STATUS_LINE;
+        }
+        line->part = byte == ' ' ? PART_STATUS : PART_VERSION;
+        break;
+    case PART_STATUS:
+        return check_status(line, byte);
+    default:
+        break;
+    }
+    return SYN_NO_FAULT;
+}
