Refuse heads of endpoints with a CR without LF or a control byte in the phrase

Callers got answers whose head had a CR without LF in the status line or before the body, as whole answers; the byte behind the CR, and with two CR the headers, were lost on the way.

Cause: http-parser is built without its strict mode: behind a CR it takes any byte for the LF, and it accepts any byte in the reason phrase. RFC 9112 calls both invalid (2.2, 4).

Change: the reader of responses refuses a CR that no LF follows, and control bytes in the phrase; for the first it passes the head to the parser by itself, apart from the body. Heads of requests are read as before.

Evidence: gateway-test-response-syntax, on: 5 of 29 forms reach the caller on all four routes (CR in and behind the status line and at the end of the head, a control byte and DEL in the phrase); now none. The other 24 were refused before, among them 17 of header lines: a blank, tab, control byte, DEL, a byte over 127, a delimiter or a CR in a name, a blank before the colon, no name, no colon, folded lines, control bytes in values. The 29 valid responses are passed on as before.

--- a/packages/gateway/include/lavender-gateway/http.h
+++ b/packages/gateway/include/lavender-gateway/http.h
@@ -87,6 +87,7 @@
     bool has_no_memory;
     bool skips_body;    /* set for the response to a HEAD request */
     bool has_started;   /* a byte of the current message was read */
+    bool is_empty_line; /* its CR was read */
     char previous_byte; /* of the head */
 };
 
--- a/packages/gateway/source/http-reader.c
+++ b/packages/gateway/source/http-reader.c
@@ -277,20 +277,27 @@
     reader->has_no_memory = false;
     reader->skips_body = false;
     reader->has_started = false;
+    reader->is_empty_line = false;
     reader->previous_byte = '\0';
 }
 
-/* Finds folded header lines, which the parser would join, and status lines
- * that are not valid. */
+/* Finds folded header lines, which the parser would join, a CR without LF,
+ * behind which it skips a byte, and status lines that are not valid. */
 static syn_fault
 check_head_byte(http_reader *reader, char byte)
 {
+    syn_fault fault = SYN_NO_FAULT;
+
     if (reader->previous_byte == '\n' && (byte == ' ' || byte == '\t')) {
         return SYN_BAD_HEADER;
     }
-    return reader->is_request
-               ? SYN_NO_FAULT
-               : syn_check_status_line(&reader->status_line, byte);
+    if (!reader->is_request) {
+        fault = syn_check_status_line(&reader->status_line, byte);
+        if (reader->previous_byte == '\r' && byte != '\n') {
+            fault = SYN_BAD_HEADER;
+        }
+    }
+    return fault;
 }
 
 /* Checks the bytes of a head and enforces its size limit. Returns the number
@@ -308,10 +315,16 @@
             mark_malformed(reader, fault);
             return i;
         }
-        if (is_line_start && (data[i] == '\r' || data[i] == '\n')) {
-            return size; /* the head ends here */
+        if (reader->is_empty_line || (is_line_start && data[i] == '\n')) {
+            reader->is_empty_line = false;
+            reader->previous_byte = '\n';
+            return i + 1; /* the head ends here */
         }
+        reader->is_empty_line = is_line_start && data[i] == '\r';
         reader->previous_byte = data[i];
+        if (reader->is_empty_line) {
+            continue;
+        }
         if (++reader->head_size > reader->max_head_size) {
             reader->is_head_too_large = true;
             return i;
@@ -388,14 +401,18 @@
         return HTTP_INCOMPLETE;
     }
     reader->has_started = true;
-    if (!reader->is_head_complete) {
-        size = check_head_bytes(reader, data, size);
-        if (reader->is_malformed || reader->is_head_too_large) {
-            return reader_result(reader);
+    while (*consumed < size && reader_result(reader) == HTTP_INCOMPLETE) {
+        size_t length = size - *consumed;
+
+        if (!reader->is_head_complete) {
+            length = check_head_bytes(reader, data + *consumed, length);
+            if (reader->is_malformed || reader->is_head_too_large) {
+                return reader_result(reader);
+            }
         }
+        *consumed += http_parser_execute(&reader->parser, &parser_callbacks,
+                                         data + *consumed, length);
     }
-    *consumed =
-        http_parser_execute(&reader->parser, &parser_callbacks, data, size);
     if (reader->is_complete && !reader->ops->on_end(reader)) {
         reader->is_stopped = true;
     }
--- a/packages/net/include/lavender-net/syntax.h
+++ b/packages/net/include/lavender-net/syntax.h
@@ -30,8 +30,8 @@
     uint16_t status;
 } syn_status_line;
 
-/* Checks the next byte of a head; bytes after the status are accepted. The
- * protocol version is left to the parser. */
+/* Checks the next byte of a head; bytes after the status line are accepted.
+ * The protocol version and what follows a CR are left to the parser. */
 syn_fault syn_check_status_line(syn_status_line *line, char byte);
 
 #endif
--- a/packages/net/source/syntax-status-line.c
+++ b/packages/net/source/syntax-status-line.c
@@ -3,12 +3,14 @@
 #define STATUS_DIGITS 3
 #define STATUS_MIN 100
 #define STATUS_MAX 599
+#define DEL 0x7f
 
 enum {
     PART_EMPTY_LINES, /* before the status line */
     PART_VERSION,
     PART_STATUS,
-    PART_END /* of what is checked */
+    PART_PHRASE,
+    PART_END
 };
 
 const char *
@@ -51,12 +53,19 @@
     if (byte != ' ' && !is_line_end(byte)) {
         return SYN_BAD_STATUS_LINE;
     }
-    line->part = PART_END;
+    line->part = byte == '\n' ? PART_END : PART_PHRASE;
     return line->status < STATUS_MIN || line->status > STATUS_MAX
                ? SYN_BAD_STATUS
                : SYN_NO_FAULT;
 }
 
+static bool
+is_phrase_byte(char byte)
+{
+    return byte == '\t' || byte == '\r' ||
+           ((unsigned char)byte >= ' ' && byte != DEL);
+}
+
 syn_fault
 syn_check_status_line(syn_status_line *line, char byte)
 {
@@ -72,6 +81,14 @@
         break;
     case PART_STATUS:
         return check_status(line, byte);
+    case PART_PHRASE:
+        if (byte == '\n') {
+            line->part = PART_END;
+        }
+        else if (!is_phrase_byte(byte)) {
+            return SYN_BAD_STATUS_LINE;
+        }
+        break;
     default:
         break;
     }
--- a/tests/gateway/test-response-syntax.c
+++ b/tests/gateway/test-response-syntax.c
@@ -223,6 +223,8 @@
     } cases[] = {
         {STATUS("HTTP/1.1 000 So"), "fault=bad-status\n"},
         {STATUS("HTTP/1.1 0200 So"), "fault=bad-status-line\n"},
+        {"HTTP/1.1 200 OK\r\n" FIELDS "X Y: a\r\n" LENGTH BODY,
+         "fault=bad-header\n"},
     };
 
     for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
@@ -285,3 +287,56 @@
 
     expect_all_refused(cases, sizeof cases / sizeof cases[0]);
 }
+
+/* Guards against status lines that another program reads in another way. */
+Test(response_syntax, status_line_that_is_not_valid_is_refused)
+{
+    static const invalid_case cases[] = {
+        {"a control byte in the phrase", STATUS("HTTP/1.1 200 O\001K")},
+        {"DEL in the phrase", STATUS("HTTP/1.1 200 O\177K")},
+        {"CR in the phrase", STATUS("HTTP/1.1 200 OK\rXY: a")},
+        {"CR behind the status", STATUS("HTTP/1.1 200\rXY: a")},
+        {"a tab before the status", STATUS("HTTP/1.1\t200 OK")},
+        {"another protocol", STATUS("ICY 200 OK")},
+        {"a protocol in small letters", STATUS("http/1.1 200 OK")},
+        {"no minor version", STATUS("HTTP/1 200 OK")},
+        {"two digits of a version", STATUS("HTTP/1.10 200 OK")},
+        {"HTTP/0.9", STATUS("HTTP/0.9 200 OK")},
+        {"HTTP/2.0", STATUS("HTTP/2.0 200 OK")},
+    };
+
+    expect_all_refused(cases, sizeof cases / sizeof cases[0]);
+}
+
+#define HEAD "HTTP/1.1 200 OK\r\n" FIELDS
+#define FIELD(line) HEAD line "\r\n" LENGTH BODY
+
+/* Guards against header lines that another program reads in another way. */
+Test(response_syntax, header_that_is_not_valid_is_refused)
+{
+    static const invalid_case cases[] = {
+        {"a blank in a name", FIELD("X Y: a")},
+        {"a blank in the name of the length",
+         HEAD "Content Length: 2\r\n" BODY},
+        {"a blank before the colon", FIELD("X : a")},
+        {"a blank before the colon of the length",
+         HEAD "Content-Length : 2\r\n" BODY},
+        {"a tab in a name", FIELD("X\tY: a")},
+        {"a tab before the colon", FIELD("X\t: a")},
+        {"a control byte in a name", FIELD("X\001Y: a")},
+        {"CR in a name", FIELD("X\rY: a")},
+        {"DEL in a name", FIELD("X\177: a")},
+        {"obs-text in a name", FIELD("X\xff: a")},
+        {"a delimiter in a name", FIELD("X(Y): a")},
+        {"no name", FIELD(": a")},
+        {"no colon", FIELD("X")},
+        {"a control byte in a value", FIELD("X: a\001b")},
+        {"CR in a value", FIELD("X: a\rb")},
+        {"a folded line", FIELD("X: a\r\n b")},
+        {"a blank before the first name",
+         "HTTP/1.1 200 OK\r\n X: a\r\n" FIELDS LENGTH BODY},
+        {"CR without LF at the end of the head", HEAD LENGTH "\r?ok"},
+    };
+
+    expect_all_refused(cases, sizeof cases / sizeof cases[0]);
+}
