Refuse answers to lavenderd with a status that is not valid

Callers of lavenderd got 200 with the outcome "done" and a body of lavenderd's own ("the request ended") for an answer whose status was 000; a large one was streamed with the status 0, and 999 was passed on.

Cause: h2o's client checks that the status has three digits, but not the range 100 to 599 of RFC 9110. In call_response and exch_response 0 means "no status yet", so that an answer with 000 passes for none.

Change: the guard that watches heads before h2o parses them checks the status line, with lavender-net/syntax.h as the gateway does. An answer with another status ends its exchange with EXCH_PROTOCOL_ERROR, as bytes that are no HTTP do. The guard sits in front of every use of h2o's client: endpoints, load polls, orders, peers, the configuration service, lavenderctl; no status below 100 passes it, so that 0 stays our own. event=malformed-answer names the address and the fault, and lavender_malformed_answers_total counts the answers.

The 12 programs of tests/net pass.

--- a/packages/gateway/source/http-reader.c
+++ b/packages/gateway/source/http-reader.c
@@ -386,7 +386,7 @@
                 ? reader->fault
                 : parser_fault(HTTP_PARSER_ERRNO(&reader->parser)));
     case HTTP_HEAD_TOO_LARGE:
-        return "head-too-large";
+        return syn_fault_name(SYN_HEAD_TOO_LARGE);
     default:
         return syn_fault_name(SYN_NO_FAULT);
     }
--- a/packages/net/include/lavender-net/endpoints.h
+++ b/packages/net/include/lavender-net/endpoints.h
@@ -44,7 +44,8 @@
     client_pool *pools;       /* list, one per address */
     exch_handle *open_list;   /* open exchanges, linked through `next` */
     uint32_t open_exchange_count;
-    uint64_t started_count; /* exchanges started since client_init */
+    uint64_t started_count;     /* exchanges started since client_init */
+    uint64_t malformed_answers; /* exchanges that ended so */
 } client_context;
 
 /* Initialize a client. Returns false and sets error when memory runs out. */
--- a/packages/net/include/lavender-net/syntax.h
+++ b/packages/net/include/lavender-net/syntax.h
@@ -17,6 +17,7 @@
     SYN_BAD_HEADER,
     SYN_BAD_FRAMING, /* Content-Length or Transfer-Encoding */
     SYN_BAD_CHUNK,
+    SYN_HEAD_TOO_LARGE,
     SYN_OTHER_FAULT
 } syn_fault;
 
--- a/packages/net/source/endpoints-exchange.c
+++ b/packages/net/source/endpoints-exchange.c
@@ -55,6 +55,10 @@
 end_exchange(exch_handle *exchange, exch_result end)
 {
     exchange->http = NULL;
+    if (end == EXCH_PROTOCOL_ERROR) {
+        exchange->client->malformed_answers++;
+        guard_log_fault(&exchange->guard, exchange->pool->address);
+    }
     h2o_timeout_unlink(&exchange->timeout);
     if (!exchange->is_cancelled) {
         exchange->is_cancelled = true;
--- a/packages/net/source/guard-head.c
+++ b/packages/net/source/guard-head.c
@@ -25,18 +25,19 @@
     return size == strlen(name) && strncasecmp(line, name, size) == 0;
 }
 
-static bool
-is_supported_header_line(const char *line, size_t size)
+static syn_fault
+check_header_line(const char *line, size_t size)
 {
     const char *colon = memchr(line, ':', size);
     const char *value;
     size_t name_size, value_size;
+    bool is_supported = true;
 
     if (line[0] == ' ' || line[0] == '\t') {
-        return false;
+        return SYN_BAD_HEADER;
     }
     if (colon == NULL) {
-        return true;
+        return SYN_NO_FAULT;
     }
     name_size = (size_t)(colon - line);
     value = colon + 1;
@@ -46,13 +47,13 @@
         value_size--;
     }
     if (header_name_equals(line, name_size, "content-length")) {
-        return is_decimal_length(value, value_size);
+        is_supported = is_decimal_length(value, value_size);
     }
-    if (header_name_equals(line, name_size, "transfer-encoding")) {
-        return value_size == strlen("chunked") &&
-               memcmp(value, "chunked", value_size) == 0;
+    else if (header_name_equals(line, name_size, "transfer-encoding")) {
+        is_supported = value_size == strlen("chunked") &&
+                       memcmp(value, "chunked", value_size) == 0;
     }
-    return true;
+    return is_supported ? SYN_NO_FAULT : SYN_BAD_FRAMING;
 }
 
 /* After an interim response (1xx) another head follows, which would not be
@@ -63,14 +64,34 @@
     return size > STATUS_OFFSET && bytes[STATUS_OFFSET] == '1';
 }
 
-bool
-guard_supports_head(const char *bytes, size_t size)
+static syn_fault
+check_status_line(const char *bytes, size_t size)
+{
+    syn_status_line line = {0};
+    syn_fault fault = SYN_NO_FAULT;
+    size_t i;
+
+    for (i = 0; i < size && fault == SYN_NO_FAULT; i++) {
+        fault = syn_check_status_line(&line, bytes[i]);
+        if (bytes[i] == '\n') {
+            break;
+        }
+    }
+    return fault;
+}
+
+syn_fault
+guard_check_head(const char *bytes, size_t size)
 {
     const char *line = bytes, *end;
+    syn_fault fault = check_status_line(bytes, size);
     size_t length;
 
+    if (fault != SYN_NO_FAULT) {
+        return fault;
+    }
     if (is_interim_response(bytes, size)) {
-        return false;
+        return SYN_OTHER_FAULT;
     }
     while ((end = memchr(line, '\n', size - (size_t)(line - bytes))) != NULL) {
         length = (size_t)(end - line);
@@ -78,12 +99,13 @@
             length--;
         }
         if (length == 0) {
-            return true;
+            return SYN_NO_FAULT;
         }
-        if (!is_supported_header_line(line, length)) {
-            return false;
+        fault = check_header_line(line, length);
+        if (fault != SYN_NO_FAULT) {
+            return fault;
         }
         line = end + 1;
     }
-    return true;
+    return SYN_NO_FAULT;
 }
--- a/packages/net/source/guard-imp.h
+++ b/packages/net/source/guard-imp.h
@@ -10,6 +10,8 @@
 #include <h2o/http1client.h>
 #include <stdbool.h>
 
+#include "lavender-net/syntax.h"
+
 /* Size of a head in bytes, checked before each read: the read that exceeds it
  * is still accepted. */
 #define GUARD_HEAD_MAX ((size_t)64 * 1024)
@@ -22,13 +24,14 @@
 
 /* The first member of the object that the client's `data` points to. */
 struct guard_state {
-    /* Called when the head is too large or not supported by h2o; must cancel
-     * the client. */
+    /* Called when the head is too large, malformed or not supported by h2o;
+     * must cancel the client. */
     void (*on_bad_head)(guard_state *guard);
     h2o_http1client_t *http;
     h2o_timeout_entry_t install_timer;
     h2o_socket_cb write_callback; /* h2o's, replaced until the head is read */
     h2o_socket_cb read_callback;
+    syn_fault fault; /* why on_bad_head is called */
     uint64_t head_bytes;
     uint64_t framing_bytes;
     uint64_t body_bytes;
@@ -46,8 +49,12 @@
  * when the framing limit is exceeded. */
 bool guard_accepts_body(guard_state *guard, size_t size);
 
-/* Whether h2o's client can parse this start of a response. True while the head
- * is incomplete and has no unsupported line. */
-bool guard_supports_head(const char *bytes, size_t size);
+/* Logs a malformed response of a server; without a fault of the guard it is
+ * one that h2o's client found. */
+void guard_log_fault(const guard_state *guard, const char *address);
+
+/* Returns why this start of a response must not reach h2o's client.
+ * SYN_NO_FAULT while the head is incomplete and has no such line. */
+syn_fault guard_check_head(const char *bytes, size_t size);
 
 #endif
--- a/packages/net/source/guard.c
+++ b/packages/net/source/guard.c
@@ -1,4 +1,5 @@
 #include "guard-imp.h"
+#include "lavender-net/log.h"
 
 static guard_state *
 find_guard(h2o_socket_t *socket)
@@ -7,15 +8,20 @@
 }
 
 /* h2o's client ends the process when it does not support the Content-Length or
- * Transfer-Encoding of a head, so such a head must not reach it. */
+ * Transfer-Encoding of a head, and accepts any three digits as a status, so
+ * such a head must not reach it. */
 static void
 check_head(h2o_socket_t *socket, const char *error)
 {
     guard_state *guard = find_guard(socket);
 
     if (error == NULL) {
-        if (guard->head_bytes >= GUARD_HEAD_MAX ||
-            !guard_supports_head(socket->input->bytes, socket->input->size)) {
+        guard->fault =
+            guard_check_head(socket->input->bytes, socket->input->size);
+        if (guard->head_bytes >= GUARD_HEAD_MAX) {
+            guard->fault = SYN_HEAD_TOO_LARGE;
+        }
+        if (guard->fault != SYN_NO_FAULT) {
             guard->on_bad_head(guard);
             return;
         }
@@ -69,6 +75,7 @@
             h2o_timeout_t *zero_timeout)
 {
     guard->http = http;
+    guard->fault = SYN_NO_FAULT;
     guard->head_bytes = guard->framing_bytes = guard->body_bytes = 0;
     guard->install_timer.cb = install;
     h2o_timeout_link(loop, zero_timeout, &guard->install_timer);
@@ -90,3 +97,13 @@
     return guard->framing_bytes <=
            GUARD_FRAMING_MAX + guard->body_bytes * GUARD_FRAMING_RATIO;
 }
+
+void
+guard_log_fault(const guard_state *guard, const char *address)
+{
+    syn_fault fault =
+        guard->fault != SYN_NO_FAULT ? guard->fault : SYN_OTHER_FAULT;
+
+    log_event(LOG_LEVEL_WARNING, uv_hrtime() / 1000, "malformed-answer",
+              "address=%s fault=%s", address, syn_fault_name(fault));
+}
--- a/packages/net/source/operator-metrics.c
+++ b/packages/net/source/operator-metrics.c
@@ -239,6 +239,9 @@
             {"lavender_platform_silent_total", "counter",
              "connections to the platform found silent",
              (double)platform->timeouts},
+            {"lavender_malformed_answers_total", "counter",
+             "answers of endpoints and peers that are malformed",
+             (double)view->client->malformed_answers},
             {"lavender_load_polls_total", "counter",
              "polls of endpoints' load", (double)load.polls},
             {"lavender_load_failures_total", "counter",
@@ -255,7 +258,7 @@
              "log lines not written because they repeated",
              (double)log_suppressed_lines()},
         },
-        16);
+        17);
 }
 
 /* Context of write_account_service: writes the ledger lines of one window. */
--- a/packages/net/source/platform-service.c
+++ b/packages/net/source/platform-service.c
@@ -220,18 +220,16 @@
 {
     service_call *call = http->data;
     h2o_buffer_t *input = http->sock->input;
+    bool is_end = error == h2o_http1client_error_is_eos;
 
-    if (error != NULL && error != h2o_http1client_error_is_eos) {
-        fail_call(call);
-        return -1;
-    }
-    if ((error == NULL && !guard_accepts_body(&call->guard, input->size)) ||
+    if ((error != NULL && !is_end) ||
+        (error == NULL && !guard_accepts_body(&call->guard, input->size)) ||
         !append_body(call, input->bytes, input->size)) {
         fail_call(call);
         return -1;
     }
     h2o_buffer_consume(&http->sock->input, input->size);
-    if (error == h2o_http1client_error_is_eos) {
+    if (is_end) {
         if (call->is_framed) {
             complete_call(call);
         }
@@ -292,6 +290,7 @@
 {
     service_call *call = (service_call *)guard;
 
+    guard_log_fault(guard, call->service->platform.settings.address);
     h2o_http1client_cancel(call->http);
     fail_call(call);
 }
--- a/packages/net/source/syntax-status-line.c
+++ b/packages/net/source/syntax-status-line.c
@@ -23,6 +23,7 @@
         [SYN_BAD_HEADER] = "bad-header",
         [SYN_BAD_FRAMING] = "bad-framing",
         [SYN_BAD_CHUNK] = "bad-chunk",
+        [SYN_HEAD_TOO_LARGE] = "head-too-large",
         [SYN_OTHER_FAULT] = "other",
     };
 
--- a/tests/net/test-platform.c
+++ b/tests/net/test-platform.c
@@ -21,6 +21,8 @@
     ANSWER_MISSING,
     ANSWER_LIMITED,
     ANSWER_DOWN,
+    ANSWER_STATUS_000,
+    ANSWER_BAD_NAME,
     ANSWER_CUT,     /* closes within the body */
     ANSWER_UNSIZED, /* gives no length and closes */
     ANSWER_CLOSE,   /* closes without a head */
@@ -36,6 +38,9 @@
     [ANSWER_MISSING] = "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n",
     [ANSWER_LIMITED] = "HTTP/1.1 429 Slow\r\nContent-Length: 4\r\n\r\nslow",
     [ANSWER_DOWN] = "HTTP/1.1 503 Down\r\nContent-Length: 4\r\n\r\ndown",
+    [ANSWER_STATUS_000] = "HTTP/1.1 000 So\r\nContent-Length: 5\r\n\r\nvalue",
+    [ANSWER_BAD_NAME] =
+        "HTTP/1.1 200 OK\r\nA b: c\r\nContent-Length: 5\r\n\r\nvalue",
     [ANSWER_CUT] = "HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nval",
     [ANSWER_UNSIZED] = "HTTP/1.1 200 OK\r\n\r\nvalue",
     [ANSWER_CLOSE] = "",
@@ -268,6 +273,8 @@
         {"no such key", ANSWER_MISSING, false, 0},
         {"over the rate", ANSWER_LIMITED, false, 0},
         {"down", ANSWER_DOWN, false, 0},
+        {"status 000", ANSWER_STATUS_000, false, 0},
+        {"a blank in a name", ANSWER_BAD_NAME, false, 0},
         {"cut", ANSWER_CUT, false, 0},
         {"without a length", ANSWER_UNSIZED, false, 0},
         {"closed", ANSWER_CLOSE, false, 0},
