Test responses without a length to long uploads that are reset

On other systems callers got part of a 200 without a length as a whole answer, as the endpoint reset the connection while a long upload was being written.

Both front halves handle it; nothing but tests changes. The gateway takes the end of a connection for the end of a body only if neither the read, the socket (SO_ERROR) nor a write names an error. libuv reads a connection before it writes to it and reports a failed write at once, so that a write that takes the error ends the exchange before an end is read. lavenderd takes no body without a length for whole.

--- a/tests/gateway/script-endpoint.c
+++ b/tests/gateway/script-endpoint.c
@@ -82,6 +82,20 @@
     schedule(self);
 }
 
+static void
+begin_script(script_connection *self)
+{
+    script_endpoint *script = self->script;
+
+    self->step = *script->order > 0 && script->next_steps != NULL
+                     ? script->next_steps
+                     : script->steps;
+    self->repeats = 0;
+    (*script->order)++;
+    script->requests++;
+    schedule(self);
+}
+
 static bool
 on_head(http_reader *reader, const http_head *head)
 {
@@ -98,6 +112,10 @@
             script->last_head + used, sizeof script->last_head - used,
             "%s: %s\n", head->headers[i].name, head->headers[i].value);
     }
+    if (script->answers_heads) {
+        io_read_stop(&self->stream);
+        begin_script(self);
+    }
     return true;
 }
 
@@ -114,15 +132,10 @@
 on_message_end(http_reader *reader)
 {
     script_connection *self = reader->owner;
-    script_endpoint *script = self->script;
 
-    self->step = *script->order > 0 && script->next_steps != NULL
-                     ? script->next_steps
-                     : script->steps;
-    self->repeats = 0;
-    (*script->order)++;
-    script->requests++;
-    schedule(self);
+    if (!self->script->answers_heads) {
+        begin_script(self);
+    }
     return true;
 }
 
@@ -261,6 +274,7 @@
     script->open = NULL;
     script->requests = 0;
     script->connections = 0;
+    script->answers_heads = false;
     script->is_killed_at_close = script->is_killed = false;
     io_parse_address("127.0.0.1:0", &address, NULL);
     uv_tcp_init(&stage->loop, &script->listener);
--- a/tests/gateway/script-endpoint.h
+++ b/tests/gateway/script-endpoint.h
@@ -33,6 +33,7 @@
     struct script_connection *open;
     uint32_t requests;
     uint32_t connections;
+    bool answers_heads;      /* answers a request without reading its body */
     bool is_killed_at_close; /* the process ends at SCRIPT_CLOSE */
     bool is_killed;
     uv_tcp_t refusal;     /* holds the port then */
--- a/tests/net/script-server.c
+++ b/tests/net/script-server.c
@@ -100,9 +100,13 @@
 static void *
 run_connection(void *context)
 {
+    static const struct linger reset = {.l_onoff = 1, .l_linger = 0};
     connection *self = context;
 
     serve(self->server, self->fd);
+    if (self->server->resets) {
+        setsockopt(self->fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+    }
     close(self->fd);
     free(self);
     return NULL;
--- a/tests/net/script-server.h
+++ b/tests/net/script-server.h
@@ -16,6 +16,7 @@
     size_t repeat;       /* then so many bytes of filling */
     const char *filling; /* that is repeated; NULL: "x" */
     int keeps_open;      /* do not close after the answer */
+    int resets;          /* close with a reset */
     char address[64];
     int listener;
     pthread_t thread;
--- a/tests/net/test-answers.c
+++ b/tests/net/test-answers.c
@@ -155,6 +155,65 @@
     cr_expect(rig_stop(&rig));
 }
 
+#define UPLOAD_SIZE 240000
+
+typedef struct upload_case {
+    const char *target;
+    const char *version;
+    size_t filling;
+} upload_case;
+
+static void
+upload(const upload_case *one, rig_answer *answer)
+{
+    static char request[UPLOAD_SIZE + 256];
+    int fd = rig_connect(rig.routers[0].callers);
+    size_t size = (size_t)snprintf(request, sizeof request,
+                                   "POST %s HTTP/%s\r\nHost: r\r\n" KEY
+                                   "Content-Length: %d\r\n\r\n",
+                                   one->target, one->version, UPLOAD_SIZE);
+
+    memset(request + size, 'x', UPLOAD_SIZE);
+    cr_assert(rig_write(fd, request, size + UPLOAD_SIZE));
+    rig_read(fd, answer, READ_TIMEOUT_MS);
+    close(fd);
+}
+
+/* A response without a length to a long upload is not whole when its
+ * connection is reset before the upload is read. */
+Test(answers, long_uploads)
+{
+    static const upload_case cases[] = {
+        {"/lookup", "1.1", 0},   {"/lookup", "1.0", 0},
+        {"/lookup", "1.1", BIG}, {"/lookup", "1.0", BIG},
+        {"/book", "1.1", 0},     {"/book", "1.0", 0},
+        {"/book", "1.1", BIG},   {"/book", "1.0", BIG},
+    };
+    rig_shape shape = {.service_address = server.address,
+                       .settings = "[endpoints]\nfirst_byte = 10m\n"
+                                   "idle = 10m\nrest = 1ms\n"
+                                   "rest_max = 1ms\n"};
+    rig_answer answer;
+    size_t i;
+
+    server.answer = OK "\r\nhello";
+    server.resets = 1;
+    script_start(&server);
+    cr_assert(rig_start(&rig, &shape));
+    for (i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+        server.repeat = cases[i].filling;
+        upload(&cases[i], &answer);
+        cr_expect(answer.status >= 500 || !looks_whole(&answer),
+                  "%s, HTTP/%s, %zu: status %d %.20s", cases[i].target,
+                  cases[i].version, cases[i].filling, answer.status,
+                  answer.body);
+        rig_answer_finish(&answer);
+    }
+    cr_expect_geq(atomic_load(&server.requests), (int)i);
+    script_stop(&server);
+    cr_expect(rig_stop(&rig));
+}
+
 #define FUZZ_ROUNDS 200
 
 /* A small generator with a fixed seed. */
