Refuse answers of endpoints with other transfer codings than chunked

Callers got the bytes of an encoded body as the answer: of "Transfer-Encoding: gzip" and of "gzip, chunked" the compressed ones, of "chunked;a=b" or chunked twice those of the chunks, without a word of the coding.

Cause: http-parser decodes a body if the last coding is chunked, and takes another one for a body that ends with its connection. The gateway drops Transfer-Encoding, as it frames the body itself, so that what is still encoded passes for the body. No request allows another coding: TE is not forwarded.

Change: a response with a body is refused unless its codings are none or chunked once; its attempt-cut line says fault=bad-framing. identity and empty elements count as none, as before.

Evidence: gateway-test-response-syntax, on: 10 of 21 framings reach the caller on three or four of the four routes; now none. The other 11 were refused before (two lengths, lengths that are no numbers, a length and chunks, chunks and another coding in a list). The 29 valid responses are passed on as before.

--- a/packages/gateway/include/lavender-gateway/http.h
+++ b/packages/gateway/include/lavender-gateway/http.h
@@ -128,6 +128,15 @@
  * regard to case. */
 bool http_has_token(const char *value, const char *token);
 
+/* Counts the transfer codings of a message whose name is, or is not, chunked.
+ * Empty elements and identity, which RFC 2616 had, are none. */
+typedef struct http_codings {
+    uint32_t chunked;
+    uint32_t others;
+} http_codings;
+
+http_codings http_count_codings(const http_head *head);
+
 /* Returns the standard reason phrase of a status code. */
 const char *http_reason_phrase(uint32_t status);
 
--- a/packages/gateway/source/http-head.c
+++ b/packages/gateway/source/http-head.c
@@ -28,29 +28,71 @@
     return count;
 }
 
+/* Takes the next item of a comma-separated list, without blanks around it.
+ * Returns its size, 0 at the end of the list. */
+static size_t
+next_item(const char **list, const char **item)
+{
+    size_t size;
+
+    *item = *list + strspn(*list, " \t,");
+    size = strcspn(*item, ",");
+    *list = *item + size;
+    while (size > 0 &&
+           ((*item)[size - 1] == ' ' || (*item)[size - 1] == '\t')) {
+        size--;
+    }
+    return size;
+}
+
+static bool
+item_equals(const char *item, size_t size, const char *token)
+{
+    return size == strlen(token) && strncasecmp(item, token, size) == 0;
+}
+
 bool
 http_has_token(const char *value, const char *token)
 {
-    size_t token_size = strlen(token);
-
-    while (*value != '\0') {
-        size_t item_size;
+    const char *item;
+    size_t size;
 
-        value += strspn(value, " \t,");
-        item_size = strcspn(value, ",");
-        while (item_size > 0 &&
-               (value[item_size - 1] == ' ' || value[item_size - 1] == '\t')) {
-            item_size--;
-        }
-        if (item_size == token_size &&
-            strncasecmp(value, token, token_size) == 0) {
+    while ((size = next_item(&value, &item)) > 0) {
+        if (item_equals(item, size, token)) {
             return true;
         }
-        value += strcspn(value, ",");
     }
     return false;
 }
 
+static void
+count_codings(const char *value, http_codings *codings)
+{
+    const char *item;
+    size_t size;
+
+    while ((size = next_item(&value, &item)) > 0) {
+        bool is_chunked = item_equals(item, size, "chunked");
+
+        codings->chunked += is_chunked;
+        codings->others += !is_chunked && !item_equals(item, size, "identity");
+    }
+}
+
+http_codings
+http_count_codings(const http_head *head)
+{
+    http_codings codings = {0};
+    uint32_t i;
+
+    for (i = 0; i < head->header_count; i++) {
+        if (strcasecmp(head->headers[i].name, "Transfer-Encoding") == 0) {
+            count_codings(head->headers[i].value, &codings);
+        }
+    }
+    return codings;
+}
+
 bool
 http_is_hop_by_hop(const http_head *head, const char *name)
 {
--- a/packages/gateway/source/http-reader.c
+++ b/packages/gateway/source/http-reader.c
@@ -170,6 +170,23 @@
            http_count_headers(head, "Transfer-Encoding") > 1;
 }
 
+static bool
+has_body(const http_reader *reader)
+{
+    return !reader->skips_body && reader->head.framing != HTTP_NO_BODY;
+}
+
+/* http-parser decodes a body only if chunked is its last coding, and leaves it
+ * encoded with the others. No request allows others: TE is not forwarded. */
+static bool
+is_coding_supported(const http_reader *reader)
+{
+    http_codings codings = http_count_codings(&reader->head);
+    bool is_chunked = reader->head.framing == HTTP_CHUNKED;
+
+    return codings.others == 0 && codings.chunked == is_chunked;
+}
+
 static int
 on_headers_complete(http_parser *parser)
 {
@@ -195,6 +212,10 @@
     if (is_ambiguous(reader)) {
         return mark_malformed(reader, SYN_BAD_HEADER);
     }
+    if (!reader->is_request && has_body(reader) &&
+        !is_coding_supported(reader)) {
+        return mark_malformed(reader, SYN_BAD_FRAMING);
+    }
     parser->upgrade = 0;
     if (!reader->ops->on_head(reader, head)) {
         reader->is_stopped = true;
--- a/tests/gateway/test-response-syntax.c
+++ b/tests/gateway/test-response-syntax.c
@@ -225,6 +225,8 @@
         {STATUS("HTTP/1.1 0200 So"), "fault=bad-status-line\n"},
         {"HTTP/1.1 200 OK\r\n" FIELDS "X Y: a\r\n" LENGTH BODY,
          "fault=bad-header\n"},
+        {"HTTP/1.1 200 OK\r\n" FIELDS "Transfer-Encoding: gzip\r\n" BODY,
+         "fault=bad-framing\n"},
     };
 
     for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
@@ -340,3 +342,42 @@
 
     expect_all_refused(cases, sizeof cases / sizeof cases[0]);
 }
+
+#define CODED(line) HEAD line "\r\n\r\n2\r\nok\r\n0\r\n\r\n"
+
+/* Guards against bodies whose end or coding another program reads in another
+ * way. */
+Test(response_syntax, framing_that_is_not_valid_is_refused)
+{
+    static const invalid_case cases[] = {
+        {"two lengths", HEAD LENGTH "Content-Length: 3\r\n" BODY},
+        {"two lengths in a line", HEAD "Content-Length: 2, 3\r\n" BODY},
+        {"a length with a sign", HEAD "Content-Length: +2\r\n" BODY},
+        {"a negative length", HEAD "Content-Length: -2\r\n" BODY},
+        {"a length that is no number", HEAD "Content-Length: 2x\r\n" BODY},
+        {"a length with a blank", HEAD "Content-Length: 0 2\r\n" BODY},
+        {"no length", HEAD "Content-Length:\r\n" BODY},
+        {"a length over 64 bits",
+         HEAD "Content-Length: 18446744073709551618\r\n" BODY},
+        {"a length and chunks", CODED(LENGTH "Transfer-Encoding: chunked")},
+        {"chunks and a length",
+         CODED("Transfer-Encoding: chunked\r\nContent-Length: 2")},
+        {"a coding", HEAD "Transfer-Encoding: gzip\r\n" BODY},
+        {"a coding and a length",
+         HEAD "Transfer-Encoding: gzip\r\n" LENGTH BODY},
+        {"a coding and chunks", CODED("Transfer-Encoding: gzip, chunked")},
+        {"a coding and chunks in two lines",
+         CODED("Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked")},
+        {"chunks and a coding", CODED("Transfer-Encoding: chunked, gzip")},
+        {"chunks twice", CODED("Transfer-Encoding: chunked, chunked")},
+        {"chunks twice in two lines",
+         CODED("Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked")},
+        {"chunks with a parameter", CODED("Transfer-Encoding: chunked;a=b")},
+        {"chunks in quotes", CODED("Transfer-Encoding: \"chunked\"")},
+        {"another coding", CODED("Transfer-Encoding: chunkedx")},
+        {"a coding with chunked in its name",
+         CODED("Transfer-Encoding: xchunked")},
+    };
+
+    expect_all_refused(cases, sizeof cases / sizeof cases[0]);
+}
