Read no body in answers whose status allows none

Callers got a 204 with a body, which on a kept connection they take for the start of the next answer. A 204 or 304 with the length or the coding that the 200 would have, as RFC 9110 allows for 304, and interim responses with either were waited for until the endpoint closed, and callers got 502.

Cause: http-parser reads a body by its headers whatever the status says; by RFC 9112, 6.3, responses with 1xx, 204 and 304 end with their head.

Change: the reader of responses reports HTTP_NO_BODY for these and tells http-parser to skip the body. Bytes behind are data without a request, after which the connection is not used again, as before.

The 54 gateway tests pass.

--- a/packages/gateway/source/http-reader.c
+++ b/packages/gateway/source/http-reader.c
@@ -113,17 +113,18 @@
 {
     const http_parser *parser = &reader->parser;
 
+    if (!reader->is_request &&
+        (parser->status_code / 100 == 1 || parser->status_code == 204 ||
+         parser->status_code == 304)) {
+        return HTTP_NO_BODY; /* whatever the headers say */
+    }
     if ((parser->flags & F_CHUNKED) != 0) {
         return HTTP_CHUNKED;
     }
     if ((parser->flags & F_CONTENTLENGTH) != 0) {
         return HTTP_CONTENT_LENGTH;
     }
-    if (reader->is_request || parser->status_code / 100 == 1 ||
-        parser->status_code == 204 || parser->status_code == 304) {
-        return HTTP_NO_BODY;
-    }
-    return HTTP_UNTIL_CLOSE;
+    return reader->is_request ? HTTP_NO_BODY : HTTP_UNTIL_CLOSE;
 }
 
 /* http-parser accepts names with spaces and values with control characters. */
@@ -171,7 +172,7 @@
 }
 
 static bool
-has_body(const http_reader *reader)
+may_have_body(const http_reader *reader)
 {
     return !reader->skips_body && reader->head.framing != HTTP_NO_BODY;
 }
@@ -212,7 +213,7 @@
     if (is_ambiguous(reader)) {
         return mark_malformed(reader, SYN_BAD_HEADER);
     }
-    if (!reader->is_request && has_body(reader) &&
+    if (!reader->is_request && may_have_body(reader) &&
         !is_coding_supported(reader)) {
         return mark_malformed(reader, SYN_BAD_FRAMING);
     }
@@ -221,7 +222,7 @@
         reader->is_stopped = true;
         return -1;
     }
-    return reader->skips_body ? 1 : 0;
+    return reader->is_request || may_have_body(reader) ? 0 : 1;
 }
 
 static int
