Refuse answers to lavenderd whose framing headers contradict each other

Callers of lavenderd got part of a body as a whole answer, or none of it, when an endpoint's answer had two different lengths, a length beside chunks, or chunked twice.

Cause: h2o's client uses the last Content-Length, and with both headers the length until the chunks fail. By RFC 9112, 6.3, the first is unrecoverable and the second is to be handled as an error; 7.1 forbids chunked twice.

Change: the guard refuses such heads, as it does lengths and codings that h2o cannot read (fault=bad-framing). The same length twice is accepted, as before.

--- a/packages/net/source/guard-head.c
+++ b/packages/net/source/guard-head.c
@@ -6,17 +6,49 @@
 #define MAX_LENGTH_DIGITS 18 /* the value stays below 2^63 */
 #define STATUS_OFFSET strlen("HTTP/1.1 ")
 
+/* How a head says that its body ends. */
+typedef struct body_framing {
+    bool is_chunked;
+    bool has_length;
+    uint64_t length;
+} body_framing;
+
+/* Sets the length. Returns false when h2o does not support the value, or when
+ * another line gives another length, of which h2o uses the last. */
 static bool
-is_decimal_length(const char *value, size_t size)
+set_length(body_framing *framing, const char *value, size_t size)
 {
+    uint64_t length = 0;
     size_t i;
 
+    if (size == 0 || size > MAX_LENGTH_DIGITS) {
+        return false;
+    }
     for (i = 0; i < size; i++) {
         if (value[i] < '0' || value[i] > '9') {
             return false;
         }
+        length = length * 10 + (uint64_t)(value[i] - '0');
+    }
+    if (framing->is_chunked ||
+        (framing->has_length && framing->length != length)) {
+        return false;
+    }
+    framing->has_length = true;
+    framing->length = length;
+    return true;
+}
+
+/* h2o supports chunked alone, and does not see that it is there twice. */
+static bool
+set_coding(body_framing *framing, const char *value, size_t size)
+{
+    if (size != strlen("chunked") || memcmp(value, "chunked", size) != 0 ||
+        framing->is_chunked || framing->has_length) {
+        return false;
     }
-    return size > 0 && size <= MAX_LENGTH_DIGITS;
+    framing->is_chunked = true;
+    return true;
 }
 
 static bool
@@ -26,12 +58,12 @@
 }
 
 static syn_fault
-check_header_line(const char *line, size_t size)
+check_header_line(body_framing *framing, const char *line, size_t size)
 {
     const char *colon = memchr(line, ':', size);
     const char *value;
     size_t name_size, value_size;
-    bool is_supported = true;
+    bool is_valid = true;
 
     if (line[0] == ' ' || line[0] == '\t') {
         return SYN_BAD_HEADER;
@@ -47,13 +79,12 @@
         value_size--;
     }
     if (header_name_equals(line, name_size, "content-length")) {
-        is_supported = is_decimal_length(value, value_size);
+        is_valid = set_length(framing, value, value_size);
     }
     else if (header_name_equals(line, name_size, "transfer-encoding")) {
-        is_supported = value_size == strlen("chunked") &&
-                       memcmp(value, "chunked", value_size) == 0;
+        is_valid = set_coding(framing, value, value_size);
     }
-    return is_supported ? SYN_NO_FAULT : SYN_BAD_FRAMING;
+    return is_valid ? SYN_NO_FAULT : SYN_BAD_FRAMING;
 }
 
 /* After an interim response (1xx) another head follows, which would not be
@@ -85,6 +116,7 @@
 {
     const char *line = bytes, *end;
     syn_fault fault = check_status_line(bytes, size);
+    body_framing framing = {0};
     size_t length;
 
     if (fault != SYN_NO_FAULT) {
@@ -101,7 +133,7 @@
         if (length == 0) {
             return SYN_NO_FAULT;
         }
-        fault = check_header_line(line, length);
+        fault = check_header_line(&framing, line, length);
         if (fault != SYN_NO_FAULT) {
             return fault;
         }
--- a/tests/net/test-exchange.c
+++ b/tests/net/test-exchange.c
@@ -122,10 +122,23 @@
          "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
          "2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n",
          1, 0, EXCH_COMPLETE, 200, 1, 5, 0, 0},
+        {"the same length twice",
+         "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n"
+         "Content-Length: 5\r\n\r\nhello",
+         1, 0, EXCH_COMPLETE, 200, 1, 5, 0, 0},
         {"empty", "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n", 1, 0,
          EXCH_COMPLETE, 200, 1, 0, 0, 0},
         {"no content", "HTTP/1.1 204 No Content\r\n\r\n", 1, 0, EXCH_COMPLETE,
          204, 1, 0, 0, 0},
+        {"no content, with a body",
+         "HTTP/1.1 204 No Content\r\ncontent-length: 2\r\n\r\nok", 1, 0,
+         EXCH_COMPLETE, 204, 1, 0, 0, 0},
+        {"not modified, with a length",
+         "HTTP/1.1 304 Not Modified\r\ncontent-length: 2\r\n\r\n", 1, 0,
+         EXCH_COMPLETE, 304, 1, 0, 0, 0},
+        {"not modified, with a coding",
+         "HTTP/1.1 304 Not Modified\r\ntransfer-encoding: chunked\r\n\r\n", 1,
+         0, EXCH_COMPLETE, 304, 1, 0, 0, 0},
         {"ends by close", "HTTP/1.1 200 OK\r\n\r\nhello", 0, 0, EXCH_COMPLETE,
          200, 0, 5, 0, 0},
         {"cut length", "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhello", 0,
@@ -175,6 +188,9 @@
 #define WITH_STATUS(line) line "\r\n" LENGTH "\r\nok"
 #define WITH_FIELD(line) "HTTP/1.1 200 OK\r\n" line "\r\n" LENGTH "\r\nok"
 
+#define WITH_CHUNKS(lines)                                                    \
+    "HTTP/1.1 200 OK\r\n" lines "\r\n2\r\nok\r\n0\r\n\r\n"
+
 ParameterizedTestParameters(exchange, malformed)
 {
     static malformed_case cases[] = {
@@ -218,6 +234,30 @@
         {"CR in a value", WITH_FIELD("x: a\rb")},
         {"a folded line", WITH_FIELD("x: a\r\n b")},
         {"CR without LF at the end", "HTTP/1.1 200 OK\r\n" LENGTH "\r?ok"},
+        {"two lengths", WITH_FIELD("content-length: 3")},
+        {"two lengths in a line", "HTTP/1.1 200 OK\r\ncontent-length: 2, 3\r\n"
+                                  "\r\nok"},
+        {"a length with a sign",
+         "HTTP/1.1 200 OK\r\ncontent-length: +2\r\n\r\nok"},
+        {"no length", "HTTP/1.1 200 OK\r\ncontent-length:\r\n\r\nok"},
+        {"a length and chunks",
+         WITH_CHUNKS(LENGTH "transfer-encoding: chunked\r\n")},
+        {"a length of nothing and chunks",
+         WITH_CHUNKS("content-length: 0\r\ntransfer-encoding: chunked\r\n")},
+        {"chunks and a length",
+         WITH_CHUNKS("transfer-encoding: chunked\r\n" LENGTH)},
+        {"chunks twice", WITH_CHUNKS("transfer-encoding: chunked\r\n"
+                                     "transfer-encoding: chunked\r\n")},
+        {"chunks twice in a line",
+         WITH_CHUNKS("transfer-encoding: chunked, chunked\r\n")},
+        {"a coding", WITH_FIELD("transfer-encoding: gzip")},
+        {"a coding and chunks",
+         WITH_CHUNKS("transfer-encoding: gzip, chunked\r\n")},
+        {"a coding and chunks in two lines",
+         WITH_CHUNKS("transfer-encoding: gzip\r\n"
+                     "transfer-encoding: chunked\r\n")},
+        {"chunks with a parameter",
+         WITH_CHUNKS("transfer-encoding: chunked;a=b\r\n")},
     };
 
     return cr_make_param_array(malformed_case, cases,
