Refuse answers of endpoints whose chunks are not delimited by CR LF

Callers got a whole answer made of what another program reads as other chunks: any two bytes passed for the line end behind a chunk's data, any byte for the LF behind a size, and anything between a size and its line end.

Cause: http-parser is built without its strict mode, and RFC 9112, 7.1, allows none of it. An endpoint in trouble, or two that write to one connection, can shift the chunks so that a wrong body comes to a proper end.

Change: syn_check_chunks (lavender-net/syntax.h) follows the framing of chunked responses; the reader passes http-parser only bytes that are valid, and ends the answer behind them (fault=bad-chunk, also for what http-parser finds in chunks). Blanks behind sizes and LF alone in trailers stay accepted, as do requests as before.

--- a/packages/gateway/include/lavender-gateway/http.h
+++ b/packages/gateway/include/lavender-gateway/http.h
@@ -82,6 +82,7 @@
     bool is_malformed;
     syn_fault fault; /* why; SYN_NO_FAULT: the parser found it */
     syn_status_line status_line;
+    syn_chunks chunks;
     bool is_head_too_large;
     bool is_stopped;
     bool has_no_memory;
--- a/packages/gateway/source/http-reader.c
+++ b/packages/gateway/source/http-reader.c
@@ -294,6 +294,7 @@
     reader->is_malformed = false;
     reader->fault = SYN_NO_FAULT;
     memset(&reader->status_line, 0, sizeof reader->status_line);
+    memset(&reader->chunks, 0, sizeof reader->chunks);
     reader->is_head_too_large = false;
     reader->is_stopped = false;
     reader->has_no_memory = false;
@@ -355,6 +356,22 @@
     return size;
 }
 
+/* Checks the bytes of a chunked response, where http-parser takes any two for
+ * a line end. Returns the number of bytes to parse. */
+static size_t
+check_body_bytes(http_reader *reader, const char *data, size_t size)
+{
+    size_t valid = size;
+
+    if (!reader->is_request && reader->head.framing == HTTP_CHUNKED) {
+        valid = syn_check_chunks(&reader->chunks, data, size);
+    }
+    if (valid == 0) {
+        mark_malformed(reader, SYN_BAD_CHUNK);
+    }
+    return valid;
+}
+
 static http_result
 reader_result(const http_reader *reader)
 {
@@ -378,9 +395,12 @@
 }
 
 static syn_fault
-parser_fault(enum http_errno error)
+parser_fault(const http_reader *reader)
 {
-    switch (error) {
+    if (reader->is_head_complete) {
+        return SYN_BAD_CHUNK;
+    }
+    switch (HTTP_PARSER_ERRNO(&reader->parser)) {
     case HPE_INVALID_VERSION:
     case HPE_INVALID_STATUS:
     case HPE_INVALID_CONSTANT:
@@ -391,8 +411,6 @@
     case HPE_INVALID_CONTENT_LENGTH:
     case HPE_UNEXPECTED_CONTENT_LENGTH:
         return SYN_BAD_FRAMING;
-    case HPE_INVALID_CHUNK_SIZE:
-        return SYN_BAD_CHUNK;
     default:
         return SYN_OTHER_FAULT;
     }
@@ -403,10 +421,9 @@
 {
     switch (reader_result(reader)) {
     case HTTP_MALFORMED:
-        return syn_fault_name(
-            reader->fault != SYN_NO_FAULT
-                ? reader->fault
-                : parser_fault(HTTP_PARSER_ERRNO(&reader->parser)));
+        return syn_fault_name(reader->fault != SYN_NO_FAULT
+                                  ? reader->fault
+                                  : parser_fault(reader));
     case HTTP_HEAD_TOO_LARGE:
         return syn_fault_name(SYN_HEAD_TOO_LARGE);
     default:
@@ -426,11 +443,11 @@
     while (*consumed < size && reader_result(reader) == HTTP_INCOMPLETE) {
         size_t length = size - *consumed;
 
-        if (!reader->is_head_complete) {
-            length = check_head_bytes(reader, data + *consumed, length);
-            if (reader->is_malformed || reader->is_head_too_large) {
-                return reader_result(reader);
-            }
+        length = reader->is_head_complete
+                     ? check_body_bytes(reader, data + *consumed, length)
+                     : check_head_bytes(reader, data + *consumed, length);
+        if (reader->is_malformed || reader->is_head_too_large) {
+            return reader_result(reader);
         }
         *consumed += http_parser_execute(&reader->parser, &parser_callbacks,
                                          data + *consumed, length);
--- a/packages/net/include/lavender-net/syntax.h
+++ b/packages/net/include/lavender-net/syntax.h
@@ -7,6 +7,7 @@
 #define LAVENDER_NET_SYNTAX_H
 
 #include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
 
 /* What is wrong with a response. */
@@ -35,4 +36,16 @@
  * The protocol version and what follows a CR are left to the parser. */
 syn_fault syn_check_status_line(syn_status_line *line, char byte);
 
+/* A chunked body in progress; all zero at its first byte. */
+typedef struct syn_chunks {
+    uint8_t part;
+    uint64_t left; /* bytes of the chunk's data */
+} syn_chunks;
+
+/* Checks the next bytes of a chunked body and returns how many of them belong
+ * to it: all, unless the body ends before or has a fault. Line ends must be CR
+ * LF, in trailers LF too. Sizes over 64 bits and what trailers say are left to
+ * the parser. */
+size_t syn_check_chunks(syn_chunks *chunks, const char *data, size_t size);
+
 #endif
--- a/tests/gateway/test-response-syntax.c
+++ b/tests/gateway/test-response-syntax.c
@@ -16,6 +16,7 @@
 #define PASSED_FIELDS                                                         \
     "Connection: close\r\nLavenderproxy-Attempt-Id: id-1\r\n"                 \
     "Lavenderproxy-Runner-Seal: seal-1\r\n"
+#define HEAD "HTTP/1.1 200 OK\r\n" FIELDS
 #define LENGTH "Content-Length: 2\r\n"
 #define CHUNKED "Transfer-Encoding: chunked\r\n"
 #define BODY "\r\nok"
@@ -248,10 +249,9 @@
     } cases[] = {
         {STATUS("HTTP/1.1 000 So"), "fault=bad-status\n"},
         {STATUS("HTTP/1.1 0200 So"), "fault=bad-status-line\n"},
-        {"HTTP/1.1 200 OK\r\n" FIELDS "X Y: a\r\n" LENGTH BODY,
-         "fault=bad-header\n"},
-        {"HTTP/1.1 200 OK\r\n" FIELDS "Transfer-Encoding: gzip\r\n" BODY,
-         "fault=bad-framing\n"},
+        {HEAD "X Y: a\r\n" LENGTH BODY, "fault=bad-header\n"},
+        {HEAD "Transfer-Encoding: gzip\r\n" BODY, "fault=bad-framing\n"},
+        {HEAD CHUNKED "\r\n2\r\nokXY0\r\n\r\n", "fault=bad-chunk\n"},
     };
 
     for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
@@ -335,7 +335,6 @@
     expect_all_refused(cases, sizeof cases / sizeof cases[0]);
 }
 
-#define HEAD "HTTP/1.1 200 OK\r\n" FIELDS
 #define FIELD(line) HEAD line "\r\n" LENGTH BODY
 
 /* Guards against header lines that another program reads in another way. */
@@ -406,3 +405,60 @@
 
     expect_all_refused(cases, sizeof cases / sizeof cases[0]);
 }
+
+#define CHUNKS(body) HEAD CHUNKED "\r\n" body
+
+/* A stream may have passed on what came before the fault. */
+static void
+expect_not_whole(const route *to, const invalid_case *one)
+{
+    stage_client client;
+
+    ask("POST", to->path, one->response, &client);
+    if (contains(&client, "HTTP/1.1 200 OK\r\n")) {
+        cr_expect(to->is_stream && contains(&client, CHUNKED) &&
+                      !contains(&client, "\r\n0\r\n\r\n"),
+                  "%s, %s: whole", one->what, to->path);
+    }
+    else {
+        cr_expect(contains(&client, "HTTP/1.1 502 "), "%s, %s: %.20s",
+                  one->what, to->path, client.response.data);
+    }
+    finish(&client);
+}
+
+/* Guards against chunks that another program takes for other ones. */
+Test(response_syntax, chunks_that_are_not_valid_are_refused)
+{
+    static const invalid_case cases[] = {
+        {"no line end behind the data", CHUNKS("2\r\nokXY0\r\n\r\n")},
+        {"CR without LF behind the data", CHUNKS("2\r\nok\rX0\r\n\r\n")},
+        {"LF without CR behind the data", CHUNKS("2\r\nok\n0\r\n\r\n")},
+        {"CR without LF behind a size", CHUNKS("2\rXok\r\n0\r\n\r\n")},
+        {"LF without CR behind a size", CHUNKS("2\nok\r\n0\r\n\r\n")},
+        {"CR without LF behind the last size", CHUNKS("2\r\nok\r\n0\rX\r\n")},
+        {"CR without LF at the end", CHUNKS("2\r\nok\r\n0\r\n\rX")},
+        {"CR without LF in a trailer",
+         CHUNKS("2\r\nok\r\n0\r\nX: a\rb\r\n\r\n")},
+        {"CR without LF in an extension", CHUNKS("2;a\rXok\r\n0\r\n\r\n")},
+        {"LF without CR in an extension", CHUNKS("2;a\nb\r\nok\r\n0\r\n\r\n")},
+        {"a control byte in an extension",
+         CHUNKS("2;a\001\r\nok\r\n0\r\n\r\n")},
+        {"text behind a size", CHUNKS("2 x\r\nok\r\n0\r\n\r\n")},
+        {"a size with a prefix", CHUNKS("0x2\r\nok\r\n0\r\n\r\n")},
+        {"a size with a sign", CHUNKS("+2\r\nok\r\n0\r\n\r\n")},
+        {"a size that is no number", CHUNKS("g\r\nok\r\n0\r\n\r\n")},
+        {"a blank before a size", CHUNKS(" 2\r\nok\r\n0\r\n\r\n")},
+        {"no size", CHUNKS("\r\nok\r\n0\r\n\r\n")},
+        {"an extension without a size", CHUNKS(";a\r\nok\r\n0\r\n\r\n")},
+        {"a size over 64 bits",
+         CHUNKS("10000000000000002\r\nok\r\n0\r\n\r\n")},
+        {"no last chunk", CHUNKS("2\r\nok\r\n")},
+    };
+
+    for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+        for (size_t k = 0; k < ROUTES; k++) {
+            expect_not_whole(&routes[k], &cases[i]);
+        }
+    }
+}
