Refuse answers to lavenderd whose chunks are not delimited by CR LF

Callers of lavenderd got an empty or a wrong body as a whole answer: "0x2" passed for the last chunk, text behind a size was skipped, and LF, CR CR LF passed for line ends.

Cause: the chunk decoder of h2o's client reads a size up to the first byte that is no digit, and then skips to an LF.

Change: the guard in front of h2o checks chunks with syn_check_chunks, as the gateway does, from the bytes behind the head on. h2o gets what is valid; then the exchange ends with EXCH_CONNECTION_LOST, as other faults in bodies, with a line malformed-answer fault=bad-chunk. The guard replaces h2o's read callback again after the head and after each pause.

--- a/packages/net/include/lavender-net/endpoints.h
+++ b/packages/net/include/lavender-net/endpoints.h
@@ -45,7 +45,7 @@
     exch_handle *open_list;   /* open exchanges, linked through `next` */
     uint32_t open_exchange_count;
     uint64_t started_count;     /* exchanges started since client_init */
-    uint64_t malformed_answers; /* exchanges that ended so */
+    uint64_t malformed_answers; /* responses that were, or not supported */
 } client_context;
 
 /* Initialize a client. Returns false and sets error when memory runs out. */
@@ -63,8 +63,9 @@
     EXCH_COMPLETE,       /* the response ended */
     EXCH_DECLINED,       /* on_connected returned false: nothing was written */
     EXCH_CONNECT_FAILED, /* connecting failed: nothing was written */
-    EXCH_CONNECTION_LOST, /* the connection was closed or timed out */
-    EXCH_PROTOCOL_ERROR   /* the response is malformed or not supported */
+    EXCH_CONNECTION_LOST, /* the connection was closed or timed out, or the
+                             body is malformed */
+    EXCH_PROTOCOL_ERROR   /* the head is malformed or not supported */
 } exch_result;
 
 typedef struct exch_response_head {
--- a/packages/net/include/lavender-net/syntax.h
+++ b/packages/net/include/lavender-net/syntax.h
@@ -48,4 +48,8 @@
  * the parser. */
 size_t syn_check_chunks(syn_chunks *chunks, const char *data, size_t size);
 
+/* Returns whether the byte behind those that belong to the body is not valid.
+ */
+bool syn_chunks_have_fault(const syn_chunks *chunks);
+
 #endif
--- a/packages/net/source/endpoints-exchange.c
+++ b/packages/net/source/endpoints-exchange.c
@@ -55,7 +55,7 @@
 end_exchange(exch_handle *exchange, exch_result end)
 {
     exchange->http = NULL;
-    if (end == EXCH_PROTOCOL_ERROR) {
+    if (end == EXCH_PROTOCOL_ERROR || exchange->guard.fault != SYN_NO_FAULT) {
         exchange->client->malformed_answers++;
         guard_log_fault(&exchange->guard, exchange->pool->address);
     }
@@ -128,6 +128,7 @@
     else if (!exchange->is_paused && exchange->paused_read_callback != NULL) {
         h2o_socket_read_start(socket, exchange->paused_read_callback);
         exchange->paused_read_callback = NULL;
+        guard_resume(&exchange->guard);
         set_timeout(exchange, &exchange->client->idle_timeout);
     }
 }
@@ -229,12 +230,14 @@
 }
 
 static void
-on_bad_head(guard_state *guard)
+on_fault(guard_state *guard)
 {
     exch_handle *exchange = (exch_handle *)guard;
 
     h2o_http1client_cancel(exchange->http);
-    end_exchange(exchange, EXCH_PROTOCOL_ERROR);
+    end_exchange(exchange, guard->fault == SYN_BAD_CHUNK
+                               ? EXCH_CONNECTION_LOST
+                               : EXCH_PROTOCOL_ERROR);
 }
 
 static h2o_http1client_head_cb
@@ -263,7 +266,7 @@
     *count = exchange->buffer_count;
     *is_head_method = exchange->is_head_method;
     set_timeout(exchange, &exchange->client->first_byte_timeout);
-    exchange->guard.on_bad_head = on_bad_head;
+    exchange->guard.on_fault = on_fault;
     guard_start(&exchange->guard, http, exchange->client->loop,
                 &exchange->client->zero_timeout);
     return on_head;
--- a/packages/net/source/guard-head.c
+++ b/packages/net/source/guard-head.c
@@ -112,13 +112,14 @@
 }
 
 syn_fault
-guard_check_head(const char *bytes, size_t size)
+guard_check_head(const char *bytes, size_t size, guard_head *head)
 {
     const char *line = bytes, *end;
     syn_fault fault = check_status_line(bytes, size);
     body_framing framing = {0};
     size_t length;
 
+    *head = (guard_head){.size = 0};
     if (fault != SYN_NO_FAULT) {
         return fault;
     }
@@ -131,6 +132,8 @@
             length--;
         }
         if (length == 0) {
+            head->size = (size_t)(end + 1 - bytes);
+            head->is_chunked = framing.is_chunked;
             return SYN_NO_FAULT;
         }
         fault = check_header_line(&framing, line, length);
--- a/packages/net/source/guard-imp.h
+++ b/packages/net/source/guard-imp.h
@@ -1,7 +1,8 @@
 /*
- * Limits for responses that never complete, which h2o's client lacks: the size
- * of the head, and the bytes of chunk framing (sizes, extensions, trailers)
- * that arrive without body data.
+ * Checks of responses that h2o's client lacks: of the head and of chunks, and
+ * limits for responses that never complete: the size of the head, and the
+ * bytes of chunk framing (sizes, extensions, trailers) that arrive without
+ * body data.
  */
 #ifndef LAVENDER_NET_GUARD_IMP_H
 #define LAVENDER_NET_GUARD_IMP_H
@@ -24,14 +25,18 @@
 
 /* The first member of the object that the client's `data` points to. */
 struct guard_state {
-    /* Called when the head is too large, malformed or not supported by h2o;
-     * must cancel the client. */
-    void (*on_bad_head)(guard_state *guard);
+    /* Called when the head is too large, malformed or not supported by h2o,
+     * or, with SYN_BAD_CHUNK, when the body is malformed; must cancel the
+     * client. */
+    void (*on_fault)(guard_state *guard);
     h2o_http1client_t *http;
     h2o_timeout_entry_t install_timer;
     h2o_socket_cb write_callback; /* h2o's, replaced until the head is read */
-    h2o_socket_cb read_callback;
-    syn_fault fault; /* why on_bad_head is called */
+    h2o_socket_cb read_callback;  /* h2o's, replaced */
+    bool *was_stopped;            /* set by guard_stop; NULL: nobody asks */
+    syn_fault fault;              /* why on_fault is called */
+    bool is_chunked;              /* the head is read, and chunks follow */
+    syn_chunks chunks;
     uint64_t head_bytes;
     uint64_t framing_bytes;
     uint64_t body_bytes;
@@ -45,6 +50,10 @@
 /* Must be called before the object is freed. */
 void guard_stop(guard_state *guard);
 
+/* Has the next read of a chunked body checked. Must be called after reading
+ * was started again with h2o's callback. */
+void guard_resume(guard_state *guard);
+
 /* Counts the last read, of which `size` bytes are body data. Returns false
  * when the framing limit is exceeded. */
 bool guard_accepts_body(guard_state *guard, size_t size);
@@ -53,8 +62,13 @@
  * one that h2o's client found. */
 void guard_log_fault(const guard_state *guard, const char *address);
 
+typedef struct guard_head {
+    size_t size; /* in bytes, 0: it is incomplete */
+    bool is_chunked;
+} guard_head;
+
 /* Returns why this start of a response must not reach h2o's client.
  * SYN_NO_FAULT while the head is incomplete and has no such line. */
-syn_fault guard_check_head(const char *bytes, size_t size);
+syn_fault guard_check_head(const char *bytes, size_t size, guard_head *head);
 
 #endif
--- a/packages/net/source/platform-service.c
+++ b/packages/net/source/platform-service.c
@@ -286,7 +286,7 @@
 }
 
 static void
-on_bad_head(guard_state *guard)
+on_fault(guard_state *guard)
 {
     service_call *call = (service_call *)guard;
 
@@ -313,7 +313,7 @@
     *buffers = &call->request_buffer;
     *buffer_count = 1;
     *is_head_method = 0;
-    call->guard.on_bad_head = on_bad_head;
+    call->guard.on_fault = on_fault;
     guard_start(&call->guard, http, call->service->platform.loop,
                 &call->service->zero_timeout);
     return on_head;
--- a/packages/net/source/syntax-chunks.c
+++ b/packages/net/source/syntax-chunks.c
@@ -150,3 +150,9 @@
     }
     return used;
 }
+
+bool
+syn_chunks_have_fault(const syn_chunks *chunks)
+{
+    return chunks->part == CHUNK_FAULT;
+}
--- a/tests/net/script-server.c
+++ b/tests/net/script-server.c
@@ -86,6 +86,10 @@
             return;
         }
         send_filling(server, fd);
+        if (server->tail != NULL &&
+            send(fd, server->tail, strlen(server->tail), MSG_NOSIGNAL) < 0) {
+            return;
+        }
         if (!server->keeps_open) {
             return;
         }
--- a/tests/net/script-server.h
+++ b/tests/net/script-server.h
@@ -15,6 +15,7 @@
     const char *answer;  /* NULL: stay silent */
     size_t repeat;       /* then so many bytes of filling */
     const char *filling; /* that is repeated; NULL: "x" */
+    const char *tail;    /* follows the filling; NULL: nothing */
     int keeps_open;      /* do not close after the answer */
     int resets;          /* close with a reset */
     char address[64];
--- a/tests/net/test-malformed.c
+++ b/tests/net/test-malformed.c
@@ -3,6 +3,7 @@
  */
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
+#include <string.h>
 
 #include "script-server.h"
 #include "watcher.h"
@@ -114,3 +115,124 @@
     script_stop(&server);
     watch_finish(&client, &loop);
 }
+
+#define IN_CHUNKS(body)                                                       \
+    "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n" body
+
+ParameterizedTestParameters(malformed, chunks)
+{
+    static malformed_case cases[] = {
+        {"no line end behind the data", IN_CHUNKS("2\r\nokXY0\r\n\r\n")},
+        {"CR without LF behind the data", IN_CHUNKS("2\r\nok\rX0\r\n\r\n")},
+        {"two CR behind the data", IN_CHUNKS("2\r\nok\r\r\n0\r\n\r\n")},
+        {"LF without CR behind the data", IN_CHUNKS("2\r\nok\n0\r\n\r\n")},
+        {"CR without LF behind a size", IN_CHUNKS("2\rXok\r\n0\r\n\r\n")},
+        {"LF without CR behind a size", IN_CHUNKS("2\nok\r\n0\r\n\r\n")},
+        {"CR without LF behind the last size",
+         IN_CHUNKS("2\r\nok\r\n0\rX\r\n")},
+        {"CR without LF at the end", IN_CHUNKS("2\r\nok\r\n0\r\n\rX")},
+        {"CR without LF in an extension", IN_CHUNKS("2;a\rXok\r\n0\r\n\r\n")},
+        {"LF without CR in an extension",
+         IN_CHUNKS("2;a\nb\r\nok\r\n0\r\n\r\n")},
+        {"text behind a size", IN_CHUNKS("2 x\r\nok\r\n0\r\n\r\n")},
+        {"text at a size", IN_CHUNKS("2x\r\nok\r\n0\r\n\r\n")},
+        {"a size with a prefix", IN_CHUNKS("0x2\r\nok\r\n0\r\n\r\n")},
+        {"a size with a sign", IN_CHUNKS("+2\r\nok\r\n0\r\n\r\n")},
+        {"a size that is no number", IN_CHUNKS("g\r\nok\r\n0\r\n\r\n")},
+        {"a blank before a size", IN_CHUNKS(" 2\r\nok\r\n0\r\n\r\n")},
+        {"no size", IN_CHUNKS("\r\nok\r\n0\r\n\r\n")},
+        {"an extension without a size", IN_CHUNKS(";a\r\nok\r\n0\r\n\r\n")},
+        {"a size over 64 bits",
+         IN_CHUNKS("10000000000000002\r\nok\r\n0\r\n\r\n")},
+        {"no last chunk", IN_CHUNKS("2\r\nok\r\n")},
+    };
+
+    return cr_make_param_array(malformed_case, cases,
+                               sizeof cases / sizeof cases[0]);
+}
+
+/* Chunks that RFC 9112 calls invalid do not come to an end. */
+ParameterizedTest(malformed_case *parameter, malformed, chunks,
+                  .timeout = WATCH_HANG_S)
+{
+    uv_loop_t loop;
+    client_context client;
+    watch_watcher self = {.loop = &loop};
+    script_server server = {.answer = parameter->answer};
+
+    uv_loop_init(&loop);
+    cr_assert(client_init(&client, &loop, &watch_settings, NULL));
+    script_start(&server);
+    watch_ask(&client, &self, server.address, false);
+    cr_expect_eq((int)self.end, EXCH_CONNECTION_LOST, "%s: end %d",
+                 parameter->name, (int)self.end);
+    cr_expect_leq(self.size, 2, "%s: size %zu", parameter->name, self.size);
+    script_stop(&server);
+    watch_finish(&client, &loop);
+}
+
+#define CHUNK "5\r\nhello\r\n"
+#define CHUNK_COUNT 100000
+#define PAUSED_MS 50
+
+static void
+on_paused(uv_timer_t *timer)
+{
+    uv_stop(timer->loop);
+}
+
+/* Runs an exchange of many reads; a paused one stops at its first. */
+static void
+read_chunks(watch_watcher *self, const char *end)
+{
+    uv_loop_t loop;
+    client_context client;
+    uv_timer_t timer;
+    script_server server = {.answer = IN_CHUNKS(CHUNK),
+                            .filling = CHUNK,
+                            .repeat = CHUNK_COUNT * strlen(CHUNK),
+                            .tail = end};
+
+    self->loop = &loop;
+    uv_loop_init(&loop);
+    cr_assert(client_init(&client, &loop, &watch_settings, NULL));
+    script_start(&server);
+    uv_timer_init(&loop, &timer);
+    if (self->is_paused) {
+        uv_timer_start(&timer, on_paused, PAUSED_MS, 0);
+    }
+    watch_ask(&client, self, server.address, false);
+    if (self->is_paused) {
+        cr_assert(!self->is_ended);
+        self->is_paused = false;
+        exch_set_paused(self->exchange, false);
+        uv_run(&loop, UV_RUN_DEFAULT);
+    }
+    uv_close((uv_handle_t *)&timer, NULL);
+    script_stop(&server);
+    watch_finish(&client, &loop);
+}
+
+/* The reads of a body, and pauses between them, do not matter. */
+Test(malformed, many_chunks)
+{
+    static const struct {
+        const char *end;
+        exch_result result;
+        size_t size;
+    } cases[] = {
+        {"0\r\n\r\n", EXCH_COMPLETE, 500005},
+        {"2\r\nok\r\r\n0\r\n\r\n", EXCH_CONNECTION_LOST, 500007},
+        {"0x2\r\nok\r\n0\r\n\r\n", EXCH_CONNECTION_LOST, 500005},
+    };
+
+    for (size_t i = 0; i < 2 * sizeof cases / sizeof cases[0]; i++) {
+        watch_watcher self = {.is_paused = i % 2 == 1};
+
+        read_chunks(&self, cases[i / 2].end);
+        cr_expect_eq((int)self.end, (int)cases[i / 2].result, "%zu: end %d", i,
+                     (int)self.end);
+        cr_expect_eq(self.size, cases[i / 2].size, "%zu: size %zu", i,
+                     self.size);
+    }
+}
