--- a/tests/gateway/test-rejoined.c
+++ b/tests/gateway/test-rejoined.c
@@ -16,10 +16,7 @@
 #define ENDPOINTS 4
 #define V2_CREATED 90 /* revision */
 #define STREAMS 24
-
-/* All are taken up within the timeout of their route: a gateway knows that no
- * stream lasts longer. */
-#define STREAMS_AT_A_START 8
+#define STREAMS_AT_A_START 8 /* taken up within the timeout of their route */
 
 static stage_fixture stage;
 
@@ -397,27 +394,14 @@
     }
 }
 
-/* Starts a gateway that knows nothing and takes streams up. Counts those that
- * go on, and those of them that do at another version. */
 static void
-take_up_streams(const rejoin_case *one, const char *past, bool are_told,
-                uint32_t first, const char *const *versions, uint32_t *gone_on,
-                uint32_t *wrong)
+start_again(const rejoin_case *one, const char *past, bool are_told)
 {
-    uint32_t i;
-
+    stage_stop(&stage);
     start(one->after, one->is_v2_young, past, one->past_since, one->draining);
-    for (i = 0; i < ENDPOINTS; i++) {
+    for (uint32_t i = 0; i < ENDPOINTS; i++) {
         stage.endpoints[i].cached = are_told ? cached[i] : NULL;
     }
-    for (i = first; i < first + STREAMS_AT_A_START; i++) {
-        uint32_t endpoint = take_up(i);
-
-        *gone_on += endpoint < ENDPOINTS;
-        *wrong += endpoint < ENDPOINTS &&
-                  strcmp(stage.endpoints[endpoint].version, versions[i]) != 0;
-    }
-    stage_stop(&stage);
 }
 
 /* Plays a case: streams begin, all instances end and start again, and the
@@ -427,24 +411,30 @@
 {
     static char past[4096];
     const char *versions[STREAMS];
-    uint32_t wrong = 0;
-    uint32_t gone_on = 0;
-    uint32_t i;
+    uint32_t wrong = 0, gone_on = 0, i;
 
     memset(cached, 0, sizeof cached);
     start(one->before, false, NULL, 0, NULL);
     begin_streams(versions);
-    stage_stop(&stage);
     past[0] = '\0';
     for (i = 0; i < PAST_MAX && one->past[i].name != NULL; i++) {
         append_event(&one->past[i], 95 + i, past, sizeof past);
     }
-    for (i = 0; i < STREAMS; i += STREAMS_AT_A_START) {
-        take_up_streams(one, past, are_told, i, versions, &gone_on, &wrong);
+    for (i = 0; i < STREAMS; i++) {
+        uint32_t endpoint;
+
+        if (i % STREAMS_AT_A_START == 0) {
+            start_again(one, past, are_told);
+        }
+        endpoint = take_up(i);
+        gone_on += endpoint < ENDPOINTS;
+        wrong += endpoint < ENDPOINTS &&
+                 strcmp(stage.endpoints[endpoint].version, versions[i]) != 0;
     }
     cr_expect_eq(wrong, 0, "%s: %u at another version", one->name, wrong);
     cr_expect_geq(gone_on * 100, STREAMS * one->least, "%s: %u go on",
                   one->name, gone_on);
+    stage_stop(&stage);
 }
 
 /* Guards against a stream that goes on at another version, or is refused
