--- a/tests/net/test-malformed.c
+++ b/tests/net/test-malformed.c
@@ -3,8 +3,12 @@
  */
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
+#include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
+#include "lavender-net/log.h"
 #include "script-server.h"
 #include "watcher.h"
 
@@ -116,6 +120,36 @@
     watch_finish(&client, &loop);
 }
 
+/* A line names the server and what is wrong with its response. */
+Test(malformed, log)
+{
+    static char text[4096];
+    char line[128];
+    log_settings log = {.level = LOG_LEVEL_INFO,
+                        .file = "/tmp/malformed-XXXXXX"};
+    int file = mkstemp(log.file);
+    uv_loop_t loop;
+    client_context client;
+    watch_watcher self = {.loop = &loop};
+    script_server server = {.answer = WITH_STATUS("HTTP/1.1 000 So")};
+
+    uv_loop_init(&loop);
+    cr_assert(file >= 0 && log_open(&log, NULL));
+    cr_assert(client_init(&client, &loop, &watch_settings, NULL));
+    script_start(&server);
+    watch_ask(&client, &self, server.address, false);
+    log_close();
+    cr_assert_geq(read(file, text, sizeof text - 1), 0);
+    snprintf(line, sizeof line,
+             "event=malformed-answer address=%s fault=bad-status\n",
+             server.address);
+    cr_expect_not_null(strstr(text, line), "%s", text);
+    close(file);
+    unlink(log.file);
+    script_stop(&server);
+    watch_finish(&client, &loop);
+}
+
 #define IN_CHUNKS(body)                                                       \
     "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n" body
 
