Let endpoints of the soak send malformed answers

The soak's endpoints sent nothing but proper HTTP, so that no long run could show an answer with the status 000 at a caller.

Change: one of their moods sends answers with an invalid head (000, 099, a name with a blank, one with a control byte, another coding) that bear a mark; a mark that reaches a caller is a violation. soak-plant-malformed shows that it is found.

--- a/tests/soak/soak-caller.c
+++ b/tests/soak/soak-caller.c
@@ -70,6 +70,10 @@
                     strcasecmp(connection, "close") == 0 &&
                     self->world->plant != SOAK_PLANT_DROP;
     self->is_not_ours = id != NULL && strcmp(id, wanted) != 0;
+    if (http_find_header(head, "Soak-Malformed") != NULL) {
+        judge_fault(self->world, "c%u: a malformed answer is passed on",
+                    self->calls[0]);
+    }
     return true;
 }
 
--- a/tests/soak/soak-endpoint.c
+++ b/tests/soak/soak-endpoint.c
@@ -251,6 +251,35 @@
     buf_finish(&headers);
 }
 
+/* Sends an answer whose head RFC 9112 calls invalid, else proper. */
+static void
+send_malformed(endpoint_work *work)
+{
+    static const char *const heads[] = {
+        "HTTP/1.1 000 So\r\n",
+        "HTTP/1.1 099 So\r\n",
+        "HTTP/1.1 200 OK\r\nX Y: a\r\n",
+        "HTTP/1.1 200 OK\r\nX\001Y: a\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n",
+    };
+    const soak_world *world = work->endpoint->world;
+    const char *head = world->plant == SOAK_PLANT_MALFORMED
+                           ? "HTTP/1.1 200 OK\r\n"
+                           : heads[work->call % 5];
+    char body[BODY_SIZE];
+    buf_buffer text;
+
+    judge_write_body(work->call, body, sizeof body);
+    buf_init(&text);
+    buf_append_text(&text, head);
+    write_headers(work->endpoint, work->call, "Soak-Malformed: 1\r\n", &text);
+    buf_append_format(&text, "Content-Length: %zu\r\n\r\n%s", strlen(body),
+                      body);
+    io_write(&work->connection->stream, text.data, text.size);
+    io_close(&work->connection->stream);
+    buf_finish(&text);
+}
+
 static void
 begin_stream(endpoint_work *work)
 {
@@ -337,6 +366,10 @@
         send_whole(work, 500);
         return true;
     }
+    if (work->mood == ENDPOINT_MALFORMED) {
+        send_malformed(work);
+        return true;
+    }
     if (work->is_stream) {
         return send_event(work, now);
     }
--- a/tests/soak/soak-judge.c
+++ b/tests/soak/soak-judge.c
@@ -39,7 +39,8 @@
     [SOAK_PLANT_BLOCK] = "with the block that crashed",
     [SOAK_PLANT_REPEAT] = "repeat of the request that crashed",
     [SOAK_PLANT_MIXED] = "goes on at software",
-    [SOAK_PLANT_ZONE] = "whose zone is evacuated"};
+    [SOAK_PLANT_ZONE] = "whose zone is evacuated",
+    [SOAK_PLANT_MALFORMED] = "malformed answer"};
 
 void
 judge_fault(soak_world *world, const char *format, ...)
--- a/tests/soak/soak-main.c
+++ b/tests/soak/soak-main.c
@@ -24,9 +24,9 @@
 static soak_world world;
 
 static const char *const plant_names[SOAK_PLANT_COUNT] = {
-    "none",  "twice",  "swap",  "cut",    "lie",    "late", "leave", "old",
-    "stale", "budget", "work",  "kept",   "silent", "drop", "close", "word",
-    "again", "limit",  "block", "repeat", "mixed",  "zone"};
+    "none",  "twice",  "swap",  "cut",    "lie",    "late", "leave",    "old",
+    "stale", "budget", "work",  "kept",   "silent", "drop", "close",    "word",
+    "again", "limit",  "block", "repeat", "mixed",  "zone", "malformed"};
 
 uint32_t
 soak_draw(soak_world *self, uint32_t below)
--- a/tests/soak/soak-plant.c
+++ b/tests/soak/soak-plant.c
@@ -68,6 +68,11 @@
             world->endpoints[i].mood = ENDPOINT_RESETS;
         }
         break;
+    case SOAK_PLANT_MALFORMED:
+        for (uint32_t i = 0; i < SOAK_ENDPOINTS; i++) {
+            world->endpoints[i].mood = ENDPOINT_MALFORMED;
+        }
+        break;
     case SOAK_PLANT_BUDGET:
         for (uint32_t i = 0; i < SOAK_ENDPOINTS; i++) {
             world->endpoints[i].mood = ENDPOINT_FAILS;
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -91,6 +91,7 @@
     SOAK_PLANT_REPEAT, /* a deadly request has another body each time */
     SOAK_PLANT_MIXED,  /* the store shows one software version of all */
     SOAK_PLANT_ZONE,   /* the store does not show that a zone is evacuated */
+    SOAK_PLANT_MALFORMED, /* a malformed answer arrives in proper form */
     SOAK_PLANT_COUNT
 } soak_plant;
 
@@ -204,6 +205,7 @@
     ENDPOINT_MUTE,
     ENDPOINT_SLOW,
     ENDPOINT_OVERLOADED, /* not run, and not to come again for some time */
+    ENDPOINT_MALFORMED,  /* its answers are no proper HTTP */
     ENDPOINT_MOODS
 } endpoint_mood;
 
