--- a/tests/gateway/test-response-syntax.c
+++ b/tests/gateway/test-response-syntax.c
@@ -315,6 +315,25 @@
     expect_all_refused(cases, sizeof cases / sizeof cases[0]);
 }
 
+/* Guards against refusals where another endpoint has the answer. */
+Test(response_syntax, another_endpoint_is_tried_where_the_route_allows)
+{
+    static const script_step invalid[SCRIPT_STEPS] = {
+        {0, STATUS("HTTP/1.1 000 So"), 0, SCRIPT_CLOSE}};
+    static const script_step valid[SCRIPT_STEPS] = {
+        {0, HEAD LENGTH BODY, 0, SCRIPT_GO_ON}};
+
+    for (size_t i = 0; i < ROUTES; i++) {
+        stage_response answer;
+
+        script_start_pair(&stage, scripts, invalid, valid);
+        stage_exchange(&stage, routes[i].path, "", &answer);
+        cr_expect_eq(answer.status, routes[i].attempts > 1 ? 200 : 502,
+                     "%s: %u", routes[i].path, answer.status);
+        script_stop_pair(&stage, scripts);
+    }
+}
+
 /* Guards against status lines that another program reads in another way. */
 Test(response_syntax, status_line_that_is_not_valid_is_refused)
 {
